--- /dev/null
+++ b/cmd/shallotpin/main.go
@@ -0,0 +1,107 @@
+// Command shallotpin is the command line of operators and callers.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/client"
+)
+
+// Exit codes, fixed for scripts.
+const (
+	exitDone       = 0
+	exitFailed     = 1
+	exitUsage      = 2
+	exitNotRun     = 3
+	exitMayHaveRun = 4
+)
+
+// globals are the options of every command.
+type globals struct {
+	Server string `long:"server" env:"SHALLOTPIN_SERVER" default:"http://127.0.0.1:7400" description:"URL of an entry VM"`
+	Output string `short:"o" long:"output" choice:"text" choice:"json" default:"text" description:"form of the output"`
+
+	out io.Writer
+}
+
+func (g *globals) client() *client.Client { return client.New(g.Server) }
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, stdout, stderr io.Writer) int {
+	g := &globals{out: stdout}
+	parser := flags.NewNamedParser("shallotpin", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Schedules multi-accelerator jobs under client account guarantees, and short requests to upstreams.\n\n" +
+		"Exit codes: 0 done; 2 bad usage or bad input; 3 refused and not run; 4 may have run; 1 anything else."
+	if _, err := parser.AddGroup("Client options", "", g); err != nil {
+		panic(err)
+	}
+	addCommands(parser, g)
+	_, err := parser.ParseArgs(args)
+	var flagErr *flags.Error
+	if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, err)
+		return exitDone
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "shallotpin: "+err.Error())
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var flagErr *flags.Error
+	var apiErr *api.Error
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &flagErr):
+		return exitUsage
+	case !errors.As(err, &apiErr):
+		return exitFailed
+	case apiErr.Code == api.CodeInvalid || apiErr.Code == api.CodeNotFound:
+		return exitUsage
+	case apiErr.Verdict == api.MayHaveRun:
+		return exitMayHaveRun
+	case apiErr.Verdict == api.NotRun:
+		return exitNotRun
+	default:
+		return exitFailed
+	}
+}
+
+// add registers a command or panics, since the table of commands is fixed.
+func add(parent *flags.Command, name, short, long string, data any) *flags.Command {
+	c, err := parent.AddCommand(name, short, long, data)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+func addCommands(parser *flags.Parser, g *globals) {
+	root := parser.Command
+	add(root, "dev", "run entry nodes and stand-ins in one process", "Runs until a signal. Prints \"ready http://ADDR\" once jobs and requests are taken.", &devCommand{g: g})
+	conf := add(root, "config", "publish or show the configuration", "", &struct{}{})
+	add(conf, "publish", "publish a JSON document as the configuration", "", &configPublishCommand{g: g})
+	add(conf, "show", "show the configuration in force", "", &configShowCommand{g: g})
+	preset := add(root, "preset", "switch presets", "", &struct{}{})
+	add(preset, "switch", "put a preset in force", "", &presetSwitchCommand{g: g})
+	zone := add(root, "zone", "take an availability zone out or back in", "", &struct{}{})
+	add(zone, "out", "take an availability zone out of service", "", &zoneCommand{g: g, out: true})
+	add(zone, "in", "take an availability zone back into service", "", &zoneCommand{g: g})
+	job := add(root, "job", "submit, show, cancel and list jobs", "", &struct{}{})
+	add(job, "submit", "submit a job specification in JSON", "", &jobSubmitCommand{g: g})
+	add(job, "get", "show a job", "", &jobGetCommand{g: g})
+	add(job, "cancel", "cancel a job", "", &jobCancelCommand{g: g})
+	add(job, "list", "list the jobs", "", &jobListCommand{g: g})
+	add(root, "request", "send one short request to a service", "", &requestCommand{g: g})
+	add(root, "status", "show accounts, zones, workers, queue and log freshness", "", &statusCommand{g: g})
+	add(root, "bench", "run a scenario and print its figures", "Prints one JSON object: {\"scenario\":…,\"seed\":…,\"figures\":{name:number}}.", &benchCommand{g: g})
+}
--- /dev/null
+++ b/cmd/shallotpin/script_test.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"shallotpin": func() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// daemons builds the programs that scripts start as separate processes.
+func daemons(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	for _, name := range []string{"shallotpin", "shallotpind", "shallotpin-standin"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), "../"+name).CombinedOutput()
+		if err != nil {
+			t.Fatalf("go build %s: %v\n%s", name, err, out)
+		}
+	}
+	return dir
+}
+
+func TestScripts(t *testing.T) {
+	bin := daemons(t)
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", bin+string(os.PathListSeparator)+env.Getenv("PATH"))
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ports":  cmdPorts,
+			"spawn":  cmdSpawn,
+			"signal": cmdSignal,
+			"await":  cmdAwait,
+		},
+	})
+}
+
+// cmdPorts sets each named variable to a free loopback address.
+func cmdPorts(ts *testscript.TestScript, neg bool, args []string) {
+	for _, name := range args {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		ts.Setenv(name, l.Addr().String())
+		ts.Check(l.Close())
+	}
+}
+
+// cmdSpawn starts a program in the background under a name and waits for its
+// line "ready URL".
+func cmdSpawn(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: spawn NAME PROGRAM [ARG...]")
+	}
+	program, err := lookIn(ts.Getenv("PATH"), args[1])
+	ts.Check(err)
+	cmd := exec.Command(program, args[2:]...)
+	cmd.Dir = ts.MkAbs(".")
+	cmd.Stderr = os.Stderr
+	stdout, err := cmd.StdoutPipe()
+	ts.Check(err)
+	ts.Check(cmd.Start())
+	ts.Defer(func() {
+		cmd.Process.Signal(syscall.SIGCONT)
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	all[ts.Name()+"/"+args[0]] = cmd
+	line, err := bufio.NewReader(stdout).ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, "ready ") {
+		ts.Fatalf("%s is not ready: %q, %v", args[0], line, err)
+	}
+}
+
+// all holds the spawned processes by script and name. Scripts use it from the
+// goroutine of their own subtest; they do not run in parallel.
+var all = map[string]*exec.Cmd{}
+
+func lookIn(path, program string) (string, error) {
+	for _, dir := range filepath.SplitList(path) {
+		full := filepath.Join(dir, program)
+		if info, err := os.Stat(full); err == nil && !info.IsDir() {
+			return full, nil
+		}
+	}
+	return "", fmt.Errorf("no program %s", program)
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+}
+
+// cmdSignal sends a signal to a spawned process.
+func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 2 || signals[args[1]] == 0 {
+		ts.Fatalf("usage: signal NAME KILL|TERM|STOP|CONT")
+	}
+	ts.Check(all[ts.Name()+"/"+args[0]].Process.Signal(signals[args[1]]))
+}
+
+// cmdAwait waits for a spawned process to end and checks that its exit was clean.
+func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("usage: await NAME")
+	}
+	err := all[ts.Name()+"/"+args[0]].Wait()
+	if (err != nil) != neg {
+		ts.Fatalf("%s ended with %v", args[0], err)
+	}
+}
--- /dev/null
+++ b/pkg/api/errors.go
@@ -0,0 +1,65 @@
+package api
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Code classifies an Error for programs.
+type Code string
+
+const (
+	// CodeInvalid marks input that can never be accepted as it is.
+	CodeInvalid Code = "invalid"
+	// CodeNotFound marks a name or ID that does not exist.
+	CodeNotFound Code = "not-found"
+	// CodeConflict marks a change based on an outdated version.
+	CodeConflict Code = "conflict"
+	// CodeUnavailable marks a temporary refusal; the caller may retry.
+	CodeUnavailable Code = "unavailable"
+	// CodeOverloaded marks a refusal because a queue is full or a deadline cannot be met.
+	CodeOverloaded Code = "overloaded"
+	// CodeTimeout marks a deadline that passed before the outcome was known.
+	CodeTimeout Code = "timeout"
+	// CodeFailed marks work that ran and failed.
+	CodeFailed Code = "failed"
+)
+
+// Error is the error that crosses package and process boundaries.
+type Error struct {
+	Code    Code    `json:"code"`
+	Message string  `json:"message"`
+	Field   string  `json:"field,omitempty"`
+	Verdict Verdict `json:"verdict"`
+	// RetryAfter is the wait that the server proposes before a retry; zero means none.
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	if e.Field == "" {
+		return fmt.Sprintf("%s: %s", e.Code, e.Message)
+	}
+	return fmt.Sprintf("%s: %s: %s", e.Code, e.Field, e.Message)
+}
+
+// Errorf returns an Error with the verdict not-run.
+func Errorf(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// FieldErrorf returns an invalid-input Error that names the field at fault.
+func FieldErrorf(field, format string, args ...any) *Error {
+	return &Error{Code: CodeInvalid, Field: field, Message: fmt.Sprintf(format, args...)}
+}
+
+// AsError returns err as an *Error. An error of another type becomes
+// CodeUnavailable with the given verdict.
+func AsError(err error, verdict Verdict) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Code: CodeUnavailable, Message: err.Error(), Verdict: verdict}
+}
--- /dev/null
+++ b/pkg/api/job.go
@@ -0,0 +1,180 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"unicode/utf8"
+)
+
+// Adjacency says how close together the tasks of a gang must be placed.
+type Adjacency string
+
+const (
+	// WithinWorker places all tasks on one worker.
+	WithinWorker Adjacency = "worker"
+	// WithinRack places all tasks in one rack.
+	WithinRack Adjacency = "rack"
+	// WithinZone places all tasks in one availability zone.
+	WithinZone Adjacency = "zone"
+)
+
+// Valid reports whether a is a known adjacency.
+func (a Adjacency) Valid() bool {
+	return a == WithinWorker || a == WithinRack || a == WithinZone
+}
+
+// Limits on a job specification.
+const (
+	MaxGangTasks       = 64
+	MaxJobBytes        = 64 << 10
+	MaxRequestBytes    = 1 << 20
+	MaxAttemptsCeiling = 100
+)
+
+// Resources is what one task occupies on its worker.
+type Resources struct {
+	Cores        int `json:"cores"`
+	MemoryGB     int `json:"memory_gb"`
+	Accelerators int `json:"accelerators"`
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.Cores + o.Cores, r.MemoryGB + o.MemoryGB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.Cores - o.Cores, r.MemoryGB - o.MemoryGB, r.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether r fits into free.
+func (r Resources) Fits(free Resources) bool {
+	return r.Cores <= free.Cores && r.MemoryGB <= free.MemoryGB && r.Accelerators <= free.Accelerators
+}
+
+// JobSpec is a gang job as a caller submits it.
+type JobSpec struct {
+	Account string `json:"account"`
+	Class   string `json:"class"`
+	// Tasks is the gang size; all tasks run at once or none does.
+	Tasks int `json:"tasks"`
+	// PerTask is what each task occupies.
+	PerTask Resources `json:"per_task"`
+	Within  Adjacency `json:"within"`
+	// ExpectedSeconds is the declared run time; it is only a hint.
+	ExpectedSeconds float64 `json:"expected_seconds,omitempty"`
+	// MaxAttempts bounds how often the gang may be started; 1 means run at most once.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Checkpoint says that a stopped task can resume from a checkpoint.
+	Checkpoint bool `json:"checkpoint,omitempty"`
+	// Urgent asks for a start ahead of other work, by reclaiming the account's guaranteed shape.
+	Urgent bool `json:"urgent,omitempty"`
+	// Payload is handed to every task unchanged.
+	Payload string `json:"payload,omitempty"`
+}
+
+// Total returns what the whole gang occupies.
+func (s *JobSpec) Total() Resources {
+	n := s.Tasks
+	return Resources{s.PerTask.Cores * n, s.PerTask.MemoryGB * n, s.PerTask.Accelerators * n}
+}
+
+// Preemptible reports whether the gang can be stopped and started again later.
+// A gang that may run only once and cannot checkpoint is not.
+func (s *JobSpec) Preemptible() bool { return s.Checkpoint || s.MaxAttempts > 1 }
+
+// DecodeJobSpec parses and checks a job specification. It refuses unknown
+// fields, invalid UTF-8 and values out of range, naming the field.
+func DecodeJobSpec(data []byte) (JobSpec, error) {
+	var s JobSpec
+	if err := DecodeStrict(data, MaxJobBytes, &s); err != nil {
+		return s, err
+	}
+	if s.MaxAttempts == 0 {
+		s.MaxAttempts = 3
+	}
+	if s.Within == "" {
+		s.Within = WithinZone
+	}
+	return s, s.Validate()
+}
+
+// Validate checks the ranges that do not depend on the configuration.
+func (s *JobSpec) Validate() error {
+	switch {
+	case s.Account == "":
+		return FieldErrorf("account", "must be set")
+	case s.Class == "":
+		return FieldErrorf("class", "must be set")
+	case s.Tasks < 1 || s.Tasks > MaxGangTasks:
+		return FieldErrorf("tasks", "%d is not between 1 and %d", s.Tasks, MaxGangTasks)
+	case s.PerTask.Cores < 0 || s.PerTask.MemoryGB < 0 || s.PerTask.Accelerators < 0:
+		return FieldErrorf("per_task", "must not be negative")
+	case s.PerTask == Resources{}:
+		return FieldErrorf("per_task", "must ask for at least one core, GB or accelerator")
+	case !s.Within.Valid():
+		return FieldErrorf("within", "%q is not worker, rack or zone", s.Within)
+	case s.MaxAttempts < 1 || s.MaxAttempts > MaxAttemptsCeiling:
+		return FieldErrorf("max_attempts", "%d is not between 1 and %d", s.MaxAttempts, MaxAttemptsCeiling)
+	case s.ExpectedSeconds < 0:
+		return FieldErrorf("expected_seconds", "must not be negative")
+	}
+	return nil
+}
+
+// DecodeStrict parses one JSON document into out. It refuses documents over
+// limit bytes, invalid UTF-8, unknown fields and trailing data.
+func DecodeStrict(data []byte, limit int, out any) error {
+	if len(data) > limit {
+		return FieldErrorf("body", "%d bytes is over the limit of %d bytes", len(data), limit)
+	}
+	if !utf8.Valid(data) {
+		return FieldErrorf("body", "is not valid UTF-8")
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(out); err != nil {
+		return FieldErrorf("body", "%v", err)
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return FieldErrorf("body", "has data after the JSON document")
+	}
+	return nil
+}
+
+// Phase is the state of a job.
+type Phase string
+
+const (
+	// PhasePending means accepted and waiting for a placement.
+	PhasePending Phase = "pending"
+	// PhasePlaced means that an attempt holds a placement; its tasks may be running.
+	PhasePlaced Phase = "placed"
+	// PhaseStopping means that the current attempt is being stopped.
+	PhaseStopping Phase = "stopping"
+	// PhaseDone means that every task finished and the result is known.
+	PhaseDone Phase = "done"
+	// PhaseFailed means that the job ended without a result.
+	PhaseFailed Phase = "failed"
+	// PhaseCancelled means that the caller's cancellation ended the job.
+	PhaseCancelled Phase = "cancelled"
+)
+
+// Ended reports whether the job is over.
+func (p Phase) Ended() bool {
+	return p == PhaseDone || p == PhaseFailed || p == PhaseCancelled
+}
+
+// JobStatus is what a caller learns about a job.
+type JobStatus struct {
+	ID       string   `json:"id"`
+	Spec     JobSpec  `json:"spec"`
+	Phase    Phase    `json:"phase"`
+	Verdict  Verdict  `json:"verdict"`
+	Attempts int      `json:"attempts"`
+	Workers  []string `json:"workers,omitempty"`
+	Results  []string `json:"results,omitempty"`
+	Reason   string   `json:"reason,omitempty"`
+}
--- /dev/null
+++ b/pkg/api/verdict.go
@@ -0,0 +1,41 @@
+// Package api holds the types that callers, operators and nodes exchange:
+// verdicts, errors, job specifications and short requests.
+package api
+
+import "fmt"
+
+// Verdict says whether a request or job may have taken effect.
+type Verdict uint8
+
+const (
+	// NotRun means that no part of the work reached a worker or an upstream.
+	NotRun Verdict = iota
+	// MayHaveRun means that the work was handed over and its outcome is unknown.
+	MayHaveRun
+	// Ran means that the work ran and its outcome is known.
+	Ran
+)
+
+var verdictNames = [...]string{NotRun: "not-run", MayHaveRun: "may-have-run", Ran: "ran"}
+
+// String returns the name used in headers and JSON bodies.
+func (v Verdict) String() string {
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return fmt.Sprintf("verdict(%d)", uint8(v))
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler and refuses unknown names.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for i, name := range verdictNames {
+		if name == string(text) {
+			*v = Verdict(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown verdict %q", text)
+}
--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,207 @@
+// Package client is the HTTP client of callers and operators.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/frontdoor"
+	"github.com/shallotpin/shallotpin/pkg/transport"
+)
+
+const (
+	// maxReplyBytes bounds what is read of one reply.
+	maxReplyBytes = 64 << 20
+	// pollInterval is the time between two looks at a node that is starting.
+	pollInterval = 50 * time.Millisecond
+	// jobWait is how long one call waits for a job to end.
+	jobWait = 30 * time.Second
+)
+
+// Client calls one node.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the node at base, such as http://127.0.0.1:7400.
+func New(base string) *Client {
+	return &Client{base: base, http: transport.HTTPClient(transport.TCP{}, 0)}
+}
+
+// WithHTTP returns a client of the node at base that uses c.
+func WithHTTP(base string, c *http.Client) *Client { return &Client{base: base, http: c} }
+
+// call sends one request. Until a reply has come, the work may have run.
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return api.FieldErrorf("server", "%v", err)
+	}
+	if header != nil {
+		req.Header = header
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return &api.Error{Code: api.CodeUnavailable, Message: err.Error(), Verdict: api.MayHaveRun}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return &api.Error{Code: api.CodeUnavailable, Message: err.Error(), Verdict: api.MayHaveRun}
+	}
+	if resp.StatusCode/100 != 2 {
+		return replyError(resp, data)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return &api.Error{Code: api.CodeUnavailable, Message: "the reply is cut short: " + err.Error(), Verdict: api.MayHaveRun}
+	}
+	return nil
+}
+
+func replyError(resp *http.Response, data []byte) error {
+	var body frontdoor.ErrorBody
+	if json.Unmarshal(data, &body) == nil && body.Error != nil {
+		return body.Error
+	}
+	return &api.Error{Code: api.CodeUnavailable, Message: "status " + resp.Status, Verdict: api.MayHaveRun}
+}
+
+// WaitReady waits until the node is ready.
+func (c *Client) WaitReady(ctx context.Context) error {
+	return poll(ctx, func() bool {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/readyz", nil)
+		if err != nil {
+			return false
+		}
+		resp, err := c.http.Do(req)
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// WaitWorkers waits until the node knows of a worker.
+func (c *Client) WaitWorkers(ctx context.Context) error {
+	return poll(ctx, func() bool {
+		st, err := c.Status(ctx)
+		if err != nil {
+			return false
+		}
+		for _, z := range st.Zones {
+			if z.Workers > 0 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func poll(ctx context.Context, done func() bool) error {
+	for !done() {
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// PublishConfig publishes a configuration document. base, if not nil, is the
+// version that the document replaces.
+func (c *Client) PublishConfig(ctx context.Context, document []byte, base *uint64) (out frontdoor.ChangeBody, err error) {
+	path := "/v1/config"
+	if base != nil {
+		path += "?base=" + strconv.FormatUint(*base, 10)
+	}
+	return out, c.call(ctx, http.MethodPut, path, nil, document, &out)
+}
+
+// Config returns the configuration in force.
+func (c *Client) Config(ctx context.Context) (out frontdoor.ConfigBody, err error) {
+	return out, c.call(ctx, http.MethodGet, "/v1/config", nil, nil, &out)
+}
+
+// SwitchPreset puts a preset in force.
+func (c *Client) SwitchPreset(ctx context.Context, call frontdoor.PresetCall) (out frontdoor.ChangeBody, err error) {
+	return out, c.call(ctx, http.MethodPut, "/v1/preset", nil, encode(call), &out)
+}
+
+// SetZone takes an availability zone out or back in.
+func (c *Client) SetZone(ctx context.Context, zone string, call frontdoor.ZoneCall) (out frontdoor.ChangeBody, err error) {
+	return out, c.call(ctx, http.MethodPut, "/v1/zones/"+url.PathEscape(zone), nil, encode(call), &out)
+}
+
+// Status returns the node's summary.
+func (c *Client) Status(ctx context.Context) (out frontdoor.StatusBody, err error) {
+	return out, c.call(ctx, http.MethodGet, "/v1/status", nil, nil, &out)
+}
+
+// SubmitJob submits a job specification in JSON. key makes a retry safe.
+func (c *Client) SubmitJob(ctx context.Context, spec []byte, key string) (out api.JobStatus, err error) {
+	header := http.Header{}
+	if key != "" {
+		header.Set(api.HeaderIdempotencyKey, key)
+	}
+	return out, c.call(ctx, http.MethodPost, "/v1/jobs", header, spec, &out)
+}
+
+// Job returns a job.
+func (c *Client) Job(ctx context.Context, id string) (out api.JobStatus, err error) {
+	return out, c.call(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id), nil, nil, &out)
+}
+
+// WaitJob returns a job once it has ended.
+func (c *Client) WaitJob(ctx context.Context, id string) (api.JobStatus, error) {
+	for {
+		var out api.JobStatus
+		path := fmt.Sprintf("/v1/jobs/%s?wait=%s", url.PathEscape(id), jobWait)
+		if err := c.call(ctx, http.MethodGet, path, nil, nil, &out); err != nil || out.Phase.Ended() {
+			return out, err
+		}
+	}
+}
+
+// Jobs lists the jobs.
+func (c *Client) Jobs(ctx context.Context) (out []api.JobStatus, err error) {
+	return out, c.call(ctx, http.MethodGet, "/v1/jobs", nil, nil, &out)
+}
+
+// CancelJob asks for the end of a job.
+func (c *Client) CancelJob(ctx context.Context, id string) (out api.JobStatus, err error) {
+	return out, c.call(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(id), nil, nil, &out)
+}
+
+// Request runs one short request. The error, if any, carries the verdict.
+func (c *Client) Request(ctx context.Context, r *api.Request) (out api.Answer, err error) {
+	header := http.Header{}
+	header.Set(api.HeaderAccount, r.Account)
+	header.Set(api.HeaderClass, r.Class)
+	header.Set(api.HeaderIdempotent, strconv.FormatBool(r.Idempotent))
+	if r.Key != "" {
+		header.Set(api.HeaderIdempotencyKey, r.Key)
+	}
+	if r.Timeout > 0 {
+		header.Set(api.HeaderDeadline, r.Timeout.String())
+	}
+	return out, c.call(ctx, http.MethodPost, "/v1/services/"+url.PathEscape(r.Service)+"/requests", header, r.Body, &out)
+}
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("client: a call of plain fields cannot fail to encode: " + err.Error())
+	}
+	return data
+}
--- /dev/null
+++ b/pkg/dev/dev.go
@@ -0,0 +1,164 @@
+// Package dev runs entry nodes and stand-ins in one process, for trying the
+// system out.
+package dev
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/client"
+	"github.com/shallotpin/shallotpin/pkg/config"
+	"github.com/shallotpin/shallotpin/pkg/node"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/standin"
+	"github.com/shallotpin/shallotpin/pkg/transport"
+)
+
+const (
+	// vmListLag is the lag of the VM list's stand-in.
+	vmListLag = 2 * time.Second
+	// upstreamTime is how long a short request takes on the stand-in.
+	upstreamTime = 20 * time.Millisecond
+	// readyTimeout bounds the start of the whole site.
+	readyTimeout = 30 * time.Second
+)
+
+// Site is a set of entry nodes and the stand-ins behind them.
+type Site struct {
+	servers []*standin.Server
+	nodes   []*node.Node
+}
+
+// Start runs entries nodes, the first of them at listen, and publishes the
+// configuration document.
+func Start(ctx context.Context, listen string, entries int, document []byte) (*Site, error) {
+	c, err := config.Decode(document)
+	if err != nil {
+		return nil, err
+	}
+	s := &Site{}
+	if err := s.start(ctx, listen, entries, c, document); err != nil {
+		return nil, errors.Join(err, s.Stop(ctx))
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context, listen string, entries int, c *config.Config, document []byte) error {
+	host, _, err := net.SplitHostPort(listen)
+	if err != nil {
+		return err
+	}
+	listeners, err := listenAll(host, 4)
+	if err != nil {
+		return err
+	}
+	base := func(i int) string { return "http://" + listeners[i].Addr().String() }
+	vms := shapeOf(c).VMs(base(2), base(3))
+	settings := make([]node.Settings, entries)
+	for i := range settings {
+		if settings[i], err = entrySettings(i, host, listen, c, base(0), base(1)); err != nil {
+			return err
+		}
+		vms = append(vms, platform.VM{ID: settings[i].ID, Kind: platform.KindEntry, Zone: settings[i].Zone, Address: settings[i].Peer})
+	}
+	s.servers = []*standin.Server{
+		standin.Serve(listeners[0], standin.NewLog(0).Handler()),
+		standin.Serve(listeners[1], standin.NewVMList(vmListLag, vms...).Handler()),
+		standin.Serve(listeners[2], standin.WorkersHandler(vms)),
+		standin.Serve(listeners[3], standin.UpstreamsHandler(vms, upstreamTime)),
+	}
+	for _, set := range settings {
+		if err := s.startNode(ctx, set); err != nil {
+			return err
+		}
+	}
+	return publish(ctx, s.Address(), document)
+}
+
+func shapeOf(c *config.Config) standin.FleetShape {
+	var zones []string
+	for _, z := range c.Zones {
+		zones = append(zones, z.Name)
+	}
+	service := ""
+	if len(c.Services) > 0 {
+		service = c.Services[0].Name
+	}
+	return standin.TodayShape(service, zones)
+}
+
+func entrySettings(i int, host, listen string, c *config.Config, log, vms string) (node.Settings, error) {
+	peers, err := listenAll(host, 1)
+	if err != nil {
+		return node.Settings{}, err
+	}
+	s := node.Settings{
+		ID: fmt.Sprintf("entry-%d", i), Zone: c.Zones[i%len(c.Zones)].Name,
+		HTTP: net.JoinHostPort(host, "0"), Peer: peers[0].Addr().String(), Log: log, VMs: vms,
+		DrainTimeout: 30 * time.Second, LeaseTTL: 10 * time.Second, StartWithin: 3 * time.Second, ClockDrift: 0.01,
+	}
+	if i == 0 {
+		s.HTTP = listen
+	}
+	return s, peers[0].Close()
+}
+
+func (s *Site) startNode(ctx context.Context, set node.Settings) error {
+	if problems := set.Problems(); len(problems) > 0 {
+		return errors.New(problems[0])
+	}
+	network := transport.TCP{}
+	n, err := node.New(set, network, node.HTTPPlatform(set, network), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if err != nil {
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	s.nodes = append(s.nodes, n)
+	return nil
+}
+
+func publish(ctx context.Context, address string, document []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	c := client.New("http://" + address)
+	if err := c.WaitReady(ctx); err != nil {
+		return err
+	}
+	if _, err := c.PublishConfig(ctx, document, nil); err != nil {
+		return err
+	}
+	return c.WaitWorkers(ctx)
+}
+
+func listenAll(host string, n int) ([]net.Listener, error) {
+	out := make([]net.Listener, n)
+	for i := range out {
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			return nil, err
+		}
+		out[i] = l
+	}
+	return out, nil
+}
+
+// Address returns the front door of the first node.
+func (s *Site) Address() string { return s.nodes[0].Address() }
+
+// Stop stops the nodes gracefully, then the stand-ins.
+func (s *Site) Stop(ctx context.Context) error {
+	var errs []error
+	for _, n := range s.nodes {
+		errs = append(errs, n.Stop(ctx))
+	}
+	for _, server := range s.servers {
+		errs = append(errs, server.Close())
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/pkg/frontdoor/callers.go
@@ -0,0 +1,209 @@
+package frontdoor
+
+import (
+	"net/http"
+	"sort"
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"github.com/google/uuid"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+const (
+	// maxWait bounds how long one call may wait for a job to end.
+	maxWait = 60 * time.Second
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 256
+	// maxCallBytes bounds the small JSON bodies of operators' calls.
+	maxCallBytes = 4 << 10
+)
+
+func decodeCall(r *http.Request, out any) error {
+	data, err := readBody(r, maxCallBytes)
+	if err != nil {
+		return err
+	}
+	return api.DecodeStrict(data, maxCallBytes, out)
+}
+
+// baseParam reads the version that a change is based on; nil means the current one.
+func baseParam(r *http.Request) (*uint64, error) {
+	text := r.URL.Query().Get("base")
+	if text == "" {
+		return nil, nil
+	}
+	base, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return nil, api.FieldErrorf("base", "%q is not a version number", text)
+	}
+	return &base, nil
+}
+
+func keyHeader(r *http.Request) (string, error) {
+	key := r.Header.Get(api.HeaderIdempotencyKey)
+	if len(key) > maxKeyBytes || !utf8.ValidString(key) {
+		return "", api.FieldErrorf(api.HeaderIdempotencyKey, "must be valid UTF-8 of at most %d bytes", maxKeyBytes)
+	}
+	return key, nil
+}
+
+func (s *Service) postJob(w http.ResponseWriter, r *http.Request) {
+	data, err := readBody(r, api.MaxJobBytes)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	spec, err := api.DecodeJobSpec(data)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	key, err := keyHeader(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	out, err := s.propose(r.Context(), state.Record{Submit: &state.SubmitJob{ID: uuid.NewString(), Key: key, Spec: spec}})
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	status, ok := s.job(out.JobID)
+	if !ok {
+		status = api.JobStatus{ID: out.JobID, Spec: spec, Phase: api.PhasePending}
+	}
+	writeJSON(w, http.StatusAccepted, status.Verdict, status)
+}
+
+func (s *Service) job(id string) (status api.JobStatus, ok bool) {
+	s.journal.View(func(st *state.State) {
+		if j := st.Jobs[id]; j != nil {
+			status, ok = j.Status(), true
+		}
+	})
+	return status, ok
+}
+
+// getJob returns a job, after waiting for its end for the duration in the
+// query parameter wait.
+func (s *Service) getJob(w http.ResponseWriter, r *http.Request) {
+	wait, err := waitParam(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changed := s.journal.Changed()
+		status, ok := s.job(r.PathValue("id"))
+		if !ok {
+			writeError(w, api.Errorf(api.CodeNotFound, "no job %q", r.PathValue("id")))
+			return
+		}
+		if status.Phase.Ended() || !awaitChange(r, changed, timer) {
+			writeJSON(w, http.StatusOK, status.Verdict, status)
+			return
+		}
+	}
+}
+
+// awaitChange reports whether the state changed before the timer or the caller ended the wait.
+func awaitChange(r *http.Request, changed <-chan struct{}, timer *time.Timer) bool {
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		return false
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func waitParam(r *http.Request) (time.Duration, error) {
+	text := r.URL.Query().Get("wait")
+	if text == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 || d > maxWait {
+		return 0, api.FieldErrorf("wait", "%q is not a duration between 0s and %s", text, maxWait)
+	}
+	return d, nil
+}
+
+func (s *Service) listJobs(w http.ResponseWriter, _ *http.Request) {
+	type ordered struct {
+		order  int64
+		status api.JobStatus
+	}
+	var jobs []ordered
+	s.journal.View(func(st *state.State) {
+		for _, j := range st.Jobs {
+			jobs = append(jobs, ordered{j.Order, j.Status()})
+		}
+	})
+	sort.Slice(jobs, func(i, k int) bool { return jobs[i].order < jobs[k].order })
+	out := make([]api.JobStatus, len(jobs))
+	for i := range jobs {
+		out[i] = jobs[i].status
+	}
+	writeJSON(w, http.StatusOK, api.Ran, out)
+}
+
+func (s *Service) deleteJob(w http.ResponseWriter, r *http.Request) {
+	if _, err := s.propose(r.Context(), state.Record{Cancel: &state.CancelJob{Job: r.PathValue("id")}}); err != nil {
+		writeError(w, err)
+		return
+	}
+	status, _ := s.job(r.PathValue("id"))
+	writeJSON(w, http.StatusOK, status.Verdict, status)
+}
+
+func (s *Service) postRequest(w http.ResponseWriter, r *http.Request) {
+	req, err := decodeRequest(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	answer := s.requests.Do(r.Context(), req)
+	status := http.StatusOK
+	if answer.Error != nil {
+		status = errorStatus(answer.Error)
+		setRetryAfter(w, answer.Error)
+	}
+	writeJSON(w, status, answer.Verdict, answer)
+}
+
+func decodeRequest(r *http.Request) (*api.Request, error) {
+	body, err := readBody(r, api.MaxRequestBytes)
+	if err != nil {
+		return nil, err
+	}
+	if !utf8.Valid(body) {
+		return nil, api.FieldErrorf("body", "is not valid UTF-8")
+	}
+	key, err := keyHeader(r)
+	if err != nil {
+		return nil, err
+	}
+	req := &api.Request{
+		Account: r.Header.Get(api.HeaderAccount), Service: r.PathValue("service"),
+		Class: r.Header.Get(api.HeaderClass), Key: key, Body: body,
+	}
+	if text := r.Header.Get(api.HeaderIdempotent); text != "" {
+		if req.Idempotent, err = strconv.ParseBool(text); err != nil {
+			return nil, api.FieldErrorf(api.HeaderIdempotent, "%q is not true or false", text)
+		}
+	}
+	if text := r.Header.Get(api.HeaderDeadline); text != "" {
+		if req.Timeout, err = time.ParseDuration(text); err != nil || req.Timeout <= 0 {
+			return nil, api.FieldErrorf(api.HeaderDeadline, "%q is not a positive duration such as 2s", text)
+		}
+	}
+	return req, nil
+}
--- /dev/null
+++ b/pkg/frontdoor/operators.go
@@ -0,0 +1,233 @@
+package frontdoor
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/config"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+// proposeTimeout bounds how long an operator or a submitter waits for the log.
+const proposeTimeout = 10 * time.Second
+
+// ConfigBody is the configuration in force.
+type ConfigBody struct {
+	Version       uint64         `json:"version"`
+	Preset        string         `json:"preset"`
+	PresetVersion uint64         `json:"preset_version"`
+	Config        *config.Config `json:"config"`
+}
+
+// ChangeBody confirms a change of configuration.
+type ChangeBody struct {
+	Verdict api.Verdict `json:"verdict"`
+	Version uint64      `json:"version"`
+}
+
+// PresetCall asks for a preset switch. Base, if set, must be the version of
+// the last switch; otherwise the version known to the node is taken.
+type PresetCall struct {
+	Preset string  `json:"preset"`
+	Base   *uint64 `json:"base,omitempty"`
+}
+
+// ZoneCall takes an availability zone out or back in. Base, if set, must be
+// the zone's version; otherwise the version known to the node is taken.
+type ZoneCall struct {
+	Out  bool    `json:"out"`
+	Base *uint64 `json:"base,omitempty"`
+}
+
+func (s *Service) getConfig(w http.ResponseWriter, _ *http.Request) {
+	var body ConfigBody
+	s.journal.View(func(st *state.State) {
+		body = ConfigBody{st.ConfigVersion, st.Preset, st.PresetVersion, st.Config}
+	})
+	if body.Config == nil {
+		writeError(w, api.Errorf(api.CodeNotFound, "no configuration has been published"))
+		return
+	}
+	writeJSON(w, http.StatusOK, api.Ran, body)
+}
+
+func (s *Service) putConfig(w http.ResponseWriter, r *http.Request) {
+	data, err := readBody(r, config.MaxBytes)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	c, err := config.Decode(data)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	base, err := baseParam(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	rec := &state.Publish{Config: c}
+	s.change(w, r, base, state.Record{Publish: rec}, &rec.Base, func(st *state.State) uint64 { return st.ConfigVersion })
+}
+
+func (s *Service) putPreset(w http.ResponseWriter, r *http.Request) {
+	var call PresetCall
+	if err := decodeCall(r, &call); err != nil {
+		writeError(w, err)
+		return
+	}
+	rec := &state.SwitchPreset{Preset: call.Preset}
+	s.change(w, r, call.Base, state.Record{Preset: rec}, &rec.Base, func(st *state.State) uint64 { return st.PresetVersion })
+}
+
+func (s *Service) putZone(w http.ResponseWriter, r *http.Request) {
+	var call ZoneCall
+	if err := decodeCall(r, &call); err != nil {
+		writeError(w, err)
+		return
+	}
+	rec := &state.SetZone{Zone: r.PathValue("zone"), Out: call.Out}
+	s.change(w, r, call.Base, state.Record{Zone: rec}, &rec.Base, func(st *state.State) uint64 {
+		if z := st.Zones[rec.Zone]; z != nil {
+			return z.Version
+		}
+		return 0
+	})
+}
+
+// change proposes a change of configuration, based on the version that the
+// operator gave or else on the current one, and reports the fold's verdict.
+func (s *Service) change(w http.ResponseWriter, r *http.Request, given *uint64, rec state.Record, base *uint64, current func(*state.State) uint64) {
+	if given != nil {
+		*base = *given
+	} else {
+		s.journal.View(func(st *state.State) { *base = current(st) })
+	}
+	out, err := s.propose(r.Context(), rec)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, api.Ran, ChangeBody{api.Ran, out.Version})
+}
+
+// propose writes a record and returns an error unless the fold accepted it.
+func (s *Service) propose(ctx context.Context, rec state.Record) (state.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	out, err := s.journal.Propose(ctx, rec)
+	if err != nil {
+		return out, err
+	}
+	if out.Err != nil {
+		return out, out.Err
+	}
+	return out, nil
+}
+
+// StatusBody summarises the system for a person.
+type StatusBody struct {
+	Preset        string            `json:"preset"`
+	ConfigVersion uint64            `json:"config_version"`
+	Accounts      []AccountStatus   `json:"accounts"`
+	Zones         []ZoneStatus      `json:"zones"`
+	Nodes         []string          `json:"nodes"`
+	Jobs          map[api.Phase]int `json:"jobs"`
+	// LogAgeMS says for how long the node's view may be behind the log.
+	LogAgeMS int64 `json:"log_age_ms"`
+	Offset   int64 `json:"offset"`
+}
+
+// AccountStatus is an account and its guaranteed shapes.
+type AccountStatus struct {
+	Name       string             `json:"name"`
+	Guarantees []config.Guarantee `json:"guarantees"`
+	Pending    int                `json:"pending"`
+	Placed     int                `json:"placed"`
+}
+
+// ZoneStatus is an availability zone and what is in it.
+type ZoneStatus struct {
+	Name      string        `json:"name"`
+	Out       bool          `json:"out"`
+	Workers   int           `json:"workers"`
+	Upstreams int           `json:"upstreams"`
+	Capacity  api.Resources `json:"capacity"`
+	Used      api.Resources `json:"used"`
+}
+
+func (s *Service) getStatus(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	body := StatusBody{Jobs: map[api.Phase]int{}, LogAgeMS: -1}
+	if age, ok := s.journal.Age(now); ok {
+		body.LogAgeMS = age.Milliseconds()
+	}
+	for _, m := range s.members.Live(now) {
+		body.Nodes = append(body.Nodes, m.ID)
+	}
+	upstreams, _ := s.fleet.VMs(platform.KindUpstream)
+	s.journal.View(func(st *state.State) { fillStatus(&body, st, upstreams) })
+	writeJSON(w, http.StatusOK, api.Ran, body)
+}
+
+func fillStatus(body *StatusBody, st *state.State, upstreams []platform.VM) {
+	body.Preset, body.ConfigVersion, body.Offset = st.Preset, st.ConfigVersion, st.Offset
+	zones := map[string]*ZoneStatus{}
+	zone := func(name string) *ZoneStatus {
+		if zones[name] == nil {
+			zones[name] = &ZoneStatus{Name: name, Out: st.ZoneOut(name)}
+		}
+		return zones[name]
+	}
+	for name := range st.Zones {
+		zone(name)
+	}
+	for _, worker := range st.Workers {
+		z := zone(worker.Zone)
+		z.Workers++
+		z.Capacity = z.Capacity.Add(worker.Capacity)
+		z.Used = z.Used.Add(worker.Used)
+	}
+	for _, vm := range upstreams {
+		zone(vm.Zone).Upstreams++
+	}
+	for _, z := range zones {
+		body.Zones = append(body.Zones, *z)
+	}
+	sort.Slice(body.Zones, func(i, j int) bool { return body.Zones[i].Name < body.Zones[j].Name })
+	body.Accounts = accountStatuses(st)
+	for _, j := range st.Jobs {
+		body.Jobs[j.Phase]++
+	}
+}
+
+func accountStatuses(st *state.State) []AccountStatus {
+	if st.Config == nil {
+		return nil
+	}
+	out := make([]AccountStatus, len(st.Config.Accounts))
+	index := map[string]*AccountStatus{}
+	for i, a := range st.Config.Accounts {
+		out[i].Name = a.Name
+		index[a.Name] = &out[i]
+	}
+	for _, g := range st.Guarantees() {
+		index[g.Account].Guarantees = append(index[g.Account].Guarantees, g)
+	}
+	for _, j := range st.Jobs {
+		a := index[j.Spec.Account]
+		switch {
+		case a == nil:
+		case j.Phase == api.PhasePending:
+			a.Pending++
+		case !j.Phase.Ended():
+			a.Placed++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/memnet/memnet.go
@@ -0,0 +1,245 @@
+// Package memnet is an in-memory network between named hosts, with delays and
+// faults, so that real nodes run under virtual time.
+package memnet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/transport"
+)
+
+// Network connects hosts.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	hosts     map[string]*Host
+	links     map[link]Fault
+	delay     func(from, to string) time.Duration
+	nextPort  int
+}
+
+type link struct{ from, to string }
+
+// Fault is the state of one direction between two hosts.
+type Fault uint8
+
+const (
+	// Healthy delivers everything.
+	Healthy Fault = iota
+	// Silent swallows what is sent, without an error, and lets new connections
+	// open: something between the two ends has lost track of them.
+	Silent
+	// Cut swallows what is sent and lets no new connection open.
+	Cut
+)
+
+// New returns a network. delay gives the one-way delay between two hosts; nil
+// means none.
+func New(delay func(from, to string) time.Duration) *Network {
+	if delay == nil {
+		delay = func(string, string) time.Duration { return 0 }
+	}
+	return &Network{
+		listeners: map[string]*listener{}, hosts: map[string]*Host{}, links: map[link]Fault{},
+		delay: delay, nextPort: 20000,
+	}
+}
+
+// Host returns the host called name, made on first use. It implements transport.Network.
+func (n *Network) Host(name string) *Host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := n.hosts[name]
+	if h == nil {
+		h = &Host{name: name, net: n, thawed: make(chan struct{}), conns: map[*conn]struct{}{}}
+		close(h.thawed)
+		n.hosts[name] = h
+	}
+	return h
+}
+
+// SetLink puts a fault on the direction from one host to another.
+func (n *Network) SetLink(from, to string, f Fault) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[link{from, to}] = f
+}
+
+// SetBoth puts a fault on both directions between two hosts.
+func (n *Network) SetBoth(a, b string, f Fault) {
+	n.SetLink(a, b, f)
+	n.SetLink(b, a, f)
+}
+
+func (n *Network) fault(from, to string) Fault {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.links[link{from, to}]
+}
+
+// Host is one VM on the network.
+type Host struct {
+	name string
+	net  *Network
+
+	mu     sync.Mutex
+	dead   bool
+	frozen bool
+	thawed chan struct{}
+	conns  map[*conn]struct{}
+}
+
+var _ transport.Network = (*Host)(nil)
+
+// Freeze pauses the host's process: its input and output wait until Thaw,
+// while its kernel still accepts connections and data.
+func (h *Host) Freeze() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.frozen {
+		h.frozen, h.thawed = true, make(chan struct{})
+	}
+}
+
+// Thaw resumes a paused process.
+func (h *Host) Thaw() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.frozen {
+		h.frozen = false
+		close(h.thawed)
+	}
+}
+
+// Kill ends the host's process: its listeners and connections close, and a
+// paused process never resumes its output. A host killed stays dead.
+func (h *Host) Kill() {
+	h.mu.Lock()
+	h.dead = true
+	conns := h.conns
+	h.conns = map[*conn]struct{}{}
+	h.mu.Unlock()
+	for c := range conns {
+		c.Close()
+	}
+	h.net.dropListeners(h)
+	h.Thaw()
+}
+
+// Wait blocks while the process is paused. It returns false once it is dead.
+func (h *Host) Wait() bool {
+	for {
+		h.mu.Lock()
+		frozen, dead, thawed := h.frozen, h.dead, h.thawed
+		h.mu.Unlock()
+		if dead {
+			return false
+		}
+		if !frozen {
+			return true
+		}
+		<-thawed
+	}
+}
+
+func (n *Network) dropListeners(h *Host) {
+	n.mu.Lock()
+	var dropped []*listener
+	for _, l := range n.listeners {
+		if l.host == h {
+			dropped = append(dropped, l)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range dropped {
+		l.Close()
+	}
+}
+
+// Listen implements transport.Network. Port 0 picks a free port.
+func (h *Host) Listen(address string) (net.Listener, error) {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	n := h.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if port == "0" {
+		n.nextPort++
+		address = fmt.Sprintf("%s:%d", host, n.nextPort)
+	}
+	if n.listeners[address] != nil {
+		return nil, fmt.Errorf("memnet: %s is in use", address)
+	}
+	l := &listener{host: h, address: addr(address), accepted: make(chan *conn, acceptBacklog), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l, nil
+}
+
+// acceptBacklog bounds the connections that wait to be accepted.
+const acceptBacklog = 4096
+
+// Dial implements transport.Network.
+func (h *Host) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if !h.Wait() {
+		return nil, net.ErrClosed
+	}
+	h.net.mu.Lock()
+	l := h.net.listeners[address]
+	h.net.mu.Unlock()
+	if l == nil {
+		return nil, &net.OpError{Op: "dial", Net: "mem", Addr: addr(address), Err: syscall.ECONNREFUSED}
+	}
+	if h.net.fault(h.name, l.host.name) == Cut || h.net.fault(l.host.name, h.name) == Cut {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: "mem", Addr: addr(address), Err: ctx.Err()}
+	}
+	client, server := h.net.pipe(h, l.host, l.address)
+	select {
+	case l.accepted <- server:
+		return client, nil
+	case <-l.closed:
+		client.Close()
+		return nil, &net.OpError{Op: "dial", Net: "mem", Addr: addr(address), Err: syscall.ECONNREFUSED}
+	}
+}
+
+type addr string
+
+func (a addr) Network() string { return "mem" }
+func (a addr) String() string  { return string(a) }
+
+type listener struct {
+	host     *Host
+	address  addr
+	accepted chan *conn
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.host.net.mu.Lock()
+		delete(l.host.net.listeners, string(l.address))
+		l.host.net.mu.Unlock()
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return l.address }
--- /dev/null
+++ b/pkg/memsite/memsite.go
@@ -0,0 +1,249 @@
+// Package memsite runs real nodes against stand-ins in memory, with faults at
+// the interfaces, for tests under virtual time and for the bench.
+package memsite
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/client"
+	"github.com/shallotpin/shallotpin/pkg/config"
+	"github.com/shallotpin/shallotpin/pkg/memnet"
+	"github.com/shallotpin/shallotpin/pkg/node"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/standin"
+	"github.com/shallotpin/shallotpin/pkg/transport"
+)
+
+// Options describe a site.
+type Options struct {
+	Entries int
+	Config  *config.Config
+	Shape   standin.FleetShape
+	Seed    uint64
+	// Delay is the one-way delay between two hosts.
+	Delay time.Duration
+	// VMListLag is the lag of the VM list.
+	VMListLag time.Duration
+	// Retain is how many entries the log keeps; zero keeps all.
+	Retain int
+	// UpstreamTime is how long a short request takes.
+	UpstreamTime time.Duration
+	// Settings changes the settings of each node before it starts, if not nil.
+	Settings func(*node.Settings)
+	// Observe is called with each change of a task on a worker, if not nil.
+	Observe func(standin.TaskEvent)
+}
+
+// Site is a set of nodes and the stand-ins behind them.
+type Site struct {
+	Net       *memnet.Network
+	Log       *standin.Log
+	VMs       *standin.VMList
+	Workers   map[string]*standin.Worker
+	Upstreams map[string]*standin.Upstream
+	Entries   []*Entry
+
+	opts    Options
+	servers []*standin.Server
+	rng     *rand.Rand
+	clients []transportCloser
+}
+
+type transportCloser interface{ CloseIdleConnections() }
+
+// Entry is one entry VM.
+type Entry struct {
+	Node     *node.Node
+	Host     *memnet.Host
+	Settings node.Settings
+	gate     *gate
+	killed   bool
+}
+
+// callerHost is the host of callers and operators.
+const callerHost = "caller"
+
+// New starts a site and publishes the configuration.
+func New(ctx context.Context, opts Options) (*Site, error) {
+	s := &Site{
+		Net: memnet.New(func(string, string) time.Duration { return opts.Delay }), Log: standin.NewLog(opts.Retain),
+		Workers: map[string]*standin.Worker{}, Upstreams: map[string]*standin.Upstream{},
+		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
+	}
+	vms := opts.Shape.VMs("worker", "http://10.1.0.0")
+	for i := range vms {
+		if err := s.addVM(&vms[i], i); err != nil {
+			return nil, err
+		}
+	}
+	for i := range opts.Entries {
+		set := s.entrySettings(i, 0)
+		vms = append(vms, platform.VM{ID: set.ID, Kind: platform.KindEntry, Zone: set.Zone, Address: set.Peer})
+		s.Entries = append(s.Entries, &Entry{Settings: set})
+	}
+	s.VMs = standin.NewVMList(opts.VMListLag, vms...)
+	for i := range s.Entries {
+		if err := s.startEntry(ctx, i); err != nil {
+			return nil, errors.Join(err, s.Close(ctx))
+		}
+	}
+	if opts.Config == nil {
+		return s, nil
+	}
+	return s, s.publish(ctx)
+}
+
+func (s *Site) addVM(vm *platform.VM, i int) error {
+	switch vm.Kind {
+	case platform.KindWorker:
+		s.Workers[vm.ID] = standin.NewWorker(*vm, s.opts.Observe)
+	case platform.KindUpstream:
+		address := fmt.Sprintf("10.1.%d.%d:80", i/250, i%250)
+		vm.Address = "http://" + address
+		u := standin.NewUpstream(*vm, s.opts.UpstreamTime)
+		l, err := s.Net.Host(vm.ID).Listen(address)
+		if err != nil {
+			return err
+		}
+		s.Upstreams[vm.ID] = u
+		s.servers = append(s.servers, standin.Serve(l, u.Handler()))
+	}
+	return nil
+}
+
+// entrySettings returns the settings of entry VM i in its given generation.
+func (s *Site) entrySettings(i, generation int) node.Settings {
+	id := fmt.Sprintf("entry-%d", i)
+	if generation > 0 {
+		id = fmt.Sprintf("entry-%d-%d", i, generation)
+	}
+	ip := fmt.Sprintf("10.0.%d.%d", generation, i+1)
+	set := node.Settings{
+		ID: id, Zone: s.opts.Shape.Zones[i%len(s.opts.Shape.Zones)],
+		HTTP: net.JoinHostPort(ip, "7400"), Peer: net.JoinHostPort(ip, "7401"),
+		Log: "http://10.2.0.1:80", VMs: "http://10.2.0.2:80",
+		DrainTimeout: 30 * time.Second, LeaseTTL: 10 * time.Second, StartWithin: 3 * time.Second, ClockDrift: 0.01,
+	}
+	if s.opts.Settings != nil {
+		s.opts.Settings(&set)
+	}
+	return set
+}
+
+func (s *Site) startEntry(ctx context.Context, i int) error {
+	e := s.Entries[i]
+	if problems := e.Settings.Problems(); len(problems) > 0 {
+		return errors.New(problems[0])
+	}
+	e.Host = s.Net.Host(e.Settings.ID)
+	e.gate = &gate{host: e.Host}
+	p := node.Platform{
+		Log: &gatedLog{e.gate, s.Log}, VMs: &gatedVMs{e.gate, s.VMs},
+		Workers: &gatedWorkers{e.gate, s.Workers},
+	}
+	var err error
+	e.Node, err = node.New(e.Settings, e.Host, p, rand.New(rand.NewPCG(s.rng.Uint64(), uint64(i))))
+	if err != nil {
+		return err
+	}
+	return e.Node.Start(ctx)
+}
+
+func (s *Site) publish(ctx context.Context) error {
+	c := s.Client(0)
+	if err := c.WaitReady(ctx); err != nil {
+		return err
+	}
+	if _, err := c.PublishConfig(ctx, encodeConfig(s.opts.Config), nil); err != nil {
+		return err
+	}
+	return c.WaitWorkers(ctx)
+}
+
+// Client returns a client of entry VM i.
+func (s *Site) Client(i int) *client.Client {
+	h := transport.HTTPClient(s.Net.Host(callerHost), 0)
+	s.clients = append(s.clients, h)
+	return client.WithHTTP("http://"+s.Entries[i].Settings.HTTP, h)
+}
+
+// Kill ends the process of entry VM i at once, as SIGKILL does.
+func (s *Site) Kill(i int) {
+	e := s.Entries[i]
+	if e.killed {
+		return
+	}
+	e.killed = true
+	e.gate.kill()
+	e.Host.Kill()
+	stopCtx, cancel := context.WithCancel(context.Background())
+	cancel()
+	// The goroutines of the dead process end; whatever they still try has no effect.
+	go e.Node.Stop(stopCtx)
+}
+
+// Lose ends the process of entry VM i and takes the VM off the VM list.
+func (s *Site) Lose(i int) {
+	s.Kill(i)
+	s.unlist(s.Entries[i].Settings.ID)
+}
+
+func (s *Site) unlist(id string) {
+	s.VMs.Update(func(vms []platform.VM) []platform.VM {
+		kept := vms[:0]
+		for _, vm := range vms {
+			if vm.ID != id {
+				kept = append(kept, vm)
+			}
+		}
+		return kept
+	})
+}
+
+// Replace starts a new VM in place of the lost entry VM i.
+func (s *Site) Replace(ctx context.Context, i, generation int) error {
+	set := s.entrySettings(i, generation)
+	s.Entries[i] = &Entry{Settings: set}
+	s.VMs.Update(func(vms []platform.VM) []platform.VM {
+		return append(vms, platform.VM{ID: set.ID, Kind: platform.KindEntry, Zone: set.Zone, Address: set.Peer})
+	})
+	return s.startEntry(ctx, i)
+}
+
+// Freeze pauses the process of entry VM i, as SIGSTOP does.
+func (s *Site) Freeze(i int) { s.Entries[i].Host.Freeze() }
+
+// Thaw resumes the process of entry VM i.
+func (s *Site) Thaw(i int) { s.Entries[i].Host.Thaw() }
+
+// CutPlatform cuts entry VM i off from parts of the platform.
+func (s *Site) CutPlatform(i int, cut PlatformCut) { s.Entries[i].gate.set(cut) }
+
+// LoseWorker ends a worker for good and takes it off the VM list.
+func (s *Site) LoseWorker(id string) {
+	s.Workers[id].SetFaults(standin.WorkerFaults{Unreachable: true})
+	s.unlist(id)
+}
+
+// Close stops the nodes that live, and the stand-ins.
+func (s *Site) Close(ctx context.Context) error {
+	var errs []error
+	for _, c := range s.clients {
+		c.CloseIdleConnections()
+	}
+	for _, e := range s.Entries {
+		if e.Node != nil && !e.killed {
+			e.Host.Thaw()
+			errs = append(errs, e.Node.Stop(ctx))
+		}
+	}
+	for _, server := range s.servers {
+		errs = append(errs, server.Close())
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,153 @@
+// Package node assembles the services of an entry VM.
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+
+	"github.com/shallotpin/shallotpin/pkg/fleet"
+	"github.com/shallotpin/shallotpin/pkg/frontdoor"
+	"github.com/shallotpin/shallotpin/pkg/journal"
+	"github.com/shallotpin/shallotpin/pkg/kernel"
+	"github.com/shallotpin/shallotpin/pkg/lifecycle"
+	"github.com/shallotpin/shallotpin/pkg/membership"
+	"github.com/shallotpin/shallotpin/pkg/peer"
+	"github.com/shallotpin/shallotpin/pkg/planner"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/requests"
+	"github.com/shallotpin/shallotpin/pkg/transport"
+)
+
+// Settings are the settings of a node.
+type Settings struct {
+	ID   string `long:"id" env:"SHALLOTPIN_ID" required:"true" description:"name of this VM in the platform's VM list"`
+	Zone string `long:"zone" env:"SHALLOTPIN_ZONE" required:"true" description:"availability zone of this VM"`
+	HTTP string `long:"http" env:"SHALLOTPIN_HTTP" default:"127.0.0.1:7400" description:"IP:port that callers and operators reach"`
+	Peer string `long:"peer" env:"SHALLOTPIN_PEER" default:"127.0.0.1:7401" description:"IP:port that other nodes reach"`
+	Log  string `long:"log" env:"SHALLOTPIN_LOG" default:"http://127.0.0.1:7300" description:"URL of the platform's log service, with an IP number"`
+	VMs  string `long:"vms" env:"SHALLOTPIN_VMS" default:"http://127.0.0.1:7301" description:"URL of the platform's VM list, with an IP number"`
+
+	DrainTimeout time.Duration `long:"drain-timeout" env:"SHALLOTPIN_DRAIN_TIMEOUT" default:"30s" description:"longest time that a planned stop waits for requests in flight, 1s to 10m"`
+	LeaseTTL     time.Duration `long:"lease-ttl" env:"SHALLOTPIN_LEASE_TTL" default:"10s" description:"how long a task runs on without a renewal, 2s to 5m"`
+	StartWithin  time.Duration `long:"start-within" env:"SHALLOTPIN_START_WITHIN" default:"3s" description:"longest time from reservation to start on a worker's clock, 500ms to 4s"`
+	ClockDrift   float64       `long:"clock-drift" env:"SHALLOTPIN_CLOCK_DRIFT" default:"0.01" description:"assumed bound on the relative drift between two VMs' clocks, 0 to 0.2"`
+}
+
+// Problems checks the settings and names every wrong one.
+func (s *Settings) Problems() []string {
+	var problems []string
+	add := func(format string, args ...any) { problems = append(problems, fmt.Sprintf(format, args...)) }
+	if s.ID == "" {
+		add("--id: must be set")
+	}
+	if s.Zone == "" {
+		add("--zone: must be set")
+	}
+	checkAddress := func(flag, value string) {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			add("%s: %q is not an IP number and a port, such as 127.0.0.1:7400", flag, value)
+		}
+	}
+	checkAddress("--http", s.HTTP)
+	checkAddress("--peer", s.Peer)
+	checkURL := func(flag, value string) {
+		host, found := strings.CutPrefix(value, "http://")
+		if _, err := netip.ParseAddrPort(host); !found || err != nil {
+			add("%s: %q is not a URL of an IP number and a port, such as http://127.0.0.1:7300", flag, value)
+		}
+	}
+	checkURL("--log", s.Log)
+	checkURL("--vms", s.VMs)
+	checkRange := func(flag string, value, low, high time.Duration) {
+		if value < low || value > high {
+			add("%s: %s is not between %s and %s", flag, value, low, high)
+		}
+	}
+	checkRange("--drain-timeout", s.DrainTimeout, time.Second, 10*time.Minute)
+	checkRange("--lease-ttl", s.LeaseTTL, 2*time.Second, 5*time.Minute)
+	checkRange("--start-within", s.StartWithin, 500*time.Millisecond, 4*time.Second)
+	if s.ClockDrift < 0 || s.ClockDrift > 0.2 {
+		add("--clock-drift: %g is not between 0 and 0.2", s.ClockDrift)
+	}
+	return problems
+}
+
+// Platform is what a node needs from the platform.
+type Platform struct {
+	Log     platform.Log
+	VMs     platform.VMList
+	Workers platform.Workers
+}
+
+// HTTPPlatform returns the platform at the addresses in the settings.
+func HTTPPlatform(s Settings, network transport.Network) Platform {
+	client := transport.HTTPClient(network, 0)
+	return Platform{
+		Log:     &platform.HTTPLog{Base: s.Log, Client: client},
+		VMs:     &platform.HTTPVMList{Base: s.VMs, Client: client},
+		Workers: &platform.HTTPWorkers{Client: client},
+	}
+}
+
+// Node is a running entry VM.
+type Node struct {
+	kernel *kernel.Kernel
+	front  *frontdoor.Service
+	// Journal is the node's view of the log.
+	Journal *journal.Journal
+	// Members is the node's view of the other nodes.
+	Members  *membership.Service
+	Requests *requests.Service
+	settings Settings
+}
+
+// New assembles a node. rng drives its random choices.
+func New(s Settings, network transport.Network, p Platform, rng *rand.Rand) (*Node, error) {
+	incarnation := s.ID + "/" + uuid.NewString()
+	set := metrics.NewSet()
+	peers := peer.New(network, s.Peer)
+	members, err := membership.New(membership.Member{ID: s.ID, Incarnation: incarnation, Zone: s.Zone, Address: s.Peer}, peers)
+	if err != nil {
+		return nil, err
+	}
+	lifecycleSettings := lifecycle.DefaultSettings
+	lifecycleSettings.LeaseTTL, lifecycleSettings.StartWithin, lifecycleSettings.ClockDrift = s.LeaseTTL, s.StartWithin, s.ClockDrift
+	lifecycleSettings.RenewInterval = s.LeaseTTL / 5
+	n := &Node{
+		kernel: kernel.New(), settings: s, Members: members,
+		Journal:  journal.New(p.Log, incarnation),
+		Requests: requests.New(network, rng),
+		front:    frontdoor.New(network, s.HTTP, set),
+	}
+	services := []kernel.Service{
+		n.Journal, fleet.New(p.VMs), peers, members,
+		planner.New(), lifecycle.New(lifecycleSettings, p.Workers), n.Requests, n.front,
+	}
+	for _, service := range services {
+		if err := n.kernel.Register(service); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+// Start starts every service.
+func (n *Node) Start(ctx context.Context) error { return n.kernel.Start(ctx) }
+
+// Address returns the address of the front door.
+func (n *Node) Address() string { return n.front.Address() }
+
+// Stop drains the node: not ready first, then no new work, then everything in
+// flight answered, within the drain timeout.
+func (n *Node) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.DrainTimeout)
+	defer cancel()
+	return n.kernel.Stop(ctx)
+}
--- /dev/null
+++ b/pkg/planner/planner.go
@@ -0,0 +1,149 @@
+// Package planner runs the scheduler on the node that is preferred for it and
+// writes its plans to the log. Another node that plans at the same time does
+// no harm: the fold accepts the plan that comes first in the log.
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/fleet"
+	"github.com/shallotpin/shallotpin/pkg/journal"
+	"github.com/shallotpin/shallotpin/pkg/kernel"
+	"github.com/shallotpin/shallotpin/pkg/membership"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/scheduler"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+// ServiceName is the name of the planner in the kernel.
+const ServiceName = "planner"
+
+const (
+	// interval is the longest time between two decisions.
+	interval = 500 * time.Millisecond
+	// proposeTimeout bounds the wait for the fold's verdict on a plan.
+	proposeTimeout = 5 * time.Second
+)
+
+// Service is the planner.
+type Service struct {
+	journal *journal.Journal
+	members *membership.Service
+	fleet   *fleet.Service
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// New returns a planner.
+func New() *Service { return &Service{} }
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return ServiceName }
+
+// DependsOn implements kernel.Service.
+func (s *Service) DependsOn() []string {
+	return []string{journal.ServiceName, membership.ServiceName, fleet.ServiceName}
+}
+
+// Start implements kernel.Service.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) (err error) {
+	if s.journal, err = kernel.Lookup[*journal.Journal](k, journal.ServiceName); err != nil {
+		return err
+	}
+	if s.members, err = kernel.Lookup[*membership.Service](k, membership.ServiceName); err != nil {
+		return err
+	}
+	if s.fleet, err = kernel.Lookup[*fleet.Service](k, fleet.ServiceName); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.wg.Go(func() { s.loop(ctx) })
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.wg.Wait()
+	return nil
+}
+
+func (s *Service) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := s.journal.Changed()
+		if s.members.Preferred(time.Now(), "planner").ID == s.members.Self().ID {
+			s.recordFleet(ctx)
+			s.plan(ctx)
+		}
+		select {
+		case <-changed:
+		case <-time.After(interval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// recordFleet writes what the VM list shows and the state does not yet hold.
+func (s *Service) recordFleet(ctx context.Context) {
+	vms, ok := s.fleet.VMs(platform.KindWorker)
+	if !ok {
+		return
+	}
+	var change state.ChangeFleet
+	s.journal.View(func(st *state.State) { change = fleetChange(st, vms) })
+	if len(change.Seen)+len(change.Gone) == 0 {
+		return
+	}
+	s.propose(ctx, state.Record{Fleet: &change})
+}
+
+// fleetChange returns the difference between the state and the VM list.
+func fleetChange(st *state.State, vms []platform.VM) state.ChangeFleet {
+	var change state.ChangeFleet
+	listed := map[string]bool{}
+	for _, vm := range vms {
+		listed[vm.ID] = true
+		w := st.Workers[vm.ID]
+		if w == nil || (!w.Gone && (w.Leaving != vm.Leaving || w.Address != vm.Address || w.Capacity != vm.Capacity)) {
+			change.Seen = append(change.Seen, vm)
+		}
+	}
+	for id, w := range st.Workers {
+		if !listed[id] && !w.Gone {
+			change.Gone = append(change.Gone, id)
+		}
+	}
+	return change
+}
+
+func (s *Service) plan(ctx context.Context) {
+	var snap *scheduler.Snapshot
+	s.journal.View(func(st *state.State) { snap = scheduler.Take(st) })
+	plan := scheduler.Decide(snap)
+	var wg sync.WaitGroup
+	for _, a := range plan.Allocations {
+		coordinator := s.members.Preferred(time.Now(), a.Job)
+		wg.Go(func() {
+			s.propose(ctx, state.Record{Plan: &state.PlanJob{
+				Job: a.Job, Attempt: a.Attempt, Coordinator: coordinator.Incarnation, Placements: a.Placements,
+			}})
+		})
+	}
+	wg.Wait()
+}
+
+func (s *Service) propose(ctx context.Context, rec state.Record) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	out, err := s.journal.Propose(ctx, rec)
+	if err != nil {
+		klog.V(1).Infof("planner: no verdict on a record: %v", err)
+	} else if out.Err != nil {
+		klog.V(1).Infof("planner: record refused: %v", out.Err)
+	}
+}
--- /dev/null
+++ b/pkg/standin/fleet.go
@@ -0,0 +1,78 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+)
+
+// FleetShape describes a sample fleet spread evenly over the zones.
+type FleetShape struct {
+	Zones   []string
+	Service string
+	// Workers and Upstreams are totals over all zones.
+	Workers, Upstreams int
+	// RackSize is the number of workers in a rack.
+	RackSize int
+	Capacity api.Resources
+	// Slots and Connections are those of each upstream.
+	Slots, Connections int
+}
+
+// TodayShape is the fleet of one of today's deployments.
+func TodayShape(service string, zones []string) FleetShape {
+	return FleetShape{
+		Zones: zones, Service: service, Workers: 48, Upstreams: 48, RackSize: 8,
+		Capacity: api.Resources{Cores: 64, MemoryGB: 256, Accelerators: 8}, Slots: 8, Connections: 64,
+	}
+}
+
+// VMs lists the fleet. Workers and upstreams get addresses below workerBase and upstreamBase.
+func (f FleetShape) VMs(workerBase, upstreamBase string) []platform.VM {
+	var vms []platform.VM
+	inZone := map[string]int{}
+	for i := range f.Workers {
+		zone := f.Zones[i%len(f.Zones)]
+		n := inZone[zone]
+		inZone[zone]++
+		id := fmt.Sprintf("w-%s-%d", zone, n)
+		vms = append(vms, platform.VM{
+			ID: id, Kind: platform.KindWorker, Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, n/f.RackSize),
+			Address: workerBase + "/" + id, Capacity: f.Capacity,
+		})
+	}
+	for i := range f.Upstreams {
+		zone := f.Zones[i%len(f.Zones)]
+		id := fmt.Sprintf("u-%s-%d", zone, i/len(f.Zones))
+		vms = append(vms, platform.VM{
+			ID: id, Kind: platform.KindUpstream, Zone: zone, Address: upstreamBase + "/" + id,
+			Service: f.Service, Slots: f.Slots, Connections: f.Connections,
+		})
+	}
+	return vms
+}
+
+// WorkersHandler serves every worker among vms at /ID.
+func WorkersHandler(vms []platform.VM) http.Handler {
+	mux := http.NewServeMux()
+	for _, vm := range vms {
+		if vm.Kind == platform.KindWorker {
+			mux.Handle("/"+vm.ID+"/", http.StripPrefix("/"+vm.ID, NewWorker(vm, nil).Handler()))
+		}
+	}
+	return mux
+}
+
+// UpstreamsHandler serves every upstream among vms at /ID.
+func UpstreamsHandler(vms []platform.VM, serviceTime time.Duration) http.Handler {
+	mux := http.NewServeMux()
+	for _, vm := range vms {
+		if vm.Kind == platform.KindUpstream {
+			mux.Handle("/"+vm.ID+"/", http.StripPrefix("/"+vm.ID, NewUpstream(vm, serviceTime).Handler()))
+		}
+	}
+	return mux
+}
--- /dev/null
+++ b/pkg/standin/log.go
@@ -0,0 +1,185 @@
+// Package standin holds small stand-ins for the platform and the upstreams:
+// the append-only log, the workers, the upstream executors and the VM list.
+// Tests, the walkthrough and the bench run the nodes against them.
+package standin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+)
+
+// maxEntryBytes bounds one entry of the log.
+const maxEntryBytes = 16 << 20
+
+// maxPageEntries bounds the entries of one page.
+const maxPageEntries = 1000
+
+// LogFaults are the faults of a log. The zero value has none.
+type LogFaults struct {
+	// Down makes every call fail, before it has an effect.
+	Down bool `json:"down,omitempty"`
+	// AppendsDown and ReadsDown make only one kind of call fail.
+	AppendsDown bool `json:"appends_down,omitempty"`
+	ReadsDown   bool `json:"reads_down,omitempty"`
+	// LoseAcks makes appends fail after they have taken effect.
+	LoseAcks bool `json:"lose_acks,omitempty"`
+	// Delay slows every call, in nanoseconds.
+	Delay time.Duration `json:"delay_ns,omitempty"`
+}
+
+// Log is an append-only log in memory. It implements platform.Log.
+type Log struct {
+	mu      sync.Mutex
+	first   int64
+	entries []platform.Entry
+	retain  int
+	faults  LogFaults
+	grown   chan struct{}
+	appends int64
+}
+
+// NewLog returns a log that keeps the newest retain entries; zero keeps all.
+func NewLog(retain int) *Log { return &Log{retain: retain, grown: make(chan struct{})} }
+
+// SetFaults puts faults in force.
+func (l *Log) SetFaults(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+	// Waiting reads return at once, so that an outage cuts them too.
+	l.wake()
+}
+
+// Appends returns how many appends took effect.
+func (l *Log) Appends() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+func (l *Log) wake() {
+	close(l.grown)
+	l.grown = make(chan struct{})
+}
+
+func (l *Log) currentFaults() LogFaults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
+var errLogDown = &api.Error{Code: api.CodeUnavailable, Message: "the log is down", Verdict: api.MayHaveRun}
+
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Append implements platform.Log.
+func (l *Log) Append(ctx context.Context, data []byte) (int64, error) {
+	if err := pause(ctx, l.currentFaults().Delay); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Down || l.faults.AppendsDown {
+		return 0, errLogDown
+	}
+	offset := l.first + int64(len(l.entries))
+	l.entries = append(l.entries, platform.Entry{Offset: offset, Data: append([]byte(nil), data...)})
+	l.appends++
+	if l.retain > 0 && len(l.entries) > l.retain {
+		cut := len(l.entries) - l.retain
+		l.entries = append([]platform.Entry(nil), l.entries[cut:]...)
+		l.first += int64(cut)
+	}
+	l.wake()
+	if l.faults.LoseAcks {
+		return 0, errLogDown
+	}
+	return offset, nil
+}
+
+// Read implements platform.Log.
+func (l *Log) Read(ctx context.Context, from int64, wait time.Duration) (platform.Page, error) {
+	if err := pause(ctx, l.currentFaults().Delay); err != nil {
+		return platform.Page{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for waited := wait <= 0; ; {
+		page, grown, err := l.page(from)
+		if err != nil || len(page.Entries) > 0 || page.First > from || waited {
+			return page, err
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			waited = true
+		case <-ctx.Done():
+			return platform.Page{}, ctx.Err()
+		}
+	}
+}
+
+func (l *Log) page(from int64) (platform.Page, chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.Down || l.faults.ReadsDown {
+		return platform.Page{}, nil, errLogDown
+	}
+	page := platform.Page{First: l.first, Next: l.first + int64(len(l.entries))}
+	if start := from - l.first; start >= 0 && start < int64(len(l.entries)) {
+		end := min(start+maxPageEntries, int64(len(l.entries)))
+		page.Entries = append([]platform.Entry(nil), l.entries[start:end]...)
+	}
+	return page, l.grown, nil
+}
+
+// Handler serves the log over HTTP: POST /append, GET /read and POST /faults.
+func (l *Log) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /append", func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEntryBytes))
+		if err != nil {
+			reply(w, nil, api.FieldErrorf("body", "%v", err))
+			return
+		}
+		offset, err := l.Append(r.Context(), data)
+		reply(w, platform.AppendReply{Offset: offset}, err)
+	})
+	mux.HandleFunc("GET /read", func(w http.ResponseWriter, r *http.Request) {
+		from, err1 := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+		waitMS, err2 := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+		if err1 != nil || err2 != nil {
+			reply(w, nil, api.FieldErrorf("from, wait_ms", "must be whole numbers"))
+			return
+		}
+		page, err := l.Read(r.Context(), from, time.Duration(waitMS)*time.Millisecond)
+		reply(w, page, err)
+	})
+	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f LogFaults
+		if err := decode(r, &f); err != nil {
+			reply(w, nil, err)
+			return
+		}
+		l.SetFaults(f)
+		reply(w, struct{}{}, nil)
+	})
+	return mux
+}
--- /dev/null
+++ b/pkg/standin/vmlist.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/platform"
+)
+
+// VMList is the platform's list of VMs. It shows each change after a lag.
+type VMList struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	shown   []platform.VM
+	pending []listVersion
+	down    bool
+}
+
+type listVersion struct {
+	at  time.Time
+	vms []platform.VM
+}
+
+// NewVMList returns a list that shows vms at once and later changes after lag.
+func NewVMList(lag time.Duration, vms ...platform.VM) *VMList {
+	return &VMList{lag: lag, shown: vms}
+}
+
+// Set replaces the true list of VMs; callers see it after the lag.
+func (l *VMList) Set(vms []platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = append(l.pending, listVersion{time.Now().Add(l.lag), append([]platform.VM(nil), vms...)})
+}
+
+// Update changes the true list of VMs with fn; callers see it after the lag.
+func (l *VMList) Update(fn func([]platform.VM) []platform.VM) {
+	l.mu.Lock()
+	latest := l.shown
+	if n := len(l.pending); n > 0 {
+		latest = l.pending[n-1].vms
+	}
+	l.mu.Unlock()
+	l.Set(fn(append([]platform.VM(nil), latest...)))
+}
+
+// SetDown makes the list unreachable or reachable again.
+func (l *VMList) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// List implements platform.VMList.
+func (l *VMList) List(ctx context.Context) ([]platform.VM, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, errLogDown
+	}
+	for len(l.pending) > 0 && !time.Now().Before(l.pending[0].at) {
+		l.shown, l.pending = l.pending[0].vms, l.pending[1:]
+	}
+	return append([]platform.VM(nil), l.shown...), ctx.Err()
+}
+
+// Handler serves the list over HTTP: GET /vms and PUT /vms.
+func (l *VMList) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /vms", func(w http.ResponseWriter, r *http.Request) {
+		vms, err := l.List(r.Context())
+		reply(w, vms, err)
+	})
+	mux.HandleFunc("PUT /vms", func(w http.ResponseWriter, r *http.Request) {
+		var vms []platform.VM
+		if err := decode(r, &vms); err != nil {
+			reply(w, nil, err)
+			return
+		}
+		l.Set(vms)
+		reply(w, struct{}{}, nil)
+	})
+	return mux
+}
--- /dev/null
+++ b/pkg/state/apply.go
@@ -0,0 +1,152 @@
+package state
+
+import (
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/config"
+)
+
+// Outcome is the verdict of the fold on one record.
+type Outcome struct {
+	// Err says why the record was refused; nil means accepted.
+	Err *api.Error
+	// Duplicate means that the record had been applied before.
+	Duplicate bool
+	// Version is the version that a configuration change created.
+	Version uint64
+	// JobID is the job that a submission created or found by its key.
+	JobID string
+	// Token is the fencing token of an accepted plan.
+	Token int64
+}
+
+// Apply folds one record into the state.
+func (s *State) Apply(r *Record) Outcome {
+	if r.Seq <= s.Writers[r.Writer] {
+		return Outcome{Duplicate: true}
+	}
+	s.Writers[r.Writer] = r.Seq
+	switch {
+	case r.Publish != nil:
+		return s.applyPublish(r.Publish)
+	case r.Preset != nil:
+		return s.applyPreset(r.Preset)
+	case r.Zone != nil:
+		return s.applyZone(r.Zone)
+	case r.Fleet != nil:
+		return s.applyFleet(r.Fleet)
+	case r.Submit != nil:
+		return s.applySubmit(r.Submit)
+	case r.Cancel != nil:
+		return s.applyCancel(r.Cancel)
+	case r.Plan != nil:
+		return s.applyPlan(r.Plan)
+	case r.Preempt != nil:
+		return s.applyPreempt(r.Preempt)
+	case r.Claim != nil:
+		return s.applyClaim(r.Claim)
+	case r.End != nil:
+		return s.applyEnd(r.End)
+	}
+	return refuse(api.Errorf(api.CodeInvalid, "record has no known kind"))
+}
+
+func refuse(e *api.Error) Outcome { return Outcome{Err: e} }
+
+func conflict(what string, base, current uint64) Outcome {
+	return refuse(api.Errorf(api.CodeConflict, "%s is at version %d, the change was based on version %d; nothing was changed", what, current, base))
+}
+
+func (s *State) applyPublish(p *Publish) Outcome {
+	if p.Base != s.ConfigVersion {
+		return conflict("the configuration", p.Base, s.ConfigVersion)
+	}
+	if p.Config == nil {
+		return refuse(api.FieldErrorf("config", "must be set"))
+	}
+	if err := p.Config.Validate(); err != nil {
+		return refuse(api.AsError(err, api.NotRun))
+	}
+	preset := s.Preset
+	if s.Config == nil {
+		preset = p.Config.InitialPreset
+	}
+	if p.Config.Preset(preset) == nil {
+		return refuse(api.FieldErrorf("presets", "preset %q is in force and must not be removed", preset))
+	}
+	if err := s.checkGuarantees(p.Config, preset); err != nil {
+		return refuse(err)
+	}
+	s.Config, s.Preset = p.Config, preset
+	s.ConfigVersion++
+	s.addZones(p.Config)
+	return Outcome{Version: s.ConfigVersion}
+}
+
+// addZones adds the availability zones that are new; the others keep their state.
+func (s *State) addZones(c *config.Config) {
+	for _, z := range c.Zones {
+		if s.Zones[z.Name] == nil {
+			s.Zones[z.Name] = &ZoneState{}
+		}
+	}
+}
+
+func (s *State) applyPreset(p *SwitchPreset) Outcome {
+	if p.Base != s.PresetVersion {
+		return conflict("the preset", p.Base, s.PresetVersion)
+	}
+	if s.Config == nil || s.Config.Preset(p.Preset) == nil {
+		return refuse(api.FieldErrorf("preset", "%q is not the name of a preset", p.Preset))
+	}
+	if err := s.checkGuarantees(s.Config, p.Preset); err != nil {
+		return refuse(err)
+	}
+	s.Preset = p.Preset
+	s.PresetVersion++
+	return Outcome{Version: s.PresetVersion}
+}
+
+func (s *State) applyZone(z *SetZone) Outcome {
+	zone := s.Zones[z.Zone]
+	if zone == nil {
+		return refuse(api.FieldErrorf("zone", "%q is not the name of an availability zone", z.Zone))
+	}
+	if z.Base != zone.Version {
+		return conflict("availability zone "+z.Zone, z.Base, zone.Version)
+	}
+	zone.Out = z.Out
+	zone.Version++
+	return Outcome{Version: zone.Version}
+}
+
+func (s *State) applyFleet(f *ChangeFleet) Outcome {
+	for _, vm := range f.Seen {
+		w := s.Workers[vm.ID]
+		if w == nil {
+			w = &Worker{ID: vm.ID}
+			s.Workers[vm.ID] = w
+		}
+		if w.Gone {
+			continue
+		}
+		w.Zone, w.Rack, w.Address, w.Capacity, w.Leaving = vm.Zone, vm.Rack, vm.Address, vm.Capacity, vm.Leaving
+	}
+	for _, id := range f.Gone {
+		if w := s.Workers[id]; w != nil {
+			w.Gone = true
+			s.forgetIfUnused(w)
+		}
+	}
+	return Outcome{}
+}
+
+func (s *State) forgetIfUnused(w *Worker) {
+	if w.Gone && w.Used == (api.Resources{}) {
+		delete(s.Workers, w.ID)
+	}
+}
+
+// checkGuarantees refuses a preset whose guarantees cannot fit the fleet together.
+func (s *State) checkGuarantees(c *config.Config, preset string) *api.Error {
+	return nil
+}
--- /dev/null
+++ b/pkg/state/jobs.go
@@ -0,0 +1,236 @@
+package state
+
+import "github.com/shallotpin/shallotpin/pkg/api"
+
+func (s *State) applySubmit(r *SubmitJob) Outcome {
+	if r.Key != "" {
+		if id, ok := s.JobKeys[r.Key]; ok {
+			return Outcome{JobID: id}
+		}
+	}
+	if s.Jobs[r.ID] != nil {
+		return Outcome{JobID: r.ID}
+	}
+	if err := s.checkSubmit(&r.Spec); err != nil {
+		return refuse(err)
+	}
+	s.Submitted++
+	s.Jobs[r.ID] = &Job{ID: r.ID, Key: r.Key, Spec: r.Spec, Order: s.Submitted, Phase: api.PhasePending}
+	if r.Key != "" {
+		s.JobKeys[r.Key] = r.ID
+	}
+	return Outcome{JobID: r.ID}
+}
+
+func (s *State) checkSubmit(spec *api.JobSpec) *api.Error {
+	if s.Config == nil {
+		return api.Errorf(api.CodeUnavailable, "no configuration has been published")
+	}
+	account := s.Config.Account(spec.Account)
+	if account == nil {
+		return api.FieldErrorf("account", "%q is not a client account", spec.Account)
+	}
+	if err := spec.Validate(); err != nil {
+		return api.AsError(err, api.NotRun)
+	}
+	if account.MaxQueued > 0 && s.pendingOf(account.Name) >= account.MaxQueued {
+		return api.Errorf(api.CodeOverloaded, "account %s has %d jobs waiting, its limit", account.Name, account.MaxQueued)
+	}
+	return nil
+}
+
+func (s *State) pendingOf(account string) int {
+	n := 0
+	for _, j := range s.Jobs {
+		if j.Phase == api.PhasePending && j.Spec.Account == account {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) applyCancel(r *CancelJob) Outcome {
+	j := s.Jobs[r.Job]
+	if j == nil {
+		return refuse(api.Errorf(api.CodeNotFound, "no job %q", r.Job))
+	}
+	switch j.Phase {
+	case api.PhasePending:
+		j.Cancelled = true
+		s.finish(j, api.PhaseCancelled, "cancelled by the caller")
+	case api.PhasePlaced:
+		j.Cancelled = true
+		j.Phase = api.PhaseStopping
+	case api.PhaseStopping:
+		j.Cancelled = true
+	}
+	return Outcome{JobID: j.ID}
+}
+
+func (s *State) applyPlan(r *PlanJob) Outcome {
+	j := s.Jobs[r.Job]
+	if j == nil {
+		return refuse(api.Errorf(api.CodeNotFound, "no job %q", r.Job))
+	}
+	if j.Phase != api.PhasePending || j.Plans != r.Attempt {
+		return refuse(api.Errorf(api.CodeConflict, "job %s is %s with %d plans; the plan was based on %d", j.ID, j.Phase, j.Plans, r.Attempt))
+	}
+	if err := s.checkPlacements(j, r.Placements); err != nil {
+		return refuse(err)
+	}
+	for _, p := range r.Placements {
+		w := s.Workers[p.Worker]
+		w.Used = w.Used.Add(j.Spec.PerTask)
+	}
+	s.LastToken++
+	j.Phase, j.Token, j.Coordinator = api.PhasePlaced, s.LastToken, r.Coordinator
+	j.Placements = r.Placements
+	j.Plans++
+	j.Attempts++
+	j.Verdict = api.MayHaveRun
+	return Outcome{JobID: j.ID, Token: j.Token}
+}
+
+// checkPlacements re-checks a plan against the state in log order, since the
+// planner may have worked from an older one.
+func (s *State) checkPlacements(j *Job, placements []Placement) *api.Error {
+	if len(placements) != j.Spec.Tasks {
+		return api.Errorf(api.CodeInvalid, "plan places %d of %d tasks", len(placements), j.Spec.Tasks)
+	}
+	extra := map[string]api.Resources{}
+	var first *Worker
+	for _, p := range placements {
+		w := s.Workers[p.Worker]
+		if w == nil || w.Gone || w.Leaving || s.ZoneOut(w.Zone) {
+			return api.Errorf(api.CodeConflict, "worker %s takes no new tasks", p.Worker)
+		}
+		if first == nil {
+			first = w
+		}
+		if !adjacent(first, w, j.Spec.Within) {
+			return api.Errorf(api.CodeInvalid, "workers %s and %s are not within one %s", first.ID, w.ID, j.Spec.Within)
+		}
+		extra[w.ID] = extra[w.ID].Add(j.Spec.PerTask)
+		if !extra[w.ID].Fits(w.Free()) {
+			return api.Errorf(api.CodeConflict, "worker %s has too little free", w.ID)
+		}
+	}
+	return nil
+}
+
+func adjacent(a, b *Worker, within api.Adjacency) bool {
+	switch within {
+	case api.WithinWorker:
+		return a.ID == b.ID
+	case api.WithinRack:
+		return a.Zone == b.Zone && a.Rack == b.Rack
+	default:
+		return a.Zone == b.Zone
+	}
+}
+
+func (s *State) applyPreempt(r *PreemptJob) Outcome {
+	j, out := s.attempt(r.Job, r.Token)
+	if j == nil {
+		return out
+	}
+	if j.Phase == api.PhasePlaced {
+		j.Phase = api.PhaseStopping
+		j.Reason = r.Reason
+	}
+	return Outcome{JobID: j.ID}
+}
+
+func (s *State) applyClaim(r *ClaimJob) Outcome {
+	j, out := s.attempt(r.Job, r.Token)
+	if j == nil {
+		return out
+	}
+	if j.Coordinator != r.From {
+		return refuse(api.Errorf(api.CodeConflict, "job %s is coordinated by %s, not %s", j.ID, j.Coordinator, r.From))
+	}
+	j.Coordinator = r.To
+	return Outcome{JobID: j.ID, Token: j.Token}
+}
+
+// attempt returns the job whose attempt in force has the given token.
+func (s *State) attempt(id string, token int64) (*Job, Outcome) {
+	j := s.Jobs[id]
+	if j == nil {
+		return nil, refuse(api.Errorf(api.CodeNotFound, "no job %q", id))
+	}
+	if j.Token != token || (j.Phase != api.PhasePlaced && j.Phase != api.PhaseStopping) {
+		return nil, refuse(api.Errorf(api.CodeConflict, "job %s has no attempt %d in force", id, token))
+	}
+	return j, Outcome{}
+}
+
+func (s *State) applyEnd(r *EndAttempt) Outcome {
+	j, out := s.attempt(r.Job, r.Token)
+	if j == nil {
+		return out
+	}
+	s.release(j)
+	s.settle(j, r)
+	return Outcome{JobID: j.ID}
+}
+
+// release gives back what the attempt held on its workers.
+func (s *State) release(j *Job) {
+	for _, p := range j.Placements {
+		if w := s.Workers[p.Worker]; w != nil {
+			w.Used = w.Used.Sub(j.Spec.PerTask)
+			s.forgetIfUnused(w)
+		}
+	}
+	j.Placements = nil
+	j.Coordinator = ""
+}
+
+// settle decides what follows the end of an attempt.
+func (s *State) settle(j *Job, r *EndAttempt) {
+	if len(r.Checkpoints) > 0 {
+		j.Checkpoints = r.Checkpoints
+	}
+	switch r.Outcome {
+	case OutcomeDone:
+		j.Verdict = api.Ran
+		j.Results = r.Results
+		s.finish(j, api.PhaseDone, "")
+		return
+	case OutcomeNeverStarted:
+		j.Attempts--
+		if j.Attempts == 0 {
+			j.Verdict = api.NotRun
+		}
+	case OutcomeStopped:
+		if j.Spec.Checkpoint && len(r.Checkpoints) > 0 {
+			j.Attempts--
+		}
+	}
+	switch {
+	case j.Cancelled:
+		s.finish(j, api.PhaseCancelled, "cancelled by the caller")
+	case j.Attempts >= j.Spec.MaxAttempts:
+		s.finish(j, api.PhaseFailed, r.Reason)
+	default:
+		j.Phase = api.PhasePending
+		j.Reason = r.Reason
+	}
+}
+
+func (s *State) finish(j *Job, phase api.Phase, reason string) {
+	j.Phase, j.Reason = phase, reason
+	s.Ended = append(s.Ended, j.ID)
+	if len(s.Ended) > maxEndedJobs {
+		s.forget(s.Ended[0])
+		s.Ended = append([]string(nil), s.Ended[1:]...)
+	}
+}
+
+func (s *State) forget(id string) {
+	if j := s.Jobs[id]; j != nil {
+		delete(s.JobKeys, j.Key)
+		delete(s.Jobs, id)
+	}
+}
--- /dev/null
+++ b/pkg/state/record.go
@@ -0,0 +1,143 @@
+// Package state folds the records of the log into the state that every node
+// computes alike. It is pure: the same records in the same order give the same
+// state and the same verdict on each record, whoever wrote it.
+package state
+
+import (
+	"encoding/json"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/config"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+)
+
+// Record is one record of the log. Exactly one of the pointers is set. Writer
+// and Seq identify it: an append that was repeated because its answer was lost
+// is applied once.
+type Record struct {
+	// Writer is the incarnation of the node that wrote the record.
+	Writer string `json:"w"`
+	// Seq rises by one with each record of a writer, starting at 1.
+	Seq uint64 `json:"s"`
+
+	Publish *Publish      `json:"publish,omitempty"`
+	Preset  *SwitchPreset `json:"preset,omitempty"`
+	Zone    *SetZone      `json:"zone,omitempty"`
+	Fleet   *ChangeFleet  `json:"fleet,omitempty"`
+	Submit  *SubmitJob    `json:"submit,omitempty"`
+	Cancel  *CancelJob    `json:"cancel,omitempty"`
+	Plan    *PlanJob      `json:"plan,omitempty"`
+	Preempt *PreemptJob   `json:"preempt,omitempty"`
+	Claim   *ClaimJob     `json:"claim,omitempty"`
+	End     *EndAttempt   `json:"end,omitempty"`
+}
+
+// Batch is the payload of one log entry.
+type Batch struct {
+	Records []Record `json:"records"`
+}
+
+// EncodeBatch returns the log entry for records.
+func EncodeBatch(records []Record) ([]byte, error) { return json.Marshal(Batch{records}) }
+
+// DecodeBatch parses a log entry.
+func DecodeBatch(data []byte) (Batch, error) {
+	var b Batch
+	err := json.Unmarshal(data, &b)
+	return b, err
+}
+
+// Publish replaces the configuration document. It is refused unless Base is
+// the version of the document in force.
+type Publish struct {
+	Base   uint64         `json:"base"`
+	Config *config.Config `json:"config"`
+}
+
+// SwitchPreset puts another preset in force. It is refused unless Base is the
+// version of the last switch.
+type SwitchPreset struct {
+	Base   uint64 `json:"base"`
+	Preset string `json:"preset"`
+}
+
+// SetZone takes an availability zone out or back in. It is refused unless Base
+// is the version of that zone.
+type SetZone struct {
+	Base uint64 `json:"base"`
+	Zone string `json:"zone"`
+	Out  bool   `json:"out"`
+}
+
+// ChangeFleet records workers as the VM list shows them. Workers that are
+// listed no more are gone for good.
+type ChangeFleet struct {
+	Seen []platform.VM `json:"seen,omitempty"`
+	Gone []string      `json:"gone,omitempty"`
+}
+
+// SubmitJob accepts a job. Key, if set, makes the submission idempotent.
+type SubmitJob struct {
+	ID   string      `json:"id"`
+	Key  string      `json:"key,omitempty"`
+	Spec api.JobSpec `json:"spec"`
+}
+
+// CancelJob asks for the end of a job.
+type CancelJob struct {
+	Job string `json:"job"`
+}
+
+// Placement puts one task of a gang on a worker.
+type Placement struct {
+	Worker string `json:"worker"`
+}
+
+// PlanJob starts an attempt of a pending job. It is refused unless the job is
+// pending with Attempt plans behind it and every placement still fits.
+type PlanJob struct {
+	Job         string      `json:"job"`
+	Attempt     int         `json:"attempt"`
+	Coordinator string      `json:"coordinator"`
+	Placements  []Placement `json:"placements"`
+}
+
+// PreemptJob asks the coordinator of an attempt to stop it.
+type PreemptJob struct {
+	Job    string `json:"job"`
+	Token  int64  `json:"token"`
+	Reason string `json:"reason"`
+}
+
+// ClaimJob makes another node the coordinator of an attempt.
+type ClaimJob struct {
+	Job   string `json:"job"`
+	Token int64  `json:"token"`
+	// From is the coordinator that the claim replaces.
+	From string `json:"from"`
+	To   string `json:"to"`
+}
+
+// AttemptOutcome says how an attempt ended.
+type AttemptOutcome string
+
+const (
+	// OutcomeDone means that every task finished.
+	OutcomeDone AttemptOutcome = "done"
+	// OutcomeNeverStarted means that no task started.
+	OutcomeNeverStarted AttemptOutcome = "never-started"
+	// OutcomeStopped means that the attempt was stopped on request.
+	OutcomeStopped AttemptOutcome = "stopped"
+	// OutcomeFailed means that a task failed or a worker was lost.
+	OutcomeFailed AttemptOutcome = "failed"
+)
+
+// EndAttempt ends an attempt, after every task is known to run no more.
+type EndAttempt struct {
+	Job         string         `json:"job"`
+	Token       int64          `json:"token"`
+	Outcome     AttemptOutcome `json:"outcome"`
+	Results     []string       `json:"results,omitempty"`
+	Checkpoints []string       `json:"checkpoints,omitempty"`
+	Reason      string         `json:"reason,omitempty"`
+}
--- /dev/null
+++ b/pkg/state/state.go
@@ -0,0 +1,114 @@
+package state
+
+import (
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/config"
+)
+
+// maxEndedJobs bounds how many ended jobs the state remembers.
+const maxEndedJobs = 4096
+
+// State is the result of folding the log up to Offset.
+type State struct {
+	// Offset is the offset of the next entry to apply.
+	Offset int64 `json:"offset"`
+
+	Config        *config.Config        `json:"config,omitempty"`
+	ConfigVersion uint64                `json:"config_version"`
+	Preset        string                `json:"preset"`
+	PresetVersion uint64                `json:"preset_version"`
+	Zones         map[string]*ZoneState `json:"zones"`
+
+	Workers map[string]*Worker `json:"workers"`
+	Jobs    map[string]*Job    `json:"jobs"`
+	// JobKeys maps the idempotency keys of submissions to job IDs.
+	JobKeys map[string]string `json:"job_keys"`
+	// Ended lists ended jobs, oldest first.
+	Ended []string `json:"ended"`
+	// LastToken is the fencing token of the newest plan.
+	LastToken int64 `json:"last_token"`
+	// Submitted counts the jobs accepted so far.
+	Submitted int64 `json:"submitted"`
+	// Writers holds the last sequence number applied of each writer.
+	Writers map[string]uint64 `json:"writers"`
+}
+
+// ZoneState is the state of an availability zone.
+type ZoneState struct {
+	Out     bool   `json:"out"`
+	Version uint64 `json:"version"`
+}
+
+// Worker is a worker and what the attempts in force hold on it.
+type Worker struct {
+	ID       string        `json:"id"`
+	Zone     string        `json:"zone"`
+	Rack     string        `json:"rack"`
+	Address  string        `json:"address"`
+	Capacity api.Resources `json:"capacity"`
+	Used     api.Resources `json:"used"`
+	Leaving  bool          `json:"leaving,omitempty"`
+	// Gone marks a lost worker that attempts in force still name.
+	Gone bool `json:"gone,omitempty"`
+}
+
+// Free returns what is left on the worker.
+func (w *Worker) Free() api.Resources { return w.Capacity.Sub(w.Used) }
+
+// Job is an accepted job.
+type Job struct {
+	ID   string      `json:"id"`
+	Key  string      `json:"key,omitempty"`
+	Spec api.JobSpec `json:"spec"`
+	// Order is the position of the submission among all.
+	Order int64     `json:"order"`
+	Phase api.Phase `json:"phase"`
+	// Plans counts the accepted plans; Attempts those that may have started.
+	Plans       int         `json:"plans"`
+	Attempts    int         `json:"attempts"`
+	Token       int64       `json:"token,omitempty"`
+	Coordinator string      `json:"coordinator,omitempty"`
+	Placements  []Placement `json:"placements,omitempty"`
+	Cancelled   bool        `json:"cancelled,omitempty"`
+	Verdict     api.Verdict `json:"verdict"`
+	Results     []string    `json:"results,omitempty"`
+	Checkpoints []string    `json:"checkpoints,omitempty"`
+	Reason      string      `json:"reason,omitempty"`
+}
+
+// Status returns what a caller learns about the job.
+func (j *Job) Status() api.JobStatus {
+	st := api.JobStatus{
+		ID: j.ID, Spec: j.Spec, Phase: j.Phase, Verdict: j.Verdict,
+		Attempts: j.Attempts, Results: j.Results, Reason: j.Reason,
+	}
+	for _, p := range j.Placements {
+		st.Workers = append(st.Workers, p.Worker)
+	}
+	return st
+}
+
+// New returns the state before the first record.
+func New() *State {
+	return &State{
+		Zones: map[string]*ZoneState{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{},
+		JobKeys: map[string]string{}, Writers: map[string]uint64{},
+	}
+}
+
+// ZoneOut reports whether an availability zone is out or unknown.
+func (s *State) ZoneOut(name string) bool {
+	z := s.Zones[name]
+	return z == nil || z.Out
+}
+
+// Guarantees returns the guarantees of the preset in force.
+func (s *State) Guarantees() []config.Guarantee {
+	if s.Config == nil {
+		return nil
+	}
+	if p := s.Config.Preset(s.Preset); p != nil {
+		return p.Guarantees
+	}
+	return nil
+}
