Name every bad field of a configuration or job at once

Change: api.Problems collects the fields at fault; config validation moves to a file of its own.

Conclusion: an operator can mend a document in one pass.

--- /dev/null
+++ b/pkg/api/api_test.go
@@ -0,0 +1,71 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestVerdictText(t *testing.T) {
+	for _, v := range []Verdict{NotRun, MayHaveRun, Ran} {
+		text, err := v.MarshalText()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back Verdict
+		if err := back.UnmarshalText(text); err != nil || back != v {
+			t.Errorf("%s became %s, error %v", v, back, err)
+		}
+	}
+	var v Verdict
+	if v.UnmarshalText([]byte("perhaps")) == nil {
+		t.Error("an unknown verdict was taken")
+	}
+}
+
+func TestDecodeJobSpecNamesEveryBadField(t *testing.T) {
+	_, err := DecodeJobSpec([]byte(`{"class":"c","tasks":65,"per_task":{"cores":-1},"within":"street"}`))
+	for _, field := range []string{"account: must be set", "tasks: 65", "per_task: must not be negative", `within: "street"`} {
+		if err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("error %v does not say %s", err, field)
+		}
+	}
+}
+
+func TestDecodeJobSpecDefaults(t *testing.T) {
+	s, err := DecodeJobSpec([]byte(`{"account":"a","class":"c","tasks":1,"per_task":{"cores":1}}`))
+	if err != nil || s.MaxAttempts != 3 || s.Within != WithinZone {
+		t.Errorf("got %+v, error %v", s, err)
+	}
+}
+
+func TestAsErrorKeepsTheVerdict(t *testing.T) {
+	if e := AsError(errors.New("cut"), MayHaveRun); e.Verdict != MayHaveRun {
+		t.Errorf("a foreign error got verdict %s", e.Verdict)
+	}
+	if e := AsError(Errorf(CodeInvalid, "bad"), MayHaveRun); e.Verdict != NotRun {
+		t.Errorf("an *Error lost its verdict: %s", e.Verdict)
+	}
+}
+
+// FuzzDecodeJobSpec checks that no body makes DecodeJobSpec panic, and that an
+// accepted specification stays accepted after it was encoded again.
+func FuzzDecodeJobSpec(f *testing.F) {
+	f.Add([]byte(`{"account":"a","class":"c","tasks":4,"per_task":{"accelerators":8},"within":"rack"}`))
+	f.Add([]byte(`{"tasks":1e99}`))
+	f.Add([]byte("{\"account\":\"\xff\"}"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := DecodeJobSpec(data)
+		if err != nil {
+			return
+		}
+		again, err := json.Marshal(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := DecodeJobSpec(again); err != nil {
+			t.Fatalf("accepted %s, refused it encoded again: %v", data, err)
+		}
+	})
+}
--- a/pkg/api/errors.go
+++ b/pkg/api/errors.go
@@ -28,10 +28,12 @@
 
 // Error is the error that crosses package and process boundaries.
 type Error struct {
-	Code    Code    `json:"code"`
-	Message string  `json:"message"`
-	Field   string  `json:"field,omitempty"`
-	Verdict Verdict `json:"verdict"`
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	Field   string `json:"field,omitempty"`
+	// More holds the further fields at fault of the same input.
+	More    []Problem `json:"more,omitempty"`
+	Verdict Verdict   `json:"verdict"`
 	// RetryAfter is the wait that the server proposes before a retry; zero means none.
 	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
 }
@@ -41,7 +43,11 @@
 	if e.Field == "" {
 		return fmt.Sprintf("%s: %s", e.Code, e.Message)
 	}
-	return fmt.Sprintf("%s: %s: %s", e.Code, e.Field, e.Message)
+	text := fmt.Sprintf("%s: %s: %s", e.Code, e.Field, e.Message)
+	for _, p := range e.More {
+		text += fmt.Sprintf("; %s: %s", p.Field, p.Message)
+	}
+	return text
 }
 
 // Errorf returns an Error with the verdict not-run.
--- a/pkg/api/job.go
+++ b/pkg/api/job.go
@@ -101,27 +101,20 @@
 	return s, s.Validate()
 }
 
-// Validate checks the ranges that do not depend on the configuration.
+// Validate checks the ranges that do not depend on the configuration. Its error
+// names every field at fault.
 func (s *JobSpec) Validate() error {
-	switch {
-	case s.Account == "":
-		return FieldErrorf("account", "must be set")
-	case s.Class == "":
-		return FieldErrorf("class", "must be set")
-	case s.Tasks < 1 || s.Tasks > MaxGangTasks:
-		return FieldErrorf("tasks", "%d is not between 1 and %d", s.Tasks, MaxGangTasks)
-	case s.PerTask.Cores < 0 || s.PerTask.MemoryGB < 0 || s.PerTask.Accelerators < 0:
-		return FieldErrorf("per_task", "must not be negative")
-	case s.PerTask == Resources{}:
-		return FieldErrorf("per_task", "must ask for at least one core, GB or accelerator")
-	case !s.Within.Valid():
-		return FieldErrorf("within", "%q is not worker, rack or zone", s.Within)
-	case s.MaxAttempts < 1 || s.MaxAttempts > MaxAttemptsCeiling:
-		return FieldErrorf("max_attempts", "%d is not between 1 and %d", s.MaxAttempts, MaxAttemptsCeiling)
-	case s.ExpectedSeconds < 0:
-		return FieldErrorf("expected_seconds", "must not be negative")
-	}
-	return nil
+	var p Problems
+	r := s.PerTask
+	p.Require(s.Account != "", "account", "must be set")
+	p.Require(s.Class != "", "class", "must be set")
+	p.Require(s.Tasks >= 1 && s.Tasks <= MaxGangTasks, "tasks", "%d is not between 1 and %d", s.Tasks, MaxGangTasks)
+	p.Require(r.Cores >= 0 && r.MemoryGB >= 0 && r.Accelerators >= 0, "per_task", "must not be negative")
+	p.Require(r != Resources{}, "per_task", "must ask for at least one core, GB or accelerator")
+	p.Require(s.Within.Valid(), "within", "%q is not worker, rack or zone", s.Within)
+	p.Require(s.MaxAttempts >= 1 && s.MaxAttempts <= MaxAttemptsCeiling, "max_attempts", "%d is not between 1 and %d", s.MaxAttempts, MaxAttemptsCeiling)
+	p.Require(s.ExpectedSeconds >= 0, "expected_seconds", "must not be negative")
+	return p.Err()
 }
 
 // DecodeStrict parses one JSON document into out. It refuses documents over
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -4,8 +4,6 @@
 package config
 
 import (
-	"fmt"
-
 	"github.com/shallotpin/shallotpin/pkg/api"
 )
 
@@ -80,7 +78,8 @@
 	Within    api.Adjacency `json:"within"`
 }
 
-// Decode parses and validates a document. It names the path of the first bad field.
+// Decode parses and validates a document. Its error names the
+// path of every bad field.
 func Decode(data []byte) (*Config, error) {
 	c := &Config{}
 	if err := api.DecodeStrict(data, MaxBytes, c); err != nil {
@@ -89,120 +88,6 @@
 	return c, c.Validate()
 }
 
-// Validate checks the document as one whole.
-func (c *Config) Validate() error {
-	if c.Objective == "" {
-		c.Objective = ObjectiveCompletion
-	}
-	if c.Objective != ObjectiveCompletion && c.Objective != ObjectiveZoneWork {
-		return api.FieldErrorf("objective", "%q is not %s or %s", c.Objective, ObjectiveCompletion, ObjectiveZoneWork)
-	}
-	for _, check := range []func() error{c.validateAccounts, c.validateZones, c.validateServices, c.validatePresets} {
-		if err := check(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (c *Config) validateAccounts() error {
-	names := nameSet{}
-	for i, a := range c.Accounts {
-		path := fmt.Sprintf("accounts[%d]", i)
-		if err := names.add(path, a.Name); err != nil {
-			return err
-		}
-		if a.Weight < 1 {
-			return api.FieldErrorf(path+".weight", "%d is below 1", a.Weight)
-		}
-		if a.MaxQueued < 0 {
-			return api.FieldErrorf(path+".max_queued", "%d is negative", a.MaxQueued)
-		}
-	}
-	return nil
-}
-
-func (c *Config) validateZones() error {
-	if len(c.Zones) == 0 {
-		return api.FieldErrorf("zones", "must name at least one availability zone")
-	}
-	names := nameSet{}
-	for i, z := range c.Zones {
-		path := fmt.Sprintf("zones[%d]", i)
-		if err := names.add(path, z.Name); err != nil {
-			return err
-		}
-		if z.Region == "" {
-			return api.FieldErrorf(path+".region", "must be set")
-		}
-	}
-	return nil
-}
-
-func (c *Config) validateServices() error {
-	names := nameSet{}
-	for i, s := range c.Services {
-		path := fmt.Sprintf("services[%d]", i)
-		if err := names.add(path, s.Name); err != nil {
-			return err
-		}
-		classes := nameSet{}
-		for j, k := range s.Classes {
-			classPath := fmt.Sprintf("%s.classes[%d]", path, j)
-			if err := classes.add(classPath, k.Name); err != nil {
-				return err
-			}
-			if k.TimeoutMS < 1 {
-				return api.FieldErrorf(classPath+".timeout_ms", "%d is below 1", k.TimeoutMS)
-			}
-			if k.MaxQueued < 1 {
-				return api.FieldErrorf(classPath+".max_queued", "%d is below 1", k.MaxQueued)
-			}
-		}
-		if len(s.Classes) == 0 {
-			return api.FieldErrorf(path+".classes", "must name at least one class")
-		}
-	}
-	return nil
-}
-
-func (c *Config) validatePresets() error {
-	names := nameSet{}
-	for i, p := range c.Presets {
-		path := fmt.Sprintf("presets[%d]", i)
-		if err := names.add(path, p.Name); err != nil {
-			return err
-		}
-		for j, g := range p.Guarantees {
-			if err := c.validateGuarantee(fmt.Sprintf("%s.guarantees[%d]", path, j), g); err != nil {
-				return err
-			}
-		}
-	}
-	if !names[c.InitialPreset] {
-		return api.FieldErrorf("initial_preset", "%q is not the name of a preset", c.InitialPreset)
-	}
-	return nil
-}
-
-func (c *Config) validateGuarantee(path string, g Guarantee) error {
-	switch {
-	case c.Account(g.Account) == nil:
-		return api.FieldErrorf(path+".account", "%q is not an account", g.Account)
-	case g.Count < 1:
-		return api.FieldErrorf(path+".count", "%d is below 1", g.Count)
-	case g.Workers < 1 || g.Workers > api.MaxGangTasks:
-		return api.FieldErrorf(path+".workers", "%d is not between 1 and %d", g.Workers, api.MaxGangTasks)
-	case g.PerWorker.Cores < 0 || g.PerWorker.MemoryGB < 0 || g.PerWorker.Accelerators < 1:
-		return api.FieldErrorf(path+".per_worker", "must ask for at least 1 accelerator and nothing negative")
-	case !g.Within.Valid():
-		return api.FieldErrorf(path+".within", "%q is not worker, rack or zone", g.Within)
-	case g.Within == api.WithinWorker && g.Workers > 1:
-		return api.FieldErrorf(path+".within", "%d workers cannot be adjacent within one worker", g.Workers)
-	}
-	return nil
-}
-
 // Account returns the account called name, or nil.
 func (c *Config) Account(name string) *Account {
 	for i := range c.Accounts {
@@ -252,16 +137,3 @@
 	}
 	return nil
 }
-
-type nameSet map[string]bool
-
-func (n nameSet) add(path, name string) error {
-	if name == "" {
-		return api.FieldErrorf(path+".name", "must be set")
-	}
-	if n[name] {
-		return api.FieldErrorf(path+".name", "%q is used twice", name)
-	}
-	n[name] = true
-	return nil
-}
