Tell callers not-run when no connection was obtained

Cause: the client said may-have-run for every transport error, so a script that met a stopped entry VM got exit code 4 although nothing had been sent.

Ruled out: taking every dial error by its type; a connection obtained is the exact and simpler boundary.

Change: the client traces whether a connection was obtained. Commands teach by example in their help. Exit codes are tested one by one.

Conclusion: exit code 3 is true, and 4 is kept for what may have run.

--- a/cmd/shallotpin/main.go
+++ b/cmd/shallotpin/main.go
@@ -65,10 +65,10 @@
 		return exitUsage
 	case !errors.As(err, &apiErr):
 		return exitFailed
-	case apiErr.Code == api.CodeInvalid || apiErr.Code == api.CodeNotFound:
-		return exitUsage
 	case apiErr.Verdict == api.MayHaveRun:
 		return exitMayHaveRun
+	case apiErr.Code == api.CodeInvalid || apiErr.Code == api.CodeNotFound:
+		return exitUsage
 	case apiErr.Verdict == api.NotRun:
 		return exitNotRun
 	default:
@@ -87,21 +87,37 @@
 
 func addCommands(parser *flags.Parser, g *globals) {
 	root := parser.Command
-	add(root, "dev", "run entry nodes and stand-ins in one process", "Runs until a signal. Prints \"ready http://ADDR\" once jobs and requests are taken.", &devCommand{g: g})
+	add(root, "dev", "run entry nodes and stand-ins in one process",
+		"Runs until a signal, with a sample configuration. Prints \"ready http://ADDR\" once jobs and requests are taken.", &devCommand{g: g})
+	addOperatorCommands(root, g)
+	addJobCommands(root, g)
+	add(root, "request", "send one short request to a service",
+		"Prints the answer. Example:\n\n  shallotpin request stave-desk --account yard-agents --idempotent 'price of 40 staves'\n\n"+
+			"Exit code 4 means that the request may have run: repeat it only if it is idempotent, or with the same --key.", &requestCommand{g: g})
+	add(root, "status", "show accounts, zones, workers, queue and log freshness", "", &statusCommand{g: g})
+	add(root, "bench", "run a scenario and print its figures",
+		"Prints one JSON object with --json: {\"scenario\":…,\"seed\":…,\"figures\":{name:number}}. Example:\n\n  shallotpin bench --scenario reclaim --seed 3 --json", &benchCommand{g: g})
+}
+
+func addOperatorCommands(root *flags.Command, g *globals) {
 	conf := add(root, "config", "publish or show the configuration", "", &struct{}{})
-	add(conf, "publish", "publish a JSON document as the configuration", "", &configPublishCommand{g: g})
+	add(conf, "publish", "publish a JSON document as the configuration",
+		"The document is accepted or refused as a whole; a refusal names every bad field. Example:\n\n  shallotpin config publish deploy/stave-desk.json --if-version 7", &configPublishCommand{g: g})
 	add(conf, "show", "show the configuration in force", "", &configShowCommand{g: g})
 	preset := add(root, "preset", "switch presets", "", &struct{}{})
-	add(preset, "switch", "put a preset in force", "", &presetSwitchCommand{g: g})
+	add(preset, "switch", "put a preset in force", "Exactly one preset is in force. Example:\n\n  shallotpin preset switch peak", &presetSwitchCommand{g: g})
 	zone := add(root, "zone", "take an availability zone out or back in", "", &struct{}{})
-	add(zone, "out", "take an availability zone out of service", "", &zoneCommand{g: g, out: true})
+	add(zone, "out", "take an availability zone out of service", "No task starts in the zone later than 5 s after this command has returned.", &zoneCommand{g: g, out: true})
 	add(zone, "in", "take an availability zone back into service", "", &zoneCommand{g: g})
+}
+
+func addJobCommands(root *flags.Command, g *globals) {
 	job := add(root, "job", "submit, show, cancel and list jobs", "", &struct{}{})
-	add(job, "submit", "submit a job specification in JSON", "", &jobSubmitCommand{g: g})
+	add(job, "submit", "submit a job specification in JSON",
+		"Prints the job's ID, or with --wait its result. A retry with the same --key never submits twice. Example of a FILE:\n\n"+
+			"  {\"account\": \"coopers\", \"class\": \"appraisal\", \"tasks\": 4, \"within\": \"rack\",\n"+
+			"   \"per_task\": {\"cores\": 16, \"memory_gb\": 64, \"accelerators\": 8}}", &jobSubmitCommand{g: g})
 	add(job, "get", "show a job", "", &jobGetCommand{g: g})
-	add(job, "cancel", "cancel a job", "", &jobCancelCommand{g: g})
+	add(job, "cancel", "cancel a job", "A waiting job ends at once; the tasks of a placed one are stopped first.", &jobCancelCommand{g: g})
 	add(job, "list", "list the jobs", "", &jobListCommand{g: g})
-	add(root, "request", "send one short request to a service", "", &requestCommand{g: g})
-	add(root, "status", "show accounts, zones, workers, queue and log freshness", "", &statusCommand{g: g})
-	add(root, "bench", "run a scenario and print its figures", "Prints one JSON object: {\"scenario\":…,\"seed\":…,\"figures\":{name:number}}.", &benchCommand{g: g})
 }
--- /dev/null
+++ b/cmd/shallotpin/main_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"bytes"
+	"net"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+)
+
+func TestExitCodes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	server := "--server=http://" + l.Addr().String()
+	missing := filepath.Join(t.TempDir(), "missing.json")
+	cases := map[string]struct {
+		args []string
+		want int
+		says string
+	}{
+		"help":                    {[]string{"--help"}, exitDone, "Exit codes"},
+		"help of a command":       {[]string{"job", "submit", "--help"}, exitDone, "Example of a FILE"},
+		"unknown command":         {[]string{"jbo"}, exitUsage, "jbo"},
+		"no command":              {nil, exitUsage, "config"},
+		"missing argument":        {[]string{"preset", "switch"}, exitUsage, "NAME"},
+		"missing file":            {[]string{"job", "submit", missing}, exitUsage, "missing.json"},
+		"unknown scenario":        {[]string{"bench", "--scenario", "x"}, exitUsage, "scenario"},
+		"too many entries":        {[]string{"dev", "--entries", "51"}, exitUsage, "51 is not between"},
+		"nothing listens, change": {[]string{server, "preset", "switch", "peak"}, exitNotRun, "refused"},
+		"nothing listens, query":  {[]string{server, "status"}, exitNotRun, "refused"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			if got := run(c.args, &out, &out); got != c.want {
+				t.Errorf("exit code %d, want %d: %s", got, c.want, &out)
+			}
+			if !strings.Contains(out.String(), c.says) {
+				t.Errorf("output does not say %q: %s", c.says, &out)
+			}
+		})
+	}
+}
+
+func TestExitCodeOfVerdicts(t *testing.T) {
+	cases := map[string]struct {
+		err  error
+		want int
+	}{
+		"refused and not run": {&api.Error{Code: api.CodeOverloaded, Verdict: api.NotRun}, exitNotRun},
+		"may have run":        {&api.Error{Code: api.CodeTimeout, Verdict: api.MayHaveRun}, exitMayHaveRun},
+		"ran and failed":      {&api.Error{Code: api.CodeFailed, Verdict: api.Ran}, exitFailed},
+		"bad input":           {&api.Error{Code: api.CodeInvalid}, exitUsage},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := exitCode(c.err); got != c.want {
+				t.Errorf("exit code %d, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -8,8 +8,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
@@ -40,9 +42,12 @@
 // WithHTTP returns a client of the node at base that uses c.
 func WithHTTP(base string, c *http.Client) *Client { return &Client{base: base, http: c} }
 
-// call sends one request. Until a reply has come, the work may have run.
+// call sends one request. Its error says not-run only if no connection was
+// obtained; from then on, until a whole reply has come, the work may have run.
 func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte, out any) error {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return api.FieldErrorf("server", "%v", err)
 	}
@@ -51,22 +56,30 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return &api.Error{Code: api.CodeUnavailable, Message: err.Error(), Verdict: api.MayHaveRun}
+		verdict := api.NotRun
+		if connected.Load() {
+			verdict = api.MayHaveRun
+		}
+		return &api.Error{Code: api.CodeUnavailable, Message: err.Error(), Verdict: verdict}
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	if err != nil {
-		return &api.Error{Code: api.CodeUnavailable, Message: err.Error(), Verdict: api.MayHaveRun}
+		return cutShort(err)
 	}
 	if resp.StatusCode/100 != 2 {
 		return replyError(resp, data)
 	}
 	if err := json.Unmarshal(data, out); err != nil {
-		return &api.Error{Code: api.CodeUnavailable, Message: "the reply is cut short: " + err.Error(), Verdict: api.MayHaveRun}
+		return cutShort(err)
 	}
 	return nil
 }
 
+func cutShort(err error) error {
+	return &api.Error{Code: api.CodeUnavailable, Message: "the reply is cut short: " + err.Error(), Verdict: api.MayHaveRun}
+}
+
 func replyError(resp *http.Response, data []byte) error {
 	var body frontdoor.ErrorBody
 	if json.Unmarshal(data, &body) == nil && body.Error != nil {
