Keep serving for a while when a planned stop begins

Cause: Stop closed the listener at once, so a caller that the balancer had sent just before its next check met a refused connection. Calls that wait for a job could hold a stop up for their whole wait.

--- a/pkg/frontdoor/callers.go
+++ b/pkg/frontdoor/callers.go
@@ -105,15 +105,16 @@
 			writeError(w, api.Errorf(api.CodeNotFound, "no job %q", r.PathValue("id")))
 			return
 		}
-		if status.Phase.Ended() || !awaitChange(r, changed, timer) {
+		if status.Phase.Ended() || !s.awaitChange(r, changed, timer) {
 			writeJSON(w, http.StatusOK, status.Verdict, status)
 			return
 		}
 	}
 }
 
-// awaitChange reports whether the state changed before the timer or the caller ended the wait.
-func awaitChange(r *http.Request, changed <-chan struct{}, timer *time.Timer) bool {
+// awaitChange reports whether the state changed before the timer, the caller or
+// a planned stop ended the wait.
+func (s *Service) awaitChange(r *http.Request, changed <-chan struct{}, timer *time.Timer) bool {
 	select {
 	case <-changed:
 		return true
@@ -121,6 +122,8 @@
 		return false
 	case <-r.Context().Done():
 		return false
+	case <-s.draining:
+		return false
 	}
 }
 
--- a/pkg/frontdoor/frontdoor.go
+++ b/pkg/frontdoor/frontdoor.go
@@ -4,8 +4,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -38,14 +39,20 @@
 	fleet    *fleet.Service
 	requests *requests.Service
 
-	server   *http.Server
-	bound    string
-	draining atomic.Bool
+	server     *http.Server
+	bound      string
+	drainDelay time.Duration
+	drainOnce  sync.Once
+	draining   chan struct{}
 }
 
 // New returns a front door that listens on address and exposes set at /metrics.
-func New(network transport.Network, address string, set *metrics.Set) *Service {
-	return &Service{network: network, address: address, metrics: set}
+// drainDelay is how long it goes on taking requests, while not ready, when it stops.
+func New(network transport.Network, address string, drainDelay time.Duration, set *metrics.Set) *Service {
+	return &Service{
+		network: network, address: address, metrics: set,
+		drainDelay: drainDelay, draining: make(chan struct{}),
+	}
 }
 
 // Name implements kernel.Service.
@@ -74,12 +81,17 @@
 	if s.requests, err = kernel.Lookup[*requests.Service](k, requests.ServiceName); err != nil {
 		return err
 	}
+	return s.listen(s.routes())
+}
+
+// listen begins to serve h.
+func (s *Service) listen(h http.Handler) error {
 	l, err := s.network.Listen(s.address)
 	if err != nil {
 		return err
 	}
 	s.bound = l.Addr().String()
-	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout}
+	s.server = &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	go func() {
 		if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			klog.Errorf("frontdoor: stopped serving: %v", err)
@@ -91,14 +103,24 @@
 // Address returns the address that the front door listens on.
 func (s *Service) Address() string { return s.bound }
 
-// Drain makes the node not ready, so that the balancer sends no new callers.
-func (s *Service) Drain() { s.draining.Store(true) }
+// Drain makes the node not ready, so that the balancer sends no new callers,
+// and answers the calls that wait for a job's end at once.
+func (s *Service) Drain() { s.drainOnce.Do(func() { close(s.draining) }) }
 
-// Stop implements kernel.Service: it takes no new requests and waits for those
-// in flight, as long as ctx allows.
+// Stop implements kernel.Service. The node is not ready first, while callers
+// that the balancer still sends are served; then it takes no new requests and
+// answers those in flight, as long as ctx allows.
 func (s *Service) Stop(ctx context.Context) error {
 	s.Drain()
-	return s.server.Shutdown(ctx)
+	select {
+	case <-time.After(s.drainDelay):
+	case <-ctx.Done():
+	}
+	if err := s.server.Shutdown(ctx); err != nil {
+		s.server.Close()
+		return fmt.Errorf("requests in flight were cut: %w", err)
+	}
+	return nil
 }
 
 func (s *Service) routes() http.Handler {
@@ -124,15 +146,31 @@
 }
 
 func (s *Service) getReady(w http.ResponseWriter, _ *http.Request) {
-	_, read := s.journal.Age(time.Now())
-	switch {
-	case s.draining.Load():
-		http.Error(w, "draining", http.StatusServiceUnavailable)
-	case !read:
-		http.Error(w, "the log has not been read yet", http.StatusServiceUnavailable)
+	if reason := s.notReady(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.Write([]byte("ready\n"))
+}
+
+func (s *Service) isDraining() bool {
+	select {
+	case <-s.draining:
+		return true
 	default:
-		w.Write([]byte("ready\n"))
+		return false
+	}
+}
+
+// notReady says why the balancer should send no callers; empty means ready.
+func (s *Service) notReady() string {
+	if s.isDraining() {
+		return "draining"
+	}
+	if _, read := s.journal.Age(time.Now()); !read {
+		return "the log has not been read yet"
 	}
+	return ""
 }
 
 func (s *Service) getMetrics(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -34,6 +34,7 @@
 	Log  string `long:"log" env:"SHALLOTPIN_LOG" default:"http://127.0.0.1:7300" description:"URL of the platform's log service, with an IP number"`
 	VMs  string `long:"vms" env:"SHALLOTPIN_VMS" default:"http://127.0.0.1:7301" description:"URL of the platform's VM list, with an IP number"`
 
+	DrainDelay   time.Duration `long:"drain-delay" env:"SHALLOTPIN_DRAIN_DELAY" default:"2s" description:"how long a planned stop goes on taking requests while /readyz says no, 0s to 1m"`
 	DrainTimeout time.Duration `long:"drain-timeout" env:"SHALLOTPIN_DRAIN_TIMEOUT" default:"30s" description:"longest time that a planned stop waits for requests in flight, 1s to 10m"`
 	LeaseTTL     time.Duration `long:"lease-ttl" env:"SHALLOTPIN_LEASE_TTL" default:"10s" description:"how long a task runs on without a renewal, 2s to 5m"`
 	StartWithin  time.Duration `long:"start-within" env:"SHALLOTPIN_START_WITHIN" default:"3s" description:"longest time from reservation to start on a worker's clock, 500ms to 4s"`
@@ -70,6 +71,7 @@
 			add("%s: %s is not between %s and %s", flag, value, low, high)
 		}
 	}
+	checkRange("--drain-delay", s.DrainDelay, 0, time.Minute)
 	checkRange("--drain-timeout", s.DrainTimeout, time.Second, 10*time.Minute)
 	checkRange("--lease-ttl", s.LeaseTTL, 2*time.Second, 5*time.Minute)
 	checkRange("--start-within", s.StartWithin, 500*time.Millisecond, 4*time.Second)
@@ -124,7 +126,7 @@
 		kernel: kernel.New(), settings: s, Members: members,
 		Journal:  journal.New(p.Log, incarnation),
 		Requests: requests.New(network, rng),
-		front:    frontdoor.New(network, s.HTTP, set),
+		front:    frontdoor.New(network, s.HTTP, s.DrainDelay, set),
 	}
 	services := []kernel.Service{
 		n.Journal, fleet.New(p.VMs), peers, members,
