Record the begin of an attempt, its coordinator at the end, and blame

Cause: an attempt's end was accepted from a coordinator that had been replaced, which does not know what its successor keeps alive; and nothing in the log told an attempt that had started tasks from one that had not, so a successor had to guess from the workers' answers. Change: BeginAttempt is written between reservation and start and is refused, in log order, once the attempt is claimed, stopping, or in an availability zone that is out. EndAttempt names its coordinator and the workers that failed a task (Blame), for the planner to weigh.

--- a/pkg/state/apply.go
+++ b/pkg/state/apply.go
@@ -44,6 +44,8 @@
 		return s.applyPreempt(r.Preempt)
 	case r.Claim != nil:
 		return s.applyClaim(r.Claim)
+	case r.Begin != nil:
+		return s.applyBegin(r.Begin)
 	case r.End != nil:
 		return s.applyEnd(r.End)
 	}
--- /dev/null
+++ b/pkg/state/attempts_test.go
@@ -0,0 +1,86 @@
+package state
+
+import (
+	"testing"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/config"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+)
+
+// fold applies records of one writer in order and returns the last outcome.
+type fold struct {
+	*State
+	seq uint64
+}
+
+func (f *fold) apply(r Record) Outcome {
+	f.seq++
+	r.Writer, r.Seq = "test", f.seq
+	return f.Apply(&r)
+}
+
+// placedJob returns a state with one job placed by the coordinator "a".
+func placedJob(t *testing.T, maxAttempts int) *fold {
+	t.Helper()
+	one := api.Resources{Accelerators: 1}
+	f := &fold{State: New()}
+	f.Config = &config.Config{Accounts: []config.Account{{Name: "coopers"}}}
+	f.Zones["howrah"] = &ZoneState{}
+	f.apply(Record{Fleet: &ChangeFleet{Seen: []platform.VM{{ID: "w", Zone: "howrah", Capacity: one}}}})
+	spec := api.JobSpec{Account: "coopers", Class: "appraisal", Tasks: 1, PerTask: one, Within: api.WithinZone, MaxAttempts: maxAttempts}
+	f.apply(Record{Submit: &SubmitJob{ID: "j", Spec: spec}})
+	if out := f.plan(); out.Err != nil {
+		t.Fatal(out.Err)
+	}
+	return f
+}
+
+func (f *fold) plan() Outcome {
+	return f.apply(Record{Plan: &PlanJob{
+		Job: "j", Attempt: f.Jobs["j"].Plans, Coordinator: "a", Placements: []Placement{{Worker: "w"}},
+	}})
+}
+
+func (f *fold) begin(coordinator string) Outcome {
+	return f.apply(Record{Begin: &BeginAttempt{Job: "j", Token: f.Jobs["j"].Token, Coordinator: coordinator}})
+}
+
+func TestBeginIsRefusedAfterClaim(t *testing.T) {
+	f := placedJob(t, 1)
+	f.apply(Record{Claim: &ClaimJob{Job: "j", Token: 1, From: "a", To: "b"}})
+	if out := f.begin("a"); out.Err == nil {
+		t.Error("the replaced coordinator may still start the attempt")
+	}
+	if f.Jobs["j"].Started {
+		t.Error("a refused begin marked the attempt as started")
+	}
+	if out := f.begin("b"); out.Err != nil || !f.Jobs["j"].Started {
+		t.Errorf("the new coordinator may not start the attempt: %v", out.Err)
+	}
+}
+
+func TestBeginIsRefusedOnceZoneIsOut(t *testing.T) {
+	f := placedJob(t, 1)
+	f.apply(Record{Zone: &SetZone{Zone: "howrah", Out: true}})
+	if out := f.begin("a"); out.Err == nil {
+		t.Error("an attempt may start in an availability zone that is out")
+	}
+}
+
+func TestEndOfReplacedCoordinatorIsRefused(t *testing.T) {
+	f := placedJob(t, 2)
+	f.begin("a")
+	f.apply(Record{Claim: &ClaimJob{Job: "j", Token: 1, From: "a", To: "b"}})
+	end := EndAttempt{Job: "j", Token: 1, Coordinator: "a", Outcome: OutcomeFailed}
+	if out := f.apply(Record{End: &end}); out.Err == nil {
+		t.Error("a replaced coordinator ended the attempt of its successor")
+	}
+	end.Coordinator = "b"
+	if out := f.apply(Record{End: &end}); out.Err != nil {
+		t.Error(out.Err)
+	}
+	if out := f.plan(); out.Err != nil || f.Jobs["j"].Started {
+		t.Errorf("second attempt: started %v, %v", f.Jobs["j"].Started, out.Err)
+	}
+}
--- a/pkg/state/jobs.go
+++ b/pkg/state/jobs.go
@@ -153,6 +153,36 @@
 	return Outcome{JobID: j.ID, Token: j.Token}
 }
 
+func (s *State) applyBegin(r *BeginAttempt) Outcome {
+	j, out := s.attempt(r.Job, r.Token)
+	if j == nil {
+		return out
+	}
+	if err := s.CheckWanted(j, r.Coordinator); err != nil {
+		return refuse(err)
+	}
+	j.Started = true
+	return Outcome{JobID: j.ID, Token: j.Token}
+}
+
+// CheckWanted returns an error unless the attempt in force of j may start its
+// tasks under the given coordinator.
+func (s *State) CheckWanted(j *Job, coordinator string) *api.Error {
+	if j.Phase != api.PhasePlaced {
+		return api.Errorf(api.CodeConflict, "job %s is %s", j.ID, j.Phase)
+	}
+	if j.Coordinator != coordinator {
+		return api.Errorf(api.CodeConflict, "job %s is coordinated by %s, not %s", j.ID, j.Coordinator, coordinator)
+	}
+	for _, p := range j.Placements {
+		w := s.Workers[p.Worker]
+		if w == nil || w.Gone || s.ZoneOut(w.Zone) {
+			return api.Errorf(api.CodeConflict, "worker %s takes no new tasks", p.Worker)
+		}
+	}
+	return nil
+}
+
 // attempt returns the job whose attempt in force has the given token.
 func (s *State) attempt(id string, token int64) (*Job, Outcome) {
 	j := s.Jobs[id]
@@ -170,6 +200,9 @@
 	if j == nil {
 		return out
 	}
+	if r.Coordinator != "" && j.Coordinator != r.Coordinator {
+		return refuse(api.Errorf(api.CodeConflict, "job %s is coordinated by %s, not %s", j.ID, j.Coordinator, r.Coordinator))
+	}
 	s.release(j)
 	s.settle(j, r)
 	return Outcome{JobID: j.ID}
@@ -185,6 +218,7 @@
 	}
 	j.Placements = nil
 	j.Coordinator = ""
+	j.Started = false
 }
 
 // settle decides what follows the end of an attempt.
--- a/pkg/state/record.go
+++ b/pkg/state/record.go
@@ -29,6 +29,7 @@
 	Plan    *PlanJob      `json:"plan,omitempty"`
 	Preempt *PreemptJob   `json:"preempt,omitempty"`
 	Claim   *ClaimJob     `json:"claim,omitempty"`
+	Begin   *BeginAttempt `json:"begin,omitempty"`
 	End     *EndAttempt   `json:"end,omitempty"`
 }
 
@@ -118,6 +119,16 @@
 	To   string `json:"to"`
 }
 
+// BeginAttempt is written by the coordinator after it has reserved every task
+// and before it starts the first one. It is refused unless the attempt is still
+// wanted, in log order: so a coordinator that was replaced starts nothing, and
+// an attempt without an accepted BeginAttempt has started nothing.
+type BeginAttempt struct {
+	Job         string `json:"job"`
+	Token       int64  `json:"token"`
+	Coordinator string `json:"coordinator"`
+}
+
 // AttemptOutcome says how an attempt ended.
 type AttemptOutcome string
 
@@ -132,12 +143,17 @@
 	OutcomeFailed AttemptOutcome = "failed"
 )
 
-// EndAttempt ends an attempt, after every task is known to run no more.
+// EndAttempt ends an attempt, after every task is known to run no more. It is
+// refused unless Coordinator coordinates the attempt: one that was replaced
+// does not know which tasks its successor has kept alive.
 type EndAttempt struct {
 	Job         string         `json:"job"`
 	Token       int64          `json:"token"`
+	Coordinator string         `json:"coordinator,omitempty"`
 	Outcome     AttemptOutcome `json:"outcome"`
 	Results     []string       `json:"results,omitempty"`
 	Checkpoints []string       `json:"checkpoints,omitempty"`
 	Reason      string         `json:"reason,omitempty"`
+	// Blame lists the workers that refused, failed or lost a task of the attempt.
+	Blame []string `json:"blame,omitempty"`
 }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -69,6 +69,8 @@
 	Token       int64       `json:"token,omitempty"`
 	Coordinator string      `json:"coordinator,omitempty"`
 	Placements  []Placement `json:"placements,omitempty"`
+	// Started says that a task of the attempt in force may have been started.
+	Started     bool        `json:"started,omitempty"`
 	Cancelled   bool        `json:"cancelled,omitempty"`
 	Verdict     api.Verdict `json:"verdict"`
 	Results     []string    `json:"results,omitempty"`
