Expose the state, the log's age and readiness as metrics

Cause: /metrics had the process alone; an operator could not see that a node was cut off, or that capacity shrank.

Labels are bounded by the configuration's zones and by the phases.

--- a/pkg/frontdoor/frontdoor.go
+++ b/pkg/frontdoor/frontdoor.go
@@ -172,8 +172,3 @@
 	}
 	return ""
 }
-
-func (s *Service) getMetrics(w http.ResponseWriter, _ *http.Request) {
-	s.metrics.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
-}
--- /dev/null
+++ b/pkg/frontdoor/metrics.go
@@ -0,0 +1,67 @@
+package frontdoor
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+// phases are the label values of the job metric, which is bounded by them.
+var phases = []api.Phase{
+	api.PhasePending, api.PhasePlaced, api.PhaseStopping, api.PhaseDone, api.PhaseFailed, api.PhaseCancelled,
+}
+
+func (s *Service) getMetrics(w http.ResponseWriter, _ *http.Request) {
+	s.metrics.WritePrometheus(w)
+	s.writeNodeMetrics(w, time.Now())
+	// A slow reader must not hold the state's lock.
+	var buf bytes.Buffer
+	s.journal.View(func(st *state.State) { writeStateMetrics(&buf, st) })
+	buf.WriteTo(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// writeNodeMetrics writes what only this node knows.
+func (s *Service) writeNodeMetrics(w io.Writer, now time.Time) {
+	if age, ok := s.journal.Age(now); ok {
+		metrics.WriteGaugeFloat64(w, "shallotpin_log_age_seconds", age.Seconds())
+	}
+	metrics.WriteGaugeUint64(w, "shallotpin_live_nodes", uint64(len(s.members.Live(now))))
+	ready := uint64(1)
+	if s.notReady() != "" {
+		ready = 0
+	}
+	metrics.WriteGaugeUint64(w, "shallotpin_ready", ready)
+}
+
+// writeStateMetrics writes what every node knows alike. Its labels are bounded
+// by the configuration's zones and the phases.
+func writeStateMetrics(w io.Writer, st *state.State) {
+	metrics.WriteGaugeUint64(w, "shallotpin_log_offset", uint64(st.Offset))
+	metrics.WriteGaugeUint64(w, "shallotpin_config_version", st.ConfigVersion)
+	metrics.WriteGaugeUint64(w, "shallotpin_preset_version", st.PresetVersion)
+	jobs := map[api.Phase]uint64{}
+	for _, j := range st.Jobs {
+		jobs[j.Phase]++
+	}
+	for _, p := range phases {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("shallotpin_jobs{phase=%q}", p), jobs[p])
+	}
+	for _, z := range zoneStatuses(st, nil) {
+		out := uint64(0)
+		if z.Out {
+			out = 1
+		}
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("shallotpin_zone_out{zone=%q}", z.Name), out)
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("shallotpin_workers{zone=%q}", z.Name), uint64(z.Workers))
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("shallotpin_accelerators{zone=%q}", z.Name), uint64(z.Capacity.Accelerators))
+		metrics.WriteGaugeUint64(w, fmt.Sprintf("shallotpin_accelerators_used{zone=%q}", z.Name), uint64(z.Used.Accelerators))
+	}
+}
--- a/pkg/frontdoor/operators.go
+++ b/pkg/frontdoor/operators.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
@@ -177,6 +178,15 @@
 
 func fillStatus(body *StatusBody, st *state.State, upstreams []platform.VM) {
 	body.Preset, body.ConfigVersion, body.Offset = st.Preset, st.ConfigVersion, st.Offset
+	body.Zones = zoneStatuses(st, upstreams)
+	body.Accounts = accountStatuses(st)
+	for _, j := range st.Jobs {
+		body.Jobs[j.Phase]++
+	}
+}
+
+// zoneStatuses returns the availability zones by name.
+func zoneStatuses(st *state.State, upstreams []platform.VM) []ZoneStatus {
 	zones := map[string]*ZoneStatus{}
 	zone := func(name string) *ZoneStatus {
 		if zones[name] == nil {
@@ -196,14 +206,11 @@
 	for _, vm := range upstreams {
 		zone(vm.Zone).Upstreams++
 	}
-	for _, z := range zones {
-		body.Zones = append(body.Zones, *z)
-	}
-	sort.Slice(body.Zones, func(i, j int) bool { return body.Zones[i].Name < body.Zones[j].Name })
-	body.Accounts = accountStatuses(st)
-	for _, j := range st.Jobs {
-		body.Jobs[j.Phase]++
+	out := make([]ZoneStatus, 0, len(zones))
+	for _, name := range slices.Sorted(maps.Keys(zones)) {
+		out = append(out, *zones[name])
 	}
+	return out
 }
 
 func accountStatuses(st *state.State) []AccountStatus {
