Renew gangs whole or not at all, under a bounded view of the log

Cause: (1) a coordinator went on renewing the other members while one did not answer; (2) a claim kept the token, so the successor's reservations let a start of the replaced coordinator through without a fresh check of the zone; (3) a coordinator cut off from the log renewed for ever, while its successor waited one lease and started again; (4) a worker that had forgotten a task made an attempt count as never started; (5) the takeover of a new node began before it had heard of the others; (6) no one renewed the attempt of a coordinator that died while the log was dark. Ruled out: waiting longer at the end alone, since a node with a fresh view may keep an orphan alive until the log shows that it is stopping. Change: a begin record between reservation and start; renewals joined per worker and sent only under a view within StalenessBound or with the log dark for every listed entry VM; a doubtful member stops the renewal of all; orphans are kept alive by the preferred live node until they are claimed; claims need a quorum or 30 s of silence; a planned stop hands over. Conclusion: go test ./pkg/memsite ./pkg/state ./cmd/... passes.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -69,6 +69,14 @@
 	return vms, !s.readAt.IsZero()
 }
 
+// Age returns how long ago the VM list was last read. ok is false if it has
+// never been read.
+func (s *Service) Age(now time.Time) (age time.Duration, ok bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return now.Sub(s.readAt), !s.readAt.IsZero()
+}
+
 func (s *Service) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.readOnce(ctx)
--- a/pkg/lifecycle/gang.go
+++ b/pkg/lifecycle/gang.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,36 +14,70 @@
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
-// gang coordinates one attempt of a job.
+// gang is one attempt of a job, as one node coordinates it or keeps it alive.
 type gang struct {
 	s       *Service
 	job     *state.Job
-	workers []platform.Worker
-	tasks   []platform.TaskID
-	// lastRenewed is when the last complete renewal was sent.
-	lastRenewed time.Time
+	members []member
+	// beganHere says that this node has tried to start the attempt, and
+	// sentStart that it has sent a start to a worker.
+	beganHere, sentStart bool
+	// since is when this node took the attempt on, or started its tasks.
+	since time.Time
+	// lastWhole is when the last renewal began that reached every member.
+	lastWhole time.Time
+	// quietSince is since when the attempt has been stopping under a fresh view.
+	quietSince time.Time
+}
+
+// member is one task of a gang on its worker.
+type member struct {
+	id      string
+	address string
+	worker  platform.Worker
+	task    platform.TaskID
+	// status is the worker's last word on the task.
+	status platform.TaskStatus
+	// doubtful says that the worker did not answer lately. No member is renewed
+	// while one is doubtful.
+	doubtful bool
+	// blamed says that the worker refused, failed or lost the task.
+	blamed bool
 }
 
 func newGang(s *Service, j *state.Job) *gang {
-	g := &gang{s: s, job: j}
+	g := &gang{s: s, job: j, members: make([]member, len(j.Placements))}
 	s.journal.View(func(st *state.State) {
 		for i, p := range j.Placements {
 			address := ""
 			if w := st.Workers[p.Worker]; w != nil {
 				address = w.Address
 			}
-			g.workers = append(g.workers, s.workers.Worker(address))
-			g.tasks = append(g.tasks, platform.TaskID{Job: j.ID, Token: j.Token, Index: i})
+			g.members[i] = member{
+				id: p.Worker, address: address, worker: s.workers.Worker(address),
+				task: platform.TaskID{Job: j.ID, Token: j.Token, Index: i},
+			}
 		}
 	})
+	g.doubtAll()
 	return g
 }
 
+// doubtAll makes the next round ask every member before it renews one. The
+// members get one lease's time to answer.
+func (g *gang) doubtAll() {
+	g.since = time.Now()
+	g.lastWhole = g.since
+	for i := range g.members {
+		g.members[i].doubtful = true
+	}
+}
+
 // run takes the attempt from wherever it stands to its end.
 func (g *gang) run(ctx context.Context) {
-	statuses, err := g.renew(ctx)
-	if err != nil || !allOf(statuses, platform.TaskRunning, platform.TaskDone) {
-		if err := g.begin(ctx, statuses); err != nil {
+	if !g.job.Started && g.phase() == api.PhasePlaced {
+		// A planned stop of the node does not tear a start apart.
+		if err := g.begin(context.WithoutCancel(ctx)); err != nil {
 			klog.V(1).Infof("lifecycle: job %s did not start: %v", g.job.ID, err)
 			g.stop(ctx, state.OutcomeFailed, err.Error())
 			return
@@ -50,229 +86,212 @@
 	g.watch(ctx)
 }
 
-// begin reserves every task, confirms from the log that the attempt is still
-// wanted, and starts every task.
-func (g *gang) begin(ctx context.Context, statuses []platform.TaskStatus) error {
-	for _, st := range statuses {
-		if st.Ran {
-			return api.Errorf(api.CodeFailed, "task %d is %s while others never started", st.Task.Index, st.Phase)
-		}
-	}
-	if err := g.each(ctx, g.reserve); err != nil {
-		return err
-	}
-	if err := g.confirm(ctx); err != nil {
-		return err
-	}
-	g.lastRenewed = time.Now()
-	return g.each(ctx, func(ctx context.Context, i int) error { return g.workers[i].Start(ctx, g.tasks[i]) })
-}
-
-func (g *gang) reserve(ctx context.Context, i int) error {
-	r := platform.Reservation{
-		Task: g.tasks[i], Request: g.job.Spec.PerTask, Payload: g.job.Spec.Payload,
-		LeaseTTL: g.s.settings.LeaseTTL, StartWithin: g.s.settings.StartWithin,
-	}
-	if i < len(g.job.Checkpoints) {
-		r.Resume = g.job.Checkpoints[i]
-	}
-	return g.workers[i].Reserve(ctx, r)
-}
-
-// confirm reads the log after the reservations were made. A zone that is still
-// in now was in when the reservations began, so a start that the workers
-// accept, within StartWithin of them, is not later than that after a zone out.
-func (g *gang) confirm(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, g.s.settings.StartWithin)
-	defer cancel()
-	if err := g.s.journal.Sync(ctx); err != nil {
-		return err
-	}
-	var err error
-	g.s.journal.View(func(st *state.State) { err = g.checkWanted(st) })
-	return err
-}
-
-func (g *gang) checkWanted(st *state.State) error {
-	j := st.Jobs[g.job.ID]
-	if j == nil || j.Token != g.job.Token || j.Phase != api.PhasePlaced || j.Coordinator != g.s.journal.Writer() {
-		return api.Errorf(api.CodeConflict, "the attempt is no longer wanted")
-	}
-	for _, p := range j.Placements {
-		w := st.Workers[p.Worker]
-		if w == nil || w.Gone || st.ZoneOut(w.Zone) {
-			return api.Errorf(api.CodeConflict, "worker %s takes no new tasks", p.Worker)
+// care renews the leases of an attempt whose coordinator was lost, until it can
+// be claimed. It decides nothing.
+func (g *gang) care(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := g.round(ctx); err == nil && !g.allIn(platform.TaskRunning, platform.TaskDone) {
+			return
 		}
+		waitFor(ctx, nil, g.pause(time.Now()))
 	}
-	return nil
 }
 
 // watch renews the leases until every task is done, one is lost, or the
 // attempt is to be stopped.
 func (g *gang) watch(ctx context.Context) {
-	for {
+	next := time.Now()
+	for ctx.Err() == nil {
 		changed := g.s.journal.Changed()
-		if g.phase() == api.PhaseStopping {
-			g.stop(ctx, state.OutcomeStopped, "stopped on request")
+		switch g.phase() {
+		case api.PhasePlaced:
+		case api.PhaseStopping:
+			g.stop(ctx, state.OutcomeStopped, "the attempt was stopped on request")
 			return
-		}
-		statuses, err := g.renew(ctx)
-		switch {
-		case ctx.Err() != nil:
-			return
-		case err == nil && allOf(statuses, platform.TaskDone):
-			g.end(ctx, state.EndAttempt{Outcome: state.OutcomeDone, Results: results(statuses)})
-			return
-		case err == nil && !allOf(statuses, platform.TaskRunning, platform.TaskDone):
-			g.stop(ctx, state.OutcomeFailed, "a task failed or was lost")
-			return
-		case err != nil && time.Since(g.lastRenewed) > g.s.settings.LeaseTTL:
-			g.stop(ctx, state.OutcomeFailed, "a worker was lost: "+err.Error())
+		default:
 			return
 		}
-		if !waitFor(ctx, changed, g.s.settings.RenewInterval) {
-			return
+		if !time.Now().Before(next) {
+			if g.judge(ctx, g.round(ctx)) {
+				return
+			}
+			now := time.Now()
+			next = now.Add(g.pause(now))
 		}
+		waitFor(ctx, changed, time.Until(next))
 	}
 }
 
+// judge ends the attempt if a round shows that it is over.
+func (g *gang) judge(ctx context.Context, err error) (over bool) {
+	switch {
+	case ctx.Err() != nil:
+		return true
+	case g.allIn(platform.TaskDone):
+		g.end(ctx, state.EndAttempt{Outcome: state.OutcomeDone, Results: g.results()})
+	case g.hasLost():
+		g.stop(ctx, state.OutcomeFailed, "a task failed or was lost")
+	case !g.s.staleness.mayRenew(time.Now()):
+		// Another node may have claimed the attempt: neither renew nor stop.
+		g.doubtAll()
+		return false
+	case err != nil && time.Since(g.lastWhole) > g.s.settings.LeaseTTL:
+		g.blameDoubtful()
+		g.stop(ctx, state.OutcomeFailed, "a worker was lost: "+err.Error())
+	default:
+		return false
+	}
+	return true
+}
+
+// phase returns the phase of the attempt, or PhaseCancelled if it is no longer
+// in force under this coordinator.
 func (g *gang) phase() api.Phase {
 	phase := api.PhaseCancelled
 	g.s.journal.View(func(st *state.State) {
-		if j := st.Jobs[g.job.ID]; j != nil && j.Token == g.job.Token {
+		j := st.Jobs[g.job.ID]
+		if j != nil && j.Token == g.job.Token && j.Coordinator == g.s.journal.Writer() {
 			phase = j.Phase
 		}
 	})
 	return phase
 }
 
-// renew extends the lease of every task and returns their states.
-func (g *gang) renew(ctx context.Context) ([]platform.TaskStatus, error) {
+// round renews the leases of all members, or of none while one is in doubt.
+func (g *gang) round(ctx context.Context) error {
 	began := time.Now()
-	statuses := make([]platform.TaskStatus, len(g.tasks))
-	err := g.each(ctx, func(ctx context.Context, i int) error {
-		out, err := g.workers[i].Renew(ctx, g.tasks[i:i+1], g.s.settings.LeaseTTL)
-		if err == nil && len(out) == 1 {
-			statuses[i] = out[0]
+	if g.anyDoubtful() {
+		err := g.ask(ctx)
+		if err != nil || !g.allIn(platform.TaskRunning, platform.TaskDone) {
+			return err
+		}
+	}
+	err := g.each(ctx, func(ctx context.Context, m *member) error {
+		if m.status.Phase == platform.TaskDone {
+			return nil
+		}
+		out, err := g.s.renewals.renew(ctx, m.address, m.worker, []platform.TaskID{m.task}, g.s.settings.LeaseTTL)
+		m.doubtful = err != nil
+		if err == nil {
+			m.status = out[0]
 		}
 		return err
 	})
 	if err == nil {
-		g.lastRenewed = began
+		g.lastWhole = began
 	}
-	return statuses, err
+	return err
 }
 
-// stop ends every task, and then the attempt. A task whose worker does not
-// answer has ended once its lease has lapsed on the worker's clock.
-func (g *gang) stop(ctx context.Context, outcome state.AttemptOutcome, reason string) {
-	statuses := make([]platform.TaskStatus, len(g.tasks))
-	stopped := make([]bool, len(g.tasks))
-	began := time.Now()
-	lapse := time.Duration(float64(g.s.settings.LeaseTTL+g.s.settings.StartWithin) * (1 + g.s.settings.ClockDrift))
-	for {
-		err := g.each(ctx, func(ctx context.Context, i int) error {
-			if stopped[i] {
-				return nil
-			}
-			st, err := g.workers[i].Stop(ctx, g.tasks[i], g.job.Spec.Checkpoint)
-			if err == nil {
-				statuses[i], stopped[i] = st, true
-			}
-			return err
-		})
-		if err == nil {
-			break
-		}
-		if time.Since(began) > lapse {
-			for i := range stopped {
-				if !stopped[i] {
-					statuses[i] = platform.TaskStatus{Task: g.tasks[i], Phase: platform.TaskUnknown, Ran: true}
-				}
-			}
-			break
+// ask learns the state of the doubtful members without renewing their leases.
+func (g *gang) ask(ctx context.Context) error {
+	return g.each(ctx, func(ctx context.Context, m *member) error {
+		if !m.doubtful || m.status.Phase == platform.TaskDone {
+			return nil
 		}
-		if !waitFor(ctx, nil, g.s.settings.RenewInterval) {
-			return
+		out, err := m.worker.Renew(ctx, []platform.TaskID{m.task}, 0)
+		if err == nil && len(out) == 1 {
+			m.status, m.doubtful = out[0], false
 		}
-	}
-	g.end(ctx, g.endAttempt(statuses, outcome, reason))
+		return err
+	})
 }
 
-func (g *gang) endAttempt(statuses []platform.TaskStatus, outcome state.AttemptOutcome, reason string) state.EndAttempt {
-	if allOf(statuses, platform.TaskDone) {
-		return state.EndAttempt{Outcome: state.OutcomeDone, Results: results(statuses)}
+const (
+	// firstPoll is the time between the first looks at a started gang.
+	firstPoll = 100 * time.Millisecond
+	// pollShare is the part of its run so far after which a gang is looked at
+	// again, so that the end of a short job is seen soon.
+	pollShare = 8
+)
+
+// pause returns the time until the next round. Rounds that are a full interval
+// apart begin at the same moments for all gangs, so that the renewals of one
+// worker's tasks join.
+func (g *gang) pause(now time.Time) time.Duration {
+	interval := g.s.settings.RenewInterval
+	if g.anyDoubtful() {
+		return min(interval, g.s.settings.CallTimeout)
+	}
+	if wait := max(firstPoll, now.Sub(g.since)/pollShare); wait < interval {
+		return wait
 	}
-	end := state.EndAttempt{Outcome: state.OutcomeNeverStarted, Reason: reason}
-	complete := true
-	for _, st := range statuses {
-		if st.Ran {
-			end.Outcome = outcome
+	return interval - now.Sub(g.s.started)%interval
+}
+
+func (g *gang) anyDoubtful() bool {
+	for i := range g.members {
+		if g.members[i].doubtful && g.members[i].status.Phase != platform.TaskDone {
+			return true
 		}
-		complete = complete && st.Checkpoint != ""
 	}
-	if complete {
-		for _, st := range statuses {
-			end.Checkpoints = append(end.Checkpoints, st.Checkpoint)
+	return false
+}
+
+// allIn reports whether the last known phase of every member is one of phases.
+func (g *gang) allIn(phases ...platform.TaskPhase) bool {
+	for i := range g.members {
+		if !slices.Contains(phases, g.members[i].status.Phase) {
+			return false
 		}
 	}
-	return end
+	return true
 }
 
-// end records the end of the attempt, trying until the log has a verdict.
-func (g *gang) end(ctx context.Context, e state.EndAttempt) {
-	e.Job, e.Token = g.job.ID, g.job.Token
-	for ctx.Err() == nil {
-		if _, err := g.s.propose(ctx, state.Record{End: &e}); err == nil {
-			return
+// hasLost reports whether a member is known to be neither running nor done.
+func (g *gang) hasLost() bool {
+	lost := false
+	for i := range g.members {
+		m := &g.members[i]
+		if m.status.Phase != "" && m.status.Phase != platform.TaskRunning && m.status.Phase != platform.TaskDone {
+			m.blamed = m.blamed || m.status.Phase == platform.TaskFailed
+			lost = true
 		}
 	}
+	return lost
+}
+
+func (g *gang) blameDoubtful() {
+	for i := range g.members {
+		g.members[i].blamed = g.members[i].blamed || g.members[i].doubtful
+	}
 }
 
-// each calls fn for every task at once and returns one of the errors.
-func (g *gang) each(ctx context.Context, fn func(ctx context.Context, i int) error) error {
+func (g *gang) results() []string {
+	out := make([]string, len(g.members))
+	for i := range g.members {
+		out[i] = g.members[i].status.Result
+	}
+	return out
+}
+
+// each calls fn for every member at once, bounded by the call timeout, and
+// returns one of the errors.
+func (g *gang) each(ctx context.Context, fn func(ctx context.Context, m *member) error) error {
 	ctx, cancel := context.WithTimeout(ctx, g.s.settings.CallTimeout)
 	defer cancel()
-	errs := make([]error, len(g.tasks))
+	errs := make([]error, len(g.members))
 	var wg sync.WaitGroup
-	for i := range g.tasks {
-		wg.Go(func() { errs[i] = fn(ctx, i) })
+	for i := range g.members {
+		wg.Go(func() { errs[i] = fn(ctx, &g.members[i]) })
 	}
 	wg.Wait()
 	for _, err := range errs {
-		if err != nil {
+		// A worker's own word says more than a call that ran out of time.
+		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 			return err
 		}
 	}
-	return nil
-}
-
-func allOf(statuses []platform.TaskStatus, phases ...platform.TaskPhase) bool {
-	for _, st := range statuses {
-		ok := false
-		for _, p := range phases {
-			ok = ok || st.Phase == p
-		}
-		if !ok {
-			return false
-		}
-	}
-	return true
-}
-
-func results(statuses []platform.TaskStatus) []string {
-	out := make([]string, len(statuses))
-	for i, st := range statuses {
-		out[i] = st.Result
-	}
-	return out
+	return errors.Join(errs...)
 }
 
 // waitFor waits for a change or for d, and reports whether ctx is still valid.
 func waitFor(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
 	case <-changed:
-	case <-time.After(d):
+	case <-timer.C:
 	case <-ctx.Done():
 	}
 	return ctx.Err() == nil
--- a/pkg/lifecycle/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -8,10 +8,11 @@
 	"sync"
 	"time"
 
-	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/fleet"
 	"github.com/shallotpin/shallotpin/pkg/journal"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/membership"
+	"github.com/shallotpin/shallotpin/pkg/peer"
 	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
@@ -30,6 +31,9 @@
 	StartWithin time.Duration
 	// CallTimeout bounds one call of a worker.
 	CallTimeout time.Duration
+	// StalenessBound is how long a node renews leases after its view of the
+	// log has become stale, unless the log is dark for every node.
+	StalenessBound time.Duration
 	// ClockDrift is the assumed bound on the relative drift between the clocks
 	// of two VMs, as a fraction.
 	ClockDrift float64
@@ -38,25 +42,65 @@
 // DefaultSettings are the settings of a daemon that sets none.
 var DefaultSettings = Settings{
 	LeaseTTL: 10 * time.Second, RenewInterval: 2 * time.Second, StartWithin: 3 * time.Second,
-	CallTimeout: time.Second, ClockDrift: 0.01,
+	CallTimeout: time.Second, StalenessBound: 30 * time.Second, ClockDrift: 0.01,
 }
 
-// Service coordinates the attempts that name this node.
-type Service struct {
-	settings Settings
-	workers  platform.Workers
-	journal  *journal.Journal
-	members  *membership.Service
+// UnreachableWait is how long a task on a worker that does not answer may still
+// run after the end of its attempt was decided: until then, a node whose view
+// is stale may renew its lease once more, a call that such a node has on the
+// way may extend it again, and then it lapses.
+func (s *Settings) UnreachableWait() time.Duration {
+	return time.Duration(float64(s.StalenessBound+2*s.LeaseTTL) * (1 + s.ClockDrift))
+}
+
+// PartialBound is the longest time for which some members of a gang may run
+// after another one was lost, if no coordinator is paused in a renewal. The
+// renewal that finds the loss, one interval after the last whole one, is the
+// last that the others get.
+func (s *Settings) PartialBound() time.Duration {
+	return time.Duration(float64(s.LeaseTTL+s.RenewInterval+s.CallTimeout) * (1 + s.ClockDrift))
+}
+
+// PausedPartialBound is PartialBound if a coordinator is paused while renewals
+// are on their way: they may each extend a lease that is about to lapse.
+func (s *Settings) PausedPartialBound() time.Duration {
+	return time.Duration(float64(2*s.LeaseTTL+s.RenewInterval+s.CallTimeout) * (1 + s.ClockDrift))
+}
 
+// Service coordinates the attempts that name this node, and keeps alive those
+// whose coordinator was lost until they can be claimed.
+type Service struct {
+	settings  Settings
+	workers   platform.Workers
+	journal   *journal.Journal
+	members   *membership.Service
+	staleness *staleness
+	renewals  *renewals
+
+	started time.Time
 	mu      sync.Mutex
-	running map[int64]context.CancelFunc
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	// running and caring hold the attempts that this node coordinates and
+	// keeps alive for a lost coordinator, by token.
+	running  map[int64]context.CancelFunc
+	caring   map[int64]context.CancelFunc
+	claiming map[int64]bool
+	// silent is when an orphan's coordinator was first seen not to be live.
+	silent map[orphan]time.Time
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 }
 
-// New returns a lifecycle service that reaches workers through workers.
-func New(settings Settings, workers platform.Workers) *Service {
-	return &Service{settings: settings, workers: workers, running: map[int64]context.CancelFunc{}}
+// New returns a lifecycle service that reaches workers through workers. Its
+// calls between nodes are registered with peers.
+func New(settings Settings, workers platform.Workers, peers *peer.Service) (*Service, error) {
+	s := &Service{
+		settings: settings, workers: workers,
+		running: map[int64]context.CancelFunc{}, caring: map[int64]context.CancelFunc{},
+		claiming: map[int64]bool{}, silent: map[orphan]time.Time{},
+	}
+	s.staleness = newStaleness(settings.StalenessBound, peers)
+	s.renewals = newRenewals(settings.CallTimeout, s.staleness.mayRenew)
+	return s, peers.Handle(rpcName, &handler{s.staleness})
 }
 
 // Name implements kernel.Service.
@@ -64,7 +108,7 @@
 
 // DependsOn implements kernel.Service.
 func (s *Service) DependsOn() []string {
-	return []string{journal.ServiceName, membership.ServiceName}
+	return []string{journal.ServiceName, membership.ServiceName, fleet.ServiceName, peer.ServiceName}
 }
 
 // Start implements kernel.Service.
@@ -75,31 +119,39 @@
 	if s.members, err = kernel.Lookup[*membership.Service](k, membership.ServiceName); err != nil {
 		return err
 	}
+	vms, err := kernel.Lookup[*fleet.Service](k, fleet.ServiceName)
+	if err != nil {
+		return err
+	}
+	s.staleness.attach(s.journal, vms, s.members.Self().ID)
 	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
+	s.cancel, s.started = cancel, time.Now()
+	s.wg.Go(func() { s.staleness.loop(ctx) })
 	s.wg.Go(func() { s.loop(ctx) })
 	return nil
 }
 
-// Stop implements kernel.Service. Tasks keep running under their leases until
-// another node has claimed their attempts.
-func (s *Service) Stop(context.Context) error {
+// Stop implements kernel.Service. It hands the attempts of this node over to
+// the nodes that stay; their tasks run on.
+func (s *Service) Stop(ctx context.Context) error {
 	s.cancel()
 	s.wg.Wait()
+	s.renewals.wait()
+	s.handOver(ctx)
 	return nil
 }
 
-// takeoverInterval is the time between two looks for lost coordinators.
-const takeoverInterval = time.Second
+// lookInterval is the longest time between two looks for attempts to adopt.
+const lookInterval = time.Second
 
 func (s *Service) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := s.journal.Changed()
 		s.adopt(ctx)
-		s.claimOrphans(ctx)
+		s.tendOrphans(ctx)
 		select {
 		case <-changed:
-		case <-time.After(takeoverInterval):
+		case <-time.After(lookInterval):
 		case <-ctx.Done():
 		}
 	}
@@ -117,55 +169,35 @@
 			}
 		}
 	})
+	s.keep(ctx, s.running, own, (*gang).run)
+}
+
+// keep runs work for every job in wanted that has none, and ends it for those
+// that are no longer wanted.
+func (s *Service) keep(ctx context.Context, active map[int64]context.CancelFunc, wanted map[int64]*state.Job, work func(*gang, context.Context)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for token, cancel := range s.running {
-		if own[token] == nil {
+	for token, cancel := range active {
+		if wanted[token] == nil {
 			cancel()
 		}
 	}
-	for token, j := range own {
-		if s.running[token] != nil {
+	for token, j := range wanted {
+		if active[token] != nil {
 			continue
 		}
 		gangCtx, cancel := context.WithCancel(ctx)
-		s.running[token] = cancel
+		active[token] = cancel
 		s.wg.Go(func() {
-			newGang(s, j).run(gangCtx)
+			work(newGang(s, j), gangCtx)
 			cancel()
 			s.mu.Lock()
-			delete(s.running, token)
+			delete(active, token)
 			s.mu.Unlock()
 		})
 	}
 }
 
-func inForce(j *state.Job) bool {
-	return j.Phase == api.PhasePlaced || j.Phase == api.PhaseStopping
-}
-
-// claimOrphans claims the attempts whose coordinator answers no heartbeats, if
-// this node is the preferred one for the job.
-func (s *Service) claimOrphans(ctx context.Context) {
-	now := time.Now()
-	live := map[string]bool{}
-	for _, m := range s.members.Live(now) {
-		live[m.Incarnation] = true
-	}
-	var claims []state.ClaimJob
-	s.journal.View(func(st *state.State) {
-		for _, j := range st.Jobs {
-			if !inForce(j) || live[j.Coordinator] || s.members.Preferred(now, j.ID).ID != s.members.Self().ID {
-				continue
-			}
-			claims = append(claims, state.ClaimJob{Job: j.ID, Token: j.Token, From: j.Coordinator, To: s.journal.Writer()})
-		}
-	})
-	for _, c := range claims {
-		s.propose(ctx, state.Record{Claim: &c})
-	}
-}
-
 // proposeTimeout bounds the wait for the fold's verdict on one record.
 const proposeTimeout = 5 * time.Second
 
--- /dev/null
+++ b/pkg/lifecycle/takeover.go
@@ -0,0 +1,183 @@
+package lifecycle
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/membership"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+// loneClaimAfter is the silence of a coordinator after which a node claims its
+// attempts although it hears from less than half of the nodes. It bounds how
+// often two nodes that are cut from each other claim an attempt in turn.
+const loneClaimAfter = 30 * time.Second
+
+// orphan is an attempt whose coordinator is not live.
+type orphan struct {
+	token       int64
+	coordinator string
+}
+
+func inForce(j *state.Job) bool {
+	return j.Phase == api.PhasePlaced || j.Phase == api.PhaseStopping
+}
+
+// tendOrphans claims the attempts whose coordinator is lost, if this node is
+// the preferred one for the job, and keeps them alive until a claim is accepted.
+func (s *Service) tendOrphans(ctx context.Context) {
+	now := time.Now()
+	orphans := s.orphans(now)
+	wanted := map[int64]*state.Job{}
+	for _, j := range orphans {
+		// Before the begin is recorded nothing runs, and a stopping attempt
+		// may as well end by itself.
+		if j.Started && j.Phase == api.PhasePlaced {
+			wanted[j.Token] = j
+		}
+	}
+	s.keep(ctx, s.caring, wanted, (*gang).care)
+	if !s.staleness.fresh(now) {
+		return
+	}
+	quorum := s.hearsQuorum(now)
+	for _, j := range orphans {
+		if quorum || s.replaced(now, j) || s.silence(now, j) >= loneClaimAfter {
+			s.claim(ctx, j)
+		}
+	}
+}
+
+// orphans returns copies of the jobs whose coordinator is not live and for
+// which this node is preferred, and notes since when that is so.
+func (s *Service) orphans(now time.Time) []*state.Job {
+	// A node that has just started has heard of no one yet.
+	if now.Sub(s.started) < membership.SuspectAfter {
+		return nil
+	}
+	live := map[string]bool{}
+	for _, m := range s.members.Live(now) {
+		live[m.Incarnation] = true
+	}
+	var out []*state.Job
+	silent := map[orphan]time.Time{}
+	s.journal.View(func(st *state.State) {
+		for _, j := range st.Jobs {
+			if !inForce(j) || live[j.Coordinator] {
+				continue
+			}
+			key := orphan{j.Token, j.Coordinator}
+			if silent[key] = s.silent[key]; silent[key].IsZero() {
+				silent[key] = now
+			}
+			if s.members.Preferred(now, j.ID).ID == s.members.Self().ID {
+				copied := *j
+				out = append(out, &copied)
+			}
+		}
+	})
+	s.silent = silent
+	return out
+}
+
+func (s *Service) silence(now time.Time, j *state.Job) time.Duration {
+	return now.Sub(s.silent[orphan{j.Token, j.Coordinator}])
+}
+
+// hearsQuorum reports whether this node hears from more than half of the listed
+// entry VMs, or from half of them with the first among these. Of two sides that
+// are cut from each other, at most one does. It only avoids claims that go back
+// and forth: the fold decides between them.
+func (s *Service) hearsQuorum(now time.Time) bool {
+	listed := s.staleness.entryVMs()
+	live := map[string]bool{}
+	for _, m := range s.members.Live(now) {
+		live[m.ID] = true
+	}
+	heard, first := 0, ""
+	for _, id := range listed {
+		if live[id] {
+			heard++
+		}
+		if first == "" || id < first {
+			first = id
+		}
+	}
+	return 2*heard > len(listed) || (2*heard == len(listed) && live[first])
+}
+
+// replaced reports whether the VM of j's coordinator is listed no more or runs
+// another incarnation.
+func (s *Service) replaced(now time.Time, j *state.Job) bool {
+	vm, _, _ := strings.Cut(j.Coordinator, "/")
+	for _, m := range s.members.Live(now) {
+		if m.ID == vm {
+			return true
+		}
+	}
+	for _, id := range s.staleness.entryVMs() {
+		if id == vm {
+			return false
+		}
+	}
+	return true
+}
+
+// claim proposes a claim in the background, one at a time for each attempt.
+func (s *Service) claim(ctx context.Context, j *state.Job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.claiming[j.Token] {
+		return
+	}
+	s.claiming[j.Token] = true
+	c := state.ClaimJob{Job: j.ID, Token: j.Token, From: j.Coordinator, To: s.journal.Writer()}
+	s.wg.Go(func() {
+		out, err := s.propose(ctx, state.Record{Claim: &c})
+		if err == nil && out.Err == nil {
+			klog.Infof("lifecycle: took job %s over from %s", c.Job, c.From)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.claiming, c.Token)
+	})
+}
+
+// handOver makes other live nodes the coordinators of this node's attempts.
+func (s *Service) handOver(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	var others []membership.Member
+	for _, m := range s.members.Live(time.Now()) {
+		if m.ID != s.members.Self().ID {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	var claims []state.ClaimJob
+	s.journal.View(func(st *state.State) {
+		for _, j := range st.Jobs {
+			if inForce(j) && j.Coordinator == s.journal.Writer() {
+				to := membership.Rendezvous(others, j.ID)
+				claims = append(claims, state.ClaimJob{Job: j.ID, Token: j.Token, From: j.Coordinator, To: to.Incarnation})
+			}
+		}
+	})
+	var wg sync.WaitGroup
+	for _, c := range claims {
+		wg.Go(func() {
+			if out, err := s.propose(ctx, state.Record{Claim: &c}); err != nil || out.Err != nil {
+				klog.Infof("lifecycle: job %s was not handed over: %v %v", c.Job, err, out.Err)
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/pkg/memsite/gate.go
+++ b/pkg/memsite/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,15 +20,43 @@
 	Log     bool
 	VMList  bool
 	Workers bool
+	// WorkerIDs names single workers that cannot be reached.
+	WorkerIDs []string
+}
+
+// Op names a call of a node to the platform.
+type Op string
+
+// The calls that Options.OnCall sees.
+const (
+	OpAppend  Op = "append"
+	OpReserve Op = "reserve"
+	OpStart   Op = "start"
+	OpRenew   Op = "renew"
+	OpStop    Op = "stop"
+)
+
+// Call is one call of a node to the platform.
+type Call struct {
+	// Entry is the ID of the entry VM that makes the call.
+	Entry string
+	Op    Op
+	// Worker is the ID of the worker that is called, if any.
+	Worker string
+	// Answered is false before the call goes out, and true once it has taken
+	// effect and before the node learns of it.
+	Answered bool
 }
 
 // gate stands between one node and the platform. A call of a paused process
 // waits and then takes effect late, even if its context has ended meanwhile.
 type gate struct {
-	host *memnet.Host
-	mu   sync.Mutex
-	cut  PlatformCut
-	dead bool
+	host   *memnet.Host
+	id     string
+	onCall func(Call)
+	mu     sync.Mutex
+	cut    PlatformCut
+	dead   bool
 }
 
 func (g *gate) set(cut PlatformCut) {
@@ -42,6 +71,13 @@
 	g.dead = true
 }
 
+// observe tells the test of a call.
+func (g *gate) observe(op Op, worker string, answered bool) {
+	if g.onCall != nil {
+		g.onCall(Call{Entry: g.id, Op: op, Worker: worker, Answered: answered})
+	}
+}
+
 // pass waits while the process is paused and reports whether the call may go out.
 func (g *gate) pass(isCut func(PlatformCut) bool) error {
 	if !g.host.Wait() {
@@ -66,9 +102,24 @@
 	return err
 }
 
-func cutLog(c PlatformCut) bool     { return c.Log }
-func cutVMList(c PlatformCut) bool  { return c.VMList }
-func cutWorkers(c PlatformCut) bool { return c.Workers }
+func cutLog(c PlatformCut) bool    { return c.Log }
+func cutVMList(c PlatformCut) bool { return c.VMList }
+
+func (w *gatedWorker) isCut(c PlatformCut) bool {
+	return c.Workers || slices.Contains(c.WorkerIDs, w.id)
+}
+
+// passTo begins a call of a worker.
+func (w *gatedWorker) passTo(op Op) error {
+	w.gate.observe(op, w.id, false)
+	return w.gate.pass(w.isCut)
+}
+
+// afterFrom ends a call of a worker.
+func (w *gatedWorker) afterFrom(op Op, err error) error {
+	w.gate.observe(op, w.id, true)
+	return w.gate.after(err)
+}
 
 type gatedLog struct {
 	gate *gate
@@ -76,10 +127,12 @@
 }
 
 func (l *gatedLog) Append(ctx context.Context, data []byte) (int64, error) {
+	l.gate.observe(OpAppend, "", false)
 	if err := l.gate.pass(cutLog); err != nil {
 		return 0, err
 	}
 	offset, err := l.log.Append(context.WithoutCancel(ctx), data)
+	l.gate.observe(OpAppend, "", true)
 	return offset, l.gate.after(err)
 }
 
@@ -117,46 +170,47 @@
 	if len(address) > len(workerAddressPrefix) {
 		id = address[len(workerAddressPrefix):]
 	}
-	return &gatedWorker{w.gate, standin.LocalWorkers(w.workers).Worker(id)}
+	return &gatedWorker{w.gate, id, standin.LocalWorkers(w.workers).Worker(id)}
 }
 
 type gatedWorker struct {
 	gate   *gate
+	id     string
 	worker platform.Worker
 }
 
 func (w *gatedWorker) Reserve(ctx context.Context, r platform.Reservation) error {
-	if err := w.gate.pass(cutWorkers); err != nil {
+	if err := w.passTo(OpReserve); err != nil {
 		return err
 	}
-	return w.gate.after(w.worker.Reserve(context.WithoutCancel(ctx), r))
+	return w.afterFrom(OpReserve, w.worker.Reserve(context.WithoutCancel(ctx), r))
 }
 
 func (w *gatedWorker) Start(ctx context.Context, id platform.TaskID) error {
-	if err := w.gate.pass(cutWorkers); err != nil {
+	if err := w.passTo(OpStart); err != nil {
 		return err
 	}
-	return w.gate.after(w.worker.Start(context.WithoutCancel(ctx), id))
+	return w.afterFrom(OpStart, w.worker.Start(context.WithoutCancel(ctx), id))
 }
 
 func (w *gatedWorker) Renew(ctx context.Context, ids []platform.TaskID, ttl time.Duration) ([]platform.TaskStatus, error) {
-	if err := w.gate.pass(cutWorkers); err != nil {
+	if err := w.passTo(OpRenew); err != nil {
 		return nil, err
 	}
 	out, err := w.worker.Renew(context.WithoutCancel(ctx), ids, ttl)
-	return out, w.gate.after(err)
+	return out, w.afterFrom(OpRenew, err)
 }
 
 func (w *gatedWorker) Stop(ctx context.Context, id platform.TaskID, checkpoint bool) (platform.TaskStatus, error) {
-	if err := w.gate.pass(cutWorkers); err != nil {
+	if err := w.passTo(OpStop); err != nil {
 		return platform.TaskStatus{}, err
 	}
 	out, err := w.worker.Stop(context.WithoutCancel(ctx), id, checkpoint)
-	return out, w.gate.after(err)
+	return out, w.afterFrom(OpStop, err)
 }
 
 func (w *gatedWorker) Throttle(ctx context.Context, id platform.TaskID, percent int) error {
-	if err := w.gate.pass(cutWorkers); err != nil {
+	if err := w.gate.pass(w.isCut); err != nil {
 		return err
 	}
 	return w.gate.after(w.worker.Throttle(context.WithoutCancel(ctx), id, percent))
--- a/pkg/memsite/memsite.go
+++ b/pkg/memsite/memsite.go
@@ -37,6 +37,10 @@
 	Settings func(*node.Settings)
 	// Observe is called with each change of a task on a worker, if not nil.
 	Observe func(standin.TaskEvent)
+	// OnCall is called before and after each call of a node to the log and the
+	// workers, if not nil. A test that freezes or kills the node in it does so
+	// at that step.
+	OnCall func(Call)
 }
 
 // Site is a set of nodes and the stand-ins behind them.
@@ -141,7 +145,7 @@
 		return errors.New(problems[0])
 	}
 	e.Host = s.Net.Host(e.Settings.ID)
-	e.gate = &gate{host: e.Host}
+	e.gate = &gate{host: e.Host, id: e.Settings.ID, onCall: s.opts.OnCall}
 	p := node.Platform{
 		Log: &gatedLog{e.gate, s.Log}, VMs: &gatedVMs{e.gate, s.VMs},
 		Workers: &gatedWorkers{e.gate, s.Workers},
@@ -226,10 +230,28 @@
 
 // LoseWorker ends a worker for good and takes it off the VM list.
 func (s *Site) LoseWorker(id string) {
-	s.Workers[id].SetFaults(standin.WorkerFaults{Unreachable: true})
+	s.Workers[id].Kill()
 	s.unlist(id)
 }
 
+// Stop ends the process of entry VM i gracefully, as SIGTERM does.
+func (s *Site) Stop(ctx context.Context, i int) error {
+	e := s.Entries[i]
+	e.killed = true
+	err := e.Node.Stop(ctx)
+	e.gate.kill()
+	e.Host.Kill()
+	return err
+}
+
+// Settle brings every task on every worker up to now, so that the observer has
+// seen all that has happened.
+func (s *Site) Settle() {
+	for _, w := range s.Workers {
+		w.Running()
+	}
+}
+
 // Close stops the nodes that live, and the stand-ins.
 func (s *Site) Close(ctx context.Context) error {
 	var errs []error
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -120,6 +120,10 @@
 	lifecycleSettings := lifecycle.DefaultSettings
 	lifecycleSettings.LeaseTTL, lifecycleSettings.StartWithin, lifecycleSettings.ClockDrift = s.LeaseTTL, s.StartWithin, s.ClockDrift
 	lifecycleSettings.RenewInterval = s.LeaseTTL / 5
+	jobs, err := lifecycle.New(lifecycleSettings, p.Workers, peers)
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{
 		kernel: kernel.New(), settings: s, Members: members,
 		Journal:  journal.New(p.Log, incarnation),
@@ -128,7 +132,7 @@
 	}
 	services := []kernel.Service{
 		n.Journal, fleet.New(p.VMs), peers, members,
-		planner.New(), lifecycle.New(lifecycleSettings, p.Workers), n.Requests, n.front,
+		planner.New(), jobs, n.Requests, n.front,
 	}
 	for _, service := range services {
 		if err := n.kernel.Register(service); err != nil {
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -127,7 +127,8 @@
 	Reserve(ctx context.Context, r Reservation) error
 	// Start runs a reserved task. It is refused once StartWithin has passed.
 	Start(ctx context.Context, id TaskID) error
-	// Renew extends the leases of tasks and returns the state of each.
+	// Renew extends the leases of tasks and returns the state of each. It
+	// never shortens a lease; a ttl of zero only asks for the state.
 	Renew(ctx context.Context, ids []TaskID, ttl time.Duration) ([]TaskStatus, error)
 	// Stop ends a task, after a checkpoint if asked, and fences the job: no
 	// task of the job with this token or a lower one starts afterwards.
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -48,6 +48,7 @@
 	tasks  map[platform.TaskID]*task
 	fences map[string]int64
 	faults WorkerFaults
+	dead   bool
 	used   api.Resources
 }
 
@@ -78,6 +79,20 @@
 	w.faults = f
 }
 
+// Kill ends the worker for good: its tasks stop, and no call is answered.
+func (w *Worker) Kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.settle(now)
+	for _, t := range w.tasks {
+		if t.status.Phase == platform.TaskReserved || t.status.Phase == platform.TaskRunning {
+			w.setPhase(t, platform.TaskStopped, now)
+		}
+	}
+	w.dead = true
+}
+
 // Used returns what live tasks hold on the worker.
 func (w *Worker) Used() api.Resources {
 	w.mu.Lock()
@@ -107,7 +122,7 @@
 // enter begins a call: it fails if the worker is unreachable, and settles what
 // time has brought about.
 func (w *Worker) enter(ctx context.Context) (time.Time, error) {
-	if w.faults.Unreachable {
+	if w.faults.Unreachable || w.dead {
 		return time.Time{}, unreachable()
 	}
 	now := time.Now()
@@ -262,13 +277,20 @@
 			continue
 		}
 		if t.status.Phase == platform.TaskReserved || t.status.Phase == platform.TaskRunning {
-			t.lease = now.Add(ttl)
+			t.extend(now.Add(ttl))
 		}
 		out[i] = t.status
 	}
 	return out, w.leave()
 }
 
+// extend puts off the end of the lease; it never brings it forward.
+func (t *task) extend(until time.Time) {
+	if until.After(t.lease) {
+		t.lease = until
+	}
+}
+
 // Stop implements platform.Worker.
 func (w *Worker) Stop(ctx context.Context, id platform.TaskID, checkpoint bool) (platform.TaskStatus, error) {
 	w.mu.Lock()
