Measure what one node costs at the target size

Ruled out: multiplying slopes up to the target for memory and traffic; one whole node is held at the target (1,500 workers, 7,500 tasks, 190 accounts, 24 nodes) over loopback instead, and its bytes are counted by counterpart.

--- /dev/null
+++ b/pkg/bench/capacity.go
@@ -0,0 +1,224 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/scheduler"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+// capacity measures what one node costs at the target size, and the slopes
+// from which docs/CAPACITY.md is worked out. Figures whose names end in "_at_N"
+// are the points that a slope was fitted through.
+func capacity(ctx context.Context, o Options) (map[string]float64, error) {
+	figures := map[string]float64{}
+	workers := targetWorkers
+	if o.Workers > 0 {
+		workers = o.Workers
+	}
+	// The target comes first, while the process has held nothing else.
+	steps := []func() error{
+		func() error { return measureTarget(ctx, workers, figures) },
+		func() error { return fitHeap(figures) },
+		func() error { return fitJobs(figures) },
+		func() error { return fitChanges(figures) },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return figures, nil
+}
+
+// point is one measurement of y at size x.
+type point struct{ x, y float64 }
+
+// slope returns the gradient of the least-squares line through points.
+func slope(points []point) float64 {
+	var n, sx, sy, sxx, sxy float64
+	for _, p := range points {
+		n, sx, sy, sxx, sxy = n+1, sx+p.x, sy+p.y, sxx+p.x*p.x, sxy+p.x*p.y
+	}
+	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
+}
+
+// fitSlope measures at each size, and keeps the slope and its points.
+func fitSlope(figures map[string]float64, name, pointName string, sizes []int, measure func(size int) (float64, error)) error {
+	var points []point
+	for _, size := range sizes {
+		y, err := measure(size)
+		if err != nil {
+			return err
+		}
+		figures[fmt.Sprintf("%s_at_%d", pointName, size)] = y
+		points = append(points, point{float64(size), y})
+	}
+	figures[name] = slope(points)
+	return nil
+}
+
+// fitHeap measures the state in memory by workers, tasks and accounts.
+func fitHeap(figures map[string]float64) error {
+	heap := func(accounts, tasks, workers int) (float64, error) {
+		r := &recorder{writer: targetWriter}
+		if err := r.addTarget(accounts, tasks, fleetVMs(workers, "http://10.1.0.0"), func(int) string { return targetWriter }); err != nil {
+			return 0, err
+		}
+		return heapOf(r.entries)
+	}
+	// The first fold settles what earlier steps left to collect; it is not counted.
+	if _, err := heap(targetAccounts, targetTasks, targetWorkers); err != nil {
+		return err
+	}
+	err := fitSlope(figures, "bytes_per_worker", "heap_bytes_workers", []int{500, 1000, 1500, 3000}, func(n int) (float64, error) {
+		return heap(targetAccounts, 0, n)
+	})
+	if err != nil {
+		return err
+	}
+	err = fitSlope(figures, "bytes_per_task", "heap_bytes_tasks", []int{1250, 2500, 5000, 7500}, func(n int) (float64, error) {
+		return heap(targetAccounts, n, targetWorkers)
+	})
+	if err != nil {
+		return err
+	}
+	return fitSlope(figures, "bytes_per_account", "heap_bytes_accounts", []int{50, 100, 190, 400}, func(n int) (float64, error) {
+		return heap(n, 0, targetWorkers)
+	})
+}
+
+// heapOf returns the bytes that the fold of entries keeps alive.
+func heapOf(entries [][]byte) (float64, error) {
+	before := heapInUse()
+	st, err := fold(entries)
+	after := heapInUse()
+	runtime.KeepAlive(st)
+	runtime.KeepAlive(entries)
+	return float64(after) - float64(before), err
+}
+
+func heapInUse() uint64 {
+	var m runtime.MemStats
+	// The second collection frees what finalizers and pools held in the first.
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// processorMicros runs work and returns the processor time it took.
+func processorMicros(work func() error) (float64, error) {
+	runtime.GC()
+	before := processorTime()
+	err := work()
+	return float64(processorTime()-before) / float64(time.Microsecond), err
+}
+
+// fitJobs measures the whole life of a job on the node that plans and
+// coordinates it, at the target state, without the calls of workers: three
+// records encoded, decoded and folded, and a decision after each of them.
+func fitJobs(figures map[string]float64) error {
+	setup := &recorder{writer: targetWriter}
+	if err := setup.addTarget(targetAccounts, targetTasks, fleetVMs(targetWorkers, "http://10.1.0.0"), func(int) string { return targetWriter }); err != nil {
+		return err
+	}
+	logBytes := 0
+	err := fitSlope(figures, "cpu_us_per_job", "cpu_us_jobs", []int{50, 100, 200, 400}, func(n int) (float64, error) {
+		st, err := fold(setup.entries)
+		if err != nil {
+			return 0, err
+		}
+		r := &recorder{writer: "capacity/jobs"}
+		micros, err := processorMicros(func() error {
+			for i := range n {
+				if err := runJob(st, r, i); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		logBytes = 0
+		for _, e := range r.entries {
+			logBytes += len(e)
+		}
+		figures["log_bytes_per_job"] = float64(logBytes) / float64(n)
+		return micros, err
+	})
+	if err != nil {
+		return err
+	}
+	st, err := fold(setup.entries)
+	if err != nil {
+		return err
+	}
+	const decisions = 50
+	micros, err := processorMicros(func() error {
+		for range decisions {
+			scheduler.Decide(scheduler.Take(st))
+		}
+		return nil
+	})
+	figures["cpu_us_per_idle_decision_at_target"] = micros / decisions
+	return err
+}
+
+// runJob takes one job of four tasks from its submission to its end.
+func runJob(st *state.State, r *recorder, i int) error {
+	apply := func(rec state.Record) error {
+		if err := r.add(rec); err != nil {
+			return err
+		}
+		return foldEntry(st, r.entries[len(r.entries)-1])
+	}
+	id := fmt.Sprintf("0000-4000-8000-new-%06d", i)
+	if err := apply(state.Record{Submit: &state.SubmitJob{ID: id, Key: "key-" + id, Spec: smallJob(i)}}); err != nil {
+		return err
+	}
+	plan := scheduler.Decide(scheduler.Take(st))
+	if len(plan.Allocations) != 1 {
+		return api.Errorf(api.CodeFailed, "%d allocations for one waiting job", len(plan.Allocations))
+	}
+	a := plan.Allocations[0]
+	if err := apply(state.Record{Plan: &state.PlanJob{Job: a.Job, Attempt: a.Attempt, Coordinator: r.writer, Placements: a.Placements}}); err != nil {
+		return err
+	}
+	scheduler.Decide(scheduler.Take(st))
+	end := &state.EndAttempt{Job: id, Token: st.Jobs[id].Token, Outcome: state.OutcomeDone, Results: []string{"done", "done", "done", "done"}}
+	if err := apply(state.Record{End: end}); err != nil {
+		return err
+	}
+	scheduler.Decide(scheduler.Take(st))
+	return nil
+}
+
+// fitChanges measures the publication of a whole document on one node.
+func fitChanges(figures map[string]float64) error {
+	return fitSlope(figures, "cpu_us_per_config_change", "cpu_us_changes", []int{25, 50, 100, 200}, func(n int) (float64, error) {
+		r := &recorder{writer: targetWriter}
+		for i := range n {
+			if err := r.add(state.Record{Publish: &state.Publish{Base: uint64(i), Config: accountConfig(targetAccounts)}}); err != nil {
+				return 0, err
+			}
+		}
+		figures["log_bytes_per_config_change"] = float64(len(r.entries[0]))
+		return processorMicros(func() error {
+			_, err := fold(r.entries)
+			return err
+		})
+	})
+}
--- /dev/null
+++ b/pkg/bench/capacity_target.go
@@ -0,0 +1,176 @@
+package bench
+
+import (
+	"fmt"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/config"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+// The target size that the capacity scenario builds.
+const (
+	targetWorkers  = 1500
+	targetTasks    = 7500
+	targetAccounts = 190
+	targetJobsDay  = 3700
+	targetChanges  = 4300
+	// targetNodes is the number of entry VMs assumed at the target size: six in
+	// each of the four availability zones.
+	targetNodes = 24
+	// secondsPerDay turns a daily rate into one per second.
+	secondsPerDay = 86400
+	// tasksPerWorker is how many tasks each worker runs at the target size.
+	tasksPerWorker = targetTasks / targetWorkers
+	// targetWriter signs the records that build the target state.
+	targetWriter = "capacity/setup"
+)
+
+var targetZones = []string{"north-a", "north-b", "south-a", "south-b"}
+
+// gangSizes are the sizes of the gangs that run; the sum divides targetTasks.
+var gangSizes = []int{64, 32, 16, 8, 4, 1}
+
+// targetPerTask fills a worker of 64 cores with tasksPerWorker tasks, and
+// leaves 4 cores free.
+var targetPerTask = api.Resources{Cores: 12, MemoryGB: 48}
+
+// fleetVMs lists workers workers, spread over the zones in racks of eight.
+// Every worker has one accelerator, and two in five have two.
+func fleetVMs(workers int, address string) []platform.VM {
+	const rackSize = 8
+	vms := make([]platform.VM, workers)
+	for i := range vms {
+		zone, n := targetZones[i%len(targetZones)], i/len(targetZones)
+		accelerators := 1
+		if i%5 < 2 {
+			accelerators = 2
+		}
+		id := fmt.Sprintf("w-%s-%04d", zone, n)
+		vms[i] = platform.VM{
+			ID: id, Kind: platform.KindWorker, Zone: zone, Rack: fmt.Sprintf("%s-r%03d", zone, n/rackSize),
+			Address: address + "/" + id, Capacity: api.Resources{Cores: 64, MemoryGB: 256, Accelerators: accelerators},
+		}
+	}
+	return vms
+}
+
+// accountConfig returns a configuration of accounts client accounts with one
+// guaranteed worker each, in three presets.
+func accountConfig(accounts int) *config.Config {
+	c := &config.Config{InitialPreset: "ordinary", Objective: config.ObjectiveCompletion}
+	for i, zone := range targetZones {
+		c.Zones = append(c.Zones, config.Zone{Name: zone, Region: []string{"north", "south"}[i/2]})
+	}
+	c.Services = []config.Service{{Name: "desk", Classes: []config.Class{{Name: "check", TimeoutMS: 2000, MaxQueued: 500}}}}
+	for _, name := range []string{"ordinary", "peak", "maintenance"} {
+		preset := config.Preset{Name: name}
+		for i := range accounts {
+			preset.Guarantees = append(preset.Guarantees, config.Guarantee{
+				Account: accountName(i), Count: 1, Workers: 1, Within: api.WithinWorker,
+				PerWorker: api.Resources{Cores: 12, MemoryGB: 48, Accelerators: 1},
+			})
+		}
+		c.Presets = append(c.Presets, preset)
+	}
+	for i := range accounts {
+		c.Accounts = append(c.Accounts, config.Account{Name: accountName(i), Weight: 1 + i%4, MaxQueued: 100})
+	}
+	return c
+}
+
+func accountName(i int) string { return fmt.Sprintf("team-%03d", i) }
+
+// recorder numbers records of one writer and encodes each as a log entry.
+type recorder struct {
+	writer  string
+	seq     uint64
+	entries [][]byte
+}
+
+func (r *recorder) add(rec state.Record) error {
+	r.seq++
+	rec.Writer, rec.Seq = r.writer, r.seq
+	data, err := state.EncodeBatch([]state.Record{rec})
+	r.entries = append(r.entries, data)
+	return err
+}
+
+// addTarget adds the configuration, the fleet and the running gangs.
+// coordinator names the coordinator of the i-th gang.
+func (r *recorder) addTarget(accounts, tasks int, vms []platform.VM, coordinator func(i int) string) error {
+	if err := r.add(state.Record{Publish: &state.Publish{Config: accountConfig(accounts)}}); err != nil {
+		return err
+	}
+	if err := r.add(state.Record{Fleet: &state.ChangeFleet{Seen: vms}}); err != nil {
+		return err
+	}
+	slots := map[string][]string{}
+	for range tasksPerWorker {
+		for _, vm := range vms {
+			slots[vm.Zone] = append(slots[vm.Zone], vm.ID)
+		}
+	}
+	for i := 0; tasks > 0; i++ {
+		// All sizes go to one zone before the next, so that each zone fills evenly.
+		zone := targetZones[i/len(gangSizes)%len(targetZones)]
+		size := min(gangSizes[i%len(gangSizes)], tasks)
+		tasks -= size
+		if err := r.addGang(i, coordinator(i), slots[zone][:size]); err != nil {
+			return err
+		}
+		slots[zone] = slots[zone][size:]
+	}
+	return nil
+}
+
+// addGang adds a submission and an accepted plan.
+func (r *recorder) addGang(i int, coordinator string, workers []string) error {
+	id := fmt.Sprintf("0000-4000-8000-job-%06d", i)
+	spec := api.JobSpec{
+		Account: accountName(i % targetAccounts), Class: "training", Tasks: len(workers), PerTask: targetPerTask,
+		Within: api.WithinZone, MaxAttempts: 3, ExpectedSeconds: 14400, Payload: `{"work_seconds":14400}`,
+	}
+	if err := r.add(state.Record{Submit: &state.SubmitJob{ID: id, Key: "key-" + id, Spec: spec}}); err != nil {
+		return err
+	}
+	plan := &state.PlanJob{Job: id, Coordinator: coordinator}
+	for _, w := range workers {
+		plan.Placements = append(plan.Placements, state.Placement{Worker: w})
+	}
+	return r.add(state.Record{Plan: plan})
+}
+
+// smallJob is a job that fits beside the gangs that run.
+func smallJob(i int) api.JobSpec {
+	return api.JobSpec{
+		Account: accountName(i % targetAccounts), Class: "training", Tasks: 4, Within: api.WithinZone,
+		PerTask: api.Resources{Cores: 4, MemoryGB: 8}, MaxAttempts: 3, Payload: `{"work_seconds":14400}`,
+	}
+}
+
+// fold applies entries to a new state, and reports the first refusal.
+func fold(entries [][]byte) (*state.State, error) {
+	st := state.New()
+	for _, data := range entries {
+		if err := foldEntry(st, data); err != nil {
+			return nil, err
+		}
+	}
+	return st, nil
+}
+
+func foldEntry(st *state.State, data []byte) error {
+	batch, err := state.DecodeBatch(data)
+	if err != nil {
+		return err
+	}
+	st.Offset++
+	for i := range batch.Records {
+		if out := st.Apply(&batch.Records[i]); out.Err != nil {
+			return out.Err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/bench/capacity_test.go
@@ -0,0 +1,39 @@
+package bench
+
+import (
+	"testing"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+)
+
+func TestSlopeIgnoresTheOffset(t *testing.T) {
+	if got := slope([]point{{1, 103}, {2, 106}, {4, 112}}); got < 2.999 || got > 3.001 {
+		t.Errorf("slope = %g, want 3", got)
+	}
+}
+
+// TestTargetState checks that the scenario really builds the letter's size.
+func TestTargetState(t *testing.T) {
+	r := &recorder{writer: targetWriter}
+	vms := fleetVMs(targetWorkers, "http://127.0.0.1:1")
+	if err := r.addTarget(targetAccounts, targetTasks, vms, func(int) string { return targetWriter }); err != nil {
+		t.Fatal(err)
+	}
+	st, err := fold(r.entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tasks, widest, accelerators := 0, 0, 0
+	for _, j := range st.Jobs {
+		if j.Phase == api.PhasePlaced {
+			tasks += len(j.Placements)
+			widest = max(widest, len(j.Placements))
+		}
+	}
+	for _, w := range st.Workers {
+		accelerators += w.Capacity.Accelerators
+	}
+	if tasks != 7500 || widest != 64 || len(st.Workers) != 1500 || accelerators != 2100 || len(st.Config.Accounts) != 190 {
+		t.Errorf("%d tasks, gangs to %d, %d workers, %d accelerators, %d accounts", tasks, widest, len(st.Workers), accelerators, len(st.Config.Accounts))
+	}
+}
