Bind guaranteed shapes to cells of adjacent accelerators in the fold

Cause: the fold counted free resources only, so work that can't be stopped could sit where another account's guaranteed shape has to be reclaimed, and a preset that can't fit the fleet was accepted.

Ruled out: counting accelerators per account (a shape is adjacent), and a search for victims at reclaim time alone (it can't promise that victims exist).

Change: pkg/cells binds each shape to concrete workers, best fit, stable while it can stay. The fold rebinds on publish, preset switch, zone and fleet records; refuses plans that pin work in a cell of another account, preemption of an attempt that can't start again, presets that don't fit (naming the account and the job in the way), and gangs that can never run. Jobs waiting that became impossible end with the reason; unfit shapes are in the status. A gang on its last attempt without checkpoints counts as pinned too. EndAttempt.Blame and PreemptJob.For are additive fields.

--- a/pkg/frontdoor/operators.go
+++ b/pkg/frontdoor/operators.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/cells"
 	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/state"
@@ -147,8 +148,10 @@
 type AccountStatus struct {
 	Name       string             `json:"name"`
 	Guarantees []config.Guarantee `json:"guarantees"`
-	Pending    int                `json:"pending"`
-	Placed     int                `json:"placed"`
+	// Unfit are the guaranteed shapes that the workers left cannot hold.
+	Unfit   []cells.Shape `json:"unfit,omitempty"`
+	Pending int           `json:"pending"`
+	Placed  int           `json:"placed"`
 }
 
 // ZoneStatus is an availability zone and what is in it.
@@ -219,6 +222,11 @@
 	for _, g := range st.Guarantees() {
 		index[g.Account].Guarantees = append(index[g.Account].Guarantees, g)
 	}
+	for _, shape := range st.Cells.Unfit {
+		if a := index[shape.Account]; a != nil {
+			a.Unfit = append(a.Unfit, shape)
+		}
+	}
 	for _, j := range st.Jobs {
 		a := index[j.Spec.Account]
 		switch {
--- a/pkg/state/apply.go
+++ b/pkg/state/apply.go
@@ -79,6 +79,7 @@
 	s.Config, s.Preset = p.Config, preset
 	s.ConfigVersion++
 	s.addZones(p.Config)
+	s.rebind()
 	return Outcome{Version: s.ConfigVersion}
 }
 
@@ -103,6 +104,7 @@
 	}
 	s.Preset = p.Preset
 	s.PresetVersion++
+	s.rebind()
 	return Outcome{Version: s.PresetVersion}
 }
 
@@ -116,6 +118,7 @@
 	}
 	zone.Out = z.Out
 	zone.Version++
+	s.rebind()
 	return Outcome{Version: zone.Version}
 }
 
@@ -137,6 +140,10 @@
 			s.forgetIfUnused(w)
 		}
 	}
+	s.rebind()
+	if len(f.Gone) > 0 {
+		s.endImpossible()
+	}
 	return Outcome{}
 }
 
@@ -145,8 +152,3 @@
 		delete(s.Workers, w.ID)
 	}
 }
-
-// checkGuarantees refuses a preset whose guarantees cannot fit the fleet together.
-func (s *State) checkGuarantees(c *config.Config, preset string) *api.Error {
-	return nil
-}
--- /dev/null
+++ b/pkg/state/cells.go
@@ -0,0 +1,152 @@
+package state
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/cells"
+	"github.com/shallotpin/shallotpin/pkg/config"
+)
+
+// pinnedWaitReason tells the caller of a gang that cannot be stopped where it may start.
+const pinnedWaitReason = "waiting: this attempt cannot be stopped and resumed, so it starts only in cells of its own account or outside all cells"
+
+// takesTasks reports whether new tasks may be placed on w.
+func (s *State) takesTasks(w *Worker) bool {
+	return !w.Gone && !w.Leaving && !s.ZoneOut(w.Zone)
+}
+
+// Pinned reports whether the attempt in force, or else the next one, must not
+// be stopped to make room: its work would be lost and it may not start again.
+func (j *Job) Pinned() bool {
+	if j.Spec.Checkpoint {
+		return false
+	}
+	left := j.Spec.MaxAttempts - j.Attempts
+	if j.Phase == api.PhasePlaced || j.Phase == api.PhaseStopping {
+		return left <= 0
+	}
+	return left <= 1
+}
+
+// cellWorkers returns the workers that can hold cells under configuration c,
+// sorted by zone, rack and ID.
+func (s *State) cellWorkers(c *config.Config) []cells.Worker {
+	out := make([]cells.Worker, 0, len(s.Workers))
+	for _, w := range s.Workers {
+		zone := s.Zones[w.Zone]
+		isOut := zone != nil && zone.Out
+		if !w.Gone && !w.Leaving && !isOut && c.Zone(w.Zone) != nil {
+			out = append(out, cells.Worker{ID: w.ID, Zone: w.Zone, Rack: w.Rack, Capacity: w.Capacity, Pinned: w.Pinned})
+		}
+	}
+	slices.SortFunc(out, func(a, b cells.Worker) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+// rebind binds the guarantees in force to the workers there are now.
+func (s *State) rebind() {
+	if s.Config == nil {
+		return
+	}
+	s.Cells = cells.Bind(s.cellWorkers(s.Config), cells.Shapes(s.Guarantees()), s.Cells.Cells)
+	for _, w := range s.Workers {
+		w.Reserved = nil
+	}
+	for _, c := range s.Cells.Cells {
+		for _, id := range c.Bound {
+			w := s.Workers[id]
+			w.Reserved = w.Reserved.Add(c.Shape.Account, c.Shape.PerWorker)
+		}
+	}
+}
+
+// checkGuarantees refuses a preset whose guarantees cannot fit the fleet
+// together. Shapes that do not fit under the guarantees in force either, since
+// workers were lost, are no reason to refuse. Before any worker is known,
+// every preset is accepted.
+func (s *State) checkGuarantees(c *config.Config, preset string) *api.Error {
+	guarantees := c.Preset(preset).Guarantees
+	if len(s.Workers) == 0 || slices.Equal(guarantees, s.Guarantees()) {
+		return nil
+	}
+	workers := s.cellWorkers(c)
+	binding := cells.Bind(workers, cells.Shapes(guarantees), s.Cells.Cells)
+	unfit := cells.FirstNewUnfit(binding.Unfit, s.Cells.Unfit)
+	if unfit == nil {
+		return nil
+	}
+	return api.FieldErrorf("presets", "preset %q does not fit the fleet: no cell for account %s, %d workers of %d accelerators within one %s%s",
+		preset, unfit.Account, unfit.Workers, unfit.PerWorker.Accelerators, unfit.Within, s.pinnedConflict(workers, guarantees))
+}
+
+// pinnedConflict says whether work that cannot be stopped is what prevents a binding.
+func (s *State) pinnedConflict(workers []cells.Worker, guarantees []config.Guarantee) string {
+	for i := range workers {
+		workers[i].Pinned = nil
+	}
+	if len(cells.Bind(workers, cells.Shapes(guarantees), nil).Unfit) > 0 {
+		return " beside the other guarantees"
+	}
+	var first *Job
+	for _, j := range s.Jobs {
+		if len(j.Placements) > 0 && j.Pinned() && (first == nil || j.Order < first.Order) {
+			first = j
+		}
+	}
+	if first == nil {
+		return ""
+	}
+	return fmt.Sprintf(", because work that cannot be stopped is in the way, such as job %s of account %s", first.ID, first.Spec.Account)
+}
+
+// checkReclaimable refuses a placement that would keep another account from
+// reclaiming its cell on w. use is what the gang would hold on w.
+func checkReclaimable(w *Worker, account string, use api.Resources) *api.Error {
+	if cells.Reclaimable(w.Capacity, w.Reserved, w.Pinned.Add(account, use)) {
+		return nil
+	}
+	return api.Errorf(api.CodeConflict, "worker %s holds a cell of another account, in which this gang could not be stopped", w.ID)
+}
+
+// hold takes what the attempt of j occupies on w.
+func (w *Worker) hold(j *Job) {
+	w.Used = w.Used.Add(j.Spec.PerTask)
+	if j.Pinned() {
+		w.Pinned = w.Pinned.Add(j.Spec.Account, j.Spec.PerTask)
+	}
+}
+
+// drop gives back what the attempt of j occupies on w.
+func (w *Worker) drop(j *Job) {
+	w.Used = w.Used.Sub(j.Spec.PerTask)
+	if j.Pinned() {
+		w.Pinned = w.Pinned.Sub(j.Spec.Account, j.Spec.PerTask)
+	}
+}
+
+// bindUnfit tries again to bind the shapes that do not fit, after pinned work has ended.
+func (s *State) bindUnfit() {
+	if len(s.Cells.Unfit) > 0 {
+		s.rebind()
+	}
+}
+
+// review ends a job that has become pending but can never run, and tells a
+// pinned one where it may start.
+func (s *State) review(j *Job) {
+	switch {
+	case !s.possible(&j.Spec):
+		s.finish(j, api.PhaseFailed, impossible(&j.Spec).Message)
+	case j.Pinned() && j.Reason == "":
+		j.Reason = pinnedWaitReason
+	}
+}
+
+func sortByOrder(jobs []*Job) {
+	slices.SortFunc(jobs, func(a, b *Job) int { return cmp.Compare(a.Order, b.Order) })
+}
--- a/pkg/state/jobs.go
+++ b/pkg/state/jobs.go
@@ -16,6 +16,7 @@
 	}
 	s.Submitted++
 	s.Jobs[r.ID] = &Job{ID: r.ID, Key: r.Key, Spec: r.Spec, Order: s.Submitted, Phase: api.PhasePending}
+	s.review(s.Jobs[r.ID])
 	if r.Key != "" {
 		s.JobKeys[r.Key] = r.ID
 	}
@@ -36,6 +37,9 @@
 	if account.MaxQueued > 0 && s.pendingOf(account.Name) >= account.MaxQueued {
 		return api.Errorf(api.CodeOverloaded, "account %s has %d jobs waiting, its limit", account.Name, account.MaxQueued)
 	}
+	if !s.possible(spec) {
+		return impossible(spec)
+	}
 	return nil
 }
 
@@ -78,16 +82,16 @@
 	if err := s.checkPlacements(j, r.Placements); err != nil {
 		return refuse(err)
 	}
-	for _, p := range r.Placements {
-		w := s.Workers[p.Worker]
-		w.Used = w.Used.Add(j.Spec.PerTask)
-	}
 	s.LastToken++
 	j.Phase, j.Token, j.Coordinator = api.PhasePlaced, s.LastToken, r.Coordinator
 	j.Placements = r.Placements
 	j.Plans++
 	j.Attempts++
 	j.Verdict = api.MayHaveRun
+	j.Reason, j.YieldsTo = "", ""
+	for _, p := range r.Placements {
+		s.Workers[p.Worker].hold(j)
+	}
 	return Outcome{JobID: j.ID, Token: j.Token}
 }
 
@@ -101,7 +105,7 @@
 	var first *Worker
 	for _, p := range placements {
 		w := s.Workers[p.Worker]
-		if w == nil || w.Gone || w.Leaving || s.ZoneOut(w.Zone) {
+		if w == nil || !s.takesTasks(w) {
 			return api.Errorf(api.CodeConflict, "worker %s takes no new tasks", p.Worker)
 		}
 		if first == nil {
@@ -114,6 +118,12 @@
 		if !extra[w.ID].Fits(w.Free()) {
 			return api.Errorf(api.CodeConflict, "worker %s has too little free", w.ID)
 		}
+		if !j.Pinned() {
+			continue
+		}
+		if err := checkReclaimable(w, j.Spec.Account, extra[w.ID]); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -134,9 +144,12 @@
 	if j == nil {
 		return out
 	}
+	if j.Pinned() {
+		return refuse(api.Errorf(api.CodeConflict, "job %s cannot be stopped and started again", j.ID))
+	}
 	if j.Phase == api.PhasePlaced {
 		j.Phase = api.PhaseStopping
-		j.Reason = r.Reason
+		j.Reason, j.YieldsTo = r.Reason, r.For
 	}
 	return Outcome{JobID: j.ID}
 }
@@ -170,8 +183,13 @@
 	if j == nil {
 		return out
 	}
+	pinned := j.Pinned()
+	s.blame(j, r)
 	s.release(j)
 	s.settle(j, r)
+	if pinned {
+		s.bindUnfit()
+	}
 	return Outcome{JobID: j.ID}
 }
 
@@ -179,7 +197,7 @@
 func (s *State) release(j *Job) {
 	for _, p := range j.Placements {
 		if w := s.Workers[p.Worker]; w != nil {
-			w.Used = w.Used.Sub(j.Spec.PerTask)
+			w.drop(j)
 			s.forgetIfUnused(w)
 		}
 	}
@@ -216,6 +234,7 @@
 	default:
 		j.Phase = api.PhasePending
 		j.Reason = r.Reason
+		s.review(j)
 	}
 }
 
--- a/pkg/state/record.go
+++ b/pkg/state/record.go
@@ -107,6 +107,8 @@
 	Job    string `json:"job"`
 	Token  int64  `json:"token"`
 	Reason string `json:"reason"`
+	// For is the job that the room is made for, if any.
+	For string `json:"for,omitempty"`
 }
 
 // ClaimJob makes another node the coordinator of an attempt.
@@ -140,4 +142,6 @@
 	Results     []string       `json:"results,omitempty"`
 	Checkpoints []string       `json:"checkpoints,omitempty"`
 	Reason      string         `json:"reason,omitempty"`
+	// Blame names the workers on which a task failed.
+	Blame []string `json:"blame,omitempty"`
 }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/cells"
 	"github.com/shallotpin/shallotpin/pkg/config"
 )
 
@@ -20,7 +21,9 @@
 	Zones         map[string]*ZoneState `json:"zones"`
 
 	Workers map[string]*Worker `json:"workers"`
-	Jobs    map[string]*Job    `json:"jobs"`
+	// Cells binds the guarantees in force to workers.
+	Cells cells.Binding   `json:"cells"`
+	Jobs  map[string]*Job `json:"jobs"`
 	// JobKeys maps the idempotency keys of submissions to job IDs.
 	JobKeys map[string]string `json:"job_keys"`
 	// Ended lists ended jobs, oldest first.
@@ -48,6 +51,12 @@
 	Capacity api.Resources `json:"capacity"`
 	Used     api.Resources `json:"used"`
 	Leaving  bool          `json:"leaving,omitempty"`
+	// Reserved are the cells on the worker, and Pinned is the work on it that
+	// must not be stopped, by account.
+	Reserved cells.Uses `json:"reserved,omitempty"`
+	Pinned   cells.Uses `json:"pinned,omitempty"`
+	// Blamed are the jobs that failed here since one last succeeded here.
+	Blamed []string `json:"blamed,omitempty"`
 	// Gone marks a lost worker that attempts in force still name.
 	Gone bool `json:"gone,omitempty"`
 }
@@ -74,6 +83,10 @@
 	Results     []string    `json:"results,omitempty"`
 	Checkpoints []string    `json:"checkpoints,omitempty"`
 	Reason      string      `json:"reason,omitempty"`
+	// YieldsTo is the job for which the attempt in force is being stopped.
+	YieldsTo string `json:"yields_to,omitempty"`
+	// FailedOn are the workers blamed for failed attempts of the job.
+	FailedOn []string `json:"failed_on,omitempty"`
 }
 
 // Status returns what a caller learns about the job.
