Schedule by guarantees, fragmentation and learned run times; bench against baselines

Cause: the scheduler was first-come first-fit and could not reclaim a shape.

Change: the decision is a cycle of small steps: queue order, filter, score by the fragmentation gradient, reclaim of cells with least lost work, reservation for gangs that wait long, moves out of zones, quarantine. pkg/estimate learns run times from the fold. pkg/bench drives the real fold and decision in virtual time, with first-come and first-come with backfill as baselines.

--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -38,7 +38,10 @@
 type Scenario func(ctx context.Context, o Options) (map[string]float64, error)
 
 // scenarios are the known scenarios by name.
-var scenarios = map[string]Scenario{}
+var scenarios = map[string]Scenario{
+	"mix-hooghly": mixHooghly,
+	"mix-lima":    mixLima,
+}
 
 // Run runs one scenario.
 func Run(ctx context.Context, o Options) (*Result, error) {
--- /dev/null
+++ b/pkg/bench/mix.go
@@ -0,0 +1,265 @@
+package bench
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/shallotpin/shallotpin/deploy"
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/config"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/scheduler"
+	"github.com/shallotpin/shallotpin/pkg/standin"
+)
+
+// mix is the setting of a mixed workload.
+type mix struct {
+	document []byte
+	service  string
+	zones    []string
+	stream   stream
+}
+
+// wideAccelerators is the width from which a gang counts as wide.
+const wideAccelerators = 32
+
+// Shares of a mixed workload that go wrong.
+const (
+	failingJobs   = 0.01
+	cancelledJobs = 0.03
+	// waveShare is the share of the live jobs that a wave of cancellations ends.
+	waveShare = 0.1
+)
+
+// drainLimit bounds a run after the last arrival.
+const drainLimit = 48 * time.Hour
+
+var hooghly = mix{
+	document: deploy.StaveDesk, service: "stave-desk", zones: []string{"howrah", "salt-lake", "barasat"},
+	stream: stream{
+		length: 6 * time.Hour, load: 0.85, burstEvery: 45 * time.Minute, burstJobs: 60, failing: failingJobs, cancelled: cancelledJobs,
+		kinds: []kind{
+			{account: "coopers", class: "appraisal", share: 0.2, tasks: []int{1, 2, 4}, perTask: []int{4, 8}, within: api.WithinRack, median: 420, spread: 0.8, checkpoint: 0.6, once: 0.1, urgent: 0.1, bias: 1.5},
+			{account: "furniture", class: "appraisal", share: 0.15, tasks: []int{1, 2, 4}, perTask: []int{4, 8}, within: api.WithinRack, median: 540, spread: 0.8, checkpoint: 0.6, once: 0.1, urgent: 0.05, bias: 0.6},
+			{account: "yard-agents", class: "price-model", share: 0.5, tasks: []int{1}, perTask: []int{1, 2}, within: api.WithinWorker, median: 90, spread: 0.9, checkpoint: 0.2, once: 0.1, urgent: 0.05, bias: 2},
+			{account: "grade-book", class: "matching", share: 0.12, tasks: []int{1, 2}, perTask: []int{1, 2, 4}, within: api.WithinZone, median: 1200, spread: 0.8, checkpoint: 0.8, bias: 0.5},
+			{account: "grade-book", class: "photo-batch", share: 0.03, tasks: []int{4, 6, 8}, perTask: []int{8}, within: api.WithinRack, median: 2400, spread: 0.5, checkpoint: 1, bias: 1},
+		},
+	},
+}
+
+var lima = mix{
+	document: deploy.Citas, service: "citas", zones: []string{"lima-norte", "lima-sur", "lima-este"},
+	stream: stream{
+		length: 6 * time.Hour, load: 0.85, burstEvery: 30 * time.Minute, burstJobs: 80, failing: failingJobs, cancelled: cancelledJobs,
+		kinds: []kind{
+			{account: "hogares", class: "survey-plan", share: 0.45, tasks: []int{1}, perTask: []int{1, 2}, within: api.WithinWorker, median: 120, spread: 0.9, checkpoint: 0.2, once: 0.1, urgent: 0.05, bias: 2},
+			{account: "edificios", class: "survey-plan", share: 0.25, tasks: []int{1, 2}, perTask: []int{2, 4}, within: api.WithinRack, median: 300, spread: 0.8, checkpoint: 0.4, once: 0.1, urgent: 0.05, bias: 0.7},
+			{account: "servicios-de-agua", class: "network-survey", share: 0.2, tasks: []int{2, 4}, perTask: []int{4, 8}, within: api.WithinRack, median: 600, spread: 0.8, checkpoint: 0.7, once: 0.05, urgent: 0.05, bias: 1.5},
+			{account: "termografia", class: "thermal-review", share: 0.1, tasks: []int{2, 4, 8}, perTask: []int{8}, within: api.WithinRack, median: 1500, spread: 0.7, checkpoint: 0.9, bias: 0.6},
+		},
+	},
+}
+
+func mixHooghly(_ context.Context, o Options) (map[string]float64, error) { return runMix(&hooghly, o) }
+func mixLima(_ context.Context, o Options) (map[string]float64, error)    { return runMix(&lima, o) }
+
+// fleet returns the workers of a setting.
+func (m *mix) fleet(workers int) []platform.VM {
+	shape := standin.TodayShape(m.service, m.zones)
+	shape.Upstreams = 0
+	if workers > 0 {
+		shape.Workers = workers
+	}
+	return shape.VMs("worker", "")
+}
+
+func acceleratorsOf(vms []platform.VM) int {
+	n := 0
+	for i := range vms {
+		n += vms[i].Capacity.Accelerators
+	}
+	return n
+}
+
+// runMix runs the same arrivals and faults under the scheduler and both baselines.
+func runMix(m *mix, o Options) (map[string]float64, error) {
+	c, err := config.Decode(m.document)
+	if err != nil {
+		return nil, err
+	}
+	figures := map[string]float64{}
+	scheduled := runMixOnce(m, o, c, ours)
+	fifo := runMixOnce(m, o, withoutGuarantees(c), firstCome)
+	easy := runMixOnce(m, o, withoutGuarantees(c), backfill)
+	scheduled.add(figures, "")
+	fifo.add(figures, "baseline_fifo_")
+	easy.add(figures, "baseline_backfill_")
+	scheduled.addFaults(figures)
+	worst := 0.0
+	for class, mean := range scheduled.classMeans() {
+		ratio := mean / fifo.classMeans()[class]
+		figures["fifo_ratio_"+class] = ratio
+		worst = max(worst, ratio)
+	}
+	figures["class_worst_fifo_ratio"] = worst
+	figures["p95_ratio"] = figures["completion_p95_s"] / figures["baseline_backfill_completion_p95_s"]
+	figures["fragmentation_ratio"] = figures["fragmentation"] / figures["baseline_backfill_fragmentation"]
+	return figures, nil
+}
+
+// withoutGuarantees returns the document for a baseline, which knows no cells.
+func withoutGuarantees(c *config.Config) *config.Config {
+	out := *c
+	out.Presets = slices.Clone(c.Presets)
+	for i := range out.Presets {
+		out.Presets[i].Guarantees = nil
+	}
+	return &out
+}
+
+// mixRun is the outcome of one run of a mixed workload.
+type mixRun struct {
+	w *world
+	// fragmentation is the mean share of accelerators that the next gang could not use.
+	fragmentation float64
+}
+
+// sampleEvery is the time between two samples of the fragmentation.
+const sampleEvery = time.Minute
+
+func runMixOnce(m *mix, o Options, c *config.Config, decide decider) *mixRun {
+	w := newWorld(o.Seed, decide)
+	vms := m.fleet(o.Workers)
+	w.setUp(c, vms)
+	arrivals := m.stream.arrivals(rand.New(rand.NewPCG(o.Seed, 1)), acceleratorsOf(vms))
+	specs := make([]api.JobSpec, len(arrivals))
+	for i, a := range arrivals {
+		specs[i] = a.job.spec
+		w.at(a.at, func() { w.submit(a.job) })
+	}
+	w.addFaults(rand.New(rand.NewPCG(o.Seed, 2)), vms, m.stream.length)
+	kinds := scheduler.NewMix(specs)
+	run := &mixRun{w: w}
+	samples := 0.0
+	for at := sampleEvery; at < m.stream.length; at += sampleEvery {
+		w.at(at, func() {
+			snap := scheduler.Take(w.s, w.book, w.clock())
+			run.fragmentation += kinds.Fragmentation(snap) / float64(acceleratorsOf(vms))
+			samples++
+		})
+	}
+	w.tick()
+	for w.step(m.stream.length) {
+	}
+	for w.active() > 0 && w.now < m.stream.length+drainLimit {
+		w.step(m.stream.length + drainLimit)
+	}
+	run.fragmentation /= samples
+	return run
+}
+
+// Faults of a mixed workload.
+const (
+	badWorkers  = 3
+	badFor      = 90 * time.Minute
+	lostWorkers = 1
+)
+
+// addFaults lets some workers fail everything for a while, loses one for good,
+// and cancels a share of the live jobs at once.
+func (w *world) addFaults(rng *rand.Rand, vms []platform.VM, length time.Duration) {
+	order := rng.Perm(len(vms))
+	for _, i := range order[:badWorkers] {
+		from := time.Duration(rng.Float64() * float64(length-badFor))
+		w.at(from, func() { w.bad[vms[i].ID] = true })
+		w.at(from+badFor, func() { delete(w.bad, vms[i].ID) })
+	}
+	for _, i := range order[badWorkers : badWorkers+lostWorkers] {
+		w.at(time.Duration(rng.Float64()*float64(length)), func() { w.kill(vms[i].ID) })
+	}
+	w.at(time.Duration(rng.Float64()*float64(length)), func() {
+		for _, j := range w.order {
+			if j.ended == 0 && rng.Float64() < waveShare {
+				w.cancel(j)
+			}
+		}
+	})
+}
+
+// add writes the figures of a run with a prefix.
+func (r *mixRun) add(figures map[string]float64, prefix string) {
+	var completion, wide []float64
+	failed := 0.0
+	for _, j := range r.w.order {
+		if j.finishes > 0 {
+			completion = append(completion, (j.ended - j.at).Seconds())
+		}
+		if j.starts > 0 && j.accelerators() >= wideAccelerators {
+			wide = append(wide, (j.firstStart - j.at).Seconds())
+		}
+		if st := r.w.s.Jobs[j.id]; st != nil && st.Phase == api.PhaseFailed && !j.fails {
+			failed++
+		}
+	}
+	figures[prefix+"completion_mean_s"] = mean(completion)
+	figures[prefix+"completion_p95_s"] = percentile(completion, 0.95)
+	figures[prefix+"wide_gang_p95_wait_s"] = percentile(wide, 0.95)
+	figures[prefix+"fragmentation"] = r.fragmentation
+	figures[prefix+"completed"] = float64(len(completion))
+	figures[prefix+"failed_sound_jobs"] = failed
+	figures[prefix+"lost_work_share"] = r.w.lostWork / r.w.ranWork
+}
+
+// addFaults writes what must be 0.
+func (r *mixRun) addFaults(figures map[string]float64) {
+	lost := 0
+	for _, j := range r.w.order {
+		if !j.refused && j.ended == 0 {
+			lost++
+		}
+	}
+	figures["guarantee_violations"] = float64(r.w.violations)
+	figures["partial_gangs"] = float64(r.w.partial)
+	figures["lost_jobs"] = float64(lost)
+	figures["duplicate_runs"] = float64(r.w.duplicates)
+	figures["late_starts"] = float64(r.w.lateStarts)
+}
+
+// classMeans returns the mean completion time of each account's classes.
+func (r *mixRun) classMeans() map[string]float64 {
+	times := map[string][]float64{}
+	for _, j := range r.w.order {
+		if j.finishes > 0 {
+			key := j.spec.Account + "_" + j.spec.Class
+			times[key] = append(times[key], (j.ended - j.at).Seconds())
+		}
+	}
+	out := map[string]float64{}
+	for key, values := range times {
+		out[key] = mean(values)
+	}
+	return out
+}
+
+func mean(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
+
+// percentile returns the value at share q of the sorted values.
+func percentile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/shallotpin/shallotpin/pkg/estimate"
 	"github.com/shallotpin/shallotpin/pkg/fleet"
 	"github.com/shallotpin/shallotpin/pkg/journal"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
@@ -34,12 +35,14 @@
 	journal *journal.Journal
 	members *membership.Service
 	fleet   *fleet.Service
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	// book is kept by every node, so that it is filled when the node takes over.
+	book   *estimate.Book
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 }
 
 // New returns a planner.
-func New() *Service { return &Service{} }
+func New() *Service { return &Service{book: estimate.NewBook()} }
 
 // Name implements kernel.Service.
 func (s *Service) Name() string { return ServiceName }
@@ -76,6 +79,7 @@
 func (s *Service) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := s.journal.Changed()
+		s.journal.View(func(st *state.State) { s.book.Observe(st, time.Now()) })
 		if s.members.Preferred(time.Now(), "planner").ID == s.members.Self().ID {
 			s.recordFleet(ctx)
 			s.plan(ctx)
@@ -121,18 +125,16 @@
 	return change
 }
 
+// plan decides and writes the records of the plan, preemptions first.
 func (s *Service) plan(ctx context.Context) {
+	now := time.Now()
 	var snap *scheduler.Snapshot
-	s.journal.View(func(st *state.State) { snap = scheduler.Take(st) })
-	plan := scheduler.Decide(snap)
+	s.journal.View(func(st *state.State) { snap = scheduler.Take(st, s.book, now) })
+	plan := scheduler.Decide(snap, scheduler.DefaultPolicy(snap.Objective))
+	coordinator := func(job string) string { return s.members.Preferred(now, job).Incarnation }
 	var wg sync.WaitGroup
-	for _, a := range plan.Allocations {
-		coordinator := s.members.Preferred(time.Now(), a.Job)
-		wg.Go(func() {
-			s.propose(ctx, state.Record{Plan: &state.PlanJob{
-				Job: a.Job, Attempt: a.Attempt, Coordinator: coordinator.Incarnation, Placements: a.Placements,
-			}})
-		})
+	for _, rec := range plan.Records(coordinator) {
+		wg.Go(func() { s.propose(ctx, rec) })
 	}
 	wg.Wait()
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -1,30 +1,21 @@
-// Package scheduler decides where gangs run. It is pure: a snapshot goes in, a
-// plan comes out; the fold of the log re-checks every plan before it counts.
+// Package scheduler decides where gangs run and which are stopped to make
+// room. It is pure: a snapshot goes in, a plan comes out; the fold of the log
+// re-checks every record of the plan before it counts.
+//
+// A decision passes through a few steps, each in a file of its own: the order
+// of the queue, the filter of the workers that may take a task, the score of
+// the groups of adjacent workers, the reclaim of guaranteed shapes, the
+// reservation for gangs that wait long, and the moves out of zones.
 package scheduler
 
 import (
-	"sort"
+	"math"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
-// Worker is a worker that may take new tasks.
-type Worker struct {
-	ID   string
-	Zone string
-	Rack string
-	Free api.Resources
-}
-
-// Snapshot is what a decision is made from.
-type Snapshot struct {
-	// Workers are sorted by zone, rack and ID.
-	Workers []Worker
-	// Pending are the waiting jobs, in order of submission.
-	Pending []*state.Job
-}
-
 // Allocation places the tasks of one job.
 type Allocation struct {
 	Job        string
@@ -32,93 +23,119 @@
 	Placements []state.Placement
 }
 
+// Preemption stops an attempt.
+type Preemption struct {
+	Job    string
+	Token  int64
+	Reason string
+	// For is the job that the room is made for, if any.
+	For string
+}
+
 // Plan is a decision.
 type Plan struct {
 	Allocations []Allocation
+	Preemptions []Preemption
 }
 
-// Take returns a snapshot of the state. The jobs in it must not be changed.
-func Take(s *state.State) *Snapshot {
-	snap := &Snapshot{}
-	for _, w := range s.Workers {
-		if w.Gone || w.Leaving || s.ZoneOut(w.Zone) {
-			continue
+// Decide places the waiting gangs that fit, and names the attempts to stop.
+func Decide(snap *Snapshot, policy Policy) Plan {
+	c := newCycle(snap, policy)
+	c.moveOut()
+	for _, j := range c.queue() {
+		if c.tries >= policy.MaxTries {
+			break
 		}
-		snap.Workers = append(snap.Workers, Worker{w.ID, w.Zone, w.Rack, w.Free()})
+		c.consider(j)
 	}
-	sort.Slice(snap.Workers, func(i, j int) bool {
-		a, b := &snap.Workers[i], &snap.Workers[j]
-		if a.Zone != b.Zone {
-			return a.Zone < b.Zone
-		}
-		if a.Rack != b.Rack {
-			return a.Rack < b.Rack
-		}
-		return a.ID < b.ID
-	})
-	for _, j := range s.Jobs {
-		if j.Phase == api.PhasePending {
-			copied := *j
-			snap.Pending = append(snap.Pending, &copied)
-		}
-	}
-	sort.Slice(snap.Pending, func(i, j int) bool { return snap.Pending[i].Order < snap.Pending[j].Order })
-	return snap
+	return c.plan
 }
 
-// Decide places what fits, in order of submission, on the first workers that fit.
-func Decide(snap *Snapshot) Plan {
-	var plan Plan
-	for _, j := range snap.Pending {
-		if placements := firstFit(snap.Workers, j); placements != nil {
-			plan.Allocations = append(plan.Allocations, Allocation{j.ID, j.Plans, placements})
-		}
-	}
-	return plan
+// gangKey is what decides whether a gang can be placed.
+type gangKey struct {
+	account     string
+	urgent      bool
+	mustNotStop bool
+	tasks       int
+	perTask     api.Resources
+	within      api.Adjacency
 }
 
-// firstFit places j within the first group of adjacent workers that holds it,
-// and takes what it occupies from their free resources.
-func firstFit(workers []Worker, j *state.Job) []state.Placement {
-	for start := 0; start < len(workers); {
-		end := start + 1
-		for end < len(workers) && sameGroup(&workers[start], &workers[end], j.Spec.Within) {
-			end++
-		}
-		if placements := fill(workers[start:end], j); placements != nil {
-			return placements
-		}
-		start = end
-	}
-	return nil
+func keyOf(j *Pending) gangKey {
+	return gangKey{j.Spec.Account, j.Spec.Urgent, j.MustNotStop, j.Spec.Tasks, j.Spec.PerTask, j.Spec.Within}
 }
 
-func sameGroup(a, b *Worker, within api.Adjacency) bool {
-	switch within {
-	case api.WithinWorker:
-		return a.ID == b.ID
-	case api.WithinRack:
-		return a.Zone == b.Zone && a.Rack == b.Rack
-	default:
-		return a.Zone == b.Zone
+// consider places j, or else makes or reserves room for it. Room only shrinks
+// within a cycle, so a gang like one that did not fit, and no shorter, is passed over.
+func (c *cycle) consider(j *Pending) {
+	key := keyOf(j)
+	if shortest, failed := c.failed[key]; failed && j.Estimate >= shortest {
+		return
 	}
+	c.tries++
+	if chosen := c.place(j); chosen != nil {
+		c.allocate(j, chosen)
+		return
+	}
+	if c.reclaim(j) {
+		return
+	}
+	c.reserve(j)
+	c.failed[key] = j.Estimate
 }
 
-func fill(group []Worker, j *state.Job) []state.Placement {
-	var placements []state.Placement
-	free := make([]api.Resources, len(group))
-	for i := range group {
-		free[i] = group[i].Free
-		for len(placements) < j.Spec.Tasks && j.Spec.PerTask.Fits(free[i]) {
-			free[i] = free[i].Sub(j.Spec.PerTask)
-			placements = append(placements, state.Placement{Worker: group[i].ID})
-		}
+// allocate takes the room of j, with one task on each worker in chosen.
+func (c *cycle) allocate(j *Pending, chosen []int) {
+	placements := make([]state.Placement, len(chosen))
+	for k, i := range chosen {
+		placements[k] = state.Placement{Worker: c.snap.Workers[i].ID}
+		c.take(j, i)
 	}
-	if len(placements) < j.Spec.Tasks {
-		return nil
+	c.plan.Allocations = append(c.plan.Allocations, Allocation{j.ID, j.Plans, placements})
+}
+
+// take lets one task of j occupy worker i.
+func (c *cycle) take(j *Pending, i int) {
+	w := &c.snap.Workers[i]
+	w.Free = w.Free.Sub(j.Spec.PerTask)
+	if j.MustNotStop {
+		w.Pinned = w.Pinned.Add(j.Spec.Account, j.Spec.PerTask)
 	}
-	for i := range group {
-		group[i].Free = free[i]
+	c.own[i] = c.own[i].Add(j.Spec.Account, j.Spec.PerTask)
+	c.rackFragments[c.rackOf[i]] = math.NaN()
+}
+
+// Policy tunes the decisions.
+type Policy struct {
+	Objective config.Objective
+	// MaxTries bounds the gangs for which one decision searches a place.
+	MaxTries int
+	// QuarantineAfter is how many different jobs must fail on a worker, with
+	// none succeeding, before it is quarantined.
+	QuarantineAfter int
+	// QuarantineShare bounds the share of all accelerators in quarantine.
+	QuarantineShare float64
+	// ProbationSeconds is the time after which one gang may try a quarantined worker.
+	ProbationSeconds float64
+	// ReserveAfter is the wait in seconds after which room is reserved for a gang.
+	ReserveAfter float64
+	// MaxReservations bounds the gangs for which room is reserved at a time.
+	MaxReservations int
+	// CellPenalty and LostCellPenalty weigh each accelerator that a gang takes
+	// in a cell of another account, if it can checkpoint and if it cannot.
+	CellPenalty, LostCellPenalty float64
+	// AgeingSeconds is the wait that counts as much as a short estimate.
+	AgeingSeconds float64
+	// MoveSeconds is the expected time that moving a gang costs.
+	MoveSeconds float64
+}
+
+// DefaultPolicy returns the policy for an objective.
+func DefaultPolicy(objective config.Objective) Policy {
+	return Policy{
+		Objective: objective, MaxTries: 256,
+		QuarantineAfter: 3, QuarantineShare: 0.1, ProbationSeconds: 600,
+		ReserveAfter: 120, MaxReservations: 4,
+		CellPenalty: 0.2, LostCellPenalty: 0.5, AgeingSeconds: 60, MoveSeconds: 30,
 	}
-	return placements
 }
--- /dev/null
+++ b/pkg/scheduler/snapshot.go
@@ -0,0 +1,126 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/cells"
+	"github.com/shallotpin/shallotpin/pkg/config"
+	"github.com/shallotpin/shallotpin/pkg/estimate"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+// Worker is a worker that may take new tasks.
+type Worker struct {
+	ID       string
+	Zone     string
+	Rack     string
+	Capacity api.Resources
+	Free     api.Resources
+	// Reserved are the cells on the worker, and Pinned is the work on it that
+	// must not be stopped, by account.
+	Reserved cells.Uses
+	Pinned   cells.Uses
+	// Blamed is how many jobs failed here since one last succeeded, and
+	// BlamedFor is for how many seconds that has been so.
+	Blamed    int
+	BlamedFor float64
+}
+
+// Pending is a waiting job.
+type Pending struct {
+	state.Job
+	// Waited is the time since the submission was seen, in seconds.
+	Waited float64
+	// Estimate is the expected run time that is left, in seconds.
+	Estimate float64
+	// MustNotStop says that an attempt could not be stopped and started again.
+	MustNotStop bool
+}
+
+// Attempt is an attempt in force.
+type Attempt struct {
+	Job        string
+	Token      int64
+	Account    string
+	PerTask    api.Resources
+	Tasks      int
+	Within     api.Adjacency
+	Placements []state.Placement
+	Urgent     bool
+	Checkpoint bool
+	// MustNotStop says that the attempt cannot be stopped and started again.
+	MustNotStop bool
+	// Stopping says that the attempt is being stopped already.
+	Stopping bool
+	// Ran and Remaining are the seconds run so far and those expected to be left.
+	Ran       float64
+	Remaining float64
+	// ZoneOut says that the attempt runs in an availability zone that is out.
+	ZoneOut bool
+}
+
+// accelerators returns how many accelerators the whole attempt holds.
+func (a *Attempt) accelerators() int { return a.PerTask.Accelerators * a.Tasks }
+
+// Snapshot is what a decision is made from.
+type Snapshot struct {
+	// Workers are sorted by zone, rack and ID.
+	Workers []Worker
+	// Pending are the waiting jobs, in order of submission.
+	Pending []Pending
+	// Attempts are the attempts in force, by token.
+	Attempts []Attempt
+	// Weights are the fair shares of the client accounts.
+	Weights   map[string]int
+	Objective config.Objective
+}
+
+// Take returns a snapshot of the state with the times in the book.
+func Take(s *state.State, book *estimate.Book, now time.Time) *Snapshot {
+	snap := &Snapshot{Weights: map[string]int{}, Workers: make([]Worker, 0, len(s.Workers))}
+	if s.Config != nil {
+		snap.Objective = s.Config.Objective
+		for _, a := range s.Config.Accounts {
+			snap.Weights[a.Name] = a.Weight
+		}
+	}
+	for _, w := range s.Workers {
+		if w.Gone || w.Leaving || s.ZoneOut(w.Zone) {
+			continue
+		}
+		snap.Workers = append(snap.Workers, Worker{
+			ID: w.ID, Zone: w.Zone, Rack: w.Rack, Capacity: w.Capacity, Free: w.Free(),
+			Reserved: w.Reserved, Pinned: w.Pinned, Blamed: len(w.Blamed), BlamedFor: book.BlamedFor(w.ID, now),
+		})
+	}
+	slices.SortFunc(snap.Workers, func(a, b Worker) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
+	})
+	for _, j := range s.Jobs {
+		switch {
+		case j.Phase == api.PhasePending:
+			snap.Pending = append(snap.Pending, Pending{*j, book.Waited(j.ID, now), book.Remaining(j, now), j.Pinned()})
+		case len(j.Placements) > 0:
+			snap.Attempts = append(snap.Attempts, takeAttempt(s, j, book, now))
+		}
+	}
+	slices.SortFunc(snap.Pending, func(a, b Pending) int { return cmp.Compare(a.Order, b.Order) })
+	slices.SortFunc(snap.Attempts, func(a, b Attempt) int { return cmp.Compare(a.Token, b.Token) })
+	return snap
+}
+
+func takeAttempt(s *state.State, j *state.Job, book *estimate.Book, now time.Time) Attempt {
+	a := Attempt{
+		Job: j.ID, Token: j.Token, Account: j.Spec.Account, PerTask: j.Spec.PerTask, Tasks: j.Spec.Tasks,
+		Within: j.Spec.Within, Placements: j.Placements, Urgent: j.Spec.Urgent, Checkpoint: j.Spec.Checkpoint,
+		MustNotStop: j.Pinned(), Stopping: j.Phase == api.PhaseStopping,
+		Ran: book.Ran(j.ID, now), Remaining: book.Remaining(j, now),
+	}
+	if w := s.Workers[j.Placements[0].Worker]; w != nil {
+		a.ZoneOut = s.ZoneOut(w.Zone)
+	}
+	return a
+}
