--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -41,6 +41,9 @@
 var scenarios = map[string]Scenario{
 	"mix-hooghly": mixHooghly,
 	"mix-lima":    mixLima,
+	"reclaim":     reclaim,
+	"zone-move":   zoneMove,
+	"target":      target,
 }
 
 // Run runs one scenario.
