--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -39,7 +39,12 @@
 
 // scenarios are the known scenarios by name.
 var scenarios = map[string]Scenario{
-	"capacity": capacity,
+	"capacity":    capacity,
+	"mix-hooghly": mixHooghly,
+	"mix-lima":    mixLima,
+	"reclaim":     reclaim,
+	"zone-move":   zoneMove,
+	"target":      target,
 }
 
 // Run runs one scenario.
--- a/pkg/bench/capacity.go
+++ b/pkg/bench/capacity.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/estimate"
 	"github.com/shallotpin/shallotpin/pkg/scheduler"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
@@ -169,7 +170,7 @@
 	const decisions = 50
 	micros, err := processorMicros(func() error {
 		for range decisions {
-			scheduler.Decide(scheduler.Take(st))
+			decideAt(st, estimate.NewBook())
 		}
 		return nil
 	})
@@ -177,6 +178,12 @@
 	return err
 }
 
+// decideAt decides as the planner does, at a fixed time.
+func decideAt(st *state.State, book *estimate.Book) scheduler.Plan {
+	snap := scheduler.Take(st, book, time.Unix(0, 0))
+	return scheduler.Decide(snap, scheduler.DefaultPolicy(snap.Objective))
+}
+
 // runJob takes one job of four tasks from its submission to its end.
 func runJob(st *state.State, r *recorder, i int) error {
 	apply := func(rec state.Record) error {
@@ -189,7 +196,7 @@
 	if err := apply(state.Record{Submit: &state.SubmitJob{ID: id, Key: "key-" + id, Spec: smallJob(i)}}); err != nil {
 		return err
 	}
-	plan := scheduler.Decide(scheduler.Take(st))
+	plan := decideAt(st, estimate.NewBook())
 	if len(plan.Allocations) != 1 {
 		return api.Errorf(api.CodeFailed, "%d allocations for one waiting job", len(plan.Allocations))
 	}
@@ -197,12 +204,12 @@
 	if err := apply(state.Record{Plan: &state.PlanJob{Job: a.Job, Attempt: a.Attempt, Coordinator: r.writer, Placements: a.Placements}}); err != nil {
 		return err
 	}
-	scheduler.Decide(scheduler.Take(st))
+	decideAt(st, estimate.NewBook())
 	end := &state.EndAttempt{Job: id, Token: st.Jobs[id].Token, Outcome: state.OutcomeDone, Results: []string{"done", "done", "done", "done"}}
 	if err := apply(state.Record{End: end}); err != nil {
 		return err
 	}
-	scheduler.Decide(scheduler.Take(st))
+	decideAt(st, estimate.NewBook())
 	return nil
 }
 
--- a/pkg/state/apply.go
+++ b/pkg/state/apply.go
@@ -81,6 +81,7 @@
 	s.Config, s.Preset = p.Config, preset
 	s.ConfigVersion++
 	s.addZones(p.Config)
+	s.rebind()
 	return Outcome{Version: s.ConfigVersion}
 }
 
@@ -105,6 +106,7 @@
 	}
 	s.Preset = p.Preset
 	s.PresetVersion++
+	s.rebind()
 	return Outcome{Version: s.PresetVersion}
 }
 
@@ -118,6 +120,7 @@
 	}
 	zone.Out = z.Out
 	zone.Version++
+	s.rebind()
 	return Outcome{Version: zone.Version}
 }
 
@@ -139,6 +142,10 @@
 			s.forgetIfUnused(w)
 		}
 	}
+	s.rebind()
+	if len(f.Gone) > 0 {
+		s.endImpossible()
+	}
 	return Outcome{}
 }
 
@@ -147,8 +154,3 @@
 		delete(s.Workers, w.ID)
 	}
 }
-
-// checkGuarantees refuses a preset whose guarantees cannot fit the fleet together.
-func (s *State) checkGuarantees(c *config.Config, preset string) *api.Error {
-	return nil
-}
