--- /dev/null
+++ b/pkg/journal/read.go
@@ -0,0 +1,200 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+const (
+	// pollWait is how long one read waits for the next entry.
+	pollWait = 500 * time.Millisecond
+	// readTimeout bounds one read. It doubles up to maxReadTimeout while reads
+	// time out, so that a slow log is still read.
+	readTimeout    = 3 * time.Second
+	maxReadTimeout = 24 * time.Second
+)
+
+// Extent is what the log was last seen to retain.
+type Extent struct {
+	// First is the lowest offset retained, Next that of the next append.
+	First, Next int64
+	// Read is set once a read has succeeded.
+	Read bool
+	// Bytes counts the data applied since the newest snapshot was completed.
+	Bytes int64
+}
+
+// Extent returns what the log was last seen to retain.
+func (j *Journal) Extent() Extent {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	return j.extent
+}
+
+func (j *Journal) readLoop(ctx context.Context) {
+	timeout := readTimeout
+	for ctx.Err() == nil {
+		err := j.readOnce(ctx, timeout)
+		if err == nil {
+			timeout = readTimeout
+			continue
+		}
+		if errors.Is(err, context.DeadlineExceeded) {
+			timeout = min(2*timeout, maxReadTimeout)
+		}
+		klog.V(1).Infof("journal: read failed: %v", err)
+		sleep(ctx, retryPause)
+	}
+}
+
+func (j *Journal) readOnce(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	from := j.Offset()
+	// The view is confirmed as of the time before the read is sent: what is
+	// appended while the answer is under way may be missing from it.
+	began := time.Now()
+	page, err := j.log.Read(ctx, from, pollWait)
+	if err != nil {
+		return err
+	}
+	j.noteExtent(page)
+	if page.First > from {
+		return j.restore(ctx, from)
+	}
+	j.Merge(page.Entries)
+	j.Confirm(page.Next, began)
+	return nil
+}
+
+func (j *Journal) noteExtent(page platform.Page) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.extent.First, j.extent.Next, j.extent.Read = page.First, page.Next, true
+}
+
+// restore looks through the retained log for a snapshot that is newer than
+// what this node has read, and whose following entries are all retained.
+func (j *Journal) restore(ctx context.Context, read int64) error {
+	var chunks state.Assembler
+	for from := read; ; {
+		page, err := j.log.Read(ctx, from, 0)
+		if err != nil {
+			return err
+		}
+		if page.First > from {
+			chunks, from = state.Assembler{}, page.First
+			continue
+		}
+		st := findSnapshot(&chunks, page)
+		if st != nil && j.Install(st) {
+			klog.Infof("journal: restored from a snapshot of offset %d", st.Offset)
+			return nil
+		}
+		from += int64(len(page.Entries))
+		if len(page.Entries) == 0 || from >= page.Next {
+			return api.Errorf(api.CodeUnavailable, "the log starts at offset %d, this node has read up to %d, and no snapshot closes the gap", page.First, read)
+		}
+	}
+}
+
+// findSnapshot returns the first usable snapshot that the page completes.
+func findSnapshot(chunks *state.Assembler, page platform.Page) *state.State {
+	for _, e := range page.Entries {
+		batch, err := state.DecodeBatch(e.Data)
+		if err != nil {
+			continue
+		}
+		for i := range batch.Records {
+			c := batch.Records[i].Snapshot
+			if c == nil {
+				continue
+			}
+			st, err := chunks.Add(c)
+			if err != nil {
+				klog.Errorf("journal: snapshot %s cannot be used: %v", c.ID, err)
+			}
+			if st != nil && st.Offset >= page.First {
+				return st
+			}
+		}
+	}
+	return nil
+}
+
+// Install replaces the state by a newer one that was folded elsewhere, and
+// reports whether it was newer. The journal owns st from then on.
+func (j *Journal) Install(st *state.State) bool {
+	j.mu.Lock()
+	if st.Offset <= j.st.Offset {
+		j.mu.Unlock()
+		return false
+	}
+	j.st = st
+	j.recent.clear()
+	seq := st.Writers[j.writer].Seq
+	j.notify()
+	j.mu.Unlock()
+	j.resolveUnknown(seq)
+	return true
+}
+
+// notify wakes those who wait for a change. The caller holds mu.
+func (j *Journal) notify() {
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
+type ownResult struct {
+	seq uint64
+	out state.Outcome
+}
+
+// Merge folds entries and wakes those who wait for them. Entries that the
+// state already holds, and those after a gap, are passed over.
+func (j *Journal) Merge(entries []platform.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	var own []ownResult
+	j.mu.Lock()
+	for _, e := range entries {
+		if e.Offset == j.st.Offset {
+			own = j.fold(e, own)
+		}
+	}
+	j.notify()
+	j.mu.Unlock()
+	j.resolve(own)
+}
+
+// fold applies one entry and adds the verdicts on this node's own records.
+func (j *Journal) fold(e platform.Entry, own []ownResult) []ownResult {
+	j.st.Offset++
+	j.recent.add(e)
+	j.extent.Bytes += int64(len(e.Data))
+	batch, err := state.DecodeBatch(e.Data)
+	if err != nil {
+		klog.Errorf("journal: entry %d cannot be decoded and is passed over: %v", e.Offset, err)
+		return own
+	}
+	before := j.st.Snapshot
+	for i := range batch.Records {
+		r := &batch.Records[i]
+		out := j.st.Apply(r)
+		if r.Writer == j.writer && !out.Duplicate {
+			own = append(own, ownResult{r.Seq, out})
+		}
+	}
+	if j.st.Snapshot != before {
+		j.extent.Bytes = 0
+	}
+	return own
+}
--- /dev/null
+++ b/pkg/journal/recent.go
@@ -0,0 +1,56 @@
+package journal
+
+import "github.com/shallotpin/shallotpin/pkg/platform"
+
+const (
+	// maxRecentEntries and maxRecentBytes bound the entries kept for peers.
+	maxRecentEntries = 4096
+	maxRecentBytes   = 2 << 20
+)
+
+// recentEntries holds the newest entries applied, without gaps.
+type recentEntries struct {
+	entries []platform.Entry
+	bytes   int
+}
+
+func (r *recentEntries) add(e platform.Entry) {
+	r.entries = append(r.entries, e)
+	r.bytes += len(e.Data)
+	for len(r.entries) > maxRecentEntries || (r.bytes > maxRecentBytes && len(r.entries) > 1) {
+		r.bytes -= len(r.entries[0].Data)
+		r.entries[0].Data = nil
+		r.entries = r.entries[1:]
+	}
+}
+
+func (r *recentEntries) clear() { *r = recentEntries{} }
+
+// from returns entries from offset on, of at most about limit bytes. ok is
+// false if the entry at offset is not held any more.
+func (r *recentEntries) from(offset, next int64, limit int) (entries []platform.Entry, ok bool) {
+	if offset >= next {
+		return nil, true
+	}
+	if len(r.entries) == 0 || offset < r.entries[0].Offset {
+		return nil, false
+	}
+	rest := r.entries[offset-r.entries[0].Offset:]
+	size := 0
+	for i, e := range rest {
+		size += len(e.Data)
+		if i > 0 && size > limit {
+			return append([]platform.Entry(nil), rest[:i]...), true
+		}
+	}
+	return append([]platform.Entry(nil), rest...), true
+}
+
+// Since returns entries that the state holds from offset on, of at most about
+// limit bytes, and the state's offset. ok is false if they are not kept any more.
+func (j *Journal) Since(offset int64, limit int) (entries []platform.Entry, next int64, ok bool) {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	entries, ok = j.recent.from(offset, j.st.Offset, limit)
+	return entries, j.st.Offset, ok
+}
--- a/pkg/state/apply.go
+++ b/pkg/state/apply.go
@@ -21,10 +21,10 @@
 
 // Apply folds one record into the state.
 func (s *State) Apply(r *Record) Outcome {
-	if r.Seq <= s.Writers[r.Writer] {
+	if r.Seq <= s.Writers[r.Writer].Seq {
 		return Outcome{Duplicate: true}
 	}
-	s.Writers[r.Writer] = r.Seq
+	s.noteWriter(r.Writer, r.Seq)
 	switch {
 	case r.Publish != nil:
 		return s.applyPublish(r.Publish)
@@ -46,6 +46,8 @@
 		return s.applyClaim(r.Claim)
 	case r.End != nil:
 		return s.applyEnd(r.End)
+	case r.Snapshot != nil:
+		return s.applySnapshot(r.Snapshot)
 	}
 	return refuse(api.Errorf(api.CodeInvalid, "record has no known kind"))
 }
--- a/pkg/state/record.go
+++ b/pkg/state/record.go
@@ -30,6 +30,8 @@
 	Preempt *PreemptJob   `json:"preempt,omitempty"`
 	Claim   *ClaimJob     `json:"claim,omitempty"`
 	End     *EndAttempt   `json:"end,omitempty"`
+
+	Snapshot *SnapshotChunk `json:"snapshot,omitempty"`
 }
 
 // Batch is the payload of one log entry.
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -29,8 +29,12 @@
 	LastToken int64 `json:"last_token"`
 	// Submitted counts the jobs accepted so far.
 	Submitted int64 `json:"submitted"`
-	// Writers holds the last sequence number applied of each writer.
-	Writers map[string]uint64 `json:"writers"`
+	// Writers holds the last record applied of each writer.
+	Writers map[string]WriterMark `json:"writers"`
+	// Snapshot is the newest complete snapshot in the log.
+	Snapshot SnapshotMark `json:"snapshot,omitzero"`
+	// PartialSnapshots are the snapshots of which chunks are still to come.
+	PartialSnapshots []PartialSnapshot `json:"partial_snapshots,omitempty"`
 }
 
 // ZoneState is the state of an availability zone.
@@ -92,7 +96,7 @@
 func New() *State {
 	return &State{
 		Zones: map[string]*ZoneState{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{},
-		JobKeys: map[string]string{}, Writers: map[string]uint64{},
+		JobKeys: map[string]string{}, Writers: map[string]WriterMark{},
 	}
 }
 
