Say what a node's view of the log is worth, and relay it

Cause: a node cut off from the log served short requests for ever, into availability zones that may have been taken out, and was ready all the while. It learnt nothing from the nodes that could still read. Heartbeats were a full mesh at any size.

Ruled out: freshness in the arguments of calls. A message may wait in a buffer of a paused process for any time; only an answer is known to be composed after its call was sent. Ruled out too: serving in the dark on the word of some nodes; one node that can read suffices for an operator to have a zone taken out.

Heartbeat answers carry the status of the node and a digest of the others, so that beyond 8 nodes 3 random targets a round suffice.

Check: go test ./pkg/relay ./pkg/memsite ./pkg/frontdoor passes.

--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -100,6 +100,7 @@
 		ID: fmt.Sprintf("entry-%d", i), Zone: c.Zones[i%len(c.Zones)].Name,
 		HTTP: net.JoinHostPort(host, "0"), Peer: peers[0].Addr().String(), Log: log, VMs: vms,
 		DrainTimeout: 30 * time.Second, LeaseTTL: 10 * time.Second, StartWithin: 3 * time.Second, ClockDrift: 0.01,
+		SnapshotInterval: 10 * time.Minute,
 	}
 	if i == 0 {
 		s.HTTP = listen
--- a/pkg/frontdoor/frontdoor.go
+++ b/pkg/frontdoor/frontdoor.go
@@ -18,6 +18,7 @@
 	"github.com/shallotpin/shallotpin/pkg/lifecycle"
 	"github.com/shallotpin/shallotpin/pkg/membership"
 	"github.com/shallotpin/shallotpin/pkg/planner"
+	"github.com/shallotpin/shallotpin/pkg/relay"
 	"github.com/shallotpin/shallotpin/pkg/requests"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
@@ -37,6 +38,7 @@
 	journal  *journal.Journal
 	members  *membership.Service
 	fleet    *fleet.Service
+	relay    *relay.Service
 	requests *requests.Service
 
 	server     *http.Server
@@ -63,7 +65,7 @@
 func (s *Service) DependsOn() []string {
 	return []string{
 		journal.ServiceName, membership.ServiceName, fleet.ServiceName,
-		requests.ServiceName, lifecycle.ServiceName, planner.ServiceName,
+		relay.ServiceName, requests.ServiceName, lifecycle.ServiceName, planner.ServiceName,
 	}
 }
 
@@ -78,6 +80,9 @@
 	if s.fleet, err = kernel.Lookup[*fleet.Service](k, fleet.ServiceName); err != nil {
 		return err
 	}
+	if s.relay, err = kernel.Lookup[*relay.Service](k, relay.ServiceName); err != nil {
+		return err
+	}
 	if s.requests, err = kernel.Lookup[*requests.Service](k, requests.ServiceName); err != nil {
 		return err
 	}
--- a/pkg/frontdoor/operators.go
+++ b/pkg/frontdoor/operators.go
@@ -103,6 +103,10 @@
 // change proposes a change of configuration, based on the version that the
 // operator gave or else on the current one, and reports the fold's verdict.
 func (s *Service) change(w http.ResponseWriter, r *http.Request, given *uint64, rec state.Record, base *uint64, current func(*state.State) uint64) {
+	if err := s.relay.CheckChange(time.Now()); err != nil {
+		writeError(w, err)
+		return
+	}
 	if given != nil {
 		*base = *given
 	} else {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -21,12 +22,25 @@
 const ServiceName = "membership"
 
 const (
-	// HeartbeatInterval is the time between two heartbeats to a node.
+	// HeartbeatInterval is the time between two rounds of heartbeats.
 	HeartbeatInterval = time.Second
+	// staleInterval replaces it while this node's view of the log is stale, so
+	// that it learns soon whether the others are cut off too.
+	staleInterval = 500 * time.Millisecond
 	// heartbeatTimeout bounds one heartbeat.
 	heartbeatTimeout = 800 * time.Millisecond
-	// SuspectAfter is the silence after which a node counts as not live.
-	SuspectAfter = 4 * time.Second
+	// SuspectAfter is the silence after which a node counts as not live. At more
+	// than maxMesh nodes, news takes several rounds, and it is suspectAfterLarge.
+	SuspectAfter      = 4 * time.Second
+	suspectAfterLarge = 8 * time.Second
+	// maxMesh is the greatest number of other nodes that all get a heartbeat in
+	// every round. Beyond it, a round goes to fanOut of them.
+	maxMesh = 8
+	fanOut  = 3
+	// maxSuspects bounds the heartbeats of a round to nodes close to suspicion.
+	maxSuspects = 2
+	// forgetAfter is the silence after which a node that was never listed is forgotten.
+	forgetAfter = time.Minute
 )
 
 // Member is one node. Incarnation differs between two runs of a node.
@@ -35,35 +49,65 @@
 	Incarnation string
 	Zone        string
 	Address     string
+	// Started orders the runs of a node, in nanoseconds of its wall clock.
+	Started int64
 }
 
-// Heartbeat is the argument and the reply of a heartbeat.
-type Heartbeat struct{ From Member }
+// Status is what a node says about its view of the log.
+type Status struct {
+	// Stale means that the view is not known to be up to date.
+	Stale bool
+	// Unconfirmed means that a change of a zone may be in the log unread.
+	Unconfirmed bool
+	// Offset is the offset of the next entry that the node will apply.
+	Offset int64
+}
+
+// Report is the latest news of a member.
+type Report struct {
+	Member Member
+	// Heard is when the member was alive for certain.
+	Heard time.Time
+	// Reported is the earliest time at which Status may have been composed; zero if never.
+	Reported time.Time
+	Status   Status
+	// UnconfirmedAt is the latest such time with Status.Unconfirmed.
+	UnconfirmedAt time.Time
+}
 
 // Service sends heartbeats and keeps the view.
 type Service struct {
-	self  Member
-	peers *peer.Service
-	fleet *fleet.Service
+	self   Member
+	peers  *peer.Service
+	fleet  *fleet.Service
+	status func() Status
 
 	mu     sync.Mutex
-	seen   map[string]observed
+	seen   map[string]*Report
+	hashes map[uint32]string
+	listed map[string]bool
+	order  []string
+	rng    *rand.Rand
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
 
-type observed struct {
-	member Member
-	at     time.Time
-}
-
 // New returns a membership service for the node self. Its heartbeat handler is
 // registered with peers.
 func New(self Member, peers *peer.Service) (*Service, error) {
-	s := &Service{self: self, peers: peers, seen: map[string]observed{}}
+	seed := xxhash.Sum64String(self.Incarnation)
+	s := &Service{
+		self: self, peers: peers, status: func() Status { return Status{Stale: true} },
+		seen: map[string]*Report{}, hashes: map[uint32]string{}, listed: map[string]bool{},
+		rng: rand.New(rand.NewPCG(seed, seed)),
+	}
 	return s, peers.Handle("Membership", &handler{s})
 }
 
+// SetStatus makes fn the source of what this node reports about itself. It
+// must be called before Start.
+func (s *Service) SetStatus(fn func() Status) { s.status = fn }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return ServiceName }
 
@@ -97,15 +141,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	live := []Member{s.self}
-	for _, o := range s.seen {
-		if now.Sub(o.at) < SuspectAfter {
-			live = append(live, o.member)
+	for _, r := range s.seen {
+		if now.Sub(r.Heard) < s.suspectAfter() {
+			live = append(live, r.Member)
 		}
 	}
 	sort.Slice(live, func(i, j int) bool { return live[i].ID < live[j].ID })
 	return live
 }
 
+// suspectAfter returns the silence after which a node counts as not live. The
+// caller holds mu.
+func (s *Service) suspectAfter() time.Duration {
+	if len(s.seen) > maxMesh {
+		return suspectAfterLarge
+	}
+	return SuspectAfter
+}
+
 // Preferred returns the live node that rendezvous hashing picks for key.
 func (s *Service) Preferred(now time.Time, key string) Member {
 	return Rendezvous(s.Live(now), key)
@@ -123,47 +176,62 @@
 	return best
 }
 
-func (s *Service) loop(ctx context.Context) {
-	for ctx.Err() == nil {
-		s.round(ctx)
-		select {
-		case <-time.After(HeartbeatInterval):
-		case <-ctx.Done():
+// Others returns the latest news of every other node that is not known to be
+// gone. complete is false while the VM list has not been read, so that there
+// may be more. A listed node that was never heard of has a zero Report apart
+// from its member's ID.
+func (s *Service) Others(now time.Time) (reports []Report, complete bool) {
+	vms, complete := s.fleet.VMs(platform.KindEntry)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteListed(vms)
+	current := map[string]bool{s.self.ID: true}
+	for _, vm := range vms {
+		if current[vm.ID] {
+			continue
+		}
+		current[vm.ID] = true
+		if r := s.seen[vm.ID]; r != nil {
+			reports = append(reports, *r)
+		} else {
+			reports = append(reports, Report{Member: Member{ID: vm.ID}})
+		}
+	}
+	for id, r := range s.seen {
+		if !current[id] && !s.gone(id, now) {
+			reports = append(reports, *r)
 		}
 	}
+	return reports, complete
 }
 
-// round sends one heartbeat to every listed entry VM.
-func (s *Service) round(ctx context.Context) {
-	vms, _ := s.fleet.VMs(platform.KindEntry)
+func (s *Service) noteListed(vms []platform.VM) {
 	for _, vm := range vms {
-		if vm.ID == s.self.ID {
-			continue
-		}
-		s.wg.Go(func() { s.beat(ctx, vm.Address) })
+		s.listed[vm.ID] = true
 	}
 }
 
-func (s *Service) beat(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	var reply Heartbeat
-	if err := s.peers.Call(ctx, address, "Membership.Beat", &Heartbeat{s.self}, &reply); err == nil {
-		s.observe(reply.From)
+// gone reports whether a node that is not listed now is known to be dead: it
+// was listed before, or was never listed for long, and is silent. The caller
+// holds mu.
+func (s *Service) gone(id string, now time.Time) bool {
+	limit := forgetAfter
+	if s.listed[id] {
+		limit = s.suspectAfter()
 	}
+	return now.Sub(s.seen[id].Heard) >= limit
 }
 
-func (s *Service) observe(m Member) {
+// Unconfirmed returns the latest time at which any node, dead or alive, may
+// have reported a change of a zone that it had not read back.
+func (s *Service) Unconfirmed() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.seen[m.ID] = observed{m, time.Now()}
-}
-
-type handler struct{ s *Service }
-
-// Beat answers a heartbeat.
-func (h *handler) Beat(args *Heartbeat, reply *Heartbeat) error {
-	h.s.observe(args.From)
-	reply.From = h.s.self
-	return nil
+	var latest time.Time
+	for _, r := range s.seen {
+		if r.UnconfirmedAt.After(latest) {
+			latest = r.UnconfirmedAt
+		}
+	}
+	return latest
 }
--- a/pkg/memsite/memsite.go
+++ b/pkg/memsite/memsite.go
@@ -128,6 +128,7 @@
 		HTTP: net.JoinHostPort(ip, "7400"), Peer: net.JoinHostPort(ip, "7401"),
 		Log: "http://10.2.0.1:80", VMs: "http://10.2.0.2:80",
 		DrainTimeout: 30 * time.Second, LeaseTTL: 10 * time.Second, StartWithin: 3 * time.Second, ClockDrift: 0.01,
+		SnapshotInterval: 10 * time.Minute,
 	}
 	if s.opts.Settings != nil {
 		s.opts.Settings(&set)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/shallotpin/shallotpin/pkg/peer"
 	"github.com/shallotpin/shallotpin/pkg/planner"
 	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/relay"
 	"github.com/shallotpin/shallotpin/pkg/requests"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
@@ -34,11 +35,12 @@
 	Log  string `long:"log" env:"SHALLOTPIN_LOG" default:"http://127.0.0.1:7300" description:"URL of the platform's log service, with an IP number"`
 	VMs  string `long:"vms" env:"SHALLOTPIN_VMS" default:"http://127.0.0.1:7301" description:"URL of the platform's VM list, with an IP number"`
 
-	DrainDelay   time.Duration `long:"drain-delay" env:"SHALLOTPIN_DRAIN_DELAY" default:"2s" description:"how long a planned stop goes on taking requests while /readyz says no, 0s to 1m"`
-	DrainTimeout time.Duration `long:"drain-timeout" env:"SHALLOTPIN_DRAIN_TIMEOUT" default:"30s" description:"longest time that a planned stop waits for requests in flight, 1s to 10m"`
-	LeaseTTL     time.Duration `long:"lease-ttl" env:"SHALLOTPIN_LEASE_TTL" default:"10s" description:"how long a task runs on without a renewal, 2s to 5m"`
-	StartWithin  time.Duration `long:"start-within" env:"SHALLOTPIN_START_WITHIN" default:"3s" description:"longest time from reservation to start on a worker's clock, 500ms to 4s"`
-	ClockDrift   float64       `long:"clock-drift" env:"SHALLOTPIN_CLOCK_DRIFT" default:"0.01" description:"assumed bound on the relative drift between two VMs' clocks, 0 to 0.2"`
+	DrainDelay       time.Duration `long:"drain-delay" env:"SHALLOTPIN_DRAIN_DELAY" default:"2s" description:"how long a planned stop goes on taking requests while /readyz says no, 0s to 1m"`
+	DrainTimeout     time.Duration `long:"drain-timeout" env:"SHALLOTPIN_DRAIN_TIMEOUT" default:"30s" description:"longest time that a planned stop waits for requests in flight, 1s to 10m"`
+	LeaseTTL         time.Duration `long:"lease-ttl" env:"SHALLOTPIN_LEASE_TTL" default:"10s" description:"how long a task runs on without a renewal, 2s to 5m"`
+	StartWithin      time.Duration `long:"start-within" env:"SHALLOTPIN_START_WITHIN" default:"3s" description:"longest time from reservation to start on a worker's clock, 500ms to 4s"`
+	SnapshotInterval time.Duration `long:"snapshot-interval" env:"SHALLOTPIN_SNAPSHOT_INTERVAL" default:"10m" description:"greatest age of the newest snapshot in the log, under half of the log's retention, 10s to 24h"`
+	ClockDrift       float64       `long:"clock-drift" env:"SHALLOTPIN_CLOCK_DRIFT" default:"0.01" description:"assumed bound on the relative drift between two VMs' clocks, 0 to 0.2"`
 }
 
 // Problems checks the settings and names every wrong one.
@@ -75,6 +77,7 @@
 	checkRange("--drain-timeout", s.DrainTimeout, time.Second, 10*time.Minute)
 	checkRange("--lease-ttl", s.LeaseTTL, 2*time.Second, 5*time.Minute)
 	checkRange("--start-within", s.StartWithin, 500*time.Millisecond, 4*time.Second)
+	checkRange("--snapshot-interval", s.SnapshotInterval, 10*time.Second, 24*time.Hour)
 	if s.ClockDrift < 0 || s.ClockDrift > 0.2 {
 		add("--clock-drift: %g is not between 0 and 0.2", s.ClockDrift)
 	}
@@ -104,6 +107,8 @@
 	front  *frontdoor.Service
 	// Journal is the node's view of the log.
 	Journal *journal.Journal
+	// Relay says what the node's view of the log is worth.
+	Relay *relay.Service
 	// Members is the node's view of the other nodes.
 	Members  *membership.Service
 	Requests *requests.Service
@@ -115,21 +120,26 @@
 	incarnation := s.ID + "/" + uuid.NewString()
 	set := metrics.NewSet()
 	peers := peer.New(network, s.Peer)
-	members, err := membership.New(membership.Member{ID: s.ID, Incarnation: incarnation, Zone: s.Zone, Address: s.Peer}, peers)
+	members, err := membership.New(membership.Member{ID: s.ID, Incarnation: incarnation, Zone: s.Zone, Address: s.Peer, Started: time.Now().UnixNano()}, peers)
 	if err != nil {
 		return nil, err
 	}
 	lifecycleSettings := lifecycle.DefaultSettings
 	lifecycleSettings.LeaseTTL, lifecycleSettings.StartWithin, lifecycleSettings.ClockDrift = s.LeaseTTL, s.StartWithin, s.ClockDrift
 	lifecycleSettings.RenewInterval = s.LeaseTTL / 5
+	log := journal.New(p.Log, incarnation)
+	relays, err := relay.New(relay.Settings{SnapshotInterval: s.SnapshotInterval, ClockDrift: s.ClockDrift}, log, members, peers, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())))
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{
 		kernel: kernel.New(), settings: s, Members: members,
-		Journal:  journal.New(p.Log, incarnation),
+		Journal: log, Relay: relays,
 		Requests: requests.New(network, rng),
 		front:    frontdoor.New(network, s.HTTP, s.DrainDelay, set),
 	}
 	services := []kernel.Service{
-		n.Journal, fleet.New(p.VMs), peers, members,
+		n.Journal, fleet.New(p.VMs), peers, members, relays,
 		planner.New(), lifecycle.New(lifecycleSettings, p.Workers), n.Requests, n.front,
 	}
 	for _, service := range services {
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -17,6 +17,7 @@
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/membership"
 	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/relay"
 	"github.com/shallotpin/shallotpin/pkg/routing"
 	"github.com/shallotpin/shallotpin/pkg/state"
 	"github.com/shallotpin/shallotpin/pkg/transport"
@@ -34,6 +35,7 @@
 	journal  *journal.Journal
 	members  *membership.Service
 	fleet    *fleet.Service
+	relay    *relay.Service
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -51,7 +53,7 @@
 
 // DependsOn implements kernel.Service.
 func (s *Service) DependsOn() []string {
-	return []string{journal.ServiceName, membership.ServiceName, fleet.ServiceName}
+	return []string{journal.ServiceName, membership.ServiceName, fleet.ServiceName, relay.ServiceName}
 }
 
 // Start implements kernel.Service.
@@ -62,6 +64,9 @@
 	if s.members, err = kernel.Lookup[*membership.Service](k, membership.ServiceName); err != nil {
 		return err
 	}
+	if s.relay, err = kernel.Lookup[*relay.Service](k, relay.ServiceName); err != nil {
+		return err
+	}
 	s.fleet, err = kernel.Lookup[*fleet.Service](k, fleet.ServiceName)
 	return err
 }
@@ -77,6 +82,9 @@
 	if r.ID == "" {
 		r.ID = uuid.NewString()
 	}
+	if err := s.relay.CheckServe(time.Now()); err != nil {
+		return refuse(r, err)
+	}
 	class, err := s.class(r)
 	if err != nil {
 		return refuse(r, err)
