--- a/pkg/frontdoor/operators.go
+++ b/pkg/frontdoor/operators.go
@@ -105,6 +105,10 @@
 // change proposes a change of configuration, based on the version that the
 // operator gave or else on the current one, and reports the fold's verdict.
 func (s *Service) change(w http.ResponseWriter, r *http.Request, given *uint64, rec state.Record, base *uint64, current func(*state.State) uint64) {
+	if err := s.awaitFresh(r.Context()); err != nil {
+		writeError(w, err)
+		return
+	}
 	if given != nil {
 		*base = *given
 	} else {
@@ -118,6 +122,24 @@
 	writeJSON(w, http.StatusOK, api.Ran, ChangeBody{api.Ran, out.Version})
 }
 
+// freshWait bounds how long an operator waits for a node that has just started
+// to learn the state.
+const freshWait = 2 * time.Second
+
+// awaitFresh returns nil once the node knows the state of the log.
+func (s *Service) awaitFresh(ctx context.Context) error {
+	refusal := s.relay.CheckChange(time.Now())
+	if refusal == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, freshWait)
+	defer cancel()
+	if s.journal.Sync(ctx) != nil {
+		return refusal
+	}
+	return nil
+}
+
 // propose writes a record and returns an error unless the fold accepted it.
 func (s *Service) propose(ctx context.Context, rec state.Record) (state.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
--- a/pkg/state/cells_test.go
+++ b/pkg/state/cells_test.go
@@ -308,7 +308,7 @@
 
 func TestPresetThatCannotFitIsRefusedWithItsConflict(t *testing.T) {
 	switchTo := func(s *State, preset string) *api.Error {
-		r := Record{Writer: "op", Seq: s.Writers["op"] + 1, Preset: &SwitchPreset{Base: s.PresetVersion, Preset: preset}}
+		r := Record{Writer: "op", Seq: s.Writers["op"].Seq + 1, Preset: &SwitchPreset{Base: s.PresetVersion, Preset: preset}}
 		return s.Apply(&r).Err
 	}
 	s := fixedState(t)
--- a/pkg/state/record.go
+++ b/pkg/state/record.go
@@ -31,6 +31,8 @@
 	Claim   *ClaimJob     `json:"claim,omitempty"`
 	Begin   *BeginAttempt `json:"begin,omitempty"`
 	End     *EndAttempt   `json:"end,omitempty"`
+
+	Snapshot *SnapshotChunk `json:"snapshot,omitempty"`
 }
 
 // Batch is the payload of one log entry.
