Stop folding at records of a newer program

Cause: every node folds the log by itself, and an old program passed over records that it did not know. During a rolling upgrade its state would differ from the others' for good, and nothing would show it.

Ruled out: refusing unknown JSON fields, since a changed meaning of a known field would still slip through.

A node that meets a newer one keeps its state, is not fresh, and so not ready.

Conclusion: an old node stops instead of disagreeing. Rolling out a second format in two steps is left until there is one.

--- a/pkg/journal/read.go
+++ b/pkg/journal/read.go
@@ -19,6 +19,8 @@
 	// time out, so that a slow log is still read.
 	readTimeout    = 3 * time.Second
 	maxReadTimeout = 24 * time.Second
+	// newerFormatPause is the wait after a read that this program is too old for.
+	newerFormatPause = 5 * time.Second
 )
 
 // Extent is what the log was last seen to retain.
@@ -49,8 +51,15 @@
 		if errors.Is(err, context.DeadlineExceeded) {
 			timeout = min(2*timeout, maxReadTimeout)
 		}
-		klog.V(1).Infof("journal: read failed: %v", err)
-		sleep(ctx, retryPause)
+		pause := retryPause
+		var newer *state.NewerFormatError
+		if errors.As(err, &newer) {
+			klog.Errorf("journal: this program must be replaced: %v", err)
+			pause = newerFormatPause
+		} else {
+			klog.V(1).Infof("journal: read failed: %v", err)
+		}
+		sleep(ctx, pause)
 	}
 }
 
@@ -69,7 +78,9 @@
 	if page.First > from {
 		return j.restore(ctx, from)
 	}
-	j.Merge(page.Entries)
+	if err := j.Merge(page.Entries); err != nil {
+		return err
+	}
 	j.Confirm(page.Next, began)
 	return nil
 }
@@ -158,32 +169,43 @@
 }
 
 // Merge folds entries and wakes those who wait for them. Entries that the
-// state already holds, and those after a gap, are passed over.
-func (j *Journal) Merge(entries []platform.Entry) {
+// state already holds, and those after a gap, are passed over. The error is a
+// *state.NewerFormatError if this program is too old to fold on.
+func (j *Journal) Merge(entries []platform.Entry) error {
 	if len(entries) == 0 {
-		return
+		return nil
 	}
 	var own []ownResult
+	var err error
 	j.mu.Lock()
 	for _, e := range entries {
-		if e.Offset == j.st.Offset {
-			own = j.fold(e, own)
+		if e.Offset != j.st.Offset {
+			continue
+		}
+		if own, err = j.fold(e, own); err != nil {
+			break
 		}
 	}
 	j.notify()
 	j.mu.Unlock()
 	j.resolve(own)
+	return err
 }
 
-// fold applies one entry and adds the verdicts on this node's own records.
-func (j *Journal) fold(e platform.Entry, own []ownResult) []ownResult {
+// fold applies one entry and adds the verdicts on this node's own records. An
+// entry that a newer program wrote is not applied.
+func (j *Journal) fold(e platform.Entry, own []ownResult) ([]ownResult, error) {
+	batch, err := state.DecodeBatch(e.Data)
+	var newer *state.NewerFormatError
+	if errors.As(err, &newer) {
+		return own, err
+	}
 	j.st.Offset++
 	j.recent.add(e)
 	j.extent.Bytes += int64(len(e.Data))
-	batch, err := state.DecodeBatch(e.Data)
 	if err != nil {
 		klog.Errorf("journal: entry %d cannot be decoded and is passed over: %v", e.Offset, err)
-		return own
+		return own, nil
 	}
 	before := j.st.Snapshot
 	for i := range batch.Records {
@@ -196,5 +218,5 @@
 	if j.st.Snapshot != before {
 		j.extent.Bytes = 0
 	}
-	return own
+	return own, nil
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -152,7 +152,9 @@
 			}
 			continue
 		}
-		s.journal.Merge(reply.Entries)
+		if err := s.journal.Merge(reply.Entries); err != nil {
+			return err
+		}
 		if reply.Known {
 			// The answer was composed after the call was sent. So what the peer
 			// had confirmed Age before, it had confirmed after sent minus Age.
--- a/pkg/state/record.go
+++ b/pkg/state/record.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/config"
@@ -35,18 +36,37 @@
 	Snapshot *SnapshotChunk `json:"snapshot,omitempty"`
 }
 
+// Format is the format of the records that this program writes. It rises with
+// every change of the records or of the fold that an older program would apply
+// differently, since all nodes must fold alike.
+const Format = 1
+
 // Batch is the payload of one log entry.
 type Batch struct {
+	Format  int      `json:"format"`
 	Records []Record `json:"records"`
 }
 
 // EncodeBatch returns the log entry for records.
-func EncodeBatch(records []Record) ([]byte, error) { return json.Marshal(Batch{records}) }
+func EncodeBatch(records []Record) ([]byte, error) { return json.Marshal(Batch{Format, records}) }
+
+// NewerFormatError reports a log entry that a newer program wrote. A node that
+// meets one must not fold on.
+type NewerFormatError struct{ Format int }
+
+// Error implements the error interface.
+func (e *NewerFormatError) Error() string {
+	return fmt.Sprintf("the log holds records of format %d, this program knows formats up to %d", e.Format, Format)
+}
 
-// DecodeBatch parses a log entry.
+// DecodeBatch parses a log entry. Its error is a *NewerFormatError if a newer
+// program wrote the entry.
 func DecodeBatch(data []byte) (Batch, error) {
 	var b Batch
 	err := json.Unmarshal(data, &b)
+	if b.Format > Format {
+		return b, &NewerFormatError{b.Format}
+	}
 	return b, err
 }
 
--- a/pkg/state/snapshot.go
+++ b/pkg/state/snapshot.go
@@ -62,7 +62,8 @@
 	return out.Bytes(), nil
 }
 
-// Decode is the inverse of Encode.
+// Decode is the inverse of Encode. Its error is a *NewerFormatError if a newer
+// program folded the state.
 func Decode(data []byte) (*State, error) {
 	zip, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
@@ -76,6 +77,10 @@
 	if err := json.Unmarshal(plain, s); err != nil {
 		return nil, fmt.Errorf("state: snapshot: %w", err)
 	}
+	if s.Format > Format {
+		return nil, &NewerFormatError{s.Format}
+	}
+	s.Format = Format
 	return s, nil
 }
 
--- a/pkg/state/snapshot_test.go
+++ b/pkg/state/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -200,3 +201,16 @@
 		t.Errorf("%d writers, steady at %+v", len(s.Writers), s.Writers["steady"])
 	}
 }
+
+func TestDecodeRefusesStateOfNewerFormat(t *testing.T) {
+	s := New()
+	s.Format = Format + 1
+	data, err := s.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var newer *NewerFormatError
+	if _, err := Decode(data); !errors.As(err, &newer) {
+		t.Errorf("got %v, want a *NewerFormatError", err)
+	}
+}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -11,6 +11,8 @@
 
 // State is the result of folding the log up to Offset.
 type State struct {
+	// Format is the format of the records that the state was folded from.
+	Format int `json:"format"`
 	// Offset is the offset of the next entry to apply.
 	Offset int64 `json:"offset"`
 
@@ -110,7 +112,8 @@
 // New returns the state before the first record.
 func New() *State {
 	return &State{
-		Zones: map[string]*ZoneState{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{},
+		Format: Format,
+		Zones:  map[string]*ZoneState{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{},
 		JobKeys: map[string]string{}, Writers: map[string]WriterMark{},
 	}
 }
