Say not-run only if no byte was handed to the kernel

Cause: an attempt counted as handed over once net/http had obtained a connection. That is too early by one step, and nothing stopped a write after the verdict was given. A refusal header was believed before the identity of the reply was checked, so a crossed refusal could turn into a false not-run. Ruled out: httptrace.WroteHeaders and WroteRequest, which come after bytes may have gone out; comparing byte counts without sealing, which leaves a write that begins after the comparison. Change: connections to upstreams count the writes begun, and a failed attempt seals its connections before its verdict is taken. Identity first, refusal and digest after it. Each upstream has its own connections, which are replaced together after a failure.

--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -91,7 +91,7 @@
 		return refuse(r, err)
 	}
 	defer s.release(vm.ID)
-	return s.upstream.do(ctx, vm, r)
+	return s.upstream.do(ctx, vm, r, r.ID).answer
 }
 
 func refuse(r *api.Request, err error) api.Answer {
--- a/pkg/requests/upstream.go
+++ b/pkg/requests/upstream.go
@@ -8,69 +8,129 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
+	"sync"
+	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
 
-// maxAnswerBytes bounds the body of an upstream's answer.
-const maxAnswerBytes = 8 << 20
+const (
+	// maxAnswerBytes bounds the body of an upstream's answer.
+	maxAnswerBytes = 8 << 20
+	// maxConnsPerUpstream bounds this node's connections to one upstream. Eight
+	// nodes share the 64 connections that an upstream takes.
+	maxConnsPerUpstream = 8
+	// upstreamIdleTimeout closes idle connections, which may have gone silent.
+	upstreamIdleTimeout = 5 * time.Second
+)
 
-// upstreamClient sends requests to upstreams and checks their answers.
+// upstreamClient sends requests to upstreams and checks their answers. Each
+// upstream has connections of its own, so that they can be replaced together.
 type upstreamClient struct {
-	http *http.Client
+	network transport.Network
+	mu      sync.Mutex
+	clients map[string]*http.Client
+}
+
+// attemptResult is what one attempt at one upstream came to.
+type attemptResult struct {
+	answer api.Answer
+	// draining means that the upstream asked for no new work.
+	draining bool
+	// refused means that the upstream refused before it started the work.
+	refused bool
+	// abandoned means that the upstream may still be working on the attempt.
+	abandoned bool
 }
 
 func newUpstreamClient(network transport.Network) *upstreamClient {
-	return &upstreamClient{http: transport.HTTPClient(network, 0)}
+	return &upstreamClient{network: trackedNetwork{network}, clients: map[string]*http.Client{}}
+}
+
+func (c *upstreamClient) client(address string) *http.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.clients[address]
+	if h == nil {
+		h = transport.HTTPClient(c.network, maxConnsPerUpstream)
+		h.Transport.(*http.Transport).IdleConnTimeout = upstreamIdleTimeout
+		c.clients[address] = h
+	}
+	return h
+}
+
+// keep drops the connections to upstreams that are not among addresses.
+func (c *upstreamClient) keep(addresses map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, h := range c.clients {
+		if !addresses[address] {
+			h.CloseIdleConnections()
+			delete(c.clients, address)
+		}
+	}
 }
 
-func (c *upstreamClient) close() { c.http.CloseIdleConnections() }
+func (c *upstreamClient) close() { c.keep(nil) }
 
-// do sends one request once. Until a connection has been obtained, nothing can
-// have reached the upstream.
-func (c *upstreamClient) do(ctx context.Context, vm platform.VM, r *api.Request) api.Answer {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, vm.Address+"/run", bytes.NewReader(r.Body))
+// do makes one attempt under the identity id. The verdict is not-run only if
+// no byte of the request was handed to the kernel, or if the upstream refused
+// this very attempt.
+func (c *upstreamClient) do(ctx context.Context, vm platform.VM, r *api.Request, id string) attemptResult {
+	var h handover
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, h.trace()), http.MethodPost, vm.Address+"/run", bytes.NewReader(r.Body))
 	if err != nil {
-		return refuse(r, err)
+		return attemptResult{answer: refuse(r, err)}
 	}
 	// Without GetBody, net/http never sends the request a second time by itself.
 	req.GetBody = nil
-	req.Header.Set(api.HeaderRequestID, r.ID)
+	req.Header.Set(api.HeaderRequestID, id)
 	req.Header.Set(api.HeaderClass, r.Class)
-	resp, err := c.http.Do(req)
+	client := c.client(vm.Address)
+	resp, err := client.Do(req)
 	if err != nil {
-		verdict := api.NotRun
-		if connected.Load() {
-			verdict = api.MayHaveRun
-		}
-		return failed(r, vm, verdict, api.CodeUnavailable, err.Error())
+		return c.lost(client, r, vm, &h, err)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return failed(r, vm, api.MayHaveRun, api.CodeUnavailable, err.Error())
+		return c.lost(client, r, vm, &h, err)
 	}
-	return checkAnswer(r, vm, resp, body)
+	return checkAnswer(r, vm, id, resp, body)
 }
 
-// checkAnswer accepts a body only if it is the whole answer to this request.
-func checkAnswer(r *api.Request, vm platform.VM, resp *http.Response, body []byte) api.Answer {
-	if resp.Header.Get(api.HeaderUpstreamRefused) == api.NotRun.String() {
-		return failed(r, vm, api.NotRun, api.CodeUnavailable, "the upstream refused the request")
+// lost ends an attempt that got no whole answer. The other idle connections to
+// the upstream may be broken or silent alike, so they are replaced.
+func (c *upstreamClient) lost(client *http.Client, r *api.Request, vm platform.VM, h *handover, err error) attemptResult {
+	verdict := api.NotRun
+	begun := h.abandon()
+	if begun {
+		verdict = api.MayHaveRun
 	}
+	client.CloseIdleConnections()
+	return attemptResult{answer: failed(r, vm, verdict, api.CodeUnavailable, err.Error()), abandoned: begun}
+}
+
+// checkAnswer accepts a reply only if it is the whole reply to this attempt.
+func checkAnswer(r *api.Request, vm platform.VM, id string, resp *http.Response, body []byte) attemptResult {
+	result := attemptResult{draining: resp.Header.Get(api.HeaderDraining) != ""}
 	sum := sha256.Sum256(body)
-	if resp.Header.Get(api.HeaderRequestID) != r.ID || resp.Header.Get(api.HeaderAnswerDigest) != hex.EncodeToString(sum[:]) {
-		return failed(r, vm, api.MayHaveRun, api.CodeUnavailable, "the answer is not the whole answer to this request")
-	}
-	if resp.StatusCode != http.StatusOK {
-		return failed(r, vm, api.Ran, api.CodeFailed, "the upstream answered with status "+resp.Status)
+	switch {
+	case resp.Header.Get(api.HeaderRequestID) != id:
+		result.answer = failed(r, vm, api.MayHaveRun, api.CodeUnavailable, "the answer is not the answer to this request")
+	case resp.Header.Get(api.HeaderUpstreamRefused) == api.NotRun.String():
+		result.refused = true
+		result.answer = failed(r, vm, api.NotRun, api.CodeUnavailable, "the upstream refused the request")
+	case resp.Header.Get(api.HeaderAnswerDigest) != hex.EncodeToString(sum[:]):
+		result.answer = failed(r, vm, api.MayHaveRun, api.CodeUnavailable, "the answer is not whole")
+	case resp.StatusCode != http.StatusOK:
+		result.answer = failed(r, vm, api.Ran, api.CodeFailed, "the upstream answered with status "+resp.Status)
+	default:
+		result.answer = api.Answer{RequestID: r.ID, Verdict: api.Ran, Body: string(body), Upstream: vm.ID}
 	}
-	return api.Answer{RequestID: r.ID, Verdict: api.Ran, Body: string(body), Upstream: vm.ID}
+	return result
 }
 
 func failed(r *api.Request, vm platform.VM, verdict api.Verdict, code api.Code, message string) api.Answer {
--- a/pkg/standin/upstream.go
+++ b/pkg/standin/upstream.go
@@ -123,6 +123,7 @@
 	id := r.Header.Get(api.HeaderRequestID)
 	faults := u.begin(id, string(body))
 	if faults.Refuse {
+		w.Header().Set(api.HeaderRequestID, id)
 		w.Header().Set(api.HeaderUpstreamRefused, api.NotRun.String())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
