--- a/pkg/frontdoor/operators.go
+++ b/pkg/frontdoor/operators.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/cells"
 	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/state"
@@ -103,6 +105,10 @@
 // change proposes a change of configuration, based on the version that the
 // operator gave or else on the current one, and reports the fold's verdict.
 func (s *Service) change(w http.ResponseWriter, r *http.Request, given *uint64, rec state.Record, base *uint64, current func(*state.State) uint64) {
+	if err := s.awaitFresh(r.Context()); err != nil {
+		writeError(w, err)
+		return
+	}
 	if given != nil {
 		*base = *given
 	} else {
@@ -116,6 +122,24 @@
 	writeJSON(w, http.StatusOK, api.Ran, ChangeBody{api.Ran, out.Version})
 }
 
+// freshWait bounds how long an operator waits for a node that has just started
+// to learn the state.
+const freshWait = 2 * time.Second
+
+// awaitFresh returns nil once the node knows the state of the log.
+func (s *Service) awaitFresh(ctx context.Context) error {
+	refusal := s.relay.CheckChange(time.Now())
+	if refusal == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, freshWait)
+	defer cancel()
+	if s.journal.Sync(ctx) != nil {
+		return refusal
+	}
+	return nil
+}
+
 // propose writes a record and returns an error unless the fold accepted it.
 func (s *Service) propose(ctx context.Context, rec state.Record) (state.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
@@ -147,8 +171,10 @@
 type AccountStatus struct {
 	Name       string             `json:"name"`
 	Guarantees []config.Guarantee `json:"guarantees"`
-	Pending    int                `json:"pending"`
-	Placed     int                `json:"placed"`
+	// Unfit are the guaranteed shapes that the workers left cannot hold.
+	Unfit   []cells.Shape `json:"unfit,omitempty"`
+	Pending int           `json:"pending"`
+	Placed  int           `json:"placed"`
 }
 
 // ZoneStatus is an availability zone and what is in it.
@@ -177,6 +203,15 @@
 
 func fillStatus(body *StatusBody, st *state.State, upstreams []platform.VM) {
 	body.Preset, body.ConfigVersion, body.Offset = st.Preset, st.ConfigVersion, st.Offset
+	body.Zones = zoneStatuses(st, upstreams)
+	body.Accounts = accountStatuses(st)
+	for _, j := range st.Jobs {
+		body.Jobs[j.Phase]++
+	}
+}
+
+// zoneStatuses returns the availability zones by name.
+func zoneStatuses(st *state.State, upstreams []platform.VM) []ZoneStatus {
 	zones := map[string]*ZoneStatus{}
 	zone := func(name string) *ZoneStatus {
 		if zones[name] == nil {
@@ -196,14 +231,11 @@
 	for _, vm := range upstreams {
 		zone(vm.Zone).Upstreams++
 	}
-	for _, z := range zones {
-		body.Zones = append(body.Zones, *z)
-	}
-	sort.Slice(body.Zones, func(i, j int) bool { return body.Zones[i].Name < body.Zones[j].Name })
-	body.Accounts = accountStatuses(st)
-	for _, j := range st.Jobs {
-		body.Jobs[j.Phase]++
+	out := make([]ZoneStatus, 0, len(zones))
+	for _, name := range slices.Sorted(maps.Keys(zones)) {
+		out = append(out, *zones[name])
 	}
+	return out
 }
 
 func accountStatuses(st *state.State) []AccountStatus {
@@ -219,6 +251,11 @@
 	for _, g := range st.Guarantees() {
 		index[g.Account].Guarantees = append(index[g.Account].Guarantees, g)
 	}
+	for _, shape := range st.Cells.Unfit {
+		if a := index[shape.Account]; a != nil {
+			a.Unfit = append(a.Unfit, shape)
+		}
+	}
 	for _, j := range st.Jobs {
 		a := index[j.Spec.Account]
 		switch {
--- a/pkg/state/apply.go
+++ b/pkg/state/apply.go
@@ -21,10 +21,10 @@
 
 // Apply folds one record into the state.
 func (s *State) Apply(r *Record) Outcome {
-	if r.Seq <= s.Writers[r.Writer] {
+	if r.Seq <= s.Writers[r.Writer].Seq {
 		return Outcome{Duplicate: true}
 	}
-	s.Writers[r.Writer] = r.Seq
+	s.noteWriter(r.Writer, r.Seq)
 	switch {
 	case r.Publish != nil:
 		return s.applyPublish(r.Publish)
@@ -44,8 +44,12 @@
 		return s.applyPreempt(r.Preempt)
 	case r.Claim != nil:
 		return s.applyClaim(r.Claim)
+	case r.Begin != nil:
+		return s.applyBegin(r.Begin)
 	case r.End != nil:
 		return s.applyEnd(r.End)
+	case r.Snapshot != nil:
+		return s.applySnapshot(r.Snapshot)
 	}
 	return refuse(api.Errorf(api.CodeInvalid, "record has no known kind"))
 }
@@ -79,6 +83,7 @@
 	s.Config, s.Preset = p.Config, preset
 	s.ConfigVersion++
 	s.addZones(p.Config)
+	s.rebind()
 	return Outcome{Version: s.ConfigVersion}
 }
 
@@ -103,6 +108,7 @@
 	}
 	s.Preset = p.Preset
 	s.PresetVersion++
+	s.rebind()
 	return Outcome{Version: s.PresetVersion}
 }
 
@@ -116,6 +122,7 @@
 	}
 	zone.Out = z.Out
 	zone.Version++
+	s.rebind()
 	return Outcome{Version: zone.Version}
 }
 
@@ -137,6 +144,10 @@
 			s.forgetIfUnused(w)
 		}
 	}
+	s.rebind()
+	if len(f.Gone) > 0 {
+		s.endImpossible()
+	}
 	return Outcome{}
 }
 
@@ -145,8 +156,3 @@
 		delete(s.Workers, w.ID)
 	}
 }
-
-// checkGuarantees refuses a preset whose guarantees cannot fit the fleet together.
-func (s *State) checkGuarantees(c *config.Config, preset string) *api.Error {
-	return nil
-}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/cells"
 	"github.com/shallotpin/shallotpin/pkg/config"
 )
 
@@ -20,7 +21,9 @@
 	Zones         map[string]*ZoneState `json:"zones"`
 
 	Workers map[string]*Worker `json:"workers"`
-	Jobs    map[string]*Job    `json:"jobs"`
+	// Cells binds the guarantees in force to workers.
+	Cells cells.Binding   `json:"cells"`
+	Jobs  map[string]*Job `json:"jobs"`
 	// JobKeys maps the idempotency keys of submissions to job IDs.
 	JobKeys map[string]string `json:"job_keys"`
 	// Ended lists ended jobs, oldest first.
@@ -29,8 +32,12 @@
 	LastToken int64 `json:"last_token"`
 	// Submitted counts the jobs accepted so far.
 	Submitted int64 `json:"submitted"`
-	// Writers holds the last sequence number applied of each writer.
-	Writers map[string]uint64 `json:"writers"`
+	// Writers holds the last record applied of each writer.
+	Writers map[string]WriterMark `json:"writers"`
+	// Snapshot is the newest complete snapshot in the log.
+	Snapshot SnapshotMark `json:"snapshot,omitzero"`
+	// PartialSnapshots are the snapshots of which chunks are still to come.
+	PartialSnapshots []PartialSnapshot `json:"partial_snapshots,omitempty"`
 }
 
 // ZoneState is the state of an availability zone.
@@ -48,6 +55,12 @@
 	Capacity api.Resources `json:"capacity"`
 	Used     api.Resources `json:"used"`
 	Leaving  bool          `json:"leaving,omitempty"`
+	// Reserved are the cells on the worker, and Pinned is the work on it that
+	// must not be stopped, by account.
+	Reserved cells.Uses `json:"reserved,omitempty"`
+	Pinned   cells.Uses `json:"pinned,omitempty"`
+	// Blamed are the jobs that failed here since one last succeeded here.
+	Blamed []string `json:"blamed,omitempty"`
 	// Gone marks a lost worker that attempts in force still name.
 	Gone bool `json:"gone,omitempty"`
 }
@@ -69,11 +82,17 @@
 	Token       int64       `json:"token,omitempty"`
 	Coordinator string      `json:"coordinator,omitempty"`
 	Placements  []Placement `json:"placements,omitempty"`
+	// Started says that a task of the attempt in force may have been started.
+	Started     bool        `json:"started,omitempty"`
 	Cancelled   bool        `json:"cancelled,omitempty"`
 	Verdict     api.Verdict `json:"verdict"`
 	Results     []string    `json:"results,omitempty"`
 	Checkpoints []string    `json:"checkpoints,omitempty"`
 	Reason      string      `json:"reason,omitempty"`
+	// YieldsTo is the job for which the attempt in force is being stopped.
+	YieldsTo string `json:"yields_to,omitempty"`
+	// FailedOn are the workers blamed for failed attempts of the job.
+	FailedOn []string `json:"failed_on,omitempty"`
 }
 
 // Status returns what a caller learns about the job.
@@ -92,7 +111,7 @@
 func New() *State {
 	return &State{
 		Zones: map[string]*ZoneState{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{},
-		JobKeys: map[string]string{}, Writers: map[string]uint64{},
+		JobKeys: map[string]string{}, Writers: map[string]WriterMark{},
 	}
 }
 
