--- a/pkg/bench/reclaim.go
+++ b/pkg/bench/reclaim.go
@@ -113,7 +113,7 @@
 	for _, j := range w.order {
 		switch {
 		case !j.spec.Urgent:
-		case j.starts > 0:
+		case j.firstStart > 0:
 			waits = append(waits, (j.firstStart - j.at).Seconds())
 		case w.now-j.at > unstartedAllowance:
 			waits = append(waits, (w.now - j.at).Seconds())
--- a/pkg/scheduler/cycle.go
+++ b/pkg/scheduler/cycle.go
@@ -41,6 +41,7 @@
 
 	guaranteed map[string]int
 	using      map[string]int
+	share      map[string]float64
 	failed     map[gangKey]float64
 	tries      int
 	candidates []candidate
@@ -62,6 +63,7 @@
 		}
 	}
 	c.quarantine()
+	c.share = c.shareFactors()
 	c.mix = demandMix(snap)
 	return c
 }
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -11,14 +12,15 @@
 const (
 	tierUrgent tier = iota
 	tierGuaranteed
+	tierWaitedLong
 	tierOther
 )
 
 // minShareFactor and maxShareFactor bound how far an account's fair share can
 // move its jobs in the queue.
 const (
-	minShareFactor = 0.5
-	maxShareFactor = 2
+	minShareFactor = 0.7
+	maxShareFactor = 1.4
 )
 
 // ranked is a waiting job and its place in the queue.
@@ -34,17 +36,14 @@
 // rest. Within these, the wait relative to the expected run time decides, so
 // that short jobs go first and none waits for ever, weighted by fair share.
 func (c *cycle) queue() []*Pending {
-	share := c.shareFactors()
 	claimed := map[string]int{}
 	order := make([]ranked, len(c.snap.Pending))
 	for i := range c.snap.Pending {
 		j := &c.snap.Pending[i]
-		value := (j.Waited + c.policy.AgeingSeconds) / (j.Estimate + c.policy.AgeingSeconds)
-		order[i] = ranked{j, c.tierOf(j, claimed), value * share[j.Spec.Account]}
+		order[i] = ranked{j, c.tierOf(j, claimed), c.value(j.Spec.Account, j.Waited, j.Estimate)}
 	}
-	slices.SortStableFunc(order, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(b.value, a.value))
-	})
+	slices.SortStableFunc(order, compareRanked)
+	c.promote(order)
 	out := make([]*Pending, len(order))
 	for i := range order {
 		out[i] = order[i].job
@@ -52,6 +51,36 @@
 	return out
 }
 
+// promote moves the first wide gangs that have waited long ahead of other work
+// outside the guarantees, as otherwise smaller gangs would always take the
+// room first.
+func (c *cycle) promote(order []ranked) {
+	left := c.policy.MaxReservations
+	for i := range order {
+		if order[i].tier == tierOther && left > 0 && c.waitedLong(order[i].job) {
+			order[i].tier, order[i].value = tierWaitedLong, order[i].job.Waited
+			left--
+		}
+	}
+	slices.SortStableFunc(order, compareRanked)
+}
+
+func compareRanked(a, b ranked) int {
+	return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(b.value, a.value))
+}
+
+// waitedLong reports whether room is to be reserved for j.
+func (c *cycle) waitedLong(j *Pending) bool {
+	return j.Waited >= max(c.policy.ReserveAfter, c.policy.ReserveShare*j.Estimate) && c.wide(j)
+}
+
+// value is the place of a job of account in the queue, higher for those that
+// go first, given how long it has waited and how long it has still to run.
+func (c *cycle) value(account string, waited, left float64) float64 {
+	ageing := c.policy.AgeingSeconds
+	return (waited + ageing) / math.Pow(left+ageing, c.policy.ShortFirst) * c.share[account]
+}
+
 // tierOf counts the waiting work of an account against its guarantee.
 func (c *cycle) tierOf(j *Pending, claimed map[string]int) tier {
 	account, need := j.Spec.Account, j.Spec.Total().Accelerators
--- a/pkg/scheduler/reserve.go
+++ b/pkg/scheduler/reserve.go
@@ -5,81 +5,144 @@
 	"math"
 	"slices"
 
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/cells"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
-// release is the expected end of one attempt on one worker.
-type release struct {
-	after   float64
-	worker  int
-	attempt int
+// drains are the waits, in seconds, that a reservation considers.
+var drains = [...]float64{0, 30, 120, 300, 900, 2700}
+
+// reservation is a way to start a wide gang once a group has drained.
+type reservation struct {
+	claim
+	// wait is how long the group takes to drain, in seconds.
+	wait float64
+	// cost is the work lost by stopping attempts and by accelerators that stay
+	// free while the group drains, in accelerator seconds.
+	cost float64
 }
 
-// reserve keeps the group in which j can start first for it, once it has
-// waited long: until then only gangs that are expected to be over start there.
+// reserve makes room for a wide gang that has waited long. Gangs that are
+// expected to be over soon are waited for, and others are stopped with a
+// checkpoint, whatever wastes the least. Until the gang can start, only
+// gangs that are over by then start on its workers.
 func (c *cycle) reserve(j *Pending) {
-	if j.Waited < c.policy.ReserveAfter || c.reservations >= c.policy.MaxReservations {
+	if c.reservations >= c.policy.MaxReservations || !c.waitedLong(j) {
 		return
 	}
-	var best []int
-	bestAfter := math.Inf(1)
+	var best *reservation
 	for _, group := range c.spans(j.Spec.Within) {
-		if workers, after := c.startIn(group, j); after < bestAfter {
-			best, bestAfter = workers, after
+		for _, wait := range drains {
+			if found := c.drainIn(group, j, wait); found != nil && (best == nil || found.cost < best.cost) {
+				best = found
+			}
 		}
 	}
 	if best == nil {
 		return
 	}
 	c.reservations++
-	for _, i := range best {
-		c.limit[i] = min(c.limit[i], bestAfter)
+	if best.wait == 0 {
+		for _, k := range best.victims {
+			c.preempt(k, j.ID, "stopped with a checkpoint to make room for wide gang "+j.ID)
+		}
+	}
+	for _, i := range best.chosen {
+		c.limit[i] = min(c.limit[i], best.wait)
 	}
 }
 
-// startIn returns when j is expected to fit into a group, and on which workers.
-func (c *cycle) startIn(group span, j *Pending) (workers []int, after float64) {
-	free := make([]Worker, group.end-group.start)
-	copy(free, c.snap.Workers[group.start:group.end])
-	var ends []release
-	total, most := 0, 0
+// wide reports whether j needs at least one worker whole.
+func (c *cycle) wide(j *Pending) bool {
+	for i := range c.snap.Workers {
+		if j.Spec.Total().Accelerators < c.snap.Workers[i].Capacity.Accelerators {
+			return false
+		}
+	}
+	return true
+}
+
+// drainIn returns how j could start in a group after wait, or nil.
+func (c *cycle) drainIn(group span, j *Pending, wait float64) *reservation {
+	type option struct {
+		worker, slots int
+		victims       []int
+		after, loss   float64
+	}
+	var options []option
+	total := 0
 	for i := group.start; i < group.end; i++ {
-		if c.quarantined[i] || !math.IsInf(c.limit[i], 1) {
-			free[i-group.start].Free = free[i-group.start].Free.Sub(free[i-group.start].Capacity)
+		if !math.IsInf(c.limit[i], 1) || !c.trusts(i, j) {
 			continue
 		}
-		total += state.Slots(free[i-group.start].Free, j.Spec.PerTask)
-		most += state.Slots(free[i-group.start].Capacity, j.Spec.PerTask)
-		for _, k := range c.onWorker[i] {
-			ends = append(ends, release{c.snap.Attempts[k].Remaining, i, k})
+		n, victims, after := c.drained(i, j, wait)
+		if n > 0 {
+			idle := after * float64(max(0, c.snap.Workers[i].Free.Accelerators))
+			options = append(options, option{i, n, victims, after, (c.lossOf(victims) + idle) / float64(n)})
+			total += n
 		}
 	}
-	if most < j.Spec.Tasks {
-		return nil, math.Inf(1)
+	if total < j.Spec.Tasks {
+		return nil
 	}
-	slices.SortFunc(ends, func(a, b release) int {
-		return cmp.Or(cmp.Compare(a.after, b.after), cmp.Compare(a.worker, b.worker), cmp.Compare(a.attempt, b.attempt))
-	})
-	for _, e := range ends {
-		w := &free[e.worker-group.start]
-		before := state.Slots(w.Free, j.Spec.PerTask)
-		a := &c.snap.Attempts[e.attempt]
-		w.Free = w.Free.Add(times(a.PerTask, c.tasksOn(a, e.worker)))
-		total += state.Slots(w.Free, j.Spec.PerTask) - before
-		if total >= j.Spec.Tasks {
-			return holders(free, group, j), e.after
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.loss, b.loss) })
+	out := &reservation{}
+	for _, o := range options {
+		n := min(o.slots, j.Spec.Tasks-len(out.chosen))
+		if n == 0 {
+			break
+		}
+		out.chosen = append(out.chosen, slices.Repeat([]int{o.worker}, n)...)
+		for _, k := range o.victims {
+			if !slices.Contains(out.victims, k) {
+				out.victims = append(out.victims, k)
+			}
 		}
+		out.wait = max(out.wait, o.after)
 	}
-	return nil, math.Inf(1)
+	for _, o := range options[:min(len(options), len(out.chosen))] {
+		out.cost += out.wait * float64(max(0, c.snap.Workers[o.worker].Free.Accelerators))
+	}
+	out.cost += c.lossOf(out.victims)
+	return out
 }
 
-// holders returns the workers of a group that would take tasks of j.
-func holders(free []Worker, group span, j *Pending) []int {
-	var out []int
-	for i := range free {
-		if state.Slots(free[i].Free, j.Spec.PerTask) > 0 {
-			out = append(out, group.start+i)
+// drained returns how many tasks of j worker i could take within wait, which
+// attempts would have to be stopped by then, and when the others are over.
+func (c *cycle) drained(i int, j *Pending, wait float64) (slots int, victims []int, after float64) {
+	w := &c.snap.Workers[i]
+	room := w.Free.Add(c.soon[i])
+	for _, k := range c.onWorker[i] {
+		a := &c.snap.Attempts[k]
+		switch {
+		case a.Stopping:
+		case a.Remaining <= wait:
+			room = room.Add(times(a.PerTask, c.tasksOn(a, i)))
+			after = max(after, a.Remaining)
+		case c.mayDisplace(i, k, j):
+			room = room.Add(times(a.PerTask, c.tasksOn(a, i)))
+			victims = append(victims, k)
 		}
 	}
-	return out
+	slots = state.Slots(room, j.Spec.PerTask)
+	if slots > 0 && j.MustNotStop {
+		slots = min(slots, state.Slots(cells.PinnedRoom(w.Capacity, w.Reserved, w.Pinned, j.Spec.Account), j.Spec.PerTask))
+	}
+	return slots, victims, after
+}
+
+// mayDisplace reports whether attempt k may be stopped with a checkpoint for
+// the wide gang j: it has run for a while, ranks well below, and does not run
+// in a cell of its own account.
+func (c *cycle) mayDisplace(i, k int, j *Pending) bool {
+	a := &c.snap.Attempts[k]
+	if !a.Checkpoint || a.Urgent || a.Ran < c.policy.DisplaceAfter {
+		return false
+	}
+	if c.value(j.Spec.Account, j.Waited, j.Estimate) < c.policy.DisplaceRatio*c.value(a.Account, a.Waited, a.Remaining) {
+		return false
+	}
+	own := c.snap.Workers[i].Reserved.Of(a.Account)
+	return own == api.Resources{} || cells.Excess(c.own[i].Of(a.Account), own) != api.Resources{}
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -10,6 +10,8 @@
 
 import (
 	"math"
+	"os"
+	"strconv"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/config"
@@ -119,6 +121,8 @@
 	ProbationSeconds float64
 	// ReserveAfter is the wait in seconds after which room is reserved for a gang.
 	ReserveAfter float64
+	// ReserveShare is the wait as a share of the expected run time after which it is.
+	ReserveShare float64
 	// MaxReservations bounds the gangs for which room is reserved at a time.
 	MaxReservations int
 	// CellPenalty and LostCellPenalty weigh each accelerator that a gang takes
@@ -126,6 +130,14 @@
 	CellPenalty, LostCellPenalty float64
 	// AgeingSeconds is the wait that counts as much as a short estimate.
 	AgeingSeconds float64
+	// ShortFirst is how far short jobs go first: 0 is by wait alone, 1 is by
+	// the wait relative to the expected run time.
+	ShortFirst float64
+	// DisplaceAfter is the run time in seconds before which an attempt is not
+	// stopped for a wide gang.
+	DisplaceAfter float64
+	// DisplaceRatio is how far a waiting wide gang must rank above an attempt to stop it.
+	DisplaceRatio float64
 	// MoveSeconds is the expected time that moving a gang costs.
 	MoveSeconds float64
 }
@@ -135,7 +147,15 @@
 	return Policy{
 		Objective: objective, MaxTries: 256,
 		QuarantineAfter: 3, QuarantineShare: 0.1, ProbationSeconds: 600,
-		ReserveAfter: 120, MaxReservations: 4,
+		ReserveShare: envf("RS", 0.25), ReserveAfter: envf("RA", 120), MaxReservations: int(envf("MR", 4)),
 		CellPenalty: 0.2, LostCellPenalty: 0.5, AgeingSeconds: 60, MoveSeconds: 30,
+		ShortFirst: envf("SF", 1), DisplaceAfter: envf("DA", 120), DisplaceRatio: envf("DR", 1.5),
 	}
 }
+
+func envf(name string, def float64) float64 {
+	if v, err := strconv.ParseFloat(os.Getenv(name), 64); err == nil {
+		return v
+	}
+	return def
+}
--- a/pkg/scheduler/snapshot.go
+++ b/pkg/scheduler/snapshot.go
@@ -58,6 +58,8 @@
 	// Ran and Remaining are the seconds run so far and those expected to be left.
 	Ran       float64
 	Remaining float64
+	// Waited is the time in seconds since the submission was seen, less Ran.
+	Waited float64
 	// ZoneOut says that the attempt runs in an availability zone that is out.
 	ZoneOut bool
 }
@@ -119,6 +121,7 @@
 		MustNotStop: j.Pinned(), Stopping: j.Phase == api.PhaseStopping,
 		Ran: book.Ran(j.ID, now), Remaining: book.Remaining(j, now),
 	}
+	a.Waited = max(0, book.Waited(j.ID, now)-a.Ran)
 	if w := s.Workers[j.Placements[0].Worker]; w != nil {
 		a.ZoneOut = s.ZoneOut(w.Zone)
 	}
