--- a/pkg/frontdoor/frontdoor.go
+++ b/pkg/frontdoor/frontdoor.go
@@ -175,6 +175,9 @@
 	if _, read := s.journal.Age(time.Now()); !read {
 		return "the log has not been read yet"
 	}
+	if err := s.relay.CheckServe(time.Now()); err != nil {
+		return err.Message
+	}
 	return ""
 }
 
--- a/pkg/memnet/conn.go
+++ b/pkg/memnet/conn.go
@@ -52,12 +52,22 @@
 
 // Write implements net.Conn. Data on a faulty link is lost without an error.
 func (c *conn) Write(p []byte) (int, error) {
+	data := append([]byte(nil), p...)
+	if c.host.hold(func() { _, _ = c.send(data) }) {
+		return len(p), nil
+	}
 	if !c.host.Wait() {
 		return 0, net.ErrClosed
 	}
+	return c.send(data)
+}
+
+func (c *conn) send(p []byte) (int, error) {
 	if c.host.net.fault(c.host.name, c.peer.name) != Healthy {
 		return len(p), nil
 	}
+	c.host.sent.Add(int64(len(p)))
+	c.peer.received.Add(int64(len(p)))
 	return c.out.write(p, time.Now().Add(c.host.net.delay(c.host.name, c.peer.name)))
 }
 
@@ -118,7 +128,7 @@
 	if n := len(s.chunks); n > 0 && at.Before(s.chunks[n-1].at) {
 		at = s.chunks[n-1].at
 	}
-	s.chunks = append(s.chunks, chunk{append([]byte(nil), p...), at})
+	s.chunks = append(s.chunks, chunk{p, at})
 	s.wake()
 	return len(p), nil
 }
--- a/pkg/memnet/memnet.go
+++ b/pkg/memnet/memnet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -87,15 +88,24 @@
 	name string
 	net  *Network
 
+	sent, received atomic.Int64
+
 	mu     sync.Mutex
 	dead   bool
 	frozen bool
 	thawed chan struct{}
 	conns  map[*conn]struct{}
+	// held are the writes of a paused process. They go out when it resumes. They
+	// do not block until then, since a writer that holds a mutex would stop
+	// virtual time.
+	held []func()
 }
 
 var _ transport.Network = (*Host)(nil)
 
+// Traffic returns the bytes that the host has sent and received so far.
+func (h *Host) Traffic() (sent, received int64) { return h.sent.Load(), h.received.Load() }
+
 // Freeze pauses the host's process: its input and output wait until Thaw,
 // while its kernel still accepts connections and data.
 func (h *Host) Freeze() {
@@ -110,10 +120,27 @@
 func (h *Host) Thaw() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.frozen {
-		h.frozen = false
-		close(h.thawed)
+	if !h.frozen {
+		return
+	}
+	h.frozen = false
+	close(h.thawed)
+	for _, write := range h.held {
+		if !h.dead {
+			write()
+		}
+	}
+	h.held = nil
+}
+
+// hold keeps a write back while the process is paused, and reports whether it did.
+func (h *Host) hold(write func()) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.frozen && !h.dead {
+		h.held = append(h.held, write)
 	}
+	return h.frozen && !h.dead
 }
 
 // Kill ends the host's process: its listeners and connections close, and a
--- a/pkg/memsite/memsite.go
+++ b/pkg/memsite/memsite.go
@@ -194,6 +194,22 @@
 	s.unlist(s.Entries[i].Settings.ID)
 }
 
+// Retire stops entry VM i gracefully and takes it off the VM list.
+func (s *Site) Retire(ctx context.Context, i int) error {
+	e := s.Entries[i]
+	s.VMs.Update(func(vms []platform.VM) []platform.VM {
+		for k := range vms {
+			vms[k].Leaving = vms[k].Leaving || vms[k].ID == e.Settings.ID
+		}
+		return vms
+	})
+	err := e.Node.Stop(ctx)
+	e.killed = true
+	e.Host.Kill()
+	s.unlist(e.Settings.ID)
+	return err
+}
+
 func (s *Site) unlist(id string) {
 	s.VMs.Update(func(vms []platform.VM) []platform.VM {
 		kept := vms[:0]
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -123,9 +123,11 @@
 	if err != nil {
 		return err
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// Go blocks while the connection takes no data, so it must not run here.
+	done := make(chan *rpc.Call, 1)
+	s.wg.Go(func() { client.Go(method, args, reply, done) })
 	select {
-	case <-call.Done:
+	case call := <-done:
 		var remote rpc.ServerError
 		if call.Error != nil && !errors.As(call.Error, &remote) {
 			s.drop(address, client)
--- a/pkg/standin/log.go
+++ b/pkg/standin/log.go
@@ -64,6 +64,16 @@
 	return l.appends
 }
 
+// Trim drops all but the newest keep entries, as the end of their retention does.
+func (l *Log) Trim(keep int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cut := len(l.entries) - keep; cut > 0 {
+		l.entries = append([]platform.Entry(nil), l.entries[cut:]...)
+		l.first += int64(cut)
+	}
+}
+
 func (l *Log) wake() {
 	close(l.grown)
 	l.grown = make(chan struct{})
@@ -102,8 +112,7 @@
 	offset := l.first + int64(len(l.entries))
 	l.entries = append(l.entries, platform.Entry{Offset: offset, Data: append([]byte(nil), data...)})
 	l.appends++
-	if l.retain > 0 && len(l.entries) > l.retain {
-		cut := len(l.entries) - l.retain
+	if cut := len(l.entries) - l.retain; l.retain > 0 && cut > 0 {
 		l.entries = append([]platform.Entry(nil), l.entries[cut:]...)
 		l.first += int64(cut)
 	}
