--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -127,6 +127,10 @@
 	lifecycleSettings := lifecycle.DefaultSettings
 	lifecycleSettings.LeaseTTL, lifecycleSettings.StartWithin, lifecycleSettings.ClockDrift = s.LeaseTTL, s.StartWithin, s.ClockDrift
 	lifecycleSettings.RenewInterval = s.LeaseTTL / 5
+	jobs, err := lifecycle.New(lifecycleSettings, p.Workers, peers)
+	if err != nil {
+		return nil, err
+	}
 	log := journal.New(p.Log, incarnation)
 	relays, err := relay.New(relay.Settings{SnapshotInterval: s.SnapshotInterval, ClockDrift: s.ClockDrift}, log, members, peers, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())))
 	if err != nil {
@@ -140,7 +144,7 @@
 	}
 	services := []kernel.Service{
 		n.Journal, fleet.New(p.VMs), peers, members, relays,
-		planner.New(), lifecycle.New(lifecycleSettings, p.Workers), n.Requests, n.front,
+		planner.New(), jobs, n.Requests, n.front,
 	}
 	for _, service := range services {
 		if err := n.kernel.Register(service); err != nil {
--- a/pkg/state/record.go
+++ b/pkg/state/record.go
@@ -110,6 +110,8 @@
 	Job    string `json:"job"`
 	Token  int64  `json:"token"`
 	Reason string `json:"reason"`
+	// For is the job that the room is made for, if any.
+	For string `json:"for,omitempty"`
 }
 
 // ClaimJob makes another node the coordinator of an attempt.
