Measure configuration changes and restarts, and read the VM list by entity tag

Every node also read the whole VM list each second, which at the target's fleet would alone be over the budget of 12 KB/s.

HTTPVMList sends If-None-Match and the stand-in answers 304.

Ruled out: heartbeats to everyone at 50 nodes. 49 of them a second with digests of 15 bytes a member would be several times the budget.

--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -39,6 +39,8 @@
 
 // scenarios are the known scenarios by name.
 var scenarios = map[string]Scenario{
+	"config":      configScenario,
+	"restart":     restartScenario,
 	"capacity":    capacity,
 	"mix-hooghly": mixHooghly,
 	"mix-lima":    mixLima,
--- a/pkg/memsite/gate.go
+++ b/pkg/memsite/gate.go
@@ -123,7 +123,7 @@
 
 type gatedLog struct {
 	gate *gate
-	log  *standin.Log
+	log  platform.Log
 }
 
 func (l *gatedLog) Append(ctx context.Context, data []byte) (int64, error) {
@@ -146,7 +146,7 @@
 
 type gatedVMs struct {
 	gate *gate
-	vms  *standin.VMList
+	vms  platform.VMList
 }
 
 func (v *gatedVMs) List(ctx context.Context) ([]platform.VM, error) {
--- a/pkg/memsite/memsite.go
+++ b/pkg/memsite/memsite.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/client"
@@ -33,6 +34,9 @@
 	Retain int
 	// UpstreamTime is how long a short request takes.
 	UpstreamTime time.Duration
+	// HTTP makes the nodes reach the log and the VM list by HTTP over the
+	// network, so that the bytes count as traffic of the nodes.
+	HTTP bool
 	// Settings changes the settings of each node before it starts, if not nil.
 	Settings func(*node.Settings)
 	// Observe is called with each change of a task on a worker, if not nil.
@@ -91,6 +95,11 @@
 		s.Entries = append(s.Entries, &Entry{Settings: set})
 	}
 	s.VMs = standin.NewVMList(opts.VMListLag, vms...)
+	if opts.HTTP {
+		if err := s.servePlatform(); err != nil {
+			return nil, err
+		}
+	}
 	for i := range s.Entries {
 		if err := s.startEntry(ctx, i); err != nil {
 			return nil, errors.Join(err, s.Close(ctx))
@@ -147,8 +156,9 @@
 	}
 	e.Host = s.Net.Host(e.Settings.ID)
 	e.gate = &gate{host: e.Host, id: e.Settings.ID, onCall: s.opts.OnCall}
+	log, vms := s.platformOf(e.Host)
 	p := node.Platform{
-		Log: &gatedLog{e.gate, s.Log}, VMs: &gatedVMs{e.gate, s.VMs},
+		Log: &gatedLog{e.gate, log}, VMs: &gatedVMs{e.gate, vms},
 		Workers: &gatedWorkers{e.gate, s.Workers},
 	}
 	var err error
@@ -159,6 +169,35 @@
 	return e.Node.Start(ctx)
 }
 
+const (
+	// logAddress and vmsAddress are where the log and the VM list listen if they
+	// are reached by HTTP.
+	logAddress = "10.2.0.1:80"
+	vmsAddress = "10.2.0.2:80"
+)
+
+// platformOf returns the log and the VM list as a host reaches them.
+func (s *Site) platformOf(h *memnet.Host) (platform.Log, platform.VMList) {
+	if !s.opts.HTTP {
+		return s.Log, s.VMs
+	}
+	c := transport.HTTPClient(h, 0)
+	s.clients = append(s.clients, c)
+	return &platform.HTTPLog{Base: "http://" + logAddress, Client: c}, &platform.HTTPVMList{Base: "http://" + vmsAddress, Client: c}
+}
+
+// servePlatform serves the log and the VM list by HTTP.
+func (s *Site) servePlatform() error {
+	for address, handler := range map[string]http.Handler{logAddress: s.Log.Handler(), vmsAddress: s.VMs.Handler()} {
+		l, err := s.Net.Host("platform").Listen(address)
+		if err != nil {
+			return err
+		}
+		s.servers = append(s.servers, standin.Serve(l, handler))
+	}
+	return nil
+}
+
 func (s *Site) publish(ctx context.Context) error {
 	c := s.Client(0)
 	if err := c.WaitReady(ctx); err != nil {
--- a/pkg/platform/httpclient.go
+++ b/pkg/platform/httpclient.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
@@ -42,17 +44,49 @@
 	return page, err
 }
 
-// HTTPVMList is a VMList over HTTP.
+// HTTPVMList is a VMList over HTTP. It sends the entity tag of the list that it
+// holds, so that a list that has not changed is not sent again.
 type HTTPVMList struct {
 	Base   string
 	Client *http.Client
+
+	mu   sync.Mutex
+	etag string
+	vms  []VM
 }
 
 // List implements VMList.
 func (l *HTTPVMList) List(ctx context.Context) ([]VM, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.Base+"/vms", nil)
+	if err != nil {
+		return nil, err
+	}
+	if l.etag != "" {
+		req.Header.Set("If-None-Match", l.etag)
+	}
+	resp, err := l.Client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusNotModified && l.etag != "" {
+		return slices.Clone(l.vms), nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, api.Errorf(api.CodeUnavailable, "the VM list answered with status %s", resp.Status)
+	}
 	var vms []VM
-	err := call(ctx, l.Client, http.MethodGet, l.Base+"/vms", nil, &vms)
-	return vms, err
+	if err := json.Unmarshal(data, &vms); err != nil {
+		return nil, err
+	}
+	l.vms, l.etag = vms, resp.Header.Get("ETag")
+	return slices.Clone(vms), nil
 }
 
 // HTTPWorkers returns HTTP clients of workers; the address of a worker is its base URL.
--- a/pkg/standin/vmlist.go
+++ b/pkg/standin/vmlist.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/shallotpin/shallotpin/pkg/platform"
 )
 
@@ -72,7 +76,17 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /vms", func(w http.ResponseWriter, r *http.Request) {
 		vms, err := l.List(r.Context())
-		reply(w, vms, err)
+		if err != nil {
+			reply(w, nil, err)
+			return
+		}
+		etag := entityTag(vms)
+		w.Header().Set("ETag", etag)
+		if r.Header.Get("If-None-Match") == etag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		reply(w, vms, nil)
 	})
 	mux.HandleFunc("PUT /vms", func(w http.ResponseWriter, r *http.Request) {
 		var vms []platform.VM
@@ -85,3 +99,12 @@
 	})
 	return mux
 }
+
+// entityTag names the contents of a list.
+func entityTag(vms []platform.VM) string {
+	digest := xxhash.New()
+	for _, vm := range vms {
+		fmt.Fprintf(digest, "%+v\n", vm)
+	}
+	return fmt.Sprintf("%q", strconv.FormatUint(digest.Sum64(), 16))
+}
