--- /dev/null
+++ b/pkg/lifecycle/scenarios_test.go
@@ -0,0 +1,283 @@
+package lifecycle_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/memnet"
+	"github.com/shallotpin/shallotpin/pkg/memsite"
+	"github.com/shallotpin/shallotpin/pkg/standin"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+// checkDone checks that a job was done in one attempt.
+func (tr *trial) checkDone(status *api.JobStatus) {
+	tr.t.Helper()
+	tr.checkEnd(status)
+	if n := len(tr.history.Attempts(status.ID)); status.Phase != api.PhaseDone || n != 1 {
+		tr.t.Errorf("job ended as %s after %d attempts: %s", status.Phase, n, status.Reason)
+	}
+}
+
+// TestLostMemberIsNotOutlived loses a worker, and then every node before any
+// can stop the rest of the gang: its leases must not have been renewed.
+func TestLostMemberIsNotOutlived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := startTrial(t, 3, 1)
+		id := tr.submit(0, 4, 600, 1)
+		tr.running(0, id)
+		time.Sleep(17 * time.Second)
+		tr.Workers[tr.job(0, id).Placements[1].Worker].Kill()
+		time.Sleep(6 * time.Second)
+		for i := range tr.Entries {
+			tr.Kill(i)
+		}
+		time.Sleep(time.Minute)
+		tr.check(settings.PartialBound())
+	})
+}
+
+// TestStaleCoordinatorDoesNotDouble cuts a coordinator off from the log and the
+// other nodes, and these from its worker.
+func TestStaleCoordinatorDoesNotDouble(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := startTrial(t, 3, 1)
+		id := tr.submit(0, 1, 120, 5)
+		c := tr.running(0, id)
+		worker := tr.job(0, id).Placements[0].Worker
+		tr.CutPlatform(c, memsite.PlatformCut{Log: true})
+		tr.isolate(c, memnet.Cut)
+		for i := range tr.Entries {
+			if i != c {
+				tr.CutPlatform(i, memsite.PlatformCut{WorkerIDs: []string{worker}})
+			}
+		}
+		time.Sleep(90 * time.Second)
+		for i := range tr.Entries {
+			tr.CutPlatform(i, memsite.PlatformCut{})
+		}
+		tr.isolate(c, memnet.Healthy)
+		tr.checkEnd(tr.wait((c+1)%3, id))
+		tr.check(settings.PartialBound())
+	})
+}
+
+// TestGangOutlivesCoordinatorsWhileLogIsDark loses the coordinator, and then
+// the node that keeps its gang alive, in an hour without the log.
+func TestGangOutlivesCoordinatorsWhileLogIsDark(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := startTrial(t, 4, 1)
+		id := tr.submit(0, 4, 4000, 1)
+		c := tr.running(0, id)
+		tr.Log.SetFaults(standin.LogFaults{Down: true})
+		time.Sleep(20 * time.Minute)
+		tr.Lose(c)
+		time.Sleep(20 * time.Minute)
+		tr.Lose((c + 1) % 4)
+		time.Sleep(20 * time.Minute)
+		tr.Log.SetFaults(standin.LogFaults{})
+		tr.checkDone(tr.wait((c+2)%4, id))
+		tr.check(settings.PartialBound())
+	})
+}
+
+// TestCoordinatorsDieInTurn loses each node that takes a gang over, as soon as it has.
+func TestCoordinatorsDieInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := startTrial(t, 5, 1)
+		id := tr.submit(0, 4, 120, 1)
+		c, last := tr.running(0, id), 0
+		for range 3 {
+			tr.Lose(c)
+			last = tr.living()
+			for tr.index(tr.job(last, id).Coordinator) == c {
+				time.Sleep(100 * time.Millisecond)
+			}
+			c = tr.index(tr.job(last, id).Coordinator)
+		}
+		tr.checkDone(tr.wait(tr.living(), id))
+		tr.check(settings.PartialBound())
+	})
+}
+
+// TestPlannedStopHandsOver stops the coordinator of a gang gracefully.
+func TestPlannedStopHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := startTrial(t, 3, 1)
+		id := tr.submit(0, 4, 60, 1)
+		c := tr.running(0, id)
+		time.Sleep(5 * time.Second)
+		if err := tr.Stop(context.Background(), c); err != nil {
+			t.Fatal(err)
+		}
+		other := (c + 1) % 3
+		// Less than the time after which a silent node is suspected.
+		time.Sleep(time.Second)
+		if now := tr.index(tr.job(other, id).Coordinator); now == c {
+			t.Error("the job is still coordinated by the node that has stopped")
+		}
+		tr.checkDone(tr.wait(other, id))
+		tr.check(settings.PartialBound())
+	})
+}
+
+// TestZonesCutFromEachOther cuts two nodes from two others; all see the log.
+func TestZonesCutFromEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := startTrial(t, 4, 1)
+		id := tr.submit(0, 4, 300, 1)
+		tr.running(0, id)
+		before := tr.Log.Appends()
+		for _, a := range tr.Entries[:2] {
+			for _, b := range tr.Entries[2:] {
+				tr.Net.SetBoth(a.Settings.ID, b.Settings.ID, memnet.Cut)
+			}
+		}
+		tr.checkDone(tr.wait(0, id))
+		// One claim by each side in each loneClaimAfter, and as many refused.
+		if n := tr.Log.Appends() - before; n > 4*300/30 {
+			t.Errorf("%d appends in the split", n)
+		}
+		tr.check(settings.PartialBound())
+	})
+}
+
+// TestEveryVMIsReplacedInAnHour replaces each VM in turn under a running gang.
+func TestEveryVMIsReplacedInAnHour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := startTrial(t, 3, 1)
+		id := tr.submit(0, 4, 3700, 1)
+		tr.running(0, id)
+		for i := range tr.Entries {
+			time.Sleep(20 * time.Minute)
+			tr.Lose(i)
+			if err := tr.Replace(tr.ctx, i, 1); err != nil {
+				t.Fatal(err)
+			}
+		}
+		tr.checkDone(tr.wait(0, id))
+		tr.check(settings.PartialBound())
+	})
+}
+
+// TestShortJobEndsSoon bounds what the system adds to a job of half a second.
+func TestShortJobEndsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := startTrial(t, 3, 1)
+		time.Sleep(time.Minute)
+		began := time.Now()
+		tr.checkDone(tr.wait(1, tr.submit(0, 1, 0.5, 1)))
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("a job of 0.5 s took %s", took)
+		}
+	})
+}
+
+// TestRenewalsOfOneWorkerJoin runs eight jobs on one worker and counts the calls.
+func TestRenewalsOfOneWorkerJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := startTrial(t, 3, 1)
+		var ids []string
+		for range 8 {
+			spec := gang(1, 300, 1)
+			spec.PerTask = api.Resources{Cores: 2, Accelerators: 1}
+			ids = append(ids, tr.submitSpec(0, spec))
+		}
+		for _, id := range ids {
+			tr.running(0, id)
+		}
+		time.Sleep(30 * time.Second)
+		workers := map[string]bool{}
+		for _, id := range ids {
+			workers[tr.job(0, id).Placements[0].Worker] = true
+		}
+		calls := 0
+		tr.hook(func(c memsite.Call) {
+			tr.mu.Lock()
+			defer tr.mu.Unlock()
+			if c.Op == memsite.OpRenew && !c.Answered {
+				calls++
+			}
+		})
+		const intervals = 30
+		time.Sleep(intervals * settings.RenewInterval)
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		if most := (intervals + 1) * len(tr.Entries) * len(workers); calls > most || calls == 0 {
+			t.Errorf("%d renewal calls in %d intervals on %d workers, want at most %d", calls, intervals, len(workers), most)
+		}
+	})
+}
+
+// TestPreemptedGangResumesWhole stops a gang halfway; no work may be lost.
+func TestPreemptedGangResumesWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := startTrial(t, 3, 1)
+		spec := gang(4, 60, 1)
+		spec.Checkpoint = true
+		id := tr.submitSpec(0, spec)
+		tr.running(0, id)
+		time.Sleep(30 * time.Second)
+		preempt := state.PreemptJob{Job: id, Token: tr.job(0, id).Token, Reason: "reclaimed"}
+		if out, err := tr.Entries[0].Node.Journal.Propose(tr.ctx, state.Record{Preempt: &preempt}); err != nil || out.Err != nil {
+			t.Fatal(err, out.Err)
+		}
+		status := tr.wait(0, id)
+		tr.checkEnd(status)
+		tr.check(settings.PartialBound())
+		var ran time.Duration
+		for _, r := range tr.history.Runs() {
+			ran += r.Ended.Sub(r.Started)
+		}
+		if n := len(tr.history.Attempts(id)); status.Phase != api.PhaseDone || n != 2 || ran > 4*61*time.Second {
+			t.Errorf("ended as %s, %d attempts, %s of work for 240 s", status.Phase, n, ran)
+		}
+	})
+}
+
+// TestWorkersThatFailTasksAreBlamed checks what the planner learns of a failure.
+func TestWorkersThatFailTasksAreBlamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := startTrial(t, 3, 1)
+		for _, w := range tr.Workers {
+			w.SetFaults(standin.WorkerFaults{FailTasks: true})
+		}
+		status := tr.wait(0, tr.submit(0, 4, 5, 1))
+		if status.Phase != api.PhaseFailed || status.Verdict == api.NotRun {
+			t.Errorf("the job ended as %s, %s", status.Phase, status.Verdict)
+		}
+		page, err := tr.Log.Read(tr.ctx, 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		blamed := 0
+		for _, e := range page.Entries {
+			batch, err := state.DecodeBatch(e.Data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range batch.Records {
+				if r.End != nil {
+					blamed += len(r.End.Blame)
+				}
+			}
+		}
+		if blamed == 0 {
+			t.Error("no worker was blamed")
+		}
+	})
+}
+
+// living returns an entry that has not been lost.
+func (tr *trial) living() int {
+	for i, e := range tr.Entries {
+		if e.Host.Wait() {
+			return i
+		}
+	}
+	tr.t.Fatal("no entry lives")
+	return 0
+}
--- a/pkg/lifecycle/takeover.go
+++ b/pkg/lifecycle/takeover.go
@@ -128,7 +128,9 @@
 	return true
 }
 
-// claim proposes a claim in the background, one at a time for each attempt.
+// claim proposes a claim in the background, one at a time for each attempt. It
+// renews the leases first: if this node dies as well, its successor has a whole
+// lease's time to notice.
 func (s *Service) claim(ctx context.Context, j *state.Job) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -138,6 +140,9 @@
 	s.claiming[j.Token] = true
 	c := state.ClaimJob{Job: j.ID, Token: j.Token, From: j.Coordinator, To: s.journal.Writer()}
 	s.wg.Go(func() {
+		if j.Started && j.Phase == api.PhasePlaced {
+			_ = newGang(s, j).round(ctx)
+		}
 		out, err := s.propose(ctx, state.Record{Claim: &c})
 		if err == nil && out.Err == nil {
 			klog.Infof("lifecycle: took job %s over from %s", c.Job, c.From)
--- /dev/null
+++ b/pkg/lifecycle/trial_test.go
@@ -0,0 +1,229 @@
+package lifecycle_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/shallotpin/shallotpin/deploy"
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/config"
+	"github.com/shallotpin/shallotpin/pkg/lifecycle"
+	"github.com/shallotpin/shallotpin/pkg/memnet"
+	"github.com/shallotpin/shallotpin/pkg/memsite"
+	"github.com/shallotpin/shallotpin/pkg/standin"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+// settings are those of every node in the trials.
+var settings = lifecycle.DefaultSettings
+
+// trial is a site with a history of what its workers saw.
+type trial struct {
+	*memsite.Site
+	t       *testing.T
+	ctx     context.Context
+	history *standin.History
+	specs   map[string]api.JobSpec
+
+	mu     sync.Mutex
+	onCall func(memsite.Call)
+}
+
+// startTrial starts nodes over a small fleet of four racks in two zones.
+func startTrial(t *testing.T, entries int, seed uint64) *trial {
+	t.Helper()
+	c, err := config.Decode(deploy.StaveDesk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Names of jobs and incarnations decide who coordinates what.
+	uuid.SetRand(&lockedReader{r: rand.NewChaCha8([32]byte{byte(seed)})})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Hour)
+	tr := &trial{t: t, ctx: ctx, history: standin.NewHistory(), specs: map[string]api.JobSpec{}}
+	shape := standin.TodayShape("stave-desk", []string{"howrah", "salt-lake", "barasat"})
+	shape.Upstreams = 0
+	tr.Site, err = memsite.New(ctx, memsite.Options{
+		Entries: entries, Config: c, Seed: seed, Delay: 2 * time.Millisecond, VMListLag: 2 * time.Second,
+		Shape: shape, Observe: tr.history.Observe, OnCall: tr.call,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		tr.hook(nil)
+		if err := tr.Close(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	return tr
+}
+
+// lockedReader is a source of random bytes for concurrent use.
+type lockedReader struct {
+	mu sync.Mutex
+	r  io.Reader
+}
+
+// Read implements io.Reader.
+func (l *lockedReader) Read(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.r.Read(p)
+}
+
+func (tr *trial) hook(fn func(memsite.Call)) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.onCall = fn
+}
+
+func (tr *trial) call(c memsite.Call) {
+	tr.mu.Lock()
+	fn := tr.onCall
+	tr.mu.Unlock()
+	if fn != nil {
+		fn(c)
+	}
+}
+
+// submit hands in a job of whole workers at entry i and returns its ID.
+func (tr *trial) submit(i, tasks int, seconds float64, attempts int) string {
+	return tr.submitSpec(i, gang(tasks, seconds, attempts))
+}
+
+func gang(tasks int, seconds float64, attempts int) api.JobSpec {
+	payload, err := json.Marshal(standin.TaskPayload{WorkSeconds: seconds})
+	if err != nil {
+		panic(err)
+	}
+	return api.JobSpec{
+		Account: "coopers", Class: "appraisal", Tasks: tasks, Within: api.WithinRack, MaxAttempts: attempts,
+		PerTask: api.Resources{Cores: 16, MemoryGB: 64, Accelerators: 8}, Payload: string(payload),
+	}
+}
+
+func (tr *trial) submitSpec(i int, spec api.JobSpec) string {
+	tr.t.Helper()
+	data, err := json.Marshal(spec)
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	job, err := tr.Client(i).SubmitJob(tr.ctx, data, "")
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	tr.specs[job.ID] = spec
+	return job.ID
+}
+
+// wait waits at entry i for the end of a job.
+func (tr *trial) wait(i int, id string) *api.JobStatus {
+	tr.t.Helper()
+	status, err := tr.Client(i).WaitJob(tr.ctx, id)
+	if err != nil {
+		tr.t.Fatalf("job %s: %v", id, err)
+	}
+	return &status
+}
+
+// job returns a copy of a job as entry i sees it.
+func (tr *trial) job(i int, id string) state.Job {
+	var out state.Job
+	tr.Entries[i].Node.Journal.View(func(st *state.State) {
+		if j := st.Jobs[id]; j != nil {
+			out = *j
+			out.Placements = slices.Clone(j.Placements)
+		}
+	})
+	return out
+}
+
+// index returns the entry that runs the given incarnation or VM.
+func (tr *trial) index(incarnation string) int {
+	vm, _, _ := strings.Cut(incarnation, "/")
+	return slices.IndexFunc(tr.Entries, func(e *memsite.Entry) bool { return e.Settings.ID == vm })
+}
+
+// running waits until a job's tasks all run, and returns its coordinator.
+func (tr *trial) running(i int, id string) (coordinator int) {
+	tr.t.Helper()
+	for range 600 {
+		j := tr.job(i, id)
+		n := 0
+		for _, r := range tr.history.Runs() {
+			if r.Task.Job == id && r.Task.Token == j.Token && r.Ended.IsZero() {
+				n++
+			}
+		}
+		if n == j.Spec.Tasks && n > 0 {
+			return tr.index(j.Coordinator)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	tr.t.Fatalf("job %s does not run: %+v", id, tr.job(i, id))
+	return 0
+}
+
+// isolate cuts an entry off from the other entries.
+func (tr *trial) isolate(i int, fault memnet.Fault) {
+	for j, e := range tr.Entries {
+		if j != i {
+			tr.Net.SetBoth(tr.Entries[i].Settings.ID, e.Settings.ID, fault)
+		}
+	}
+}
+
+// check checks what must always hold against what the workers saw.
+func (tr *trial) check(partial time.Duration) {
+	tr.t.Helper()
+	tr.Settle()
+	now := time.Now()
+	if doubled := tr.history.Doubled(now); len(doubled) > 0 {
+		tr.t.Errorf("two attempts ran at once of jobs %v: %+v", doubled, tr.history.Runs())
+	}
+	longest := tr.history.LongestPartial(func(id string) int { return tr.specs[id].Tasks }, now)
+	if longest > partial {
+		tr.t.Errorf("a gang ran in part for %s, want at most %s: %+v", longest, partial, tr.history.Runs())
+	}
+	for id, spec := range tr.specs {
+		if n := len(tr.history.Attempts(id)); n > spec.MaxAttempts && !spec.Checkpoint {
+			tr.t.Errorf("job %s was started %d times, %d allowed", id, n, spec.MaxAttempts)
+		}
+	}
+}
+
+// checkEnd checks a job's last status against what the workers saw.
+func (tr *trial) checkEnd(status *api.JobStatus) {
+	tr.t.Helper()
+	done := map[int64]int{}
+	for _, r := range tr.history.Runs() {
+		if r.Task.Job == status.ID && r.Done {
+			done[r.Task.Token]++
+		}
+	}
+	whole := 0
+	for _, n := range done {
+		if n == status.Spec.Tasks {
+			whole++
+		}
+	}
+	attempts := len(tr.history.Attempts(status.ID))
+	switch {
+	case status.Phase == api.PhaseDone && whole != 1:
+		tr.t.Errorf("job %s is done; %d of its attempts ran to the end", status.ID, whole)
+	case status.Verdict == api.NotRun && attempts > 0:
+		tr.t.Errorf("job %s is said not to have run; %d attempts started", status.ID, attempts)
+	case status.Phase == api.PhaseFailed && attempts < status.Spec.MaxAttempts:
+		tr.t.Errorf("job %s failed after %d of %d attempts: %s", status.ID, attempts, status.Spec.MaxAttempts, status.Reason)
+	}
+}
--- a/pkg/memnet/conn.go
+++ b/pkg/memnet/conn.go
@@ -36,6 +36,8 @@
 	in, out       *stream
 	local, remote addr
 	once          sync.Once
+	// held is what the process wrote while it was paused; host.mu guards it.
+	held []byte
 }
 
 // Read implements net.Conn.
@@ -51,10 +53,23 @@
 }
 
 // Write implements net.Conn. Data on a faulty link is lost without an error.
+// Writes of a paused process do not block, since callers write under a lock and
+// virtual time stands still while a lock is waited for: they go out at its end.
 func (c *conn) Write(p []byte) (int, error) {
-	if !c.host.Wait() {
+	c.host.mu.Lock()
+	defer c.host.mu.Unlock()
+	if c.host.dead {
 		return 0, net.ErrClosed
 	}
+	if c.host.frozen {
+		c.held = append(c.held, p...)
+		return len(p), nil
+	}
+	return c.send(p)
+}
+
+// send puts data on its way.
+func (c *conn) send(p []byte) (int, error) {
 	if c.host.net.fault(c.host.name, c.peer.name) != Healthy {
 		return len(p), nil
 	}
--- a/pkg/memnet/memnet.go
+++ b/pkg/memnet/memnet.go
@@ -110,10 +110,18 @@
 func (h *Host) Thaw() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.frozen {
-		h.frozen = false
-		close(h.thawed)
+	if !h.frozen {
+		return
+	}
+	h.frozen = false
+	for c := range h.conns {
+		if len(c.held) > 0 {
+			// A connection that was closed meanwhile takes nothing.
+			_, _ = c.send(c.held)
+			c.held = nil
+		}
 	}
+	close(h.thawed)
 }
 
 // Kill ends the host's process: its listeners and connections close, and a
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -28,6 +28,9 @@
 	FailTasks bool `json:"fail_tasks,omitempty"`
 	// LoseReplies makes every call fail after it has taken effect.
 	LoseReplies bool `json:"lose_replies,omitempty"`
+	// LateStarts makes the worker accept starts after StartWithin, against its
+	// contract. Tests prove with it that a late start is found.
+	LateStarts bool `json:"late_starts,omitempty"`
 }
 
 // TaskEvent is one change of a task, for the checks of a test.
@@ -250,7 +253,7 @@
 		return w.leave()
 	case t.status.Phase != platform.TaskReserved:
 		return api.Errorf(api.CodeConflict, "task %v is %s", id, t.status.Phase)
-	case now.After(t.startBy):
+	case now.After(t.startBy) && !w.faults.LateStarts:
 		return api.Errorf(api.CodeConflict, "task %v was reserved too long ago", id)
 	}
 	t.status.Ran, t.since = true, now
