--- a/pkg/memnet/conn.go
+++ b/pkg/memnet/conn.go
@@ -36,8 +36,6 @@
 	in, out       *stream
 	local, remote addr
 	once          sync.Once
-	// held is what the process wrote while it was paused; host.mu guards it.
-	held []byte
 }
 
 // Read implements net.Conn.
@@ -53,26 +51,23 @@
 }
 
 // Write implements net.Conn. Data on a faulty link is lost without an error.
-// Writes of a paused process do not block, since callers write under a lock and
-// virtual time stands still while a lock is waited for: they go out at its end.
 func (c *conn) Write(p []byte) (int, error) {
-	c.host.mu.Lock()
-	defer c.host.mu.Unlock()
-	if c.host.dead {
-		return 0, net.ErrClosed
-	}
-	if c.host.frozen {
-		c.held = append(c.held, p...)
+	data := append([]byte(nil), p...)
+	if c.host.hold(func() { _, _ = c.send(data) }) {
 		return len(p), nil
 	}
-	return c.send(p)
+	if !c.host.Wait() {
+		return 0, net.ErrClosed
+	}
+	return c.send(data)
 }
 
-// send puts data on its way.
 func (c *conn) send(p []byte) (int, error) {
 	if c.host.net.fault(c.host.name, c.peer.name) != Healthy {
 		return len(p), nil
 	}
+	c.host.sent.Add(int64(len(p)))
+	c.peer.received.Add(int64(len(p)))
 	return c.out.write(p, time.Now().Add(c.host.net.delay(c.host.name, c.peer.name)))
 }
 
@@ -133,7 +128,7 @@
 	if n := len(s.chunks); n > 0 && at.Before(s.chunks[n-1].at) {
 		at = s.chunks[n-1].at
 	}
-	s.chunks = append(s.chunks, chunk{append([]byte(nil), p...), at})
+	s.chunks = append(s.chunks, chunk{p, at})
 	s.wake()
 	return len(p), nil
 }
--- a/pkg/state/record.go
+++ b/pkg/state/record.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/config"
@@ -31,20 +32,41 @@
 	Claim   *ClaimJob     `json:"claim,omitempty"`
 	Begin   *BeginAttempt `json:"begin,omitempty"`
 	End     *EndAttempt   `json:"end,omitempty"`
+
+	Snapshot *SnapshotChunk `json:"snapshot,omitempty"`
 }
 
+// Format is the format of the records that this program writes. It rises with
+// every change of the records or of the fold that an older program would apply
+// differently, since all nodes must fold alike.
+const Format = 1
+
 // Batch is the payload of one log entry.
 type Batch struct {
+	Format  int      `json:"format"`
 	Records []Record `json:"records"`
 }
 
 // EncodeBatch returns the log entry for records.
-func EncodeBatch(records []Record) ([]byte, error) { return json.Marshal(Batch{records}) }
+func EncodeBatch(records []Record) ([]byte, error) { return json.Marshal(Batch{Format, records}) }
+
+// NewerFormatError reports a log entry that a newer program wrote. A node that
+// meets one must not fold on.
+type NewerFormatError struct{ Format int }
+
+// Error implements the error interface.
+func (e *NewerFormatError) Error() string {
+	return fmt.Sprintf("the log holds records of format %d, this program knows formats up to %d", e.Format, Format)
+}
 
-// DecodeBatch parses a log entry.
+// DecodeBatch parses a log entry. Its error is a *NewerFormatError if a newer
+// program wrote the entry.
 func DecodeBatch(data []byte) (Batch, error) {
 	var b Batch
 	err := json.Unmarshal(data, &b)
+	if b.Format > Format {
+		return b, &NewerFormatError{b.Format}
+	}
 	return b, err
 }
 
@@ -108,6 +130,8 @@
 	Job    string `json:"job"`
 	Token  int64  `json:"token"`
 	Reason string `json:"reason"`
+	// For is the job that the room is made for, if any.
+	For string `json:"for,omitempty"`
 }
 
 // ClaimJob makes another node the coordinator of an attempt.
