Leave planning to nodes that reach the log

Cause: the proof found that a preferred planner which answers heartbeats but is cut off from the log stayed preferred. Nobody planned for as long as the cut lasted; a guaranteed shape was not had within 40 s, against a bound of 8.7 s.

Ruled out: the age of the view, since a cut-off node's view stays fresh by way of the relays.

Change: a node notes whether its own reads and appends have been failing for 2 s, and says so in its heartbeats; the preferred node is picked among those that reach the log, if there are any.

In a large mesh the news comes with the next direct heartbeat only; the digest does not carry it yet.

--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -38,6 +38,7 @@
 	wake    chan struct{}
 	nodes   int
 
+	reach  reach
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
--- a/pkg/journal/read.go
+++ b/pkg/journal/read.go
@@ -44,6 +44,7 @@
 	timeout := readTimeout
 	for ctx.Err() == nil {
 		err := j.readOnce(ctx, timeout)
+		j.reach.noteRead(time.Now(), err)
 		if err == nil {
 			timeout = readTimeout
 			continue
--- a/pkg/journal/write.go
+++ b/pkg/journal/write.go
@@ -174,6 +174,7 @@
 			return
 		}
 		err := j.appendOnce(ctx, records)
+		j.reach.noteAppend(time.Now(), err)
 		if err == nil {
 			return
 		}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -59,6 +59,9 @@
 	Stale bool
 	// Unconfirmed means that a change of a zone may be in the log unread.
 	Unconfirmed bool
+	// Detached means that the node itself cannot read or append to the log,
+	// though its view may be up to date by way of the others.
+	Detached bool
 	// Offset is the offset of the next entry that the node will apply.
 	Offset int64
 }
@@ -159,9 +162,32 @@
 	return SuspectAfter
 }
 
-// Preferred returns the live node that rendezvous hashing picks for key.
+// Preferred returns the live node that rendezvous hashing picks for key, among
+// those that reach the log if there are any.
 func (s *Service) Preferred(now time.Time, key string) Member {
-	return Rendezvous(s.Live(now), key)
+	live := s.Live(now)
+	if attached := s.attached(live); len(attached) > 0 {
+		return Rendezvous(attached, key)
+	}
+	return Rendezvous(live, key)
+}
+
+// attached returns the members that are not known to be cut off from the log.
+func (s *Service) attached(members []Member) []Member {
+	self := s.status()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Member
+	for _, m := range members {
+		status := self
+		if r := s.seen[m.ID]; r != nil && m.ID != s.self.ID {
+			status = r.Status
+		}
+		if !status.Detached {
+			out = append(out, m)
+		}
+	}
+	return out
 }
 
 // Rendezvous picks one of members for key; members must not be empty.
--- a/pkg/relay/view.go
+++ b/pkg/relay/view.go
@@ -98,5 +98,5 @@
 	now := time.Now()
 	o := s.own(now)
 	stale := o.confirmed.IsZero() || now.Sub(o.confirmed) > FreshWithin
-	return membership.Status{Stale: stale, Unconfirmed: o.unconfirmed, Offset: o.offset}
+	return membership.Status{Stale: stale, Unconfirmed: o.unconfirmed, Detached: s.journal.Detached(now), Offset: o.offset}
 }
