Let freshness be read inside a view of the state

Ruled out: forbidding such calls; deciding by a view and its freshness together is what services should do.

Change: offset, freshness and the time of the last zone change have locks of their own and are read without the state's.

--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
@@ -24,10 +25,14 @@
 
 	mu      sync.RWMutex
 	st      *state.State
-	fresh   time.Time
 	changed chan struct{}
 	recent  recentEntries
 	extent  Extent
+
+	// What follows is read within View too, so it must not need mu.
+	offset atomic.Int64
+	fmu    sync.Mutex
+	fresh  time.Time
 	// zoneWritten is when this node last tried to write a change of a zone.
 	zoneWritten time.Time
 
@@ -76,7 +81,8 @@
 // Writer returns the incarnation under which this node writes.
 func (j *Journal) Writer() string { return j.writer }
 
-// View calls fn with the state; fn must neither keep nor change it.
+// View calls fn with the state; fn must neither keep nor change it. fn may call
+// Offset, Age, FreshWithin and UnconfirmedZone.
 func (j *Journal) View(fn func(*state.State)) {
 	j.mu.RLock()
 	defer j.mu.RUnlock()
@@ -91,17 +97,13 @@
 }
 
 // Offset returns the offset of the next entry to apply.
-func (j *Journal) Offset() int64 {
-	j.mu.RLock()
-	defer j.mu.RUnlock()
-	return j.st.Offset
-}
+func (j *Journal) Offset() int64 { return j.offset.Load() }
 
 // Age returns for how long the state may be behind the log. ok is false if the
 // state has never been known to hold everything that the log held.
 func (j *Journal) Age(now time.Time) (age time.Duration, ok bool) {
-	j.mu.RLock()
-	defer j.mu.RUnlock()
+	j.fmu.Lock()
+	defer j.fmu.Unlock()
 	return now.Sub(j.fresh), !j.fresh.IsZero()
 }
 
@@ -115,9 +117,9 @@
 // Confirm records that the log held nothing beyond offset at the time at. It
 // has no effect until the state holds everything before offset.
 func (j *Journal) Confirm(offset int64, at time.Time) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.st.Offset >= offset && at.After(j.fresh) {
+	j.fmu.Lock()
+	defer j.fmu.Unlock()
+	if j.Offset() >= offset && at.After(j.fresh) {
 		j.fresh = at
 	}
 }
--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -316,3 +316,24 @@
 		t.Errorf("age %s, %t at offset %d", age, ok, j.Offset())
 	}
 }
+
+// TestFreshnessWithinView asks for the freshness within View while a write
+// waits for the state, as deciding by a view and its freshness together does.
+func TestFreshnessWithinView(t *testing.T) {
+	j := New(standin.NewLog(0), "w")
+	done := make(chan struct{})
+	j.View(func(*state.State) {
+		go func() {
+			j.Merge([]platform.Entry{{Offset: 0, Data: []byte("{}")}})
+			close(done)
+		}()
+		time.Sleep(20 * time.Millisecond)
+		if _, ok := j.Age(time.Now()); ok || j.Offset() != 0 || j.UnconfirmedZone() {
+			t.Error("an empty journal is confirmed")
+		}
+	})
+	<-done
+	if j.Offset() != 1 {
+		t.Errorf("offset %d after the write", j.Offset())
+	}
+}
--- a/pkg/journal/read.go
+++ b/pkg/journal/read.go
@@ -158,8 +158,10 @@
 	return true
 }
 
-// notify wakes those who wait for a change. The caller holds mu.
+// notify publishes the new offset and wakes those who wait for a change. The
+// caller holds mu.
 func (j *Journal) notify() {
+	j.offset.Store(j.st.Offset)
 	close(j.changed)
 	j.changed = make(chan struct{})
 }
--- a/pkg/journal/write.go
+++ b/pkg/journal/write.go
@@ -111,8 +111,8 @@
 // UnconfirmedZone reports whether a change of an availability zone that this
 // node wrote may be in the log without the node having read the log since.
 func (j *Journal) UnconfirmedZone() bool {
-	j.mu.RLock()
-	defer j.mu.RUnlock()
+	j.fmu.Lock()
+	defer j.fmu.Unlock()
 	return !j.zoneWritten.IsZero() && !j.fresh.After(j.zoneWritten)
 }
 
@@ -120,9 +120,9 @@
 func (j *Journal) noteZone(records []state.Record) {
 	for i := range records {
 		if records[i].Zone != nil {
-			j.mu.Lock()
+			j.fmu.Lock()
 			j.zoneWritten = time.Now()
-			j.mu.Unlock()
+			j.fmu.Unlock()
 			return
 		}
 	}
