Check histories of concurrent runs under seeded faults

Ruled out: checks inside our own code; reads of the configuration as linearizable as they stand (a node may be seconds behind, so a read counts from 7 s before its call); a blocking write of a frozen host (callers hold locks across it, which stopped virtual time; what it writes now leaves when it thaws). Change: pkg/proof records calls, operations, executions and task events, checks them (registers and keys with porcupine), and plays a seeded schedule of 31 kinds of faults over memsite. Every check has a broken variant that it must catch. memsite gains Shutdown and a hook around the platform.

--- a/pkg/memnet/conn.go
+++ b/pkg/memnet/conn.go
@@ -51,12 +51,24 @@
 }
 
 // Write implements net.Conn. Data on a faulty link is lost without an error.
+// What a paused process writes leaves when it resumes; the call itself does not
+// block, since callers hold locks across it, which would stop virtual time.
 func (c *conn) Write(p []byte) (int, error) {
-	if !c.host.Wait() {
+	data := append([]byte(nil), p...)
+	var err error
+	sent, alive := c.host.send(func() { err = c.deliver(data) })
+	switch {
+	case !alive:
 		return 0, net.ErrClosed
+	case sent && err != nil:
+		return 0, err
 	}
+	return len(p), nil
+}
+
+func (c *conn) deliver(p []byte) error {
 	if c.host.net.fault(c.host.name, c.peer.name) != Healthy {
-		return len(p), nil
+		return nil
 	}
 	return c.out.write(p, time.Now().Add(c.host.net.delay(c.host.name, c.peer.name)))
 }
@@ -65,9 +77,11 @@
 func (c *conn) Close() error {
 	c.once.Do(func() {
 		c.in.close(net.ErrClosed)
-		if c.host.net.fault(c.host.name, c.peer.name) == Healthy {
-			c.out.close(io.EOF)
-		}
+		c.host.sendOrDrop(func() {
+			if c.host.net.fault(c.host.name, c.peer.name) == Healthy {
+				c.out.close(io.EOF)
+			}
+		})
 		c.host.untrack(c)
 	})
 	return nil
@@ -109,18 +123,18 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *stream) write(p []byte, at time.Time) (int, error) {
+func (s *stream) write(p []byte, at time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.err != nil {
-		return 0, io.ErrClosedPipe
+		return io.ErrClosedPipe
 	}
 	if n := len(s.chunks); n > 0 && at.Before(s.chunks[n-1].at) {
 		at = s.chunks[n-1].at
 	}
-	s.chunks = append(s.chunks, chunk{append([]byte(nil), p...), at})
+	s.chunks = append(s.chunks, chunk{p, at})
 	s.wake()
-	return len(p), nil
+	return nil
 }
 
 func (s *stream) close(err error) {
--- a/pkg/memnet/memnet.go
+++ b/pkg/memnet/memnet.go
@@ -92,6 +92,8 @@
 	frozen bool
 	thawed chan struct{}
 	conns  map[*conn]struct{}
+	// held is what the paused process has sent.
+	held []func()
 }
 
 var _ transport.Network = (*Host)(nil)
@@ -110,9 +112,37 @@
 func (h *Host) Thaw() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.frozen {
-		h.frozen = false
-		close(h.thawed)
+	if !h.frozen {
+		return
+	}
+	h.frozen = false
+	for _, send := range h.held {
+		send()
+	}
+	h.held = nil
+	close(h.thawed)
+}
+
+// send runs fn, or keeps it until the process is resumed if it is paused.
+func (h *Host) send(fn func()) (sent, alive bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.dead:
+		return false, false
+	case h.frozen:
+		h.held = append(h.held, fn)
+		return false, true
+	}
+	fn()
+	return true, true
+}
+
+// sendOrDrop runs fn like send, and at once for a dead process: its kernel
+// closes the connections.
+func (h *Host) sendOrDrop(fn func()) {
+	if _, alive := h.send(fn); !alive {
+		fn()
 	}
 }
 
@@ -120,7 +150,7 @@
 // paused process never resumes its output. A host killed stays dead.
 func (h *Host) Kill() {
 	h.mu.Lock()
-	h.dead = true
+	h.dead, h.held = true, nil
 	conns := h.conns
 	h.conns = map[*conn]struct{}{}
 	h.mu.Unlock()
--- a/pkg/memsite/memsite.go
+++ b/pkg/memsite/memsite.go
@@ -35,6 +35,8 @@
 	UpstreamTime time.Duration
 	// Settings changes the settings of each node before it starts, if not nil.
 	Settings func(*node.Settings)
+	// Wrap changes what a node sees of the platform, if not nil.
+	Wrap func(p node.Platform) node.Platform
 	// Observe is called with each change of a task on a worker, if not nil.
 	Observe func(standin.TaskEvent)
 	// OnCall is called before and after each call of a node to the log and the
@@ -151,6 +153,9 @@
 		Log: &gatedLog{e.gate, s.Log}, VMs: &gatedVMs{e.gate, s.VMs},
 		Workers: &gatedWorkers{e.gate, s.Workers},
 	}
+	if s.opts.Wrap != nil {
+		p = s.opts.Wrap(p)
+	}
 	var err error
 	e.Node, err = node.New(e.Settings, e.Host, p, rand.New(rand.NewPCG(s.rng.Uint64(), uint64(i))))
 	if err != nil {
@@ -192,6 +197,17 @@
 	go e.Node.Stop(stopCtx)
 }
 
+// Shutdown stops entry VM i gracefully, as SIGTERM does, and takes it off the VM list.
+func (s *Site) Shutdown(ctx context.Context, i int) error {
+	e := s.Entries[i]
+	e.killed = true
+	s.unlist(e.Settings.ID)
+	err := e.Node.Stop(ctx)
+	e.gate.kill()
+	e.Host.Kill()
+	return err
+}
+
 // Lose ends the process of entry VM i and takes the VM off the VM list.
 func (s *Site) Lose(i int) {
 	s.Kill(i)
--- /dev/null
+++ b/pkg/proof/broken_test.go
@@ -0,0 +1,280 @@
+package proof
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/node"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/standin"
+	"github.com/shallotpin/shallotpin/pkg/transport"
+)
+
+// mustFind fails the test unless a check of that name found a violation.
+func mustFind(t *testing.T, h *history, name string) {
+	t.Helper()
+	found := h.violations()
+	for _, v := range found {
+		if strings.HasPrefix(v, name+": ") {
+			t.Logf("found as it should be: %s", v)
+			return
+		}
+	}
+	t.Errorf("the check %q missed the broken variant; found %v", name, found)
+}
+
+// TestBrokenRetry repeats a request after may-have-run.
+func TestBrokenRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := start(t, options{seed: 1})
+		for _, u := range r.site.Upstreams {
+			u.SetFaults(standin.UpstreamFaults{CutAfterRun: true})
+		}
+		first := r.request("body", "", false, api.NotRun)
+		r.request("body", "", false, api.NotRun)
+		if first.verdict != api.MayHaveRun {
+			t.Errorf("the first verdict is %s", first.verdict)
+		}
+		mustFind(t, r.finish(t, func() {}), "at most once")
+	})
+}
+
+// TestBrokenVerdict tells every caller whose answer is lost not-run.
+func TestBrokenVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := start(t, options{seed: 1})
+		for _, u := range r.site.Upstreams {
+			u.SetFaults(standin.UpstreamFaults{CutAfterRun: true})
+		}
+		r.request("body", "key", false, api.NotRun)
+		r.h.calls[0].verdict = api.NotRun
+		h := r.finish(t, func() {})
+		mustFind(t, h, "not-run is true")
+		h.calls = append(h.calls, h.calls[0])
+		h.calls[1].start, h.calls[1].end = h.end, h.end
+		mustFind(t, h, "keyed requests")
+	})
+}
+
+// TestBrokenRouter takes the body of an answer as it comes, unchecked.
+func TestBrokenRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := start(t, options{seed: 1})
+		vms, err := r.site.VMs.List(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, vm := range vms {
+			if vm.Kind != platform.KindUpstream {
+				continue
+			}
+			r.site.Upstreams[vm.ID].SetFaults(standin.UpstreamFaults{Truncate: true})
+			c := transport.HTTPClient(r.site.Net.Host(callerHost), 0)
+			defer c.CloseIdleConnections()
+			resp, err := c.Post(vm.Address+"/run", "text/plain", strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(resp.Body)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatal(resp.Status, err)
+			}
+			resp.Body.Close()
+			r.h.addCall(call{body: "body", verdict: api.Ran, answer: api.Answer{Body: string(body)}})
+			break
+		}
+		mustFind(t, r.finish(t, func() {}), "whole answer")
+	})
+}
+
+// brokenWorkers changes the calls of workers.
+type brokenWorkers struct {
+	platform.Workers
+	change func(platform.Worker) platform.Worker
+}
+
+func (w *brokenWorkers) Worker(address string) platform.Worker {
+	return w.change(w.Workers.Worker(address))
+}
+
+// noFence answers every stop without making it, so that old attempts go on, and
+// reserves no room, so that they do not stand in the way of the next.
+type noFence struct{ platform.Worker }
+
+func (w noFence) Reserve(ctx context.Context, r platform.Reservation) error {
+	r.Request = api.Resources{}
+	return w.Worker.Reserve(ctx, r)
+}
+
+func (w noFence) Stop(_ context.Context, id platform.TaskID, _ bool) (platform.TaskStatus, error) {
+	return platform.TaskStatus{Task: id, Phase: platform.TaskStopped, Ran: true}, nil
+}
+
+// alwaysStart starts whenever it likes: it reserves with a start window without
+// end, and each start comes late.
+type alwaysStart struct{ platform.Worker }
+
+const lateStart = 8 * time.Second
+
+func (w alwaysStart) Reserve(ctx context.Context, r platform.Reservation) error {
+	r.StartWithin, r.LeaseTTL = time.Hour, time.Hour
+	return w.Worker.Reserve(ctx, r)
+}
+
+func (w alwaysStart) Start(ctx context.Context, id platform.TaskID) error {
+	time.Sleep(lateStart)
+	return w.Worker.Start(context.WithoutCancel(ctx), id)
+}
+
+// oneShort starts every task of a gang but the first.
+type oneShort struct{ platform.Worker }
+
+func (w oneShort) Start(ctx context.Context, id platform.TaskID) error {
+	if id.Index == 0 {
+		return nil
+	}
+	return w.Worker.Start(ctx, id)
+}
+
+func (w oneShort) Renew(ctx context.Context, ids []platform.TaskID, ttl time.Duration) ([]platform.TaskStatus, error) {
+	out, err := w.Worker.Renew(ctx, ids, ttl)
+	for i := range out {
+		if out[i].Task.Index == 0 && out[i].Phase == platform.TaskReserved {
+			out[i].Phase, out[i].Ran = platform.TaskRunning, true
+		}
+	}
+	return out, err
+}
+
+func breakWorkers(change func(platform.Worker) platform.Worker) func(node.Platform) node.Platform {
+	return func(p node.Platform) node.Platform {
+		p.Workers = &brokenWorkers{p.Workers, change}
+		return p
+	}
+}
+
+func (r *run) submitGang(t *testing.T, tasks int, seconds float64, attempts int) string {
+	t.Helper()
+	c, _ := r.client(0)
+	spec := encode(api.JobSpec{
+		Account: "coopers", Class: "appraisal", Tasks: tasks, Within: api.WithinRack, MaxAttempts: attempts,
+		PerTask: api.Resources{Cores: 8, MemoryGB: 32, Accelerators: 4},
+		Payload: string(encode(standin.TaskPayload{WorkSeconds: seconds})),
+	})
+	st, err := c.SubmitJob(t.Context(), spec, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.h.addJob(submission{id: st.ID})
+	return st.ID
+}
+
+// TestBrokenFence lets the tasks of a lost attempt run on beside the next one.
+func TestBrokenFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := start(t, options{seed: 1, wrap: breakWorkers(func(w platform.Worker) platform.Worker { return noFence{w} })})
+		// Two of the four tasks fail at once; the others are never stopped.
+		r.site.Workers["w-barasat-0"].SetFaults(standin.WorkerFaults{FailTasks: true})
+		r.submitGang(t, 4, 30, 3)
+		time.Sleep(time.Minute)
+		mustFind(t, r.finish(t, func() {}), "gang whole or none")
+	})
+}
+
+// TestBrokenGang starts three tasks of four.
+func TestBrokenGang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := start(t, options{seed: 1, wrap: breakWorkers(func(w platform.Worker) platform.Worker { return oneShort{w} })})
+		r.submitGang(t, 4, 60, 3)
+		time.Sleep(30 * time.Second)
+		mustFind(t, r.finish(t, func() {}), "gang whole or none")
+	})
+}
+
+// TestBrokenZoneCheck checks the zone when it plans and never again.
+func TestBrokenZoneCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := start(t, options{seed: 1, wrap: breakWorkers(func(w platform.Worker) platform.Worker { return alwaysStart{w} })})
+		r.submitGang(t, 4, 1, 3)
+		time.Sleep(time.Second)
+		for _, zone := range zones {
+			r.setZone(t.Context(), zone, true)
+		}
+		time.Sleep(2 * lateStart)
+		mustFind(t, r.finish(t, func() {}), "zone out")
+	})
+}
+
+// reordered swaps neighbouring entries of each page.
+type reordered struct{ platform.Log }
+
+func (l reordered) Read(ctx context.Context, from int64, wait time.Duration) (platform.Page, error) {
+	time.Sleep(2 * time.Second)
+	page, err := l.Log.Read(ctx, from, wait)
+	for i := 0; i+1 < len(page.Entries); i += 2 {
+		a, b := &page.Entries[i], &page.Entries[i+1]
+		a.Data, b.Data = b.Data, a.Data
+	}
+	return page, err
+}
+
+// TestBrokenOrder applies the records of the log out of order on one node.
+func TestBrokenOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := 0
+		r := start(t, options{seed: 1, wrap: func(p node.Platform) node.Platform {
+			if nodes++; nodes == entries {
+				p.Log = reordered{p.Log}
+			}
+			return p
+		}})
+		for i := range 20 {
+			r.setZone(t.Context(), zones[0], i%2 == 0)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		for i := range entries {
+			r.read(t.Context(), i)
+		}
+		mustFind(t, r.finish(t, func() {}), "configuration")
+	})
+}
+
+// TestBrokenLeaving keeps routing to an upstream that leaves: this caller never
+// asks the system.
+func TestBrokenLeaving(t *testing.T) {
+	h := newHistory()
+	h.leaving["u-1"] = time.Unix(100, 0)
+	h.executions = []standin.Execution{{At: time.Unix(104, 0), Upstream: "u-1"}}
+	if found := checkLeaving(h); len(found) != 0 {
+		t.Errorf("within the grace: %v", found)
+	}
+	h.executions = append(h.executions, standin.Execution{At: time.Unix(106, 0), Upstream: "u-1"})
+	mustFind(t, h, "leaving upstream")
+}
+
+// TestBrokenOutcomes holds wrong words about jobs against what the workers saw.
+func TestBrokenOutcomes(t *testing.T) {
+	h := newHistory()
+	at := time.Unix(100, 0)
+	for token := range int64(2) {
+		for _, phase := range []platform.TaskPhase{platform.TaskRunning, platform.TaskFailed} {
+			at = at.Add(time.Second)
+			h.events = append(h.events, standin.TaskEvent{At: at, Worker: "w", Task: platform.TaskID{Job: "j", Token: token}, Phase: phase})
+		}
+	}
+	h.final["j"] = api.JobStatus{Phase: api.PhaseFailed, Spec: api.JobSpec{Tasks: 1, MaxAttempts: 1}, Verdict: api.MayHaveRun}
+	mustFind(t, h, "attempts and outcomes")
+	h.final["j"] = api.JobStatus{Phase: api.PhaseCancelled, Spec: api.JobSpec{Tasks: 1, MaxAttempts: 2}}
+	mustFind(t, h, "attempts and outcomes")
+	h.final["j"] = api.JobStatus{Phase: api.PhaseDone, Spec: api.JobSpec{Tasks: 1, MaxAttempts: 2}, Verdict: api.Ran, Results: []string{"x"}}
+	mustFind(t, h, "attempts and outcomes")
+	h.jobs = []submission{{key: "k", id: "lost"}}
+	mustFind(t, h, "accepted jobs end")
+}
--- a/pkg/state/jobs.go
+++ b/pkg/state/jobs.go
@@ -252,7 +252,8 @@
 		return
 	case OutcomeNeverStarted:
 		j.Attempts--
-		if j.Attempts == 0 {
+		// A checkpoint shows that an attempt that was given back had run.
+		if j.Attempts == 0 && len(j.Checkpoints) == 0 {
 			j.Verdict = api.NotRun
 		}
 	case OutcomeStopped:
