--- a/pkg/memnet/memnet.go
+++ b/pkg/memnet/memnet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -87,17 +88,24 @@
 	name string
 	net  *Network
 
+	sent, received atomic.Int64
+
 	mu     sync.Mutex
 	dead   bool
 	frozen bool
 	thawed chan struct{}
 	conns  map[*conn]struct{}
-	// held is what the paused process has sent.
+	// held are the writes of a paused process. They go out when it resumes. They
+	// do not block until then, since a writer that holds a mutex would stop
+	// virtual time.
 	held []func()
 }
 
 var _ transport.Network = (*Host)(nil)
 
+// Traffic returns the bytes that the host has sent and received so far.
+func (h *Host) Traffic() (sent, received int64) { return h.sent.Load(), h.received.Load() }
+
 // Freeze pauses the host's process: its input and output wait until Thaw,
 // while its kernel still accepts connections and data.
 func (h *Host) Freeze() {
@@ -116,41 +124,30 @@
 		return
 	}
 	h.frozen = false
-	for _, send := range h.held {
-		send()
+	close(h.thawed)
+	for _, write := range h.held {
+		if !h.dead {
+			write()
+		}
 	}
 	h.held = nil
-	close(h.thawed)
 }
 
-// send runs fn, or keeps it until the process is resumed if it is paused.
-func (h *Host) send(fn func()) (sent, alive bool) {
+// hold keeps a write back while the process is paused, and reports whether it did.
+func (h *Host) hold(write func()) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case h.dead:
-		return false, false
-	case h.frozen:
-		h.held = append(h.held, fn)
-		return false, true
-	}
-	fn()
-	return true, true
-}
-
-// sendOrDrop runs fn like send, and at once for a dead process: its kernel
-// closes the connections.
-func (h *Host) sendOrDrop(fn func()) {
-	if _, alive := h.send(fn); !alive {
-		fn()
+	if h.frozen && !h.dead {
+		h.held = append(h.held, write)
 	}
+	return h.frozen && !h.dead
 }
 
 // Kill ends the host's process: its listeners and connections close, and a
 // paused process never resumes its output. A host killed stays dead.
 func (h *Host) Kill() {
 	h.mu.Lock()
-	h.dead, h.held = true, nil
+	h.dead = true
 	conns := h.conns
 	h.conns = map[*conn]struct{}{}
 	h.mu.Unlock()
