Kill, stop and pause real processes under load

Cause: the whole path as separate processes was only tried without load. Ruled out: bounds on wall-clock time; the scripts check verdicts, answers and attempts only. Change: testscripts kill (SIGKILL), drain (SIGTERM) and pause (SIGSTOP and SIGCONT) with bounded loads from script commands, and jobs that may run once.

--- a/cmd/shallotpin/script_test.go
+++ b/cmd/shallotpin/script_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -46,6 +47,8 @@
 			"spawn":  cmdSpawn,
 			"signal": cmdSignal,
 			"await":  cmdAwait,
+			"load":   cmdLoad, "loaded": cmdLoaded, "running": cmdRunning,
+			"site": cmdSite, "finished": cmdFinished, "preset": cmdPreset,
 		},
 	})
 }
@@ -104,6 +107,30 @@
 	"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
 }
 
+// cmdSite starts the stand-ins and three entry nodes e0 to e2 as separate
+// processes, publishes config.json, and sets the variables H0 to H2.
+func cmdSite(ts *testscript.TestScript, neg bool, args []string) {
+	cmdPorts(ts, false, []string{"LOG", "VMS", "WORKERS", "UP", "H0", "P0", "H1", "P1", "H2", "P2"})
+	env := ts.Getenv
+	program, err := lookIn(env("PATH"), "shallotpin-standin")
+	ts.Check(err)
+	out, err := exec.Command(program, "fleet", "--worker-url", "http://"+env("WORKERS"), "--upstream-url", "http://"+env("UP"),
+		"--entry", "e0:"+env("P0"), "--entry", "e1:"+env("P1"), "--entry", "e2:"+env("P2")).Output()
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs("vms.json"), out, 0o600))
+	spawn := func(args ...string) { cmdSpawn(ts, false, args) }
+	spawn("log", "shallotpin-standin", "log", "--listen", env("LOG"))
+	spawn("vmlist", "shallotpin-standin", "vmlist", "--listen", env("VMS"), "--file", "vms.json")
+	spawn("workers", "shallotpin-standin", "workers", "--listen", env("WORKERS"), "--file", "vms.json")
+	spawn("upstreams", "shallotpin-standin", "upstreams", "--listen", env("UP"), "--file", "vms.json")
+	for i, zone := range []string{"howrah", "salt-lake", "barasat"} {
+		n := strconv.Itoa(i)
+		spawn("e"+n, "shallotpind", "--id", "e"+n, "--zone", zone, "--http", env("H"+n), "--peer", env("P"+n),
+			"--log", "http://"+env("LOG"), "--vms", "http://"+env("VMS"))
+	}
+	ts.Check(ts.Exec("shallotpin", "--server", "http://"+env("H0"), "config", "publish", "config.json"))
+}
+
 // cmdSignal sends a signal to a spawned process.
 func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
 	if len(args) != 2 || signals[args[1]] == 0 {
