--- a/pkg/bench/capacity_traffic.go
+++ b/pkg/bench/capacity_traffic.go
@@ -27,8 +27,9 @@
 )
 
 const (
-	// settleTime lets the node start its gangs before the window opens.
-	settleTime = 10 * time.Second
+	// settleTime lets the node start its gangs, and write or read the first
+	// snapshot, before the window opens.
+	settleTime = 45 * time.Second
 	// windowTime is how long the node is measured at the target size.
 	windowTime = 30 * time.Second
 	bytesPerMB = 1 << 20
@@ -70,6 +71,7 @@
 		figures["control_bytes_per_node_per_s_at_target"] += float64(after.bytes-before[class].bytes) / seconds
 	}
 	figures["rss_mb_at_target"], err = residentMB()
+	var encodeErr error
 	s.node.Journal.View(func(st *state.State) {
 		for _, j := range st.Jobs {
 			if j.Coordinator == s.node.Journal.Writer() {
@@ -77,8 +79,12 @@
 			}
 		}
 		figures["workers_at_target"] = float64(len(st.Workers))
+		var snapshot []byte
+		if snapshot, encodeErr = st.Encode(); encodeErr == nil {
+			figures["snapshot_bytes_at_target"] = float64(len(snapshot))
+		}
 	})
-	return err
+	return errors.Join(err, encodeErr)
 }
 
 // start builds the site; the node that is measured is also the preferred planner.
