Ask for the preferred node outside of the view of the log

Cause: lifecycle.orphans asked membership for the preferred node while it held the view's read lock; since the choice reads the node's own status, it took the same lock again. With a writer between the two, the node stood still for ever. Found by TestGuaranteeReclaimed/node_frozen, which hung in every run before. Ruled out: a fault of virtual time: the goroutines waited for the RWMutex itself. Change: candidates are collected in the view, and the choice is made after it.

--- a/pkg/lifecycle/takeover.go
+++ b/pkg/lifecycle/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -64,7 +65,7 @@
 	for _, m := range s.members.Live(now) {
 		live[m.Incarnation] = true
 	}
-	var out []*state.Job
+	var lost []*state.Job
 	silent := map[orphan]time.Time{}
 	s.journal.View(func(st *state.State) {
 		for _, j := range st.Jobs {
@@ -75,14 +76,15 @@
 			if silent[key] = s.silent[key]; silent[key].IsZero() {
 				silent[key] = now
 			}
-			if s.members.Preferred(now, j.ID).ID == s.members.Self().ID {
-				copied := *j
-				out = append(out, &copied)
-			}
+			copied := *j
+			lost = append(lost, &copied)
 		}
 	})
 	s.silent = silent
-	return out
+	// The choice reads the view of the log itself, so it is made outside of it.
+	return slices.DeleteFunc(lost, func(j *state.Job) bool {
+		return s.members.Preferred(now, j.ID).ID != s.members.Self().ID
+	})
 }
 
 func (s *Service) silence(now time.Time, j *state.Job) time.Duration {
