--- a/pkg/bench/capacity_traffic.go
+++ b/pkg/bench/capacity_traffic.go
@@ -21,6 +21,7 @@
 	"github.com/shallotpin/shallotpin/pkg/node"
 	"github.com/shallotpin/shallotpin/pkg/peer"
 	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/relay"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 	"github.com/shallotpin/shallotpin/pkg/state"
 	"github.com/shallotpin/shallotpin/pkg/transport"
@@ -125,6 +126,7 @@
 	set := node.Settings{
 		ID: vm.ID, Zone: vm.Zone, HTTP: loopback, Peer: vm.Address, Log: logURL, VMs: vmsURL,
 		DrainTimeout: 30 * time.Second, LeaseTTL: 10 * time.Second, StartWithin: 3 * time.Second, ClockDrift: 0.01,
+		SnapshotInterval: relay.DefaultSettings.SnapshotInterval,
 	}
 	var err error
 	s.node, err = node.New(set, s.traffic, node.HTTPPlatform(set, s.traffic), rand.New(rand.NewPCG(1, 1)))
