--- /dev/null
+++ b/pkg/admission/budget.go
@@ -0,0 +1,24 @@
+package admission
+
+const (
+	// retryShare is how many retries each first attempt pays for.
+	retryShare = 0.08
+	// maxRetries bounds the retries that can be saved up.
+	maxRetries = 10
+)
+
+// Budget bounds the retries to a share of the first attempts, so that retries
+// never make an overload worse. The zero value is empty.
+type Budget struct{ saved float64 }
+
+// First pays in for a first attempt.
+func (b *Budget) First() { b.saved = min(maxRetries, b.saved+retryShare) }
+
+// Retry reports whether one retry may be made, and pays for it.
+func (b *Budget) Retry() bool {
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
--- /dev/null
+++ b/pkg/requests/peers.go
@@ -0,0 +1,213 @@
+package requests
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/claims"
+	"github.com/shallotpin/shallotpin/pkg/membership"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+const (
+	// helloInterval is the time between two hellos to a node.
+	helloInterval = time.Second
+	// startInterval replaces it until the node has joined and shares slots.
+	startInterval = 100 * time.Millisecond
+	// helloTimeout bounds one hello, and askTimeout one question about a key.
+	helloTimeout = 800 * time.Millisecond
+	askTimeout   = 500 * time.Millisecond
+	// flushBatch bounds the keys that are written to the log at once.
+	flushBatch = 256
+	// flushTimeout bounds one write of a key to the log.
+	flushTimeout = 5 * time.Second
+)
+
+// Hello is what nodes tell each other once a second.
+type Hello struct{ From membership.Member }
+
+// HelloReply answers a hello.
+type HelloReply struct {
+	From membership.Member
+	// View is the hash of the view that the node wants; Drained says that it
+	// uses no slot that is another one's in that view.
+	View    uint64
+	Drained bool
+	// Unlogged counts the keys that the log must still learn of from this node.
+	Unlogged int
+	// Joined says that the node may claim keys; HasLog that it reaches the log.
+	Joined, HasLog bool
+}
+
+// KeyCall asks for, or notes, the right to a key.
+type KeyCall struct {
+	From membership.Member
+	Key  string
+	Body uint64
+}
+
+// AskReply answers a question for a key.
+type AskReply struct {
+	From  membership.Member
+	Grant claims.Grant
+	// Others are the nodes whose word is needed too, as far as the node knows.
+	Others []membership.Member
+}
+
+// NoteReply answers a note.
+type NoteReply struct{ Noted bool }
+
+// RunCall hands a request over to another node.
+type RunCall struct {
+	Request api.Request
+	// Timeout is the time left; clocks are not compared.
+	Timeout time.Duration
+	// Hops counts how often the request was handed over.
+	Hops int
+	// To is the incarnation that is meant, if not empty.
+	To string
+}
+
+// RunReply carries the answer back.
+type RunReply struct{ Answer api.Answer }
+
+// handler serves the calls of other nodes.
+type handler struct{ s *Service }
+
+// Hello answers a hello.
+func (h *handler) Hello(args *Hello, reply *HelloReply) error {
+	s := h.s
+	s.roster.learn(args.From, time.Now())
+	_, unlogged := s.table.Unlogged(0)
+	reply.From, reply.Unlogged = s.members.Self(), unlogged
+	reply.View, _ = s.roster.view()
+	reply.Drained = s.drained()
+	reply.Joined, reply.HasLog = s.roster.isJoined(), !s.dark(time.Now())
+	return nil
+}
+
+// Ask answers a node that wants a key without the log.
+func (h *handler) Ask(args *KeyCall, reply *AskReply) error {
+	s := h.s
+	now := time.Now()
+	s.roster.learn(args.From, now)
+	reply.From, reply.Others = s.members.Self(), s.roster.others()
+	logged := s.loggedClaim(args.Key)
+	reply.Grant = s.table.Ask(args.Key, args.Body, args.From.Incarnation, logged.Owner, s.dark(now))
+	return nil
+}
+
+// Note remembers a claim that is on its way to the log.
+func (h *handler) Note(args *KeyCall, reply *NoteReply) error {
+	h.s.roster.learn(args.From, time.Now())
+	reply.Noted = h.s.table.Note(args.Key, args.Body, args.From.Incarnation)
+	return nil
+}
+
+// Run runs a request for another node.
+func (h *handler) Run(args *RunCall, reply *RunReply) error {
+	if args.To != "" && args.To != h.s.members.Self().Incarnation {
+		reply.Answer = uncertain(&args.Request, "the entry VM that held the key was replaced")
+		return nil
+	}
+	h.s.serving.Add(1)
+	defer h.s.serving.Done()
+	ctx, cancel := context.WithTimeout(h.s.life, args.Timeout)
+	defer cancel()
+	reply.Answer = h.s.route(ctx, &args.Request, args.Hops)
+	return nil
+}
+
+// helloLoop keeps the roster.
+func (s *Service) helloLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.helloRound(ctx)
+		s.tryJoin(ctx)
+		interval := helloInterval
+		if !s.roster.isJoined() || !s.roster.inForce() {
+			interval = startInterval
+		}
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *Service) helloRound(ctx context.Context) {
+	if vms, ok := s.fleet.VMs(platform.KindEntry); ok {
+		s.roster.list(vms, time.Now())
+	}
+	var wg sync.WaitGroup
+	for _, m := range s.roster.others() {
+		wg.Go(func() { s.hello(ctx, m) })
+	}
+	wg.Wait()
+	s.roster.agree()
+	s.pump()
+}
+
+func (s *Service) hello(ctx context.Context, m membership.Member) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	_, round := s.roster.view()
+	var reply HelloReply
+	if err := s.peers.Call(ctx, m.Address, "Requests.Hello", &Hello{s.members.Self()}, &reply); err != nil {
+		s.roster.failed(m.ID, err, time.Now())
+		return
+	}
+	s.roster.heard(&reply, round, time.Now())
+}
+
+// tryJoin makes the node one that claims keys, once every other one has
+// answered it with no keys owed to the log, and the log has been read since.
+func (s *Service) tryJoin(ctx context.Context) {
+	if s.roster.isJoined() || !s.roster.greetedByAll() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	if err := s.journal.Sync(ctx); err != nil {
+		return
+	}
+	s.roster.setJoined()
+	klog.V(1).Info("requests: joined, keyed requests are claimed here from now on")
+}
+
+// flushLoop tells the log of keys that were granted without it.
+func (s *Service) flushLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		keys, _ := s.table.Unlogged(flushBatch)
+		if age, ok := s.journal.Age(time.Now()); ok && age < darkAfter {
+			s.flush(ctx, keys)
+		}
+		select {
+		case <-time.After(helloInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *Service) flush(ctx context.Context, keys []claims.Unlogged) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, k := range keys {
+		wg.Go(func() {
+			if _, err := s.journal.Propose(ctx, state.Record{ClaimKey: &state.ClaimKey{Key: k.Key, Body: k.Body, Owner: k.Owner}}); err == nil {
+				s.table.Logged(k.Key)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// notRunning reports whether err says that no process listens at the address.
+func notRunning(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -4,21 +4,23 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/claims"
 	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/fleet"
 	"github.com/shallotpin/shallotpin/pkg/journal"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/membership"
+	"github.com/shallotpin/shallotpin/pkg/peer"
 	"github.com/shallotpin/shallotpin/pkg/platform"
-	"github.com/shallotpin/shallotpin/pkg/relay"
-	"github.com/shallotpin/shallotpin/pkg/routing"
 	"github.com/shallotpin/shallotpin/pkg/state"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
@@ -26,8 +28,15 @@
 // ServiceName is the name of the request service in the kernel.
 const ServiceName = "requests"
 
-// queuePoll is the wait between two looks for a free slot.
-const queuePoll = 5 * time.Millisecond
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 4
+	// minAttemptTime is the least time that an attempt of an idempotent request gets.
+	minAttemptTime = 50 * time.Millisecond
+	// attemptTimes is how many times the usual duration an attempt may take
+	// while there is time for another one; it finds silent connections.
+	attemptTimes = 8
+)
 
 // Service routes short requests.
 type Service struct {
@@ -35,17 +44,32 @@
 	journal  *journal.Journal
 	members  *membership.Service
 	fleet    *fleet.Service
-	relay    *relay.Service
+	peers    *peer.Service
+	roster   *roster
+	table    *claims.Table
+	// appendsFail says that the log did not confirm the last claim.
+	appendsFail atomic.Bool
+
+	life   context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	// serving counts the requests that run for other nodes.
+	serving sync.WaitGroup
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	inFlight map[string]int
+	mu        sync.Mutex
+	rng       *rand.Rand
+	pools     map[string]*pool
+	upstreams map[string]*upstreamState
+	histogram *histograms
 }
 
 // New returns a request service that reaches upstreams over network. rng
 // drives the choice among upstreams.
 func New(network transport.Network, rng *rand.Rand) *Service {
-	return &Service{upstream: newUpstreamClient(network), rng: rng, inFlight: map[string]int{}}
+	return &Service{
+		upstream: newUpstreamClient(network), rng: rng,
+		pools: map[string]*pool{}, upstreams: map[string]*upstreamState{}, histogram: newHistograms(),
+	}
 }
 
 // Name implements kernel.Service.
@@ -53,7 +77,7 @@
 
 // DependsOn implements kernel.Service.
 func (s *Service) DependsOn() []string {
-	return []string{journal.ServiceName, membership.ServiceName, fleet.ServiceName, relay.ServiceName}
+	return []string{journal.ServiceName, membership.ServiceName, fleet.ServiceName, peer.ServiceName}
 }
 
 // Start implements kernel.Service.
@@ -64,15 +88,37 @@
 	if s.members, err = kernel.Lookup[*membership.Service](k, membership.ServiceName); err != nil {
 		return err
 	}
-	if s.relay, err = kernel.Lookup[*relay.Service](k, relay.ServiceName); err != nil {
+	if s.peers, err = kernel.Lookup[*peer.Service](k, peer.ServiceName); err != nil {
+		return err
+	}
+	if s.fleet, err = kernel.Lookup[*fleet.Service](k, fleet.ServiceName); err != nil {
 		return err
 	}
-	s.fleet, err = kernel.Lookup[*fleet.Service](k, fleet.ServiceName)
-	return err
+	s.roster = newRoster(s.members.Self())
+	s.table = claims.NewTable(s.members.Self().Incarnation)
+	s.life, s.cancel = context.WithCancel(context.Background())
+	if err := s.peers.Handle("Requests", &handler{s}); err != nil {
+		return err
+	}
+	s.wg.Go(func() { s.helloLoop(s.life) })
+	s.wg.Go(func() { s.flushLoop(s.life) })
+	return nil
 }
 
-// Stop implements kernel.Service.
-func (s *Service) Stop(context.Context) error {
+// Stop implements kernel.Service: what runs for other nodes may finish, as
+// long as ctx allows.
+func (s *Service) Stop(ctx context.Context) error {
+	served := make(chan struct{})
+	go func() {
+		s.serving.Wait()
+		close(served)
+	}()
+	select {
+	case <-served:
+	case <-ctx.Done():
+	}
+	s.cancel()
+	s.wg.Wait()
 	s.upstream.close()
 	return nil
 }
@@ -82,9 +128,6 @@
 	if r.ID == "" {
 		r.ID = uuid.NewString()
 	}
-	if err := s.relay.CheckServe(time.Now()); err != nil {
-		return refuse(r, err)
-	}
 	class, err := s.class(r)
 	if err != nil {
 		return refuse(r, err)
@@ -94,12 +137,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
-	vm, err := s.acquire(ctx, r)
-	if err != nil {
+	began := time.Now()
+	answer := s.route(ctx, r, 0)
+	s.histogram.outcome(r, answer.Verdict, time.Since(began))
+	return answer
+}
+
+// route runs a request, or lets another node run it. hops counts how often it
+// was handed over.
+func (s *Service) route(ctx context.Context, r *api.Request, hops int) api.Answer {
+	if _, err := s.class(r); err != nil {
 		return refuse(r, err)
 	}
-	defer s.release(vm.ID)
-	return s.upstream.do(ctx, vm, r, r.ID).answer
+	if r.Key != "" && !r.Idempotent {
+		return s.keyed(ctx, r, hops)
+	}
+	if hops == 0 && s.shareless(r.Service) {
+		return s.relay(ctx, r, hops, func(n *rosterNode) bool { return n.joined })
+	}
+	return s.run(ctx, r, nil)
 }
 
 func refuse(r *api.Request, err error) api.Answer {
@@ -135,58 +191,94 @@
 	return class, err
 }
 
-// acquire waits for a slot on an upstream.
-func (s *Service) acquire(ctx context.Context, r *api.Request) (platform.VM, error) {
-	for {
-		vms := s.upstreams(r.Service)
-		if len(vms) == 0 {
-			return platform.VM{}, api.Errorf(api.CodeUnavailable, "no upstream serves %s", r.Service)
-		}
-		if vm, ok := s.tryAcquire(vms); ok {
-			return vm, nil
+// run makes attempts until one has an outcome that stands. once, if not nil,
+// lets no attempt out unless this node holds the request's key.
+func (s *Service) run(ctx context.Context, r *api.Request, once *sendOnce) api.Answer {
+	var last api.Answer
+	for attempt := 0; ; attempt++ {
+		answer := s.attempt(ctx, r, once, attempt, last.Upstream)
+		if attempt > 0 {
+			answer = joinVerdicts(last, answer)
 		}
-		select {
-		case <-time.After(queuePoll):
-		case <-ctx.Done():
-			return platform.VM{}, api.Errorf(api.CodeOverloaded, "no upstream of %s had a free slot before the deadline", r.Service)
+		if !s.again(ctx, r, answer, attempt) {
+			s.histogram.attempts(r, attempt+1)
+			return answer
 		}
+		last = answer
 	}
 }
 
-// upstreams lists the upstreams of a service that may take new work.
-func (s *Service) upstreams(service string) []platform.VM {
-	all, _ := s.fleet.VMs(platform.KindUpstream)
-	var open []platform.VM
-	s.journal.View(func(st *state.State) {
-		for _, vm := range all {
-			if vm.Service == service && !vm.Leaving && !st.ZoneOut(vm.Zone) {
-				open = append(open, vm)
-			}
-		}
-	})
-	return open
+// joinVerdicts keeps the verdict of earlier attempts: not-run is true only if
+// it is true for each of them.
+func joinVerdicts(earlier, latest api.Answer) api.Answer {
+	if latest.Verdict != api.NotRun || earlier.Verdict == api.NotRun {
+		return latest
+	}
+	e := *latest.Error
+	e.Verdict = earlier.Verdict
+	latest.Verdict, latest.Error = earlier.Verdict, &e
+	return latest
 }
 
-func (s *Service) tryAcquire(vms []platform.VM) (platform.VM, bool) {
-	nodes := len(s.members.Live(time.Now()))
+// again reports whether another attempt is safe, paid for and in time.
+func (s *Service) again(ctx context.Context, r *api.Request, answer api.Answer, attempt int) bool {
+	if answer.Error == nil || answer.Upstream == "" || attempt+1 >= maxAttempts || ctx.Err() != nil {
+		return false
+	}
+	if !r.Idempotent && answer.Verdict != api.NotRun {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	candidates := make([]routing.Candidate, len(vms))
-	for i, vm := range vms {
-		candidates[i] = routing.Candidate{ID: vm.ID, Zone: vm.Zone, InFlight: s.inFlight[vm.ID], Limit: max(1, vm.Slots/nodes)}
+	return s.pool(r.Service).budget.Retry()
+}
+
+// attempt waits for a slot and sends the request once.
+func (s *Service) attempt(ctx context.Context, r *api.Request, once *sendOnce, attempt int, avoid string) api.Answer {
+	class, err := s.class(r)
+	if err != nil {
+		return refuse(r, err)
+	}
+	began := time.Now()
+	vm, refusal := s.acquire(ctx, r, class, avoid)
+	if refusal != nil {
+		return refuse(r, refusal)
 	}
-	i := routing.Choose(candidates, s.rng)
-	if i < 0 {
-		return platform.VM{}, false
+	s.histogram.queued(r, time.Since(began))
+	if !once.begin() {
+		s.release(r.Service, vm, 0)
+		return uncertain(r, "the key has been given to another entry VM")
 	}
-	s.inFlight[vms[i].ID]++
-	return vms[i], true
+	got, took := s.send(ctx, vm, r, attempt)
+	once.end(got.answer)
+	s.observe(r.Service, vm, got, took)
+	hold := time.Duration(0)
+	if got.abandoned {
+		hold = abandonedHold
+	}
+	s.release(r.Service, vm, hold)
+	return got.answer
 }
 
-func (s *Service) release(id string) {
+// send makes one attempt. While an idempotent request has time for another
+// attempt, this one gets only some multiple of the usual duration.
+func (s *Service) send(ctx context.Context, vm platform.VM, r *api.Request, attempt int) (attemptResult, time.Duration) {
+	began := time.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.inFlight[id]--; s.inFlight[id] == 0 {
-		delete(s.inFlight, id)
+	p := s.pool(r.Service)
+	if attempt == 0 {
+		p.budget.First()
+	}
+	usual := p.each
+	s.mu.Unlock()
+	if deadline, _ := ctx.Deadline(); r.Idempotent {
+		limit := max(minAttemptTime, attemptTimes*usual)
+		if left := deadline.Sub(began); limit < left/2 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, limit)
+			defer cancel()
+		}
 	}
+	got := s.upstream.do(ctx, vm, r, fmt.Sprintf("%s.%d", r.ID, attempt))
+	return got, time.Since(began)
 }
--- /dev/null
+++ b/pkg/requests/roster.go
@@ -0,0 +1,281 @@
+package requests
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/membership"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/routing"
+)
+
+const (
+	// goneAfter is how long a VM must be missing from the VM list, after it was
+	// listed, until it counts as gone for good.
+	goneAfter = 3 * time.Second
+	// refusedAfter is how long a VM must refuse connections until it gets no slots.
+	refusedAfter = 3 * time.Second
+	// liveFor is how long a node counts as reachable after it was heard of.
+	liveFor = 4 * time.Second
+)
+
+// roster is what a node knows of the other entry VMs: which of them are not
+// known to be gone, and which have agreed on the view that shares the slots.
+type roster struct {
+	self membership.Member
+
+	mu    sync.Mutex
+	nodes map[string]*rosterNode
+	// target is the view that is being agreed on. held are the views since the
+	// last agreement: only what is this node's in all of them may be used.
+	target routing.View
+	held   []routing.View
+	agreed bool
+	// everAgreed says that there was an agreement; before it, no slot is this node's.
+	everAgreed bool
+	round      int
+	acked      map[string]bool
+	joined     bool
+	shares     map[string]int
+}
+
+type rosterNode struct {
+	member membership.Member
+	listed bool
+	// missing and refused are since when the VM is off the list or refuses connections.
+	missing, refused time.Time
+	heard            time.Time
+	// greeted says that the node knows this one and owed the log no keys.
+	greeted bool
+	// joined and hasLog are what the node said of itself last.
+	joined, hasLog bool
+}
+
+func newRoster(self membership.Member) *roster {
+	return &roster{self: self, nodes: map[string]*rosterNode{}, acked: map[string]bool{}, shares: map[string]int{}}
+}
+
+// list takes in a copy of the VM list.
+func (r *roster) list(vms []platform.VM, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := map[string]bool{}
+	for _, vm := range vms {
+		if vm.ID == r.self.ID {
+			continue
+		}
+		seen[vm.ID] = true
+		n := r.nodes[vm.ID]
+		if n == nil {
+			n = &rosterNode{member: membership.Member{ID: vm.ID, Zone: vm.Zone, Address: vm.Address}}
+			r.nodes[vm.ID] = n
+		}
+		n.listed, n.missing = true, time.Time{}
+	}
+	for id, n := range r.nodes {
+		switch {
+		case seen[id] || !n.listed:
+		case n.missing.IsZero():
+			n.missing = now
+		case now.Sub(n.missing) >= goneAfter:
+			delete(r.nodes, id)
+		}
+	}
+	r.retarget(now)
+}
+
+// learn takes in a node that called or answered.
+func (r *roster) learn(m membership.Member, now time.Time) {
+	if m.ID == r.self.ID {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.nodes[m.ID]
+	if n == nil {
+		n = &rosterNode{}
+		r.nodes[m.ID] = n
+	}
+	if n.member.Incarnation != m.Incarnation {
+		n.greeted, n.joined = false, false
+	}
+	n.member, n.heard, n.refused = m, now, time.Time{}
+	r.retarget(now)
+}
+
+// failed takes in a call that got no answer.
+func (r *roster) failed(id string, err error, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.nodes[id]
+	if n == nil {
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		n.refused = time.Time{}
+	} else if n.refused.IsZero() {
+		n.refused = now
+	}
+	r.retarget(now)
+}
+
+// retarget begins a new round of agreement if the set of nodes has changed. It
+// must be called under mu.
+func (r *roster) retarget(now time.Time) {
+	view := routing.View{r.self.Incarnation}
+	for id, n := range r.nodes {
+		if !n.refused.IsZero() && now.Sub(n.refused) >= refusedAfter {
+			continue
+		}
+		incarnation := n.member.Incarnation
+		if incarnation == "" {
+			incarnation = id + "/?"
+		}
+		view = append(view, incarnation)
+	}
+	slices.Sort(view)
+	if slices.Equal(view, r.target) {
+		return
+	}
+	// What this node gave up in an earlier round stays given up until all agree.
+	if r.everAgreed && !slices.ContainsFunc(r.held, func(v routing.View) bool { return slices.Equal(v, view) }) {
+		r.held = append(r.held, view)
+	}
+	r.target, r.agreed = view, false
+	r.round++
+	r.acked = map[string]bool{}
+	clear(r.shares)
+}
+
+// agree brings the target into force once every other node of it has agreed.
+func (r *roster) agree() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.target == nil || r.agreed {
+		return
+	}
+	for _, incarnation := range r.target {
+		if incarnation != r.self.Incarnation && !r.acked[incarnation] {
+			return
+		}
+	}
+	r.held, r.agreed, r.everAgreed = []routing.View{r.target}, true, true
+	clear(r.shares)
+}
+
+// inForce reports whether all nodes have agreed on the target.
+func (r *roster) inForce() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.agreed
+}
+
+// share returns how many slots of an upstream this node may use now.
+func (r *roster) share(vm platform.VM) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n, ok := r.shares[vm.ID]
+	if !ok {
+		n = r.countShare(vm)
+		r.shares[vm.ID] = n
+	}
+	return n
+}
+
+// countShare counts the slots. There are none before the first agreement, when nothing is held.
+func (r *roster) countShare(vm platform.VM) int {
+	return routing.Share(r.held, r.self.Incarnation, vm.ID, vm.Slots)
+}
+
+// view returns the hash of the target view and the round of agreement on it.
+func (r *roster) view() (hash uint64, round int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target.Hash(), r.round
+}
+
+// heard takes in the answer to a hello that was sent in the given round.
+func (r *roster) heard(reply *HelloReply, round int, now time.Time) {
+	r.learn(reply.From, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.nodes[reply.From.ID]
+	if n == nil || n.member.Incarnation != reply.From.Incarnation {
+		return
+	}
+	n.greeted = n.greeted || reply.Unlogged == 0
+	n.joined, n.hasLog = reply.Joined, reply.HasLog
+	if r.round == round && reply.Drained && reply.View == r.target.Hash() {
+		r.acked[reply.From.Incarnation] = true
+	}
+}
+
+// greetedByAll reports whether every other node that runs has answered a hello
+// of this one while it owed the log no keys.
+func (r *roster) greetedByAll() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range r.nodes {
+		if !n.greeted && n.refused.IsZero() {
+			return false
+		}
+	}
+	return r.target != nil
+}
+
+func (r *roster) setJoined() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.joined = true
+}
+
+func (r *roster) isJoined() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.joined
+}
+
+// others returns the nodes that are not known to be gone, sorted by ID.
+func (r *roster) others() []membership.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.collect(func(*rosterNode) bool { return true })
+}
+
+// reachable returns the nodes that answered lately and pass the filter.
+func (r *roster) reachable(now time.Time, filter func(*rosterNode) bool) []membership.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.collect(func(n *rosterNode) bool { return now.Sub(n.heard) < liveFor && filter(n) })
+}
+
+func (r *roster) collect(filter func(*rosterNode) bool) []membership.Member {
+	var out []membership.Member
+	for _, n := range r.nodes {
+		if filter(n) {
+			out = append(out, n.member)
+		}
+	}
+	slices.SortFunc(out, func(a, b membership.Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// byIncarnation returns the node that runs under an incarnation.
+func (r *roster) byIncarnation(incarnation string) (membership.Member, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range r.nodes {
+		if n.member.Incarnation == incarnation {
+			return n.member, true
+		}
+	}
+	return membership.Member{}, false
+}
--- a/pkg/state/apply.go
+++ b/pkg/state/apply.go
@@ -17,6 +17,8 @@
 	JobID string
 	// Token is the fencing token of an accepted plan.
 	Token int64
+	// Key is the claim in force after a claim of a key.
+	Key KeyClaim
 }
 
 // Apply folds one record into the state.
@@ -48,6 +50,8 @@
 		return s.applyBegin(r.Begin)
 	case r.End != nil:
 		return s.applyEnd(r.End)
+	case r.ClaimKey != nil:
+		return s.applyClaimKey(r.ClaimKey)
 	case r.Snapshot != nil:
 		return s.applySnapshot(r.Snapshot)
 	}
--- a/pkg/state/record.go
+++ b/pkg/state/record.go
@@ -20,17 +20,18 @@
 	// Seq rises by one with each record of a writer, starting at 1.
 	Seq uint64 `json:"s"`
 
-	Publish *Publish      `json:"publish,omitempty"`
-	Preset  *SwitchPreset `json:"preset,omitempty"`
-	Zone    *SetZone      `json:"zone,omitempty"`
-	Fleet   *ChangeFleet  `json:"fleet,omitempty"`
-	Submit  *SubmitJob    `json:"submit,omitempty"`
-	Cancel  *CancelJob    `json:"cancel,omitempty"`
-	Plan    *PlanJob      `json:"plan,omitempty"`
-	Preempt *PreemptJob   `json:"preempt,omitempty"`
-	Claim   *ClaimJob     `json:"claim,omitempty"`
-	Begin   *BeginAttempt `json:"begin,omitempty"`
-	End     *EndAttempt   `json:"end,omitempty"`
+	Publish  *Publish      `json:"publish,omitempty"`
+	Preset   *SwitchPreset `json:"preset,omitempty"`
+	Zone     *SetZone      `json:"zone,omitempty"`
+	Fleet    *ChangeFleet  `json:"fleet,omitempty"`
+	Submit   *SubmitJob    `json:"submit,omitempty"`
+	Cancel   *CancelJob    `json:"cancel,omitempty"`
+	Plan     *PlanJob      `json:"plan,omitempty"`
+	Preempt  *PreemptJob   `json:"preempt,omitempty"`
+	Claim    *ClaimJob     `json:"claim,omitempty"`
+	Begin    *BeginAttempt `json:"begin,omitempty"`
+	End      *EndAttempt   `json:"end,omitempty"`
+	ClaimKey *ClaimKey     `json:"claim_key,omitempty"`
 
 	Snapshot *SnapshotChunk `json:"snapshot,omitempty"`
 }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -32,6 +32,9 @@
 	LastToken int64 `json:"last_token"`
 	// Submitted counts the jobs accepted so far.
 	Submitted int64 `json:"submitted"`
+	// Keys holds the claims of idempotency keys by digest; KeyOrder lists them, oldest first.
+	Keys     map[string]KeyClaim `json:"keys,omitempty"`
+	KeyOrder []string            `json:"key_order,omitempty"`
 	// Writers holds the last record applied of each writer.
 	Writers map[string]WriterMark `json:"writers"`
 	// Snapshot is the newest complete snapshot in the log.
