Run keyed requests at most once across entry VMs

Cause: a retry with the same key through another entry VM ran again. Ruled out: asking all nodes in parallel (two nodes that want one key promise it to each other and neither runs it: TestKeyedInOutage failed with may-have-run at all four nodes); trusting a log claim alone (if its owner dies and the log goes dark before others read the claim, nobody knows the key, so another node notes each claim before the request is sent); a refused connection as proof that a node is gone (it is used for notes and slots only). Change: claims of keys in the fold; a table of promises and outcomes per node; while the log is dark every other node not gone from the VM list must grant the key, the first in order first. Checked to fail first: with grants despite an owner, or with missing nodes passed over, TestKeyedInOutage fails; with the log's verdict ignored TestKeyedStorm finds keys that ran twice.

--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -52,7 +52,9 @@
 	phase phase
 	// leader says that a request of this node is working on the key; changed is
 	// closed when it stops.
-	leader  bool
+	leader bool
+	// first says that the leader has the word of the first node in order.
+	first   bool
 	changed chan struct{}
 	answer  api.Answer
 	// kept says that answer still has its body.
@@ -157,11 +159,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.entries[key]; e != nil && e.leader {
-		e.leader = false
+		e.leader, e.first = false, false
 		close(e.changed)
 	}
 }
 
+// First records that the leader has the word of the first node in order, or is
+// that node. It reports false if the key was promised to another node meanwhile.
+func (t *Table) First(key string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[key]
+	if e == nil || (e.owner != "" && e.owner != t.self) {
+		return false
+	}
+	e.first = true
+	return true
+}
+
 // Win records that owner holds the key. unlogged says that it was won without
 // the log. It reports whether this node may run the request: never after it
 // has promised the key to another one.
@@ -181,6 +196,16 @@
 	return e.owner == t.self
 }
 
+// Owner returns the holder of the key, if it is known.
+func (t *Table) Owner(key string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[key]; e != nil {
+		return e.owner
+	}
+	return ""
+}
+
 // Noted returns another node that may have won the key in the log.
 func (t *Table) Noted(key string) string {
 	t.mu.Lock()
@@ -245,8 +270,8 @@
 
 // Ask decides whether the node from may have the key without the log. A grant
 // is a promise of this node never to run the request. logged is the owner in
-// the log, if any; dark says that this node has no log either. Between two
-// nodes that want one key, the lower incarnation goes first.
+// the log, if any; dark says that this node has no log either. Nodes that want
+// one key ask the first node in order before all others, so that one of them gets on.
 func (t *Table) Ask(key string, body uint64, from string, logged string, dark bool) Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -264,7 +289,7 @@
 		return Grant{Owner: t.self}
 	case known && e.noted != "" && e.noted != from:
 		return Grant{Owner: e.noted}
-	case known && e.leader && t.self < from:
+	case known && e.leader && e.first:
 		return Grant{Owner: t.self}
 	}
 	e = t.get(key, body)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -139,7 +139,7 @@
 	n := &Node{
 		kernel: kernel.New(), settings: s, Members: members,
 		Journal: log, Relay: relays,
-		Requests: requests.New(network, rng),
+		Requests: requests.New(network, rng, set),
 		front:    frontdoor.New(network, s.HTTP, s.DrainDelay, set),
 	}
 	services := []kernel.Service{
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -27,7 +27,7 @@
 
 	listener net.Listener
 	mu       sync.Mutex
-	clients  map[string]*rpc.Client
+	clients  map[string]*client
 	accepted map[net.Conn]struct{}
 	closed   bool
 	wg       sync.WaitGroup
@@ -37,7 +37,7 @@
 func New(network transport.Network, address string) *Service {
 	return &Service{
 		network: network, address: address, server: rpc.NewServer(),
-		clients: map[string]*rpc.Client{}, accepted: map[net.Conn]struct{}{},
+		clients: map[string]*client{}, accepted: map[net.Conn]struct{}{},
 	}
 }
 
@@ -119,26 +119,56 @@
 // Call invokes a method of the node at address. If ctx ends first, the call
 // may still take effect there.
 func (s *Service) Call(ctx context.Context, address, method string, args, reply any) error {
-	client, err := s.client(ctx, address)
+	c, err := s.client(ctx, address)
 	if err != nil {
 		return err
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		var remote rpc.ServerError
-		if call.Error != nil && !errors.As(call.Error, &remote) {
-			s.drop(address, client)
+	call, err := c.send(ctx, method, args, reply)
+	if err == nil {
+		select {
+		case <-call.Done:
+			var remote rpc.ServerError
+			if call.Error != nil && !errors.As(call.Error, &remote) {
+				s.drop(address, c)
+			}
+			return call.Error
+		case <-ctx.Done():
+			err = ctx.Err()
 		}
-		return call.Error
+	}
+	s.drop(address, c)
+	klog.V(1).Infof("peer: %s at %s did not answer in time", method, address)
+	return err
+}
+
+// client is a connection to another node. Its calls are sent one at a time.
+type client struct {
+	*rpc.Client
+	sending chan struct{}
+}
+
+// send starts a call. net/rpc writes under a lock, for as long as the other
+// end takes no data, so the wait for it is bounded by ctx here.
+func (c *client) send(ctx context.Context, method string, args, reply any) (*rpc.Call, error) {
+	select {
+	case c.sending <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	started := make(chan *rpc.Call, 1)
+	go func() {
+		started <- c.Go(method, args, reply, make(chan *rpc.Call, 1))
+		<-c.sending
+	}()
+	select {
+	case call := <-started:
+		return call, nil
 	case <-ctx.Done():
-		s.drop(address, client)
-		klog.V(1).Infof("peer: %s at %s did not answer in time", method, address)
-		return ctx.Err()
+		return nil, ctx.Err()
 	}
 }
 
-func (s *Service) client(ctx context.Context, address string) (*rpc.Client, error) {
+func (s *Service) client(ctx context.Context, address string) (*client, error) {
 	s.mu.Lock()
 	c := s.clients[address]
 	s.mu.Unlock()
@@ -158,16 +188,16 @@
 		}
 		return existing, nil
 	}
-	c = rpc.NewClient(conn)
+	c = &client{rpc.NewClient(conn), make(chan struct{}, 1)}
 	s.clients[address] = c
 	return c, nil
 }
 
-func (s *Service) drop(address string, client *rpc.Client) {
+func (s *Service) drop(address string, c *client) {
 	s.mu.Lock()
-	if s.clients[address] == client {
+	if s.clients[address] == c {
 		delete(s.clients, address)
 	}
 	s.mu.Unlock()
-	client.Close()
+	c.Close()
 }
--- a/pkg/requests/conn_test.go
+++ b/pkg/requests/conn_test.go
@@ -182,6 +182,9 @@
 	a, b := net.Pipe()
 	defer a.Close()
 	defer b.Close()
+	if err := a.SetDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
 	c := &trackedConn{Conn: a}
 	info := h.trace()
 	info.GotConn(connInfo(c))
--- a/pkg/requests/keyed.go
+++ b/pkg/requests/keyed.go
@@ -220,11 +220,24 @@
 	}
 }
 
-// askAll asks every other node for the key, and those that they name. It
-// returns another holder of the key, or the nodes that have not granted it.
+// askAll asks every other node for the key, and those that they name. The first
+// in order is asked alone, so that of several nodes that want the key only one
+// goes on. It returns another holder of the key, or who has not granted it.
 func (s *Service) askAll(key string, body uint64) (owner string, missing []string, err error) {
 	asked := map[string]bool{s.members.Self().ID: true}
 	pending := s.roster.others()
+	if len(pending) > 0 && pending[0].ID < s.members.Self().ID {
+		first := s.askNodes(pending[:1], &KeyCall{s.members.Self(), key, body})[0]
+		switch {
+		case first == nil:
+			return "", []string{pending[0].ID}, nil
+		case !first.Grant.Granted && !first.Grant.Reused:
+			return first.Grant.Owner, nil, nil
+		}
+	}
+	if !s.table.First(key) {
+		return s.table.Owner(key), nil, nil
+	}
 	for len(pending) > 0 {
 		for _, m := range pending {
 			asked[m.ID] = true
--- a/pkg/requests/metrics.go
+++ b/pkg/requests/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"sync"
 	"time"
 
@@ -27,8 +26,8 @@
 
 type seriesID struct{ account, class string }
 
-func newHistograms() *histograms {
-	return &histograms{set: metrics.NewSet(), labels: map[seriesID]string{}}
+func newHistograms(set *metrics.Set) *histograms {
+	return &histograms{set: set, labels: map[seriesID]string{}}
 }
 
 func (h *histograms) label(r *api.Request) string {
@@ -59,6 +58,3 @@
 func (h *histograms) attempts(r *api.Request, n int) {
 	h.set.GetOrCreateHistogram(`shallotpin_request_attempts{` + h.label(r) + `}`).Update(float64(n))
 }
-
-// WriteMetrics writes the measurements in the Prometheus text format.
-func (s *Service) WriteMetrics(w io.Writer) { s.histogram.set.WritePrometheus(w) }
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
@@ -64,11 +65,11 @@
 }
 
 // New returns a request service that reaches upstreams over network. rng
-// drives the choice among upstreams.
-func New(network transport.Network, rng *rand.Rand) *Service {
+// drives the choice among upstreams; measurements go to set.
+func New(network transport.Network, rng *rand.Rand, set *metrics.Set) *Service {
 	return &Service{
 		upstream: newUpstreamClient(network), rng: rng,
-		pools: map[string]*pool{}, upstreams: map[string]*upstreamState{}, histogram: newHistograms(),
+		pools: map[string]*pool{}, upstreams: map[string]*upstreamState{}, histogram: newHistograms(set),
 	}
 }
 
