--- a/pkg/requests/peers.go
+++ b/pkg/requests/peers.go
@@ -150,7 +150,7 @@
 		wg.Go(func() { s.hello(ctx, m) })
 	}
 	wg.Wait()
-	s.roster.agree()
+	s.roster.agree(time.Now())
 	s.pump()
 }
 
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -22,6 +22,7 @@
 	"github.com/shallotpin/shallotpin/pkg/membership"
 	"github.com/shallotpin/shallotpin/pkg/peer"
 	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/relay"
 	"github.com/shallotpin/shallotpin/pkg/state"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
@@ -46,6 +47,7 @@
 	members  *membership.Service
 	fleet    *fleet.Service
 	peers    *peer.Service
+	relays   *relay.Service
 	roster   *roster
 	table    *claims.Table
 	// appendsFail says that the log did not confirm the last claim.
@@ -78,7 +80,7 @@
 
 // DependsOn implements kernel.Service.
 func (s *Service) DependsOn() []string {
-	return []string{journal.ServiceName, membership.ServiceName, fleet.ServiceName, peer.ServiceName}
+	return []string{journal.ServiceName, membership.ServiceName, fleet.ServiceName, peer.ServiceName, relay.ServiceName}
 }
 
 // Start implements kernel.Service.
@@ -95,7 +97,10 @@
 	if s.fleet, err = kernel.Lookup[*fleet.Service](k, fleet.ServiceName); err != nil {
 		return err
 	}
-	s.roster = newRoster(s.members.Self())
+	if s.relays, err = kernel.Lookup[*relay.Service](k, relay.ServiceName); err != nil {
+		return err
+	}
+	s.roster = newRoster(s.members.Self(), time.Now())
 	s.table = claims.NewTable(s.members.Self().Incarnation)
 	s.life, s.cancel = context.WithCancel(context.Background())
 	if err := s.peers.Handle("Requests", &handler{s}); err != nil {
@@ -150,6 +155,12 @@
 	if _, err := s.class(r); err != nil {
 		return refuse(r, err)
 	}
+	if err := s.relays.CheckServe(time.Now()); err != nil {
+		if r.Key != "" {
+			return uncertain(r, err.Error())
+		}
+		return refuse(r, err)
+	}
 	if r.Key != "" && !r.Idempotent {
 		return s.keyed(ctx, r, hops)
 	}
--- a/pkg/requests/roster.go
+++ b/pkg/requests/roster.go
@@ -18,6 +18,8 @@
 	goneAfter = 3 * time.Second
 	// refusedAfter is how long a VM must refuse connections until it gets no slots.
 	refusedAfter = 3 * time.Second
+	// startPatience is how long a node that starts waits for silent ones.
+	startPatience = 2 * time.Second
 	// liveFor is how long a node counts as reachable after it was heard of.
 	liveFor = 4 * time.Second
 )
@@ -25,7 +27,8 @@
 // roster is what a node knows of the other entry VMs: which of them are not
 // known to be gone, and which have agreed on the view that shares the slots.
 type roster struct {
-	self membership.Member
+	self    membership.Member
+	started time.Time
 
 	mu    sync.Mutex
 	nodes map[string]*rosterNode
@@ -54,8 +57,8 @@
 	joined, hasLog bool
 }
 
-func newRoster(self membership.Member) *roster {
-	return &roster{self: self, nodes: map[string]*rosterNode{}, acked: map[string]bool{}, shares: map[string]int{}}
+func newRoster(self membership.Member, now time.Time) *roster {
+	return &roster{self: self, started: now, nodes: map[string]*rosterNode{}, acked: map[string]bool{}, shares: map[string]int{}}
 }
 
 // list takes in a copy of the VM list.
@@ -125,16 +128,12 @@
 // retarget begins a new round of agreement if the set of nodes has changed. It
 // must be called under mu.
 func (r *roster) retarget(now time.Time) {
-	view := routing.View{r.self.Incarnation}
+	view := routing.View{r.self.ID}
 	for id, n := range r.nodes {
 		if !n.refused.IsZero() && now.Sub(n.refused) >= refusedAfter {
 			continue
 		}
-		incarnation := n.member.Incarnation
-		if incarnation == "" {
-			incarnation = id + "/?"
-		}
-		view = append(view, incarnation)
+		view = append(view, id)
 	}
 	slices.Sort(view)
 	if slices.Equal(view, r.target) {
@@ -150,15 +149,17 @@
 	clear(r.shares)
 }
 
-// agree brings the target into force once every other node of it has agreed.
-func (r *roster) agree() {
+// agree brings the target into force once every other node of it has agreed. A
+// node that starts while others are silent takes its share without their word
+// after startPatience: otherwise one silent VM would keep a whole site from starting.
+func (r *roster) agree(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.target == nil || r.agreed {
 		return
 	}
-	for _, incarnation := range r.target {
-		if incarnation != r.self.Incarnation && !r.acked[incarnation] {
+	for _, id := range r.target {
+		if n := r.nodes[id]; n != nil && !r.acked[id] && !r.startsWithout(n, now) {
 			return
 		}
 	}
@@ -166,6 +167,16 @@
 	clear(r.shares)
 }
 
+// startsWithout reports whether this node, which has no share yet, does not
+// wait for n: no process runs there, or it stays silent.
+func (r *roster) startsWithout(n *rosterNode, now time.Time) bool {
+	if r.everAgreed {
+		return false
+	}
+	silent := now.Sub(r.started) >= startPatience && now.Sub(n.heard) >= startPatience
+	return silent || !n.refused.IsZero()
+}
+
 // inForce reports whether all nodes have agreed on the target.
 func (r *roster) inForce() bool {
 	r.mu.Lock()
@@ -187,7 +198,7 @@
 
 // countShare counts the slots. There are none before the first agreement, when nothing is held.
 func (r *roster) countShare(vm platform.VM) int {
-	return routing.Share(r.held, r.self.Incarnation, vm.ID, vm.Slots)
+	return routing.Share(r.held, r.self.ID, vm.ID, vm.Slots)
 }
 
 // view returns the hash of the target view and the round of agreement on it.
@@ -209,7 +220,7 @@
 	n.greeted = n.greeted || reply.Unlogged == 0
 	n.joined, n.hasLog = reply.Joined, reply.HasLog
 	if r.round == round && reply.Drained && reply.View == r.target.Hash() {
-		r.acked[reply.From.Incarnation] = true
+		r.acked[reply.From.ID] = true
 	}
 }
 
