Keep work away from leaving upstreams and silent connections

Cause: an upstream that asked for no new work got a request every 2 s, and each node had to learn of it by a request of its own. Ruled out: a pause that is renewed, since each renewal costs new work. Change: draining holds until the VM is off the list, and hellos spread it.

--- a/pkg/requests/dispatch.go
+++ b/pkg/requests/dispatch.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// refusedPause keeps work away from an upstream that refused or is draining.
+	// refusedPause keeps work away from an upstream that refused some.
 	refusedPause = 2 * time.Second
 	// abandonedHold keeps a slot taken after an attempt without an answer: the
 	// upstream may still be working on it.
@@ -38,8 +38,11 @@
 type upstreamState struct {
 	inFlight int
 	health   routing.Health
-	// paused is until when the upstream gets no new work at its own wish.
+	// paused is until when the upstream gets no new work, after it refused some.
 	paused time.Time
+	// draining means that the upstream asked for no new work; it stays so until
+	// the VM is off the list.
+	draining bool
 }
 
 // ticket is a request's place in the queue; slot receives its upstream.
@@ -180,7 +183,7 @@
 		if out[i].Latency == 0 {
 			out[i].Latency = p.each
 		}
-		if !now.Before(u.paused) {
+		if !u.draining && !now.Before(u.paused) {
 			out[i].Limit = u.health.Limit(s.roster.share(vm), now)
 		}
 	}
@@ -272,7 +275,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := s.upstreamState(vm.ID)
-	if got.draining || got.refused {
+	u.draining = u.draining || got.draining
+	if got.refused {
 		u.paused = now.Add(refusedPause)
 	}
 	switch {
@@ -286,6 +290,28 @@
 	}
 }
 
+// drainingUpstreams lists the upstreams that asked for no new work.
+func (s *Service) drainingUpstreams() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []string
+	for id, u := range s.upstreams {
+		if u.draining {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// markDraining takes in what another node has learnt of draining upstreams.
+func (s *Service) markDraining(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		s.upstreamState(id).draining = true
+	}
+}
+
 // canEject reports whether another upstream may be ejected.
 func (s *Service) canEject(vms []platform.VM, now time.Time) bool {
 	ejected := 0
--- /dev/null
+++ b/pkg/requests/leaving_test.go
@@ -0,0 +1,131 @@
+package requests_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/frontdoor"
+	"github.com/shallotpin/shallotpin/pkg/memnet"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/standin"
+)
+
+// leaveWithin is the bound of the issue on new work for a leaving upstream.
+const leaveWithin = 5 * time.Second
+
+// traffic sends 40 price checks a second for d and returns how many failed.
+func (f *fixture) traffic(d time.Duration) (failed int) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for n, began := 0, time.Now(); time.Since(began) < d; n++ {
+		time.Sleep(25 * time.Millisecond)
+		wg.Go(func() {
+			if !f.price(n % len(f.Entries)) {
+				mu.Lock()
+				defer mu.Unlock()
+				failed++
+			}
+		})
+	}
+	wg.Wait()
+	return failed
+}
+
+// TestLeavingUpstreams lets upstreams leave in each way there is. None gets new
+// work after the bound, and no request fails.
+func TestLeavingUpstreams(t *testing.T) {
+	const leaver = "u-howrah-0"
+	ways := map[string]func(f *fixture){
+		"listed as leaving": func(f *fixture) {
+			f.VMs.Update(func(vms []platform.VM) []platform.VM {
+				for i := range vms {
+					vms[i].Leaving = vms[i].Leaving || vms[i].ID == leaver
+				}
+				return vms
+			})
+		},
+		"draining": func(f *fixture) { f.Upstreams[leaver].SetDraining(true) },
+		"refusing": func(f *fixture) { f.Upstreams[leaver].SetFaults(standin.UpstreamFaults{Refuse: true}) },
+		"zone out": func(f *fixture) {
+			if _, err := f.Client(1).SetZone(f.t.Context(), "howrah", frontdoor.ZoneCall{Out: true}); err != nil {
+				f.t.Fatal(err)
+			}
+		},
+	}
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, 3, 1, 20*time.Millisecond)
+				if n := f.traffic(2 * time.Second); n > 0 || len(f.Upstreams[leaver].Executions()) == 0 {
+					t.Fatalf("%d requests failed, %d ran on the upstream before it left", n, len(f.Upstreams[leaver].Executions()))
+				}
+				began := time.Now()
+				leave(f)
+				if n := f.traffic(20 * time.Second); n > 0 {
+					t.Errorf("%d requests failed", n)
+				}
+				for _, e := range f.Upstreams[leaver].Executions() {
+					if e.At.After(began.Add(leaveWithin)) {
+						t.Fatalf("new work %s after the upstream left", e.At.Sub(began))
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestSilentUpstream makes the link to one upstream silent. Idempotent requests
+// are sent elsewhere within their deadline.
+func TestSilentUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3, 1, 20*time.Millisecond)
+		f.traffic(2 * time.Second)
+		for _, e := range f.Entries {
+			f.Net.SetBoth(e.Settings.ID, "u-howrah-0", memnet.Silent)
+		}
+		if n := f.traffic(10 * time.Second); n > 0 {
+			t.Errorf("%d requests failed", n)
+		}
+	})
+}
+
+// TestSilentPeer makes the link between two nodes silent. Keyed requests that
+// were claimed at one of them get a true answer from the other in time, and
+// the connection is replaced once the link works again.
+func TestSilentPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3, 1, 20*time.Millisecond)
+		f.quote(0, "a")
+		f.Net.SetBoth("entry-0", "entry-1", memnet.Silent)
+		began := time.Now()
+		f.quote(1, "a")
+		if took := time.Since(began); took > leaveWithin+time.Second {
+			t.Errorf("answered after %s", took)
+		}
+		f.Net.SetBoth("entry-0", "entry-1", memnet.Healthy)
+		time.Sleep(2 * time.Second)
+		f.want(f.quote(1, "a"), api.Ran)
+		f.check()
+	})
+}
+
+// TestPlannedStopFinishesRequests stops a node with requests in flight.
+func TestPlannedStopFinishesRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3, 1, time.Second)
+		var wg sync.WaitGroup
+		for i := range 5 {
+			wg.Go(func() { f.want(f.quote(0, string(rune('a'+i))), api.Ran) })
+		}
+		time.Sleep(500 * time.Millisecond)
+		if err := f.Stop(context.Background(), 0); err != nil {
+			t.Error(err)
+		}
+		wg.Wait()
+		f.check()
+	})
+}
--- a/pkg/requests/peers.go
+++ b/pkg/requests/peers.go
@@ -44,6 +44,8 @@
 	Unlogged int
 	// Joined says that the node may claim keys; HasLog that it reaches the log.
 	Joined, HasLog bool
+	// Draining lists the upstreams that asked for no new work.
+	Draining []string
 }
 
 // KeyCall asks for, or notes, the right to a key.
@@ -88,7 +90,7 @@
 	_, unlogged := s.table.Unlogged(0)
 	reply.From, reply.Unlogged = s.members.Self(), unlogged
 	reply.View, _ = s.roster.view()
-	reply.Drained = s.drained()
+	reply.Drained, reply.Draining = s.drained(), s.drainingUpstreams()
 	reply.Joined, reply.HasLog = s.roster.isJoined(), !s.dark(time.Now())
 	return nil
 }
@@ -164,6 +166,7 @@
 		return
 	}
 	s.roster.heard(&reply, round, time.Now())
+	s.markDraining(reply.Draining)
 }
 
 // tryJoin makes the node one that claims keys, once every other one has
