--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -47,6 +47,7 @@
 	"reclaim":     reclaim,
 	"zone-move":   zoneMove,
 	"target":      target,
+	"requests":    requestsScenario,
 }
 
 // Run runs one scenario.
--- /dev/null
+++ b/pkg/bench/requests_load.go
@@ -0,0 +1,194 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/standin"
+	"github.com/shallotpin/shallotpin/pkg/transport"
+)
+
+const (
+	// loadTick is the time between two bursts of the load.
+	loadTick = 10 * time.Millisecond
+	// overheadRequests is how many requests the entry path is measured with.
+	overheadRequests = 200
+	// patience is how long a caller waits beyond the deadline.
+	patience = 500 * time.Millisecond
+)
+
+// sender sends request n and returns the answer's body.
+type sender func(ctx context.Context, n int, body string) (string, *api.Error)
+
+// loadResult is what the callers of one load saw.
+type loadResult struct {
+	mu        sync.Mutex
+	admitted  int
+	late      int
+	good      int
+	crossed   int
+	latencies []time.Duration
+	// notRun holds the bodies of the requests that were answered not-run.
+	notRun []string
+}
+
+// load sends rate requests a second for a fixed time.
+func (s *requestSite) load(ctx context.Context, name string, rate float64, send sender) *loadResult {
+	res := &loadResult{}
+	var wg sync.WaitGroup
+	began := time.Now()
+	for n := 0; time.Since(began) < requestSeconds*time.Second; time.Sleep(loadTick) {
+		for due := int(rate * time.Since(began).Seconds()); n < due; n++ {
+			wg.Go(func() { res.one(ctx, n, fmt.Sprintf("%s-%d", name, n), send) })
+		}
+	}
+	wg.Wait()
+	return res
+}
+
+func (l *loadResult) one(ctx context.Context, n int, body string, send sender) {
+	ctx, cancel := context.WithTimeout(ctx, requestDeadline+patience)
+	defer cancel()
+	began := time.Now()
+	answer, err := send(ctx, n, body)
+	took := time.Since(began)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil && err.Verdict == api.NotRun {
+		l.notRun = append(l.notRun, body)
+	}
+	if err == nil && answer != "answer to "+body {
+		l.crossed++
+	}
+	if err == nil && took <= requestDeadline {
+		l.good++
+	}
+	if isQuote(n) {
+		return
+	}
+	refusedEarly := err != nil && err.Code == api.CodeOverloaded && took < requestDeadline/2
+	if refusedEarly {
+		return
+	}
+	l.admitted++
+	l.latencies = append(l.latencies, took)
+	if took > requestDeadline || (err != nil && took > requestDeadline*9/10) {
+		l.late++
+	}
+}
+
+// lateShare is the share of the admitted price checks without an answer in time.
+func (l *loadResult) lateShare() float64 { return float64(l.late) / float64(max(1, l.admitted)) }
+
+// percentile returns a percentile of the price checks' latency in milliseconds.
+func (l *loadResult) percentile(p float64) float64 {
+	if len(l.latencies) == 0 {
+		return 0
+	}
+	slices.Sort(l.latencies)
+	return l.latencies[int(p*float64(len(l.latencies)-1))].Seconds() * 1000
+}
+
+// checkTruth compares what the callers were told with what the upstreams saw.
+func (s *requestSite) checkTruth(figures map[string]float64, l *loadResult) {
+	ran := map[string]int{}
+	first, all := 0, 0
+	exceeded := int64(0)
+	for _, u := range s.upstreams {
+		exceeded += u.exceeded.Load()
+		for _, e := range u.Executions() {
+			ran[e.Body]++
+			if strings.HasPrefix(e.Body, "loaded-") {
+				all++
+				if strings.HasSuffix(e.RequestID, ".0") {
+					first++
+				}
+			}
+		}
+	}
+	duplicates, falseNotRun := 0, 0
+	for body, times := range ran {
+		var n int
+		if _, err := fmt.Sscanf(body, "loaded-%d", &n); err == nil && isQuote(n) && times > 1 {
+			duplicates++
+		}
+	}
+	for _, body := range l.notRun {
+		if ran[body] > 0 {
+			falseNotRun++
+		}
+	}
+	figures["duplicates"], figures["false_not_run"] = float64(duplicates), float64(falseNotRun)
+	figures["crossed_answers"], figures["slot_limit_violations"] = float64(l.crossed), float64(exceeded)
+	figures["retry_amplification"] = float64(all) / float64(max(1, first))
+}
+
+// roundRobin returns the plain earlier version: each upstream outside the zone
+// that is out in turn, with no limits.
+func (s *requestSite) roundRobin() sender {
+	var open []string
+	for i, vm := range s.vms[:requestUpstreams] {
+		if i%3 != 0 {
+			open = append(open, vm.Address)
+		}
+	}
+	direct := transport.HTTPClient(transport.TCP{}, 0)
+	var next atomic.Int64
+	return func(ctx context.Context, _ int, body string) (string, *api.Error) {
+		address := open[int(next.Add(1))%len(open)]
+		return callDirect(ctx, direct, address, body)
+	}
+}
+
+func callDirect(ctx context.Context, c *http.Client, address, body string) (string, *api.Error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address+"/run", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return "", api.AsError(err, api.NotRun)
+	}
+	req.Header.Set(api.HeaderRequestID, body)
+	resp, err := c.Do(req)
+	if err != nil {
+		return "", api.AsError(err, api.MayHaveRun)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return "", &api.Error{Code: api.CodeFailed, Message: resp.Status, Verdict: api.MayHaveRun}
+	}
+	return string(data), nil
+}
+
+// measureOverhead compares the entry path with a direct call, one at a time.
+func (s *requestSite) measureOverhead(ctx context.Context, figures map[string]float64) {
+	for _, u := range s.upstreams {
+		u.SetFaults(standin.UpstreamFaults{ServiceTime: time.Millisecond})
+	}
+	direct := transport.HTTPClient(transport.TCP{}, 0)
+	defer direct.CloseIdleConnections()
+	median := func(send func(n int)) time.Duration {
+		took := make([]time.Duration, overheadRequests)
+		for n := range took {
+			began := time.Now()
+			send(n)
+			took[n] = time.Since(began)
+		}
+		slices.Sort(took)
+		return took[len(took)/2]
+	}
+	// The number 0 makes every request a price check through the first node.
+	through := median(func(n int) { s.throughNodes(ctx, 0, fmt.Sprint("overhead-", n)) })
+	straight := median(func(n int) { callDirect(ctx, direct, s.vms[n%requestUpstreams].Address, fmt.Sprint("direct-", n)) })
+	figures["overhead_us_p50"] = float64((through - straight).Microseconds())
+	for _, u := range s.upstreams {
+		u.SetFaults(standin.UpstreamFaults{})
+	}
+}
