Admit only what can be in time under overload

Cause: 24 % of the admitted price checks were late at twice the capacity: admission believed the slots' nominal speed, and an account whose queue was empty for a moment was not counted. A service that became slow had its attempts cut short for ever, since only answers changed the average. Change: admission counts on 60 % of the nominal speed and on every account active in the last second; what cannot finish is not sent; attempts without an answer raise the average time.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -10,6 +10,14 @@
 	"github.com/shallotpin/shallotpin/pkg/api"
 )
 
+const (
+	// activeFor is how long an account counts as active after a request.
+	activeFor = time.Second
+	// marginPercent is the time that a request is expected to take beyond the
+	// average, since slots free up unevenly.
+	marginPercent = 50
+)
+
 // Item is one waiting request.
 type Item struct {
 	Account string
@@ -43,6 +51,9 @@
 type flow struct {
 	items  []*Item
 	finish float64
+	// weight and seen are those of the newest request.
+	weight int
+	seen   time.Time
 	queued map[string]int
 }
 
@@ -60,7 +71,8 @@
 		f = &flow{queued: map[string]int{}}
 		q.flows[it.Account] = f
 	}
-	rate := q.share(it) * speed.PerSecond
+	f.weight, f.seen = it.Weight, now
+	rate := q.share(it, now) * speed.PerSecond
 	if f.queued[it.Class] >= maxQueued {
 		return overloaded(f, rate, "account %s has %d requests of class %s waiting here, the limit", it.Account, maxQueued, it.Class)
 	}
@@ -83,12 +95,14 @@
 	return nil
 }
 
-// share returns the account's part of the service among those that wait.
-func (q *Queue) share(it *Item) float64 {
+// share returns the account's part of the service among those that sent
+// requests lately: one whose queue is empty now may fill it before this
+// request is served.
+func (q *Queue) share(it *Item, now time.Time) float64 {
 	total := it.Weight
 	for name, f := range q.flows {
-		if name != it.Account && len(f.items) > 0 {
-			total += f.items[0].Weight
+		if name != it.Account && (len(f.items) > 0 || now.Sub(f.seen) < activeFor) {
+			total += f.weight
 		}
 	}
 	return float64(it.Weight) / float64(total)
@@ -102,7 +116,7 @@
 		if rate > 0 {
 			wait = time.Duration(float64(position) / rate * float64(time.Second))
 		}
-		return now.Add(wait + each)
+		return now.Add(wait + each*(100+marginPercent)/100)
 	}
 	if done(at).After(it.Deadline) {
 		return true
--- a/pkg/bench/requests_load.go
+++ b/pkg/bench/requests_load.go
@@ -48,7 +48,8 @@
 	began := time.Now()
 	for n := 0; time.Since(began) < requestSeconds*time.Second; time.Sleep(loadTick) {
 		for due := int(rate * time.Since(began).Seconds()); n < due; n++ {
-			wg.Go(func() { res.one(ctx, n, fmt.Sprintf("%s-%d", name, n), send) })
+			number := n
+			wg.Go(func() { res.one(ctx, number, fmt.Sprintf("%s-%d", name, number), send) })
 		}
 	}
 	wg.Wait()
--- a/pkg/requests/dispatch.go
+++ b/pkg/requests/dispatch.go
@@ -21,6 +21,12 @@
 	abandonedHold = 250 * time.Millisecond
 	// guessLatency is the latency of a service before the first answer.
 	guessLatency = 10 * time.Millisecond
+	// speedPercent is the part of the slots' nominal speed that admission counts
+	// on: some slots are lost to failures and to attempts without an answer.
+	speedPercent = 60
+	// minTimePercent is the part of a service's average time that must be left
+	// when a request is sent.
+	minTimePercent = 80
 	// speedWeight is the weight of a new sample in a service's average time.
 	speedWeight = 0.05
 	// ejectedShare is the largest share of a service's upstreams that may be ejected.
@@ -83,6 +89,9 @@
 	}
 	select {
 	case vm := <-t.slot:
+		if vm.ID == "" {
+			return vm, tooLate(r.Service)
+		}
 		return vm, nil
 	case <-ctx.Done():
 	}
@@ -90,9 +99,15 @@
 	waiting := p.queue.Remove(it)
 	s.mu.Unlock()
 	if !waiting {
-		s.release(r.Service, <-t.slot, 0)
+		if vm := <-t.slot; vm.ID != "" {
+			s.release(r.Service, vm, 0)
+		}
 	}
-	return platform.VM{}, api.Errorf(api.CodeOverloaded, "no upstream of %s had a free slot before the deadline", r.Service)
+	return platform.VM{}, tooLate(r.Service)
+}
+
+func tooLate(service string) *api.Error {
+	return api.Errorf(api.CodeOverloaded, "no upstream of %s had a free slot before the deadline", service)
 }
 
 // weight returns the account's fair share.
@@ -111,7 +126,8 @@
 	for _, vm := range vms {
 		slots += s.upstreamState(vm.ID).health.Limit(s.roster.share(vm), now)
 	}
-	return admission.Speed{PerSecond: float64(slots) / p.each.Seconds(), Each: p.each}
+	perSecond := float64(slots) / p.each.Seconds()
+	return admission.Speed{PerSecond: perSecond * speedPercent / 100, Each: p.each}
 }
 
 func (s *Service) upstreamState(id string) *upstreamState {
@@ -155,7 +171,13 @@
 		if i < 0 {
 			return
 		}
-		t := p.queue.Pop().Value.(*ticket)
+		it := p.queue.Pop()
+		t := it.Value.(*ticket)
+		if it.Deadline.Sub(now) < p.each*minTimePercent/100 {
+			// It would be cut off at the upstream: the slot is worth more to another.
+			t.slot <- platform.VM{}
+			continue
+		}
 		if candidates[i].ID == t.avoid {
 			i = s.another(candidates, i)
 		}
@@ -286,6 +308,11 @@
 		p := s.pool(service)
 		p.each += time.Duration(speedWeight * float64(took-p.each))
 	default:
+		if got.abandoned {
+			// A service that has become slow must not have its attempts cut short for ever.
+			p := s.pool(service)
+			p.each += time.Duration(speedWeight * float64(max(took, p.each)-p.each))
+		}
 		u.health.Failure(now, s.canEject(vms, now))
 	}
 }
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -34,7 +34,7 @@
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 4
 	// minAttemptTime is the least time that an attempt of an idempotent request gets.
-	minAttemptTime = 50 * time.Millisecond
+	minAttemptTime = 250 * time.Millisecond
 	// attemptTimes is how many times the usual duration an attempt may take
 	// while there is time for another one; it finds silent connections.
 	attemptTimes = 8
