Test admission, fair shares and the retry budget

Checked to fail first: TestAdmittedIsInTime fails if a newcomer's effect on those behind it is not checked.

--- /dev/null
+++ b/pkg/admission/admission_test.go
@@ -0,0 +1,77 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+)
+
+// TestAdmittedIsInTime pushes random requests and serves them at the promised
+// speed: everything admitted is in time, and no more wait than allowed.
+func TestAdmittedIsInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const maxQueued = 20
+		q, now := New(), time.Unix(0, 0)
+		speed := Speed{PerSecond: 100, Each: 10 * time.Millisecond}
+		serve := func() {
+			now = now.Add(10 * time.Millisecond)
+			if it := q.Pop(); it != nil && now.After(it.Deadline) {
+				t.Fatalf("served %s after its deadline", now.Sub(it.Deadline))
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			it := &Item{
+				Account: "a", Class: "c", Weight: 1,
+				Deadline: now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond),
+			}
+			if err := q.Push(it, maxQueued, speed, now); err != nil && err.Verdict != api.NotRun {
+				t.Fatalf("refused with %s", err.Verdict)
+			}
+			if q.Len() > maxQueued {
+				t.Fatalf("%d requests wait", q.Len())
+			}
+			if rapid.Bool().Draw(t, "serve") {
+				serve()
+			}
+		}
+		for q.Len() > 0 {
+			serve()
+		}
+	})
+}
+
+// TestSharesFollowWeights fills two accounts and counts who is served.
+func TestSharesFollowWeights(t *testing.T) {
+	q, now := New(), time.Unix(0, 0)
+	for i := range 400 {
+		it := &Item{Account: []string{"light", "heavy"}[i%2], Class: "c", Weight: []int{1, 3}[i%2], Deadline: now.Add(time.Hour)}
+		if err := q.Push(it, 1000, Speed{PerSecond: 100, Each: time.Millisecond}, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	served := map[string]int{}
+	for range 200 {
+		served[q.Pop().Account]++
+	}
+	if served["heavy"] < 148 || served["heavy"] > 152 {
+		t.Errorf("served %v, want 3 to 1", served)
+	}
+}
+
+// TestBudgetBoundsRetries asks for a retry after every first attempt.
+func TestBudgetBoundsRetries(t *testing.T) {
+	var b Budget
+	retries := 0
+	for range 1000 {
+		b.First()
+		if b.Retry() {
+			retries++
+		}
+	}
+	if retries == 0 || retries > 100 {
+		t.Errorf("%d retries for 1000 first attempts, want at most a tenth", retries)
+	}
+}
