--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -40,6 +40,7 @@
 // scenarios are the known scenarios by name.
 var scenarios = map[string]Scenario{
 	"capacity":    capacity,
+	"failover":    runFailover,
 	"mix-hooghly": mixHooghly,
 	"mix-lima":    mixLima,
 	"reclaim":     reclaim,
--- /dev/null
+++ b/pkg/bench/failover.go
@@ -0,0 +1,211 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/shallotpin/shallotpin/deploy"
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/config"
+	"github.com/shallotpin/shallotpin/pkg/memsite"
+	"github.com/shallotpin/shallotpin/pkg/standin"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+const (
+	// failoverEntries is the number of entry VMs; two of them are lost.
+	failoverEntries = 6
+	// observer is the entry VM that no fault befalls.
+	observer = 0
+	// failoverWave is the number of jobs in each of the waves of submissions.
+	failoverWave = 8
+	// failoverWaves is the number of waves, one before each fault.
+	failoverWaves = 4
+	// failoverWork is the run time of a job in seconds.
+	failoverWork = 12
+	// failoverTimeout bounds the wait for the end of all jobs.
+	failoverTimeout = 90 * time.Second
+	// watchInterval is the time between two looks for a takeover.
+	watchInterval = 20 * time.Millisecond
+)
+
+// failover measures takeovers in real time over nodes in memory, and counts
+// what must not happen.
+type failover struct {
+	*memsite.Site
+	rng     *rand.Rand
+	history *standin.History
+	// live are the entry VMs that faults may still befall.
+	live []int
+	// takeovers holds for how many seconds each job of a lost node had no coordinator.
+	mu        sync.Mutex
+	takeovers []float64
+	specs     map[string]api.JobSpec
+	wg        sync.WaitGroup
+}
+
+func runFailover(ctx context.Context, o Options) (map[string]float64, error) {
+	c, err := config.Decode(deploy.StaveDesk)
+	if err != nil {
+		return nil, err
+	}
+	f := &failover{rng: rand.New(rand.NewPCG(o.Seed, 1)), history: standin.NewHistory(), specs: map[string]api.JobSpec{}}
+	shape := standin.TodayShape("stave-desk", []string{"howrah", "salt-lake", "barasat"})
+	shape.Upstreams = 0
+	f.Site, err = memsite.New(ctx, memsite.Options{
+		Entries: failoverEntries, Config: c, Seed: o.Seed, Delay: 4 * time.Millisecond, VMListLag: 2 * time.Second,
+		Shape: shape, Observe: f.history.Observe,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close(context.WithoutCancel(ctx))
+	for i := observer + 1; i < failoverEntries; i++ {
+		f.live = append(f.live, i)
+	}
+	if err := f.faults(ctx); err != nil {
+		return nil, err
+	}
+	return f.figures(ctx)
+}
+
+// faults brings about a loss, an outage of the log, a pause with lost answers,
+// and another loss, each after a wave of submissions.
+func (f *failover) faults(ctx context.Context) error {
+	wave := []func(){
+		f.loseOne,
+		func() {
+			f.Log.SetFaults(standin.LogFaults{Down: true})
+			f.loseOne()
+			time.Sleep(6 * time.Second)
+			f.Log.SetFaults(standin.LogFaults{})
+		},
+		func() {
+			i := f.live[f.rng.IntN(len(f.live))]
+			f.Log.SetFaults(standin.LogFaults{LoseAcks: true})
+			f.Freeze(i)
+			time.Sleep(7 * time.Second)
+			f.Thaw(i)
+			f.Log.SetFaults(standin.LogFaults{})
+		},
+		func() {
+			for _, w := range f.Workers {
+				w.SetFaults(standin.WorkerFaults{LoseReplies: true})
+			}
+			time.Sleep(time.Second)
+			for _, w := range f.Workers {
+				w.SetFaults(standin.WorkerFaults{})
+			}
+		},
+	}
+	for _, fault := range wave[:failoverWaves] {
+		for range failoverWave {
+			if err := f.submit(ctx); err != nil {
+				return err
+			}
+		}
+		time.Sleep(time.Duration(2000+f.rng.IntN(2000)) * time.Millisecond)
+		fault()
+	}
+	return nil
+}
+
+func (f *failover) submit(ctx context.Context) error {
+	payload, err := json.Marshal(standin.TaskPayload{WorkSeconds: failoverWork})
+	if err != nil {
+		return err
+	}
+	spec := api.JobSpec{
+		Account: "coopers", Class: "appraisal", Tasks: 1 + f.rng.IntN(4), Within: api.WithinRack, MaxAttempts: 1 + 2*f.rng.IntN(2),
+		PerTask: api.Resources{Cores: 8, MemoryGB: 32, Accelerators: 2}, Payload: string(payload),
+	}
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return err
+	}
+	job, err := f.Client(f.live[f.rng.IntN(len(f.live))]).SubmitJob(ctx, data, "")
+	if err != nil {
+		return fmt.Errorf("submit: %w", err)
+	}
+	f.specs[job.ID] = spec
+	return nil
+}
+
+// loseOne loses an entry VM and times how long its jobs are without a coordinator.
+func (f *failover) loseOne() {
+	at := f.rng.IntN(len(f.live))
+	lost := f.live[at]
+	f.live = slices.Delete(f.live, at, at+1)
+	began := time.Now()
+	f.Lose(lost)
+	for _, id := range f.coordinated(lost) {
+		f.wg.Go(func() { f.awaitTakeover(lost, id, began) })
+	}
+}
+
+// coordinated returns the jobs that an entry VM coordinates, as the observer sees it.
+func (f *failover) coordinated(entry int) []string {
+	var out []string
+	f.Entries[observer].Node.Journal.View(func(st *state.State) {
+		for _, j := range st.Jobs {
+			if !j.Phase.Ended() && strings.HasPrefix(j.Coordinator, f.Entries[entry].Settings.ID+"/") {
+				out = append(out, j.ID)
+			}
+		}
+	})
+	return out
+}
+
+func (f *failover) awaitTakeover(lost int, id string, began time.Time) {
+	for time.Since(began) < failoverTimeout && slices.Contains(f.coordinated(lost), id) {
+		time.Sleep(watchInterval)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.takeovers = append(f.takeovers, time.Since(began).Seconds())
+}
+
+func (f *failover) figures(ctx context.Context) (map[string]float64, error) {
+	f.wg.Wait()
+	waitCtx, cancel := context.WithTimeout(ctx, failoverTimeout)
+	defer cancel()
+	c := f.Client(observer)
+	figures := map[string]float64{
+		"jobs": float64(len(f.specs)), "takeovers": float64(len(f.takeovers)),
+		"doubled_jobs": 0, "stranded_jobs": 0, "lost_accepted": 0, "done_jobs": 0, "started_too_often": 0,
+	}
+	for id, spec := range f.specs {
+		status, err := c.WaitJob(waitCtx, id)
+		attempts := len(f.history.Attempts(id))
+		switch {
+		case err != nil && api.AsError(err, api.NotRun).Code == api.CodeNotFound:
+			figures["lost_accepted"]++
+		case err != nil:
+			figures["stranded_jobs"]++
+		case status.Phase == api.PhaseDone:
+			figures["done_jobs"]++
+		case attempts < spec.MaxAttempts:
+			figures["lost_accepted"]++
+		}
+		if attempts > spec.MaxAttempts {
+			figures["started_too_often"]++
+		}
+	}
+	f.Settle()
+	now := time.Now()
+	figures["doubled_jobs"] = float64(len(f.history.Doubled(now)))
+	partial := f.history.LongestPartial(func(id string) int { return f.specs[id].Tasks }, now)
+	figures["longest_partial_gang_s"] = partial.Seconds()
+	if len(f.takeovers) > 0 {
+		slices.Sort(f.takeovers)
+		figures["takeover_max_s"] = f.takeovers[len(f.takeovers)-1]
+		figures["takeover_p99_s"] = f.takeovers[(len(f.takeovers)*99+99)/100-1]
+	}
+	return figures, nil
+}
--- a/pkg/lifecycle/begin.go
+++ b/pkg/lifecycle/begin.go
@@ -39,9 +39,11 @@
 }
 
 func (g *gang) start(ctx context.Context, reserved time.Time) error {
-	g.sentStart = true
 	err := g.untilAccepted(ctx, reserved.Add(g.s.settings.StartWithin), func(ctx context.Context, m *member) error {
-		return m.worker.Start(ctx, m.task)
+		err := m.worker.Start(ctx, m.task)
+		// A call that never went out, or was refused, started nothing.
+		m.mayHaveStarted = m.mayHaveStarted || err == nil || api.AsError(err, api.MayHaveRun).Verdict != api.NotRun
+		return err
 	})
 	// The leases run from the reservation.
 	g.since, g.lastWhole = time.Now(), reserved
--- a/pkg/lifecycle/gang.go
+++ b/pkg/lifecycle/gang.go
@@ -19,9 +19,8 @@
 	s       *Service
 	job     *state.Job
 	members []member
-	// beganHere says that this node has tried to start the attempt, and
-	// sentStart that it has sent a start to a worker.
-	beganHere, sentStart bool
+	// beganHere says that this node has tried to start the attempt.
+	beganHere bool
 	// since is when this node took the attempt on, or started its tasks.
 	since time.Time
 	// lastWhole is when the last renewal began that reached every member.
@@ -41,6 +40,8 @@
 	// doubtful says that the worker did not answer lately. No member is renewed
 	// while one is doubtful.
 	doubtful bool
+	// mayHaveStarted says that a start sent by this node may have taken effect.
+	mayHaveStarted bool
 	// blamed says that the worker refused, failed or lost the task.
 	blamed bool
 }
--- a/pkg/lifecycle/stop.go
+++ b/pkg/lifecycle/stop.go
@@ -38,10 +38,10 @@
 // Only the coordinator whose begin the log accepted sends a start, and this
 // node knows whether it was the one.
 func (g *gang) mayHaveStarted() bool {
-	if g.beganHere {
-		return g.sentStart
+	if !g.beganHere {
+		return g.job.Started
 	}
-	return g.job.Started
+	return slices.ContainsFunc(g.members, func(m member) bool { return m.mayHaveStarted })
 }
 
 // stopOnce asks every worker once to stop its task.
