Make the stale coordinator's test able to fail

Cause: the zone of the cut-off worker stayed in, so the second attempt was planned onto the same worker again and could not start meanwhile. Change: the zone is taken out, the cut lasts 2 min, and the test wants the second attempt to have started by then. Left: the package takes over 30 s on a busy machine.

--- a/pkg/lifecycle/scenarios_test.go
+++ b/pkg/lifecycle/scenarios_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/frontdoor"
 	"github.com/shallotpin/shallotpin/pkg/memnet"
 	"github.com/shallotpin/shallotpin/pkg/memsite"
 	"github.com/shallotpin/shallotpin/pkg/standin"
@@ -41,13 +42,17 @@
 }
 
 // TestStaleCoordinatorDoesNotDouble cuts a coordinator off from the log and the
-// other nodes, and these from its worker.
+// other nodes, and these from its worker. The worker's zone is taken out, so
+// that the next attempt is placed elsewhere and can start.
 func TestStaleCoordinatorDoesNotDouble(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tr := startTrial(t, 3, 1)
-		id := tr.submit(0, 1, 120, 5)
+		id := tr.submit(0, 1, 300, 5)
 		c := tr.running(0, id)
+		time.Sleep(5 * time.Second)
 		worker := tr.job(0, id).Placements[0].Worker
+		zone := ""
+		tr.Entries[0].Node.Journal.View(func(st *state.State) { zone = st.Workers[worker].Zone })
 		tr.CutPlatform(c, memsite.PlatformCut{Log: true})
 		tr.isolate(c, memnet.Cut)
 		for i := range tr.Entries {
@@ -55,7 +60,13 @@
 				tr.CutPlatform(i, memsite.PlatformCut{WorkerIDs: []string{worker}})
 			}
 		}
-		time.Sleep(90 * time.Second)
+		if _, err := tr.Client((c+1)%3).SetZone(tr.ctx, zone, frontdoor.ZoneCall{Out: true}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Minute)
+		if n := len(tr.history.Attempts(id)); n != 2 {
+			t.Errorf("%d attempts were started, want a second one by now", n)
+		}
 		for i := range tr.Entries {
 			tr.CutPlatform(i, memsite.PlatformCut{})
 		}
