--- a/pkg/lifecycle/takeover.go
+++ b/pkg/lifecycle/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -75,14 +76,15 @@
 			if silent[key] = s.silent[key]; silent[key].IsZero() {
 				silent[key] = now
 			}
-			if s.members.Preferred(now, j.ID).ID == s.members.Self().ID {
-				copied := *j
-				out = append(out, &copied)
-			}
+			copied := *j
+			out = append(out, &copied)
 		}
 	})
 	s.silent = silent
-	return out
+	// The preference depends on the journal, whose lock View holds.
+	return slices.DeleteFunc(out, func(j *state.Job) bool {
+		return s.members.Preferred(now, j.ID).ID != s.members.Self().ID
+	})
 }
 
 func (s *Service) silence(now time.Time, j *state.Job) time.Duration {
