--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -42,6 +42,7 @@
 	"config":      configScenario,
 	"restart":     restartScenario,
 	"capacity":    capacity,
+	"failover":    runFailover,
 	"mix-hooghly": mixHooghly,
 	"mix-lima":    mixLima,
 	"reclaim":     reclaim,
--- a/pkg/lifecycle/takeover.go
+++ b/pkg/lifecycle/takeover.go
@@ -65,7 +65,7 @@
 	for _, m := range s.members.Live(now) {
 		live[m.Incarnation] = true
 	}
-	var lost []*state.Job
+	var out []*state.Job
 	silent := map[orphan]time.Time{}
 	s.journal.View(func(st *state.State) {
 		for _, j := range st.Jobs {
@@ -77,12 +77,12 @@
 				silent[key] = now
 			}
 			copied := *j
-			lost = append(lost, &copied)
+			out = append(out, &copied)
 		}
 	})
 	s.silent = silent
-	// The choice reads the view of the log itself, so it is made outside of it.
-	return slices.DeleteFunc(lost, func(j *state.Job) bool {
+	// The preference depends on the journal, whose lock View holds.
+	return slices.DeleteFunc(out, func(j *state.Job) bool {
 		return s.members.Preferred(now, j.ID).ID != s.members.Self().ID
 	})
 }
