--- a/pkg/scheduler/cycle.go
+++ b/pkg/scheduler/cycle.go
@@ -25,7 +25,10 @@
 	rackOf []int
 	// rackFragments caches the expected unusable accelerators; NaN is unknown.
 	rackFragments []float64
-	mix           Mix
+	// rackDrain is when the attempts on each rack that cannot checkpoint are
+	// expected to be over, in seconds.
+	rackDrain []float64
+	mix       Mix
 
 	// onWorker lists the attempts on each worker, once for each attempt.
 	onWorker [][]int
@@ -37,8 +40,9 @@
 	// seconds, since room there is reserved.
 	limit        []float64
 	reservations int
-	quarantined  []bool
 
+	// owed are the jobs for which attempts are being stopped.
+	owed       map[string]bool
 	guaranteed map[string]int
 	using      map[string]int
 	share      map[string]float64
@@ -51,8 +55,8 @@
 	n := len(snap.Workers)
 	c := &cycle{
 		snap: snap, policy: policy, rackOf: make([]int, n), onWorker: make([][]int, n), own: make([]cells.Uses, n),
-		soon: make([]api.Resources, n), limit: make([]float64, n), quarantined: make([]bool, n),
-		guaranteed: map[string]int{}, using: map[string]int{}, failed: map[gangKey]float64{},
+		soon: make([]api.Resources, n), limit: make([]float64, n),
+		owed: map[string]bool{}, guaranteed: map[string]int{}, using: map[string]int{}, failed: map[gangKey]float64{},
 	}
 	c.group()
 	c.indexAttempts()
@@ -82,6 +86,7 @@
 		c.racks[len(c.racks)-1].end = i + 1
 		c.rackOf[i] = len(c.racks) - 1
 	}
+	c.rackDrain = make([]float64, len(c.racks))
 	c.rackFragments = make([]float64, len(c.racks))
 	for r := range c.rackFragments {
 		c.rackFragments[r] = math.NaN()
@@ -97,6 +102,9 @@
 	for k := range c.snap.Attempts {
 		a := &c.snap.Attempts[k]
 		c.using[a.Account] += a.accelerators()
+		if a.Stopping && a.YieldsTo != "" {
+			c.owed[a.YieldsTo] = true
+		}
 		for _, p := range a.Placements {
 			i, ok := c.index[p.Worker]
 			if !ok {
@@ -105,6 +113,9 @@
 			if on := c.onWorker[i]; len(on) == 0 || on[len(on)-1] != k {
 				c.onWorker[i] = append(on, k)
 			}
+			if !a.Checkpoint {
+				c.rackDrain[c.rackOf[i]] = max(c.rackDrain[c.rackOf[i]], a.Remaining)
+			}
 			if a.Stopping {
 				c.soon[i] = c.soon[i].Add(a.PerTask)
 			} else if len(c.snap.Workers[i].Reserved) > 0 {
@@ -145,7 +156,7 @@
 		if allowed < 0 {
 			return
 		}
-		c.quarantined[i] = true
+		c.snap.Workers[i].quarantined = true
 	}
 }
 
--- a/pkg/scheduler/fragment.go
+++ b/pkg/scheduler/fragment.go
@@ -83,7 +83,7 @@
 	free, slots, gangs := 0, 0, 0
 	for i := range workers {
 		w := &workers[i]
-		if w.Free.Accelerators <= 0 {
+		if w.Free.Accelerators <= 0 || w.quarantined {
 			continue
 		}
 		free += w.Free.Accelerators
--- a/pkg/scheduler/place.go
+++ b/pkg/scheduler/place.go
@@ -21,13 +21,20 @@
 // suspectPenalty weighs each task on a worker on which jobs have failed.
 const suspectPenalty = 4
 
+// alignSeconds is the time by which a gang keeps a rack busy longer that
+// counts as one unusable accelerator at weight 1.
+const alignSeconds = 60
+
 // leftoverWeight breaks ties in favour of racks with little free.
 const leftoverWeight = 0.01
 
 // slots is the filter: how many tasks of j worker i may take now.
 func (c *cycle) slots(i int, j *Pending) int {
 	w := &c.snap.Workers[i]
-	if w.Free.Accelerators < j.Spec.PerTask.Accelerators || j.Estimate > c.limit[i] || !c.trusts(i, j) {
+	if w.Free.Accelerators < j.Spec.PerTask.Accelerators || !c.trusts(i, j) {
+		return 0
+	}
+	if j.Estimate > c.limit[i] && w.Reserved.Of(j.Spec.Account) == (api.Resources{}) {
 		return 0
 	}
 	n := state.Slots(w.Free, j.Spec.PerTask)
@@ -48,7 +55,7 @@
 	if j.Attempts+1 >= j.Spec.MaxAttempts || slices.Contains(j.FailedOn, w.ID) {
 		return false
 	}
-	if !c.quarantined[i] {
+	if !w.quarantined {
 		return true
 	}
 	return w.BlamedFor >= c.policy.ProbationSeconds && j.Spec.Tasks == 1 && len(c.onWorker[i]) == 0 && w.Free == w.Capacity
@@ -72,12 +79,13 @@
 }
 
 // place returns the worker for each task of j, or nil if it fits nowhere now.
-// A gang within one zone is put into one rack where that is possible.
-func (c *cycle) place(j *Pending) []int {
+// A gang within one zone is put into one rack where that is possible. A careful
+// choice leaves the cells of other accounts alone.
+func (c *cycle) place(j *Pending, careful bool) []int {
 	var best []int
 	bestScore := math.Inf(1)
 	for rack, group := range c.racks {
-		chosen := c.fill(group, j)
+		chosen := c.fill(group, j, careful)
 		if chosen == nil {
 			continue
 		}
@@ -89,7 +97,7 @@
 		return best
 	}
 	for _, zone := range c.zones {
-		if chosen := c.fill(zone, j); chosen != nil {
+		if chosen := c.fill(zone, j, careful); chosen != nil {
 			return chosen
 		}
 	}
@@ -99,7 +107,7 @@
 // fill chooses workers for all tasks of j within one group: those outside the
 // cells of others first, and among them the fullest. It returns nil if the
 // gang does not fit.
-func (c *cycle) fill(group span, j *Pending) []int {
+func (c *cycle) fill(group span, j *Pending, careful bool) []int {
 	c.candidates = c.candidates[:0]
 	total := 0
 	single := j.Spec.Within == api.WithinWorker
@@ -108,8 +116,12 @@
 		if n == 0 || (single && n < j.Spec.Tasks) {
 			continue
 		}
+		foreign := c.foreign(i, j)
+		if careful && foreign > 0 {
+			continue
+		}
 		total += n
-		c.candidates = append(c.candidates, candidate{i, n, c.foreign(i, j)})
+		c.candidates = append(c.candidates, candidate{i, n, foreign})
 	}
 	if total < j.Spec.Tasks {
 		return nil
@@ -146,6 +158,9 @@
 			score += suspectPenalty
 		}
 	}
+	if !j.Spec.Checkpoint {
+		score += c.policy.AlignWeight * max(0, j.Estimate-c.rackDrain[rack]) / alignSeconds
+	}
 	left := 0
 	for i := c.racks[rack].start; i < c.racks[rack].end; i++ {
 		left += max(0, c.snap.Workers[i].Free.Accelerators)
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -10,7 +10,8 @@
 type tier int
 
 const (
-	tierUrgent tier = iota
+	tierOwed tier = iota
+	tierUrgent
 	tierGuaranteed
 	tierWaitedLong
 	tierOther
@@ -31,8 +32,8 @@
 	value float64
 }
 
-// queue returns the waiting jobs in the order in which they get room: urgent
-// work within its account's guarantee, other work within it, and then the
+// queue returns the waiting jobs in the order in which they get room: those
+// for which others are being stopped, urgent work within its account's guarantee, other work within it, and then the
 // rest. Within these, the wait relative to the expected run time decides, so
 // that short jobs go first and none waits for ever, weighted by fair share.
 func (c *cycle) queue() []*Pending {
@@ -83,6 +84,9 @@
 
 // tierOf counts the waiting work of an account against its guarantee.
 func (c *cycle) tierOf(j *Pending, claimed map[string]int) tier {
+	if c.owed[j.ID] {
+		return tierOwed
+	}
 	account, need := j.Spec.Account, j.Spec.Total().Accelerators
 	if j.Spec.Urgent && need <= c.guaranteed[account] {
 		return tierUrgent
--- a/pkg/scheduler/reclaim.go
+++ b/pkg/scheduler/reclaim.go
@@ -100,13 +100,21 @@
 		if !c.trusts(i, j) {
 			continue
 		}
-		n := max(c.slots(i, j), state.Slots(c.entitled(i, j), j.Spec.PerTask))
+		n := state.Slots(c.entitled(i, j), j.Spec.PerTask)
+		if c.foreign(i, j) == 0 {
+			n = max(n, c.slots(i, j))
+		}
+		n = min(n, j.Spec.Tasks)
 		if n > 0 {
 			victims, ok := c.victims(i, times(j.Spec.PerTask, n), j, nil)
 			if !ok {
 				continue
 			}
-			options = append(options, option{i, n, c.lossOf(victims) / float64(n)})
+			loss := c.lossOf(victims) / float64(n)
+			if c.yielding(i, j) {
+				loss -= yieldingBonus
+			}
+			options = append(options, option{i, n, loss})
 			total += n
 		}
 	}
@@ -135,9 +143,28 @@
 		return nil
 	}
 	out.loss = c.lossOf(out.victims)
+	for _, i := range out.chosen {
+		if c.yielding(i, j) {
+			out.loss -= yieldingBonus
+		}
+	}
 	return out
 }
 
+// yieldingBonus makes a gang stay with the workers on which others are being
+// stopped for it.
+const yieldingBonus = 1e6
+
+// yielding reports whether an attempt on worker i is being stopped for j.
+func (c *cycle) yielding(i int, j *Pending) bool {
+	for _, k := range c.onWorker[i] {
+		if a := &c.snap.Attempts[k]; a.Stopping && a.YieldsTo == j.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // victims adds to chosen the attempts that must be stopped so that need fits
 // on worker i. ok is false if stopping all that may be stopped is not enough.
 func (c *cycle) victims(i int, need api.Resources, j *Pending, chosen []int) (all []int, ok bool) {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -10,8 +10,6 @@
 
 import (
 	"math"
-	"os"
-	"strconv"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/config"
@@ -75,13 +73,20 @@
 		return
 	}
 	c.tries++
-	if chosen := c.place(j); chosen != nil {
+	// Work that could be hurt by a reclaim takes its own account's cells
+	// before it takes free room in the cells of others.
+	careful := j.Spec.Urgent || !j.Spec.Checkpoint
+	if chosen := c.place(j, careful); chosen != nil {
 		c.allocate(j, chosen)
 		return
 	}
 	if c.reclaim(j) {
 		return
 	}
+	if chosen := c.place(j, false); careful && chosen != nil {
+		c.allocate(j, chosen)
+		return
+	}
 	c.reserve(j)
 	c.failed[key] = j.Estimate
 }
@@ -105,6 +110,9 @@
 	}
 	c.own[i] = c.own[i].Add(j.Spec.Account, j.Spec.PerTask)
 	c.rackFragments[c.rackOf[i]] = math.NaN()
+	if !j.Spec.Checkpoint {
+		c.rackDrain[c.rackOf[i]] = max(c.rackDrain[c.rackOf[i]], j.Estimate)
+	}
 }
 
 // Policy tunes the decisions.
@@ -138,6 +146,9 @@
 	DisplaceAfter float64
 	// DisplaceRatio is how far a waiting wide gang must rank above an attempt to stop it.
 	DisplaceRatio float64
+	// AlignWeight weighs how much longer a gang that cannot checkpoint keeps
+	// its rack from draining.
+	AlignWeight float64
 	// MoveSeconds is the expected time that moving a gang costs.
 	MoveSeconds float64
 }
@@ -147,15 +158,9 @@
 	return Policy{
 		Objective: objective, MaxTries: 256,
 		QuarantineAfter: 3, QuarantineShare: 0.1, ProbationSeconds: 600,
-		ReserveShare: envf("RS", 0.25), ReserveAfter: envf("RA", 120), MaxReservations: int(envf("MR", 4)),
+		ReserveShare: 0.25, ReserveAfter: 120, MaxReservations: 2,
 		CellPenalty: 0.2, LostCellPenalty: 0.5, AgeingSeconds: 60, MoveSeconds: 30,
-		ShortFirst: envf("SF", 1), DisplaceAfter: envf("DA", 120), DisplaceRatio: envf("DR", 1.5),
-	}
-}
-
-func envf(name string, def float64) float64 {
-	if v, err := strconv.ParseFloat(os.Getenv(name), 64); err == nil {
-		return v
+		AlignWeight: 0.5,
+		ShortFirst:  1, DisplaceAfter: 120, DisplaceRatio: 1.5,
 	}
-	return def
 }
--- a/pkg/scheduler/snapshot.go
+++ b/pkg/scheduler/snapshot.go
@@ -27,6 +27,8 @@
 	// BlamedFor is for how many seconds that has been so.
 	Blamed    int
 	BlamedFor float64
+
+	quarantined bool
 }
 
 // Pending is a waiting job.
@@ -55,6 +57,8 @@
 	MustNotStop bool
 	// Stopping says that the attempt is being stopped already.
 	Stopping bool
+	// YieldsTo is the job for which the attempt is being stopped, if any.
+	YieldsTo string
 	// Ran and Remaining are the seconds run so far and those expected to be left.
 	Ran       float64
 	Remaining float64
@@ -118,7 +122,7 @@
 	a := Attempt{
 		Job: j.ID, Token: j.Token, Account: j.Spec.Account, PerTask: j.Spec.PerTask, Tasks: j.Spec.Tasks,
 		Within: j.Spec.Within, Placements: j.Placements, Urgent: j.Spec.Urgent, Checkpoint: j.Spec.Checkpoint,
-		MustNotStop: j.Pinned(), Stopping: j.Phase == api.PhaseStopping,
+		MustNotStop: j.Pinned(), Stopping: j.Phase == api.PhaseStopping, YieldsTo: j.YieldsTo,
 		Ran: book.Ran(j.ID, now), Remaining: book.Remaining(j, now),
 	}
 	a.Waited = max(0, book.Waited(j.ID, now)-a.Ran)
