Hold reclaimed room and keep urgent work out of the cells of others

The new property test named the faults one by one: free room in the cells of others was taken and at once reclaimed; a limit for a wide gang kept an account out of its own cell; a claim without victims was held and never placed; a worker's whole entitlement was asked for when one task needed less.

--- a/pkg/scheduler/place.go
+++ b/pkg/scheduler/place.go
@@ -61,21 +61,38 @@
 	return w.BlamedFor >= c.policy.ProbationSeconds && j.Spec.Tasks == 1 && len(c.onWorker[i]) == 0 && w.Free == w.Capacity
 }
 
-// foreign returns how many accelerators of one task of j would be in cells of
-// other accounts on worker i, from which it may be stopped at any time.
-func (c *cycle) foreign(i int, j *Pending) int {
+// outside returns how many free accelerators of worker i account may take
+// without using the cells of others, from which it may be stopped at any time.
+func (c *cycle) outside(i int, account string) int {
 	w := &c.snap.Workers[i]
-	if len(w.Reserved) == 0 || j.MustNotStop {
-		return 0
-	}
-	outside := w.Free.Accelerators
+	out := w.Free.Accelerators
 	for _, use := range w.Reserved {
-		if use.Account != j.Spec.Account {
-			outside -= cells.Excess(use.Resources, c.own[i].Of(use.Account)).Accelerators
+		if use.Account != account {
+			out -= cells.Excess(use.Resources, c.own[i].Of(use.Account)).Accelerators
 		}
 	}
+	// What the account is entitled to is its own, whoever overflows into it.
+	return max(out, cells.Excess(w.Reserved.Of(account), c.own[i].Of(account)).Accelerators)
+}
+
+// foreign returns how many accelerators of one task of j would be in cells of
+// other accounts on worker i.
+func (c *cycle) foreign(i int, j *Pending) int {
+	if len(c.snap.Workers[i].Reserved) == 0 || j.MustNotStop {
+		return 0
+	}
+	need := j.Spec.PerTask.Accelerators
+	return min(need, max(0, need-c.outside(i, j.Spec.Account)))
+}
+
+// carefulSlots is slots without the cells of others.
+func (c *cycle) carefulSlots(i int, j *Pending) int {
+	n := c.slots(i, j)
 	need := j.Spec.PerTask.Accelerators
-	return min(need, max(0, need-outside))
+	if n == 0 || len(c.snap.Workers[i].Reserved) == 0 || j.MustNotStop || need == 0 {
+		return n
+	}
+	return min(n, max(0, c.outside(i, j.Spec.Account))/need)
 }
 
 // place returns the worker for each task of j, or nil if it fits nowhere now.
@@ -113,15 +130,14 @@
 	single := j.Spec.Within == api.WithinWorker
 	for i := group.start; i < group.end; i++ {
 		n := c.slots(i, j)
-		if n == 0 || (single && n < j.Spec.Tasks) {
-			continue
+		if careful {
+			n = c.carefulSlots(i, j)
 		}
-		foreign := c.foreign(i, j)
-		if careful && foreign > 0 {
+		if n == 0 || (single && n < j.Spec.Tasks) {
 			continue
 		}
 		total += n
-		c.candidates = append(c.candidates, candidate{i, n, foreign})
+		c.candidates = append(c.candidates, candidate{i, n, c.foreign(i, j)})
 	}
 	if total < j.Spec.Tasks {
 		return nil
--- a/pkg/scheduler/reclaim.go
+++ b/pkg/scheduler/reclaim.go
@@ -40,12 +40,30 @@
 	for _, k := range best.victims {
 		c.preempt(k, j.ID, fmt.Sprintf("stopped to make room for job %s in a cell of account %s", j.ID, j.Spec.Account))
 	}
+	if len(best.victims) == 0 && c.fitsNow(best.chosen, j) {
+		c.allocate(j, best.chosen)
+		return true
+	}
 	for _, i := range best.chosen {
 		c.take(j, i)
 	}
 	return true
 }
 
+// fitsNow reports whether every chosen worker has the room for its tasks of j.
+func (c *cycle) fitsNow(chosen []int, j *Pending) bool {
+	need := map[int]int{}
+	for _, i := range chosen {
+		need[i]++
+	}
+	for i, n := range need {
+		if state.Slots(c.snap.Workers[i].Free, j.Spec.PerTask) < n {
+			return false
+		}
+	}
+	return true
+}
+
 // preempt stops attempt k and counts what it will give back.
 func (c *cycle) preempt(k int, beneficiary, reason string) {
 	a := &c.snap.Attempts[k]
@@ -100,10 +118,7 @@
 		if !c.trusts(i, j) {
 			continue
 		}
-		n := state.Slots(c.entitled(i, j), j.Spec.PerTask)
-		if c.foreign(i, j) == 0 {
-			n = max(n, c.slots(i, j))
-		}
+		n := max(c.carefulSlots(i, j), state.Slots(c.entitled(i, j), j.Spec.PerTask))
 		n = min(n, j.Spec.Tasks)
 		if n > 0 {
 			victims, ok := c.victims(i, times(j.Spec.PerTask, n), j, nil)
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -18,7 +18,7 @@
 
 // The seed is fixed, so that every run draws the same fleets.
 func init() {
-	for name, value := range map[string]string{"rapid.seed": "20260512", "rapid.nofailfile": "true", "rapid.checks": "25", "rapid.shrinktime": "1s"} {
+	for name, value := range map[string]string{"rapid.seed": "20260512", "rapid.nofailfile": "true", "rapid.shrinktime": "1s"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
