--- /dev/null
+++ b/pkg/estimate/estimate_test.go
@@ -0,0 +1,38 @@
+package estimate
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// TestEstimatesBeatDeclaredTimes declares run times that are off by a class's
+// usual factor and by chance, up to 4 times.
+func TestEstimatesBeatDeclaredTimes(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	r := NewRuntimes()
+	learnt, declaredOnly := 0.0, 0.0
+	for i := range 300 {
+		seconds := 300 * math.Exp(0.8*rng.NormFloat64())
+		declared := seconds * min(4, 3*math.Exp(0.3*rng.NormFloat64()))
+		if i >= 50 {
+			learnt += math.Abs(math.Log(r.Estimate("a", "x", declared) / seconds))
+			declaredOnly += math.Abs(math.Log(declared / seconds))
+		}
+		r.Learn("a", "x", declared, seconds)
+	}
+	if learnt >= declaredOnly/2 {
+		t.Errorf("mean error %.2f of the estimate is not half of %.2f, that of the declared time", learnt/250, declaredOnly/250)
+	}
+}
+
+func TestUndeclaredTimesAreEstimatedByClass(t *testing.T) {
+	r := NewRuntimes()
+	for range 10 {
+		r.Learn("a", "short", 0, 20)
+		r.Learn("a", "long", 0, 2000)
+	}
+	if short, long := r.Estimate("a", "short", 0), r.Estimate("a", "long", 0); math.Round(short) != 20 || math.Round(long) != 2000 {
+		t.Errorf("estimates %.1f and %.1f, want 20 and 2000", short, long)
+	}
+}
