Remember in the fold for which gang attempts were stopped

Change: an accepted preemption marks its beneficiary as owed until it is placed. Owed gangs go before other work within guarantees, and owed urgent gangs before all.

--- a/pkg/scheduler/cycle.go
+++ b/pkg/scheduler/cycle.go
@@ -41,8 +41,6 @@
 	limit        []float64
 	reservations int
 
-	// owed are the jobs for which attempts are being stopped.
-	owed       map[string]bool
 	guaranteed map[string]int
 	using      map[string]int
 	share      map[string]float64
@@ -56,7 +54,7 @@
 	c := &cycle{
 		snap: snap, policy: policy, rackOf: make([]int, n), onWorker: make([][]int, n), own: make([]cells.Uses, n),
 		soon: make([]api.Resources, n), limit: make([]float64, n),
-		owed: map[string]bool{}, guaranteed: map[string]int{}, using: map[string]int{}, failed: map[gangKey]float64{},
+		guaranteed: map[string]int{}, using: map[string]int{}, failed: map[gangKey]float64{},
 	}
 	c.group()
 	c.indexAttempts()
@@ -102,9 +100,6 @@
 	for k := range c.snap.Attempts {
 		a := &c.snap.Attempts[k]
 		c.using[a.Account] += a.accelerators()
-		if a.Stopping && a.YieldsTo != "" {
-			c.owed[a.YieldsTo] = true
-		}
 		for _, p := range a.Placements {
 			i, ok := c.index[p.Worker]
 			if !ok {
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -10,8 +10,9 @@
 type tier int
 
 const (
-	tierOwed tier = iota
+	tierOwedUrgent tier = iota
 	tierUrgent
+	tierOwed
 	tierGuaranteed
 	tierWaitedLong
 	tierOther
@@ -32,10 +33,11 @@
 	value float64
 }
 
-// queue returns the waiting jobs in the order in which they get room: those
-// for which others are being stopped, urgent work within its account's guarantee, other work within it, and then the
-// rest. Within these, the wait relative to the expected run time decides, so
-// that short jobs go first and none waits for ever, weighted by fair share.
+// queue returns the waiting jobs in the order in which they get room: urgent
+// work within its account's guarantee, gangs for which others were stopped,
+// other work within a guarantee, wide gangs that have waited long, and then
+// the rest. Within these, the wait relative to the expected run time decides,
+// so that short jobs go first and none waits for ever, weighted by fair share.
 func (c *cycle) queue() []*Pending {
 	claimed := map[string]int{}
 	order := make([]ranked, len(c.snap.Pending))
@@ -84,13 +86,16 @@
 
 // tierOf counts the waiting work of an account against its guarantee.
 func (c *cycle) tierOf(j *Pending, claimed map[string]int) tier {
-	if c.owed[j.ID] {
-		return tierOwed
-	}
 	account, need := j.Spec.Account, j.Spec.Total().Accelerators
+	if j.Owed && j.Spec.Urgent {
+		return tierOwedUrgent
+	}
 	if j.Spec.Urgent && need <= c.guaranteed[account] {
 		return tierUrgent
 	}
+	if j.Owed {
+		return tierOwed
+	}
 	if c.using[account]+claimed[account]+need > c.guaranteed[account] {
 		return tierOther
 	}
