--- a/pkg/bench/target.go
+++ b/pkg/bench/target.go
@@ -16,13 +16,9 @@
 
 // Setting of the target scenario.
 const (
-	targetWorkers = 1500
-	smallWorkers  = 150
-	largeWorkers  = 6000
-	// tasksPerWorker gives 7,500 running tasks on 1,500 workers.
-	tasksPerWorker = 5
-	targetAccounts = 190
-	targetRack     = 16
+	smallWorkers = 150
+	largeWorkers = 6000
+	targetRack   = 16
 	// targetDecisions is how many single decisions are timed.
 	targetDecisions = 300
 	// targetBatch is how many jobs wait in the decision that is timed for its rate.
@@ -36,13 +32,13 @@
 		workers = o.Workers
 	}
 	figures := map[string]float64{}
-	if err := measureTarget(o.Seed, workers, figures); err != nil {
+	if err := measureDecisions(o.Seed, workers, figures); err != nil {
 		return nil, err
 	}
 	times := map[int]float64{}
 	for _, n := range []int{smallWorkers, targetWorkers, largeWorkers} {
 		at := map[string]float64{}
-		if err := measureTarget(o.Seed, n, at); err != nil {
+		if err := measureDecisions(o.Seed, n, at); err != nil {
 			return nil, err
 		}
 		times[n] = at["decision_p50_ms"]
@@ -56,7 +52,7 @@
 	return figures, nil
 }
 
-func measureTarget(seed uint64, workers int, figures map[string]float64) error {
+func measureDecisions(seed uint64, workers int, figures map[string]float64) error {
 	w := newWorld(seed, ours)
 	w.setUp(targetConfig(workers), targetFleet(workers))
 	rng := rand.New(rand.NewPCG(seed, 5))
--- a/pkg/memsite/memsite.go
+++ b/pkg/memsite/memsite.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/client"
@@ -33,10 +34,17 @@
 	Retain int
 	// UpstreamTime is how long a short request takes.
 	UpstreamTime time.Duration
+	// HTTP makes the nodes reach the log and the VM list by HTTP over the
+	// network, so that the bytes count as traffic of the nodes.
+	HTTP bool
 	// Settings changes the settings of each node before it starts, if not nil.
 	Settings func(*node.Settings)
 	// Observe is called with each change of a task on a worker, if not nil.
 	Observe func(standin.TaskEvent)
+	// OnCall is called before and after each call of a node to the log and the
+	// workers, if not nil. A test that freezes or kills the node in it does so
+	// at that step.
+	OnCall func(Call)
 }
 
 // Site is a set of nodes and the stand-ins behind them.
@@ -87,6 +95,11 @@
 		s.Entries = append(s.Entries, &Entry{Settings: set})
 	}
 	s.VMs = standin.NewVMList(opts.VMListLag, vms...)
+	if opts.HTTP {
+		if err := s.servePlatform(); err != nil {
+			return nil, err
+		}
+	}
 	for i := range s.Entries {
 		if err := s.startEntry(ctx, i); err != nil {
 			return nil, errors.Join(err, s.Close(ctx))
@@ -128,6 +141,7 @@
 		HTTP: net.JoinHostPort(ip, "7400"), Peer: net.JoinHostPort(ip, "7401"),
 		Log: "http://10.2.0.1:80", VMs: "http://10.2.0.2:80",
 		DrainTimeout: 30 * time.Second, LeaseTTL: 10 * time.Second, StartWithin: 3 * time.Second, ClockDrift: 0.01,
+		SnapshotInterval: 10 * time.Minute,
 	}
 	if s.opts.Settings != nil {
 		s.opts.Settings(&set)
@@ -141,9 +155,10 @@
 		return errors.New(problems[0])
 	}
 	e.Host = s.Net.Host(e.Settings.ID)
-	e.gate = &gate{host: e.Host}
+	e.gate = &gate{host: e.Host, id: e.Settings.ID, onCall: s.opts.OnCall}
+	log, vms := s.platformOf(e.Host)
 	p := node.Platform{
-		Log: &gatedLog{e.gate, s.Log}, VMs: &gatedVMs{e.gate, s.VMs},
+		Log: &gatedLog{e.gate, log}, VMs: &gatedVMs{e.gate, vms},
 		Workers: &gatedWorkers{e.gate, s.Workers},
 	}
 	var err error
@@ -154,6 +169,35 @@
 	return e.Node.Start(ctx)
 }
 
+const (
+	// logAddress and vmsAddress are where the log and the VM list listen if they
+	// are reached by HTTP.
+	logAddress = "10.2.0.1:80"
+	vmsAddress = "10.2.0.2:80"
+)
+
+// platformOf returns the log and the VM list as a host reaches them.
+func (s *Site) platformOf(h *memnet.Host) (platform.Log, platform.VMList) {
+	if !s.opts.HTTP {
+		return s.Log, s.VMs
+	}
+	c := transport.HTTPClient(h, 0)
+	s.clients = append(s.clients, c)
+	return &platform.HTTPLog{Base: "http://" + logAddress, Client: c}, &platform.HTTPVMList{Base: "http://" + vmsAddress, Client: c}
+}
+
+// servePlatform serves the log and the VM list by HTTP.
+func (s *Site) servePlatform() error {
+	for address, handler := range map[string]http.Handler{logAddress: s.Log.Handler(), vmsAddress: s.VMs.Handler()} {
+		l, err := s.Net.Host("platform").Listen(address)
+		if err != nil {
+			return err
+		}
+		s.servers = append(s.servers, standin.Serve(l, handler))
+	}
+	return nil
+}
+
 func (s *Site) publish(ctx context.Context) error {
 	c := s.Client(0)
 	if err := c.WaitReady(ctx); err != nil {
@@ -193,6 +237,22 @@
 	s.unlist(s.Entries[i].Settings.ID)
 }
 
+// Retire stops entry VM i gracefully and takes it off the VM list.
+func (s *Site) Retire(ctx context.Context, i int) error {
+	e := s.Entries[i]
+	s.VMs.Update(func(vms []platform.VM) []platform.VM {
+		for k := range vms {
+			vms[k].Leaving = vms[k].Leaving || vms[k].ID == e.Settings.ID
+		}
+		return vms
+	})
+	err := e.Node.Stop(ctx)
+	e.killed = true
+	e.Host.Kill()
+	s.unlist(e.Settings.ID)
+	return err
+}
+
 func (s *Site) unlist(id string) {
 	s.VMs.Update(func(vms []platform.VM) []platform.VM {
 		kept := vms[:0]
@@ -226,10 +286,28 @@
 
 // LoseWorker ends a worker for good and takes it off the VM list.
 func (s *Site) LoseWorker(id string) {
-	s.Workers[id].SetFaults(standin.WorkerFaults{Unreachable: true})
+	s.Workers[id].Kill()
 	s.unlist(id)
 }
 
+// Stop ends the process of entry VM i gracefully, as SIGTERM does.
+func (s *Site) Stop(ctx context.Context, i int) error {
+	e := s.Entries[i]
+	e.killed = true
+	err := e.Node.Stop(ctx)
+	e.gate.kill()
+	e.Host.Kill()
+	return err
+}
+
+// Settle brings every task on every worker up to now, so that the observer has
+// seen all that has happened.
+func (s *Site) Settle() {
+	for _, w := range s.Workers {
+		w.Running()
+	}
+}
+
 // Close stops the nodes that live, and the stand-ins.
 func (s *Site) Close(ctx context.Context) error {
 	var errs []error
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -28,6 +28,9 @@
 	FailTasks bool `json:"fail_tasks,omitempty"`
 	// LoseReplies makes every call fail after it has taken effect.
 	LoseReplies bool `json:"lose_replies,omitempty"`
+	// LateStarts makes the worker accept starts after StartWithin, against its
+	// contract. Tests prove with it that a late start is found.
+	LateStarts bool `json:"late_starts,omitempty"`
 }
 
 // TaskEvent is one change of a task, for the checks of a test.
@@ -48,6 +51,7 @@
 	tasks  map[platform.TaskID]*task
 	fences map[string]int64
 	faults WorkerFaults
+	dead   bool
 	used   api.Resources
 }
 
@@ -78,6 +82,20 @@
 	w.faults = f
 }
 
+// Kill ends the worker for good: its tasks stop, and no call is answered.
+func (w *Worker) Kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.settle(now)
+	for _, t := range w.tasks {
+		if t.status.Phase == platform.TaskReserved || t.status.Phase == platform.TaskRunning {
+			w.setPhase(t, platform.TaskStopped, now)
+		}
+	}
+	w.dead = true
+}
+
 // Used returns what live tasks hold on the worker.
 func (w *Worker) Used() api.Resources {
 	w.mu.Lock()
@@ -107,7 +125,7 @@
 // enter begins a call: it fails if the worker is unreachable, and settles what
 // time has brought about.
 func (w *Worker) enter(ctx context.Context) (time.Time, error) {
-	if w.faults.Unreachable {
+	if w.faults.Unreachable || w.dead {
 		return time.Time{}, unreachable()
 	}
 	now := time.Now()
@@ -235,7 +253,7 @@
 		return w.leave()
 	case t.status.Phase != platform.TaskReserved:
 		return api.Errorf(api.CodeConflict, "task %v is %s", id, t.status.Phase)
-	case now.After(t.startBy):
+	case now.After(t.startBy) && !w.faults.LateStarts:
 		return api.Errorf(api.CodeConflict, "task %v was reserved too long ago", id)
 	}
 	t.status.Ran, t.since = true, now
@@ -262,13 +280,20 @@
 			continue
 		}
 		if t.status.Phase == platform.TaskReserved || t.status.Phase == platform.TaskRunning {
-			t.lease = now.Add(ttl)
+			t.extend(now.Add(ttl))
 		}
 		out[i] = t.status
 	}
 	return out, w.leave()
 }
 
+// extend puts off the end of the lease; it never brings it forward.
+func (t *task) extend(until time.Time) {
+	if until.After(t.lease) {
+		t.lease = until
+	}
+}
+
 // Stop implements platform.Worker.
 func (w *Worker) Stop(ctx context.Context, id platform.TaskID, checkpoint bool) (platform.TaskStatus, error) {
 	w.mu.Lock()
--- a/pkg/state/record.go
+++ b/pkg/state/record.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/config"
@@ -29,21 +30,43 @@
 	Plan    *PlanJob      `json:"plan,omitempty"`
 	Preempt *PreemptJob   `json:"preempt,omitempty"`
 	Claim   *ClaimJob     `json:"claim,omitempty"`
+	Begin   *BeginAttempt `json:"begin,omitempty"`
 	End     *EndAttempt   `json:"end,omitempty"`
+
+	Snapshot *SnapshotChunk `json:"snapshot,omitempty"`
 }
 
+// Format is the format of the records that this program writes. It rises with
+// every change of the records or of the fold that an older program would apply
+// differently, since all nodes must fold alike.
+const Format = 1
+
 // Batch is the payload of one log entry.
 type Batch struct {
+	Format  int      `json:"format"`
 	Records []Record `json:"records"`
 }
 
 // EncodeBatch returns the log entry for records.
-func EncodeBatch(records []Record) ([]byte, error) { return json.Marshal(Batch{records}) }
+func EncodeBatch(records []Record) ([]byte, error) { return json.Marshal(Batch{Format, records}) }
 
-// DecodeBatch parses a log entry.
+// NewerFormatError reports a log entry that a newer program wrote. A node that
+// meets one must not fold on.
+type NewerFormatError struct{ Format int }
+
+// Error implements the error interface.
+func (e *NewerFormatError) Error() string {
+	return fmt.Sprintf("the log holds records of format %d, this program knows formats up to %d", e.Format, Format)
+}
+
+// DecodeBatch parses a log entry. Its error is a *NewerFormatError if a newer
+// program wrote the entry.
 func DecodeBatch(data []byte) (Batch, error) {
 	var b Batch
 	err := json.Unmarshal(data, &b)
+	if b.Format > Format {
+		return b, &NewerFormatError{b.Format}
+	}
 	return b, err
 }
 
@@ -120,6 +143,16 @@
 	To   string `json:"to"`
 }
 
+// BeginAttempt is written by the coordinator after it has reserved every task
+// and before it starts the first one. It is refused unless the attempt is still
+// wanted, in log order: so a coordinator that was replaced starts nothing, and
+// an attempt without an accepted BeginAttempt has started nothing.
+type BeginAttempt struct {
+	Job         string `json:"job"`
+	Token       int64  `json:"token"`
+	Coordinator string `json:"coordinator"`
+}
+
 // AttemptOutcome says how an attempt ended.
 type AttemptOutcome string
 
@@ -134,14 +167,17 @@
 	OutcomeFailed AttemptOutcome = "failed"
 )
 
-// EndAttempt ends an attempt, after every task is known to run no more.
+// EndAttempt ends an attempt, after every task is known to run no more. It is
+// refused unless Coordinator coordinates the attempt: one that was replaced
+// does not know which tasks its successor has kept alive.
 type EndAttempt struct {
 	Job         string         `json:"job"`
 	Token       int64          `json:"token"`
+	Coordinator string         `json:"coordinator,omitempty"`
 	Outcome     AttemptOutcome `json:"outcome"`
 	Results     []string       `json:"results,omitempty"`
 	Checkpoints []string       `json:"checkpoints,omitempty"`
 	Reason      string         `json:"reason,omitempty"`
-	// Blame names the workers on which a task failed.
+	// Blame lists the workers that refused, failed or lost a task of the attempt.
 	Blame []string `json:"blame,omitempty"`
 }
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -11,6 +11,8 @@
 
 // State is the result of folding the log up to Offset.
 type State struct {
+	// Format is the format of the records that the state was folded from.
+	Format int `json:"format"`
 	// Offset is the offset of the next entry to apply.
 	Offset int64 `json:"offset"`
 
@@ -32,8 +34,12 @@
 	LastToken int64 `json:"last_token"`
 	// Submitted counts the jobs accepted so far.
 	Submitted int64 `json:"submitted"`
-	// Writers holds the last sequence number applied of each writer.
-	Writers map[string]uint64 `json:"writers"`
+	// Writers holds the last record applied of each writer.
+	Writers map[string]WriterMark `json:"writers"`
+	// Snapshot is the newest complete snapshot in the log.
+	Snapshot SnapshotMark `json:"snapshot,omitzero"`
+	// PartialSnapshots are the snapshots of which chunks are still to come.
+	PartialSnapshots []PartialSnapshot `json:"partial_snapshots,omitempty"`
 }
 
 // ZoneState is the state of an availability zone.
@@ -78,6 +84,8 @@
 	Token       int64       `json:"token,omitempty"`
 	Coordinator string      `json:"coordinator,omitempty"`
 	Placements  []Placement `json:"placements,omitempty"`
+	// Started says that a task of the attempt in force may have been started.
+	Started     bool        `json:"started,omitempty"`
 	Cancelled   bool        `json:"cancelled,omitempty"`
 	Verdict     api.Verdict `json:"verdict"`
 	Results     []string    `json:"results,omitempty"`
@@ -107,8 +115,9 @@
 // New returns the state before the first record.
 func New() *State {
 	return &State{
-		Zones: map[string]*ZoneState{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{},
-		JobKeys: map[string]string{}, Writers: map[string]uint64{},
+		Format: Format,
+		Zones:  map[string]*ZoneState{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{},
+		JobKeys: map[string]string{}, Writers: map[string]WriterMark{},
 	}
 }
 
