--- a/pkg/scheduler/place.go
+++ b/pkg/scheduler/place.go
@@ -21,13 +21,20 @@
 // suspectPenalty weighs each task on a worker on which jobs have failed.
 const suspectPenalty = 4
 
+// alignSeconds is the time by which a gang keeps a rack busy longer that
+// counts as one unusable accelerator at weight 1.
+const alignSeconds = 60
+
 // leftoverWeight breaks ties in favour of racks with little free.
 const leftoverWeight = 0.01
 
 // slots is the filter: how many tasks of j worker i may take now.
 func (c *cycle) slots(i int, j *Pending) int {
 	w := &c.snap.Workers[i]
-	if w.Free.Accelerators < j.Spec.PerTask.Accelerators || j.Estimate > c.limit[i] || !c.trusts(i, j) {
+	if w.Free.Accelerators < j.Spec.PerTask.Accelerators || !c.trusts(i, j) {
+		return 0
+	}
+	if j.Estimate > c.limit[i] && w.Reserved.Of(j.Spec.Account) == (api.Resources{}) {
 		return 0
 	}
 	n := state.Slots(w.Free, j.Spec.PerTask)
@@ -48,36 +55,54 @@
 	if j.Attempts+1 >= j.Spec.MaxAttempts || slices.Contains(j.FailedOn, w.ID) {
 		return false
 	}
-	if !c.quarantined[i] {
+	if !w.quarantined {
 		return true
 	}
 	return w.BlamedFor >= c.policy.ProbationSeconds && j.Spec.Tasks == 1 && len(c.onWorker[i]) == 0 && w.Free == w.Capacity
 }
 
-// foreign returns how many accelerators of one task of j would be in cells of
-// other accounts on worker i, from which it may be stopped at any time.
-func (c *cycle) foreign(i int, j *Pending) int {
+// outside returns how many free accelerators of worker i account may take
+// without using the cells of others, from which it may be stopped at any time.
+func (c *cycle) outside(i int, account string) int {
 	w := &c.snap.Workers[i]
-	if len(w.Reserved) == 0 || j.MustNotStop {
-		return 0
-	}
-	outside := w.Free.Accelerators
+	out := w.Free.Accelerators
 	for _, use := range w.Reserved {
-		if use.Account != j.Spec.Account {
-			outside -= cells.Excess(use.Resources, c.own[i].Of(use.Account)).Accelerators
+		if use.Account != account {
+			out -= cells.Excess(use.Resources, c.own[i].Of(use.Account)).Accelerators
 		}
 	}
+	// What the account is entitled to is its own, whoever overflows into it.
+	return max(out, cells.Excess(w.Reserved.Of(account), c.own[i].Of(account)).Accelerators)
+}
+
+// foreign returns how many accelerators of one task of j would be in cells of
+// other accounts on worker i.
+func (c *cycle) foreign(i int, j *Pending) int {
+	if len(c.snap.Workers[i].Reserved) == 0 || j.MustNotStop {
+		return 0
+	}
 	need := j.Spec.PerTask.Accelerators
-	return min(need, max(0, need-outside))
+	return min(need, max(0, need-c.outside(i, j.Spec.Account)))
+}
+
+// carefulSlots is slots without the cells of others.
+func (c *cycle) carefulSlots(i int, j *Pending) int {
+	n := c.slots(i, j)
+	need := j.Spec.PerTask.Accelerators
+	if n == 0 || len(c.snap.Workers[i].Reserved) == 0 || j.MustNotStop || need == 0 {
+		return n
+	}
+	return min(n, max(0, c.outside(i, j.Spec.Account))/need)
 }
 
 // place returns the worker for each task of j, or nil if it fits nowhere now.
-// A gang within one zone is put into one rack where that is possible.
-func (c *cycle) place(j *Pending) []int {
+// A gang within one zone is put into one rack where that is possible. A careful
+// choice leaves the cells of other accounts alone.
+func (c *cycle) place(j *Pending, careful bool) []int {
 	var best []int
 	bestScore := math.Inf(1)
 	for rack, group := range c.racks {
-		chosen := c.fill(group, j)
+		chosen := c.fill(group, j, careful)
 		if chosen == nil {
 			continue
 		}
@@ -89,7 +114,7 @@
 		return best
 	}
 	for _, zone := range c.zones {
-		if chosen := c.fill(zone, j); chosen != nil {
+		if chosen := c.fill(zone, j, careful); chosen != nil {
 			return chosen
 		}
 	}
@@ -99,12 +124,15 @@
 // fill chooses workers for all tasks of j within one group: those outside the
 // cells of others first, and among them the fullest. It returns nil if the
 // gang does not fit.
-func (c *cycle) fill(group span, j *Pending) []int {
+func (c *cycle) fill(group span, j *Pending, careful bool) []int {
 	c.candidates = c.candidates[:0]
 	total := 0
 	single := j.Spec.Within == api.WithinWorker
 	for i := group.start; i < group.end; i++ {
 		n := c.slots(i, j)
+		if careful {
+			n = c.carefulSlots(i, j)
+		}
 		if n == 0 || (single && n < j.Spec.Tasks) {
 			continue
 		}
@@ -146,6 +174,9 @@
 			score += suspectPenalty
 		}
 	}
+	if !j.Spec.Checkpoint {
+		score += c.policy.AlignWeight * max(0, j.Estimate-c.rackDrain[rack]) / alignSeconds
+	}
 	left := 0
 	for i := c.racks[rack].start; i < c.racks[rack].end; i++ {
 		left += max(0, c.snap.Workers[i].Free.Accelerators)
