Take over from coordinators that cannot reach the log; be ready with slots only

Cause: (1) a coordinator that answers heartbeats but is cut off from the log can neither end nor hand over its attempts; a guaranteed shape was had after an hour (TestGuaranteeReclaimed, node cut off from the log). (2) A node said that it was ready before the entry VMs had shared out the upstreams' slots, and refused what the balancer sent; pause.txtar showed it, with 4 of 4 requests refused.

Change: an attempt whose coordinator says that it is cut off counts as an orphan for nodes that reach the log. /readyz waits for the first agreement on slots, and the scripts send callers to ready nodes only, as a balancer does.

--- a/cmd/shallotpin/script_test.go
+++ b/cmd/shallotpin/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -11,8 +12,11 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/shallotpin/shallotpin/pkg/client"
 )
 
 func TestMain(m *testing.M) {
@@ -129,8 +133,17 @@
 			"--log", "http://"+env("LOG"), "--vms", "http://"+env("VMS"))
 	}
 	ts.Check(ts.Exec("shallotpin", "--server", "http://"+env("H0"), "config", "publish", "config.json"))
+	// A balancer sends callers only to nodes that say that they are ready.
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	for i := range 3 {
+		ts.Check(client.New("http://" + env("H"+strconv.Itoa(i))).WaitReady(ctx))
+	}
 }
 
+// readyTimeout bounds the start of the nodes of a site.
+const readyTimeout = 30 * time.Second
+
 // cmdSignal sends a signal to a spawned process.
 func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
 	if len(args) != 2 || signals[args[1]] == 0 {
--- a/pkg/frontdoor/frontdoor.go
+++ b/pkg/frontdoor/frontdoor.go
@@ -178,5 +178,8 @@
 	if err := s.relay.CheckServe(time.Now()); err != nil {
 		return err.Message
 	}
+	if !s.requests.Ready() {
+		return "the entry VMs have not shared out the upstreams' slots yet"
+	}
 	return ""
 }
--- a/pkg/lifecycle/takeover.go
+++ b/pkg/lifecycle/takeover.go
@@ -54,22 +54,23 @@
 	}
 }
 
-// orphans returns copies of the jobs whose coordinator is not live and for
-// which this node is preferred, and notes since when that is so.
+// orphans returns copies of the jobs whose coordinator is not live, or cannot
+// end an attempt since it is cut off from the log, and for which this node is
+// preferred, and notes since when that is so.
 func (s *Service) orphans(now time.Time) []*state.Job {
 	// A node that has just started has heard of no one yet.
 	if now.Sub(s.started) < membership.SuspectAfter {
 		return nil
 	}
-	live := map[string]bool{}
-	for _, m := range s.members.Live(now) {
-		live[m.Incarnation] = true
+	able := map[string]bool{}
+	for _, m := range s.members.Attached(now) {
+		able[m.Incarnation] = true
 	}
 	var out []*state.Job
 	silent := map[orphan]time.Time{}
 	s.journal.View(func(st *state.State) {
 		for _, j := range st.Jobs {
-			if !inForce(j) || live[j.Coordinator] {
+			if !inForce(j) || able[j.Coordinator] {
 				continue
 			}
 			key := orphan{j.Token, j.Coordinator}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -162,32 +162,35 @@
 	return SuspectAfter
 }
 
-// Preferred returns the live node that rendezvous hashing picks for key, among
-// those that reach the log if there are any.
+// Preferred returns the node that rendezvous hashing picks for key among the
+// attached ones. It asks for this node's status, and so must not be called
+// under a lock that the status needs, such as within journal.View.
 func (s *Service) Preferred(now time.Time, key string) Member {
-	live := s.Live(now)
-	if attached := s.attached(live); len(attached) > 0 {
-		return Rendezvous(attached, key)
-	}
-	return Rendezvous(live, key)
+	return Rendezvous(s.Attached(now), key)
 }
 
-// attached returns the members that are not known to be cut off from the log.
-func (s *Service) attached(members []Member) []Member {
+// Attached returns the live nodes that are not known to be cut off from the
+// log, or all live ones if each of them is. Like Preferred, it asks for this
+// node's status.
+func (s *Service) Attached(now time.Time) []Member {
+	live := s.Live(now)
 	self := s.status()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []Member
-	for _, m := range members {
+	var attached []Member
+	for _, m := range live {
 		status := self
 		if r := s.seen[m.ID]; r != nil && m.ID != s.self.ID {
 			status = r.Status
 		}
 		if !status.Detached {
-			out = append(out, m)
+			attached = append(attached, m)
 		}
 	}
-	return out
+	if len(attached) == 0 {
+		return live
+	}
+	return attached
 }
 
 // Rendezvous picks one of members for key; members must not be empty.
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -129,6 +129,10 @@
 	return nil
 }
 
+// Ready reports whether the node has its share of the upstreams' slots, without
+// which it would refuse what it is sent.
+func (s *Service) Ready() bool { return s.roster.hasShare() }
+
 // Do runs one request and returns its outcome. The answer always carries a verdict.
 func (s *Service) Do(ctx context.Context, r *api.Request) api.Answer {
 	if r.ID == "" {
--- a/pkg/requests/roster.go
+++ b/pkg/requests/roster.go
@@ -177,6 +177,13 @@
 	return silent || !n.refused.IsZero()
 }
 
+// hasShare reports whether slots have ever been shared out to this node.
+func (r *roster) hasShare() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.everAgreed
+}
+
 // inForce reports whether all nodes have agreed on the target.
 func (r *roster) inForce() bool {
 	r.mu.Lock()
