Answer calls under way when a node stops, and end kept connections first

Cause: a planned stop cut work in three ways. (1) The peer service closed its connections while calls of other nodes were under way: net/rpc's answer is sent after the handler returns, so waiting for handlers was not enough. (2) A request was handed over to a node that was stopping, and its failure was final.

Change: a stop lets net/rpc answer what it has read, within 2 s. A node tells the others when it is leaving; a request that a stopping or vanished node did not run is offered to another one. While draining, each answer closes its connection.

Measured: TestStopAnswersCallsUnderWay failed on the former code with "unexpected EOF" and passes.

Conclusion: what is left is a connection that the kernel has accepted and the process has not when the listener closes; the balancer's check covers it.

--- a/pkg/frontdoor/frontdoor.go
+++ b/pkg/frontdoor/frontdoor.go
@@ -96,7 +96,7 @@
 		return err
 	}
 	s.bound = l.Addr().String()
-	s.server = &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	s.server = &http.Server{Handler: s.closing(h), ReadHeaderTimeout: readHeaderTimeout}
 	go func() {
 		if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			klog.Errorf("frontdoor: stopped serving: %v", err)
@@ -105,6 +105,18 @@
 	return nil
 }
 
+// closing ends each connection after its answer once a planned stop has begun.
+// Otherwise a caller might send its next request on a kept connection just when
+// the stop closes it.
+func (s *Service) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isDraining() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Address returns the address that the front door listens on.
 func (s *Service) Address() string { return s.bound }
 
@@ -117,6 +129,9 @@
 // answers those in flight, as long as ctx allows.
 func (s *Service) Stop(ctx context.Context) error {
 	s.Drain()
+	if s.requests != nil {
+		s.requests.Leave()
+	}
 	select {
 	case <-time.After(s.drainDelay):
 	case <-ctx.Done():
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -30,7 +31,9 @@
 	clients  map[string]*client
 	accepted map[net.Conn]struct{}
 	closed   bool
-	wg       sync.WaitGroup
+	// serving counts the connections of other nodes.
+	serving sync.WaitGroup
+	wg      sync.WaitGroup
 }
 
 // New returns a peer service that listens on address.
@@ -67,10 +70,20 @@
 // Address returns the address that the service listens on.
 func (s *Service) Address() string { return s.listener.Addr().String() }
 
-// Stop implements kernel.Service.
-func (s *Service) Stop(context.Context) error {
+// answerTimeout bounds how long a stop waits for calls under way to be answered.
+const answerTimeout = 2 * time.Second
+
+// Stop implements kernel.Service. Calls under way are answered; no new ones are read.
+func (s *Service) Stop(ctx context.Context) error {
+	err := s.listener.Close()
 	s.mu.Lock()
 	s.closed = true
+	for c := range s.accepted {
+		c.SetReadDeadline(time.Now())
+	}
+	s.mu.Unlock()
+	s.awaitAnswers(ctx)
+	s.mu.Lock()
 	for _, c := range s.clients {
 		c.Close()
 	}
@@ -78,11 +91,25 @@
 		c.Close()
 	}
 	s.mu.Unlock()
-	err := s.listener.Close()
 	s.wg.Wait()
 	return err
 }
 
+// awaitAnswers waits until every connection has sent its answers. net/rpc sends
+// them all before it gives up a connection that it can read no more.
+func (s *Service) awaitAnswers(ctx context.Context) {
+	answered := make(chan struct{})
+	s.wg.Go(func() {
+		s.serving.Wait()
+		close(answered)
+	})
+	select {
+	case <-answered:
+	case <-time.After(answerTimeout):
+	case <-ctx.Done():
+	}
+}
+
 func (s *Service) acceptLoop() {
 	for {
 		conn, err := s.listener.Accept()
@@ -93,7 +120,7 @@
 			conn.Close()
 			return
 		}
-		s.wg.Go(func() {
+		s.serving.Go(func() {
 			s.server.ServeConn(conn)
 			s.untrack(conn)
 		})
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -79,3 +79,42 @@
 		}
 	})
 }
+
+// slowHandler answers after a second.
+type slowHandler struct{}
+
+// Work implements the slow call.
+func (slowHandler) Work(_ *int, reply *int) error {
+	time.Sleep(time.Second)
+	*reply = 7
+	return nil
+}
+
+// TestStopAnswersCallsUnderWay stops a node while it runs a call for another one.
+func TestStopAnswersCallsUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(func(string, string) time.Duration { return 2 * time.Millisecond })
+		callee := New(network.Host("callee"), "10.0.0.1:1")
+		if err := callee.Handle("Slow", slowHandler{}); err != nil {
+			t.Fatal(err)
+		}
+		caller := New(network.Host("caller"), "10.0.0.2:1")
+		for _, s := range []*Service{callee, caller} {
+			if err := s.Start(t.Context(), nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		defer caller.Stop(context.Background())
+		stopped := make(chan error, 1)
+		time.AfterFunc(500*time.Millisecond, func() { stopped <- callee.Stop(context.Background()) })
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		var arg, reply int
+		if err := caller.Call(ctx, "10.0.0.1:1", "Slow.Work", &arg, &reply); err != nil || reply != 7 {
+			t.Errorf("a call under way at a planned stop got %d, %v", reply, err)
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/pkg/requests/keyed.go
+++ b/pkg/requests/keyed.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -294,13 +296,31 @@
 	return s.handOver(ctx, r, m, owner, hops)
 }
 
-// relay hands a request over to a reachable node that passes the filter.
+// maxRelays bounds the nodes that a request is offered to, one after the other.
+const maxRelays = 3
+
+// relay hands a request over to a reachable node that passes the filter. If the
+// node is stopping or gone, another one is tried.
 func (s *Service) relay(ctx context.Context, r *api.Request, hops int, filter func(*rosterNode) bool) api.Answer {
-	nodes := s.roster.reachable(time.Now(), filter)
-	if len(nodes) == 0 || hops >= maxHops {
-		return uncertain(r, "this entry VM has not joined the others yet")
+	answer := uncertain(r, "this entry VM has not joined the others yet")
+	tried := map[string]bool{}
+	for range maxRelays {
+		nodes := s.roster.reachable(time.Now(), func(n *rosterNode) bool { return filter(n) && !tried[n.member.ID] })
+		if len(nodes) == 0 || hops >= maxHops {
+			break
+		}
+		m := membership.Rendezvous(nodes, r.ID)
+		tried[m.ID] = true
+		if answer = s.handOver(ctx, r, m, "", hops); !offerAgain(answer) {
+			break
+		}
 	}
-	return s.handOver(ctx, r, membership.Rendezvous(nodes, r.ID), "", hops)
+	return answer
+}
+
+// offerAgain reports whether a node did not run the request, for reasons of its own.
+func offerAgain(a api.Answer) bool {
+	return a.Verdict == api.NotRun && a.Error != nil && a.Error.Code == api.CodeUnavailable
 }
 
 // handOver lets another node run the request. The node gets a little less time,
@@ -315,7 +335,7 @@
 		defer cancel()
 		var reply RunReply
 		if err := s.peers.Call(callCtx, m.Address, "Requests.Run", call, &reply); err != nil {
-			reply.Answer = uncertain(r, "the entry VM that took the request over does not answer")
+			reply.Answer = unanswered(r, err)
 		}
 		answer <- reply.Answer
 	})
@@ -327,6 +347,16 @@
 	}
 }
 
+// unanswered is the outcome of a hand-over that got no answer. If no connection
+// was opened the request did not run, but an earlier one with its key may have.
+func unanswered(r *api.Request, err error) api.Answer {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" && (r.Key == "" || r.Idempotent) {
+		return refuse(r, api.Errorf(api.CodeUnavailable, "the entry VM that was to take the request over is gone"))
+	}
+	return uncertain(r, "the entry VM that took the request over does not answer")
+}
+
 // sendOnce lets an attempt out only while the key is this node's and unsent.
 type sendOnce struct {
 	table *claims.Table
--- a/pkg/requests/peers.go
+++ b/pkg/requests/peers.go
@@ -119,6 +119,10 @@
 		reply.Answer = uncertain(&args.Request, "the entry VM that held the key was replaced")
 		return nil
 	}
+	if h.s.roster.isLeaving() && args.To == "" && args.Request.Key == "" {
+		reply.Answer = refuse(&args.Request, api.Errorf(api.CodeUnavailable, "the entry VM is stopping"))
+		return nil
+	}
 	h.s.serving.Add(1)
 	defer h.s.serving.Done()
 	ctx, cancel := context.WithTimeout(h.s.life, args.Timeout)
@@ -133,7 +137,7 @@
 		s.helloRound(ctx)
 		s.tryJoin(ctx)
 		interval := helloInterval
-		if !s.roster.isJoined() || !s.roster.inForce() {
+		if (!s.roster.isJoined() && !s.roster.isLeaving()) || !s.roster.inForce() {
 			interval = startInterval
 		}
 		select {
@@ -172,7 +176,7 @@
 // tryJoin makes the node one that claims keys, once every other one has
 // answered it with no keys owed to the log, and the log has been read since.
 func (s *Service) tryJoin(ctx context.Context) {
-	if s.roster.isJoined() || !s.roster.greetedByAll() {
+	if s.roster.isJoined() || s.roster.isLeaving() || !s.roster.greetedByAll() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
--- a/pkg/requests/roster.go
+++ b/pkg/requests/roster.go
@@ -42,7 +42,9 @@
 	round      int
 	acked      map[string]bool
 	joined     bool
-	shares     map[string]int
+	// leaving says that the node is to be stopped and takes over no requests.
+	leaving bool
+	shares  map[string]int
 }
 
 type rosterNode struct {
@@ -253,7 +255,19 @@
 func (r *roster) isJoined() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.joined
+	return r.joined && !r.leaving
+}
+
+func (r *roster) setLeaving() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+func (r *roster) isLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
 }
 
 // others returns the nodes that are not known to be gone, sorted by ID.
