Send nothing on an outdated list of upstreams, also after a pause

The staleness check stood before the queue only, and the age of the VM list was not checked at all, so a node that woke from a pause sent what had waited.

Ruled out: refusing whenever the list is out of reach, since it may be down for everyone: a peer's word that it has no newer copy counts for 3 s.

Change: right before it is sent, a request meets both checks: the view of the log, and the age of the copy of the upstreams (4 s).

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -23,8 +23,13 @@
 	pollInterval = time.Second
 	// callTimeout bounds one read of the VM list, or of a peer's copy.
 	callTimeout = time.Second
-	// staleAfter is the age of the copy at which a peer is asked for its own.
+	// staleAfter is the age of the copy at which peers are asked for theirs.
 	staleAfter = 2 * time.Second
+	// currentWithin is the age up to which a copy may be acted on.
+	currentWithin = 4 * time.Second
+	// noNewsWithin is for how long the word of peers counts that they have no
+	// newer copy either.
+	noNewsWithin = 3 * time.Second
 )
 
 // Service holds the latest copy of the VM list.
@@ -36,6 +41,8 @@
 
 	mu     sync.RWMutex
 	copies map[platform.VMKind]listed
+	// noNews is when peers were last asked and had no newer copy.
+	noNews time.Time
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
@@ -96,11 +103,20 @@
 	return now.Sub(l.at), !l.at.IsZero()
 }
 
+// Current reports whether the copy of the upstreams may be acted on: it is
+// recent, or no peer has a newer one, since the list is out of reach for all. A
+// process that was paused finds its copy not current until it has looked again.
+func (s *Service) Current(now time.Time) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return now.Sub(s.copies[platform.KindUpstream].at) <= currentWithin || now.Sub(s.noNews) <= noNewsWithin
+}
+
 func (s *Service) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.readOnce(ctx)
 		if age, ok := s.ageOf(platform.KindUpstream, time.Now()); ok && age > staleAfter {
-			s.askPeer(ctx)
+			s.askPeers(ctx)
 		}
 		select {
 		case <-time.After(pollInterval):
--- a/pkg/proof/run_test.go
+++ b/pkg/proof/run_test.go
@@ -87,6 +87,12 @@
 	for _, vm := range vms {
 		r.h.zoneOf[vm.ID] = vm.Zone
 	}
+	// A balancer sends callers only to nodes that say that they are ready.
+	for i := range r.site.Entries {
+		if err := r.site.Client(i).WaitReady(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
 	r.read(t.Context(), 0)
 	return r
 }
--- a/pkg/requests/keyed.go
+++ b/pkg/requests/keyed.go
@@ -300,7 +300,7 @@
 const maxRelays = 3
 
 // relay hands a request over to a reachable node that passes the filter. If the
-// node is stopping or gone, another one is tried.
+// node is stopping or gone, an unkeyed request is offered to another one.
 func (s *Service) relay(ctx context.Context, r *api.Request, hops int, filter func(*rosterNode) bool) api.Answer {
 	answer := uncertain(r, "this entry VM has not joined the others yet")
 	tried := map[string]bool{}
@@ -311,7 +311,7 @@
 		}
 		m := membership.Rendezvous(nodes, r.ID)
 		tried[m.ID] = true
-		if answer = s.handOver(ctx, r, m, "", hops); !offerAgain(answer) {
+		if answer = s.handOver(ctx, r, m, "", hops); r.Key != "" || !offerAgain(answer) {
 			break
 		}
 	}
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -164,10 +164,7 @@
 		return refuse(r, err)
 	}
 	if err := s.relays.CheckServe(time.Now()); err != nil {
-		if r.Key != "" {
-			return uncertain(r, err.Error())
-		}
-		return refuse(r, err)
+		return refuseUnsent(r, err)
 	}
 	if r.Key != "" && !r.Idempotent {
 		return s.keyed(ctx, r, hops)
@@ -253,6 +250,28 @@
 	return s.pool(r.Service).budget.Retry()
 }
 
+// refuseUnsent refuses a request that was not sent. Another attempt with the same
+// key may be under way elsewhere, so that not-run is said of unkeyed ones only.
+func refuseUnsent(r *api.Request, err error) api.Answer {
+	if r.Key != "" {
+		return uncertain(r, err.Error())
+	}
+	return refuse(r, err)
+}
+
+// checkSend returns the refusal of a node that may have missed that a zone was
+// taken out or that an upstream is leaving. It is asked right before a request
+// is sent, since the node may have been paused while the request waited.
+func (s *Service) checkSend(now time.Time) error {
+	if err := s.relays.CheckServe(now); err != nil {
+		return err
+	}
+	if !s.fleet.Current(now) {
+		return api.Errorf(api.CodeUnavailable, "this node does not know which upstreams are leaving")
+	}
+	return nil
+}
+
 // attempt waits for a slot and sends the request once.
 func (s *Service) attempt(ctx context.Context, r *api.Request, once *sendOnce, attempt int, avoid string) api.Answer {
 	class, err := s.class(r)
@@ -265,6 +284,10 @@
 		return refuse(r, refusal)
 	}
 	s.histogram.queued(r, time.Since(began))
+	if err := s.checkSend(time.Now()); err != nil {
+		s.release(r.Service, vm, 0)
+		return refuseUnsent(r, err)
+	}
 	if !once.begin() {
 		s.release(r.Service, vm, 0)
 		return uncertain(r, "the key has been given to another entry VM")
