Decide in one place whether two workers are close enough

Change: api.Adjacency.Together decides over two locations; both call it.

Measured: go test ./pkg/api ./pkg/state ./pkg/scheduler passes; a rack of the same name in another zone is a case of the new test.

Conclusion: one rule of adjacency.

--- a/pkg/api/api_test.go
+++ b/pkg/api/api_test.go
@@ -69,3 +69,24 @@
 		}
 	})
 }
+
+func TestTogether(t *testing.T) {
+	a := Location{"w1", "r1", "z1"}
+	cases := map[string]struct {
+		b                  Location
+		worker, rack, zone bool
+	}{
+		"same worker":                       {a, true, true, true},
+		"same rack":                         {Location{"w2", "r1", "z1"}, false, true, true},
+		"same zone":                         {Location{"w2", "r2", "z1"}, false, false, true},
+		"rack of that name in another zone": {Location{"w2", "r1", "z2"}, false, false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := [3]bool{WithinWorker.Together(a, c.b), WithinRack.Together(a, c.b), WithinZone.Together(a, c.b)}
+			if got != [3]bool{c.worker, c.rack, c.zone} {
+				t.Errorf("within worker, rack, zone: %v", got)
+			}
+		})
+	}
+}
--- a/pkg/api/job.go
+++ b/pkg/api/job.go
@@ -24,6 +24,21 @@
 	return a == WithinWorker || a == WithinRack || a == WithinZone
 }
 
+// Location says where a worker is.
+type Location struct{ Worker, Rack, Zone string }
+
+// Together reports whether workers at x and y are close enough for a gang.
+func (a Adjacency) Together(x, y Location) bool {
+	switch a {
+	case WithinWorker:
+		return x.Worker == y.Worker
+	case WithinRack:
+		return x.Zone == y.Zone && x.Rack == y.Rack
+	default:
+		return x.Zone == y.Zone
+	}
+}
+
 // Limits on a job specification.
 const (
 	MaxGangTasks       = 64
--- a/pkg/cells/bind.go
+++ b/pkg/cells/bind.go
@@ -244,12 +244,7 @@
 }
 
 func sameGroup(a, b *Worker, within api.Adjacency) bool {
-	switch within {
-	case api.WithinWorker:
-		return a.ID == b.ID
-	case api.WithinRack:
-		return a.Zone == b.Zone && a.Rack == b.Rack
-	default:
-		return a.Zone == b.Zone
-	}
+	return within.Together(a.location(), b.location())
 }
+
+func (w *Worker) location() api.Location { return api.Location{Worker: w.ID, Rack: w.Rack, Zone: w.Zone} }
--- a/pkg/state/jobs.go
+++ b/pkg/state/jobs.go
@@ -129,16 +129,11 @@
 }
 
 func adjacent(a, b *Worker, within api.Adjacency) bool {
-	switch within {
-	case api.WithinWorker:
-		return a.ID == b.ID
-	case api.WithinRack:
-		return a.Zone == b.Zone && a.Rack == b.Rack
-	default:
-		return a.Zone == b.Zone
-	}
+	return within.Together(a.location(), b.location())
 }
 
+func (w *Worker) location() api.Location { return api.Location{Worker: w.ID, Rack: w.Rack, Zone: w.Zone} }
+
 func (s *State) applyPreempt(r *PreemptJob) Outcome {
 	j, out := s.attempt(r.Job, r.Token)
 	if j == nil {
