Alarm in the status when a guaranteed shape no longer fits

Cause: the status held the shapes that do not fit, and the command line did not print them.

A test compares the README's commands with the script, word for word.

Conclusion: shapes that no longer fit are shown at once.

--- a/cmd/shallotpin/main_test.go
+++ b/cmd/shallotpin/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -65,3 +66,30 @@
 		})
 	}
 }
+
+// TestReadmeMatchesTheWalkthrough checks that the script which CI runs holds
+// every command of the README's quick start, word for word.
+func TestReadmeMatchesTheWalkthrough(t *testing.T) {
+	readme, err := os.ReadFile("../../README.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	script, err := os.ReadFile("testdata/script/quickstart.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	commands := 0
+	for line := range strings.Lines(string(readme)) {
+		command, found := strings.CutPrefix(strings.TrimSpace(line), "bin/")
+		if !found {
+			continue
+		}
+		commands++
+		if !strings.Contains("\n"+string(script), "\n"+command+"\n") {
+			t.Errorf("the walkthrough does not run %q", command)
+		}
+	}
+	if commands < 6 {
+		t.Errorf("found %d commands in the README, expected the whole quick start", commands)
+	}
+}
--- a/cmd/shallotpin/operators.go
+++ b/cmd/shallotpin/operators.go
@@ -165,6 +165,11 @@
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t\n", a.Name, shapes(&a), a.Pending, a.Placed)
 	}
 	w.Flush()
+	for _, a := range st.Accounts {
+		for _, u := range a.Unfit {
+			fmt.Fprintf(c.g.out, "ALARM: %s cannot have %d workers × %d accelerators within a %s: too few workers are left\n", a.Name, u.Workers, u.PerWorker.Accelerators, u.Within)
+		}
+	}
 	fmt.Fprintf(c.g.out, "\nnodes: %v\njobs: %v\n", st.Nodes, st.Jobs)
 }
 
