Pick ports that no outgoing connection takes, and guard a shared list

Cause: two flakes. And memsite's list of clients was appended to by callers at once, which ended a test with a nil client.

Two files are formatted.

--- a/cmd/shallotpin/script_test.go
+++ b/cmd/shallotpin/script_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +16,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/shallotpin/shallotpin/pkg/client"
+	"github.com/shallotpin/shallotpin/pkg/transport"
 )
 
 func TestMain(m *testing.M) {
@@ -60,10 +60,9 @@
 // cmdPorts sets each named variable to a free loopback address.
 func cmdPorts(ts *testscript.TestScript, neg bool, args []string) {
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := transport.FreeAddress("127.0.0.1")
 		ts.Check(err)
-		ts.Setenv(name, l.Addr().String())
-		ts.Check(l.Close())
+		ts.Setenv(name, address)
 	}
 }
 
--- a/pkg/bench/capacity_traffic.go
+++ b/pkg/bench/capacity_traffic.go
@@ -202,14 +202,13 @@
 func entryVMs() ([]platform.VM, error) {
 	vms := make([]platform.VM, targetNodes)
 	for i := range vms {
-		l, err := net.Listen("tcp", loopback)
+		address, err := transport.FreeAddress("127.0.0.1")
 		if err != nil {
 			return nil, err
 		}
-		defer l.Close()
 		vms[i] = platform.VM{
 			ID: fmt.Sprintf("entry-%02d", i), Kind: platform.KindEntry,
-			Zone: targetZones[i%len(targetZones)], Address: l.Addr().String(),
+			Zone: targetZones[i%len(targetZones)], Address: address,
 		}
 	}
 	return vms, nil
--- a/pkg/bench/requests.go
+++ b/pkg/bench/requests.go
@@ -94,7 +94,7 @@
 	}
 	settings := make([]node.Settings, requestEntries)
 	for i := range settings {
-		peer, err := freeAddress()
+		peer, err := transport.FreeAddress("127.0.0.1")
 		if err != nil {
 			return s, err
 		}
@@ -152,14 +152,6 @@
 	return nil
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 func (s *requestSite) client(i int) *client.Client {
 	return client.WithHTTP("http://"+s.nodes[i].Address(), s.callers)
 }
--- a/pkg/cells/bind.go
+++ b/pkg/cells/bind.go
@@ -247,4 +247,6 @@
 	return within.Together(a.location(), b.location())
 }
 
-func (w *Worker) location() api.Location { return api.Location{Worker: w.ID, Rack: w.Rack, Zone: w.Zone} }
+func (w *Worker) location() api.Location {
+	return api.Location{Worker: w.ID, Rack: w.Rack, Zone: w.Zone}
+}
--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -92,20 +92,20 @@
 }
 
 func entrySettings(i int, host, listen string, c *config.Config, log, vms string) (node.Settings, error) {
-	peers, err := listenAll(host, 1)
+	peer, err := transport.FreeAddress(host)
 	if err != nil {
 		return node.Settings{}, err
 	}
 	s := node.Settings{
 		ID: fmt.Sprintf("entry-%d", i), Zone: c.Zones[i%len(c.Zones)].Name,
-		HTTP: net.JoinHostPort(host, "0"), Peer: peers[0].Addr().String(), Log: log, VMs: vms,
+		HTTP: net.JoinHostPort(host, "0"), Peer: peer, Log: log, VMs: vms,
 		DrainTimeout: 30 * time.Second, LeaseTTL: 10 * time.Second, StartWithin: 3 * time.Second, ClockDrift: 0.01,
 		SnapshotInterval: 10 * time.Minute,
 	}
 	if i == 0 {
 		s.HTTP = listen
 	}
-	return s, peers[0].Close()
+	return s, nil
 }
 
 func (s *Site) startNode(ctx context.Context, set node.Settings) error {
--- a/pkg/memsite/memsite.go
+++ b/pkg/memsite/memsite.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/client"
@@ -61,6 +62,8 @@
 	opts    Options
 	servers []*standin.Server
 	rng     *rand.Rand
+	// mu guards clients, since callers ask for clients at once.
+	mu      sync.Mutex
 	clients []transportCloser
 }
 
@@ -217,6 +220,8 @@
 // Client returns a client of entry VM i.
 func (s *Site) Client(i int) *client.Client {
 	h := transport.HTTPClient(s.Net.Host(callerHost), 0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.clients = append(s.clients, h)
 	return client.WithHTTP("http://"+s.Entries[i].Settings.HTTP, h)
 }
--- a/pkg/state/jobs.go
+++ b/pkg/state/jobs.go
@@ -132,7 +132,9 @@
 	return within.Together(a.location(), b.location())
 }
 
-func (w *Worker) location() api.Location { return api.Location{Worker: w.ID, Rack: w.Rack, Zone: w.Zone} }
+func (w *Worker) location() api.Location {
+	return api.Location{Worker: w.ID, Rack: w.Rack, Zone: w.Zone}
+}
 
 func (s *State) applyPreempt(r *PreemptJob) Outcome {
 	j, out := s.attempt(r.Job, r.Token)
