Stretch hellos among many nodes

Cause: the request service greets every other node each second, a full mesh.

Change: up to 8 other nodes nothing changes; beyond, the time between hellos, and the time for which a node counts as reachable, rise with their number.

--- a/pkg/requests/peers.go
+++ b/pkg/requests/peers.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// helloInterval is the time between two hellos to a node.
+	// helloInterval is the time between two hellos to a node, up to meshSize
+	// others. Beyond, it rises with their number, so that traffic does not.
 	helloInterval = time.Second
+	meshSize      = 8
 	// startInterval replaces it until the node has joined and shares slots.
 	startInterval = 100 * time.Millisecond
 	// helloTimeout bounds one hello, and askTimeout one question about a key.
@@ -136,7 +138,7 @@
 	for ctx.Err() == nil {
 		s.helloRound(ctx)
 		s.tryJoin(ctx)
-		interval := helloInterval
+		interval := time.Duration(s.roster.spread()) * helloInterval
 		if (!s.roster.isJoined() && !s.roster.isLeaving()) || !s.roster.inForce() {
 			interval = startInterval
 		}
--- a/pkg/requests/roster.go
+++ b/pkg/requests/roster.go
@@ -281,9 +281,19 @@
 func (r *roster) reachable(now time.Time, filter func(*rosterNode) bool) []membership.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.collect(func(n *rosterNode) bool { return now.Sub(n.heard) < liveFor && filter(n) })
+	within := time.Duration(r.spreadLocked()) * liveFor
+	return r.collect(func(n *rosterNode) bool { return now.Sub(n.heard) < within && filter(n) })
 }
 
+// spread returns by how much the time between hellos is stretched.
+func (r *roster) spread() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.spreadLocked()
+}
+
+func (r *roster) spreadLocked() int { return max(1, (len(r.nodes)+meshSize-1)/meshSize) }
+
 func (r *roster) collect(filter func(*rosterNode) bool) []membership.Member {
 	var out []membership.Member
 	for _, n := range r.nodes {
