--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -259,6 +259,26 @@
 	return refuse(r, err)
 }
 
+const (
+	// currentPatience bounds the wait of a request for a node that was paused to
+	// look at the VM list again.
+	currentPatience = 2 * time.Second
+	currentPoll     = 50 * time.Millisecond
+)
+
+// awaitCurrent waits for a copy of the upstreams that may be acted on.
+func (s *Service) awaitCurrent(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, currentPatience)
+	defer cancel()
+	for !s.fleet.Current(time.Now()) {
+		select {
+		case <-time.After(currentPoll):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // checkSend returns the refusal of a node that may have missed that a zone was
 // taken out or that an upstream is leaving. It is asked right before a request
 // is sent, since the node may have been paused while the request waited.
@@ -284,6 +304,7 @@
 		return refuse(r, refusal)
 	}
 	s.histogram.queued(r, time.Since(began))
+	s.awaitCurrent(ctx)
 	if err := s.checkSend(time.Now()); err != nil {
 		s.release(r.Service, vm, 0)
 		return refuseUnsent(r, err)
