Hold addresses from when they are picked

An address was picked by listening on it and letting it go; until its process listened, another pick, in the same program (scripts run in parallel) or in another package's test program, could take it. Ruled out: the ports of outgoing connections (32768 and up on this kind).

Change: dev and bench reserve their addresses: the listener is held and handed over (transport.Reserving). Scripts give each process an address on a loopback number that spells the test program's id, each port once. The scripts' map of processes is now guarded; its comment said that scripts do not run in parallel, but they do.

Conclusion: no address is picked and let go any more.

--- a/cmd/shallotpin/script_test.go
+++ b/cmd/shallotpin/script_test.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -16,7 +19,6 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/shallotpin/shallotpin/pkg/client"
-	"github.com/shallotpin/shallotpin/pkg/transport"
 )
 
 func TestMain(m *testing.M) {
@@ -57,15 +59,28 @@
 	})
 }
 
-// cmdPorts sets each named variable to a free loopback address.
+// cmdPorts sets each named variable to an address for a process to listen on.
 func cmdPorts(ts *testscript.TestScript, neg bool, args []string) {
 	for _, name := range args {
-		address, err := transport.FreeAddress("127.0.0.1")
-		ts.Check(err)
-		ts.Setenv(name, address)
+		ts.Setenv(name, nextAddress())
 	}
 }
 
+// firstPort lies below the range from which systems take the ports of outgoing
+// connections.
+const firstPort = 20000
+
+var portsGiven atomic.Int32
+
+// nextAddress returns a loopback address that nothing else uses: its IP number
+// spells the id of this process, and each call gives another port. A port that
+// is probed and let go could be taken before the spawned process listens.
+func nextAddress() string {
+	pid := os.Getpid()
+	host := net.IPv4(127, byte(1+pid>>16&0x7f), byte(pid>>8), byte(pid)).String()
+	return net.JoinHostPort(host, strconv.Itoa(firstPort+int(portsGiven.Add(1))))
+}
+
 // cmdSpawn starts a program in the background under a name and waits for its
 // line "ready URL".
 func cmdSpawn(ts *testscript.TestScript, neg bool, args []string) {
@@ -85,16 +100,25 @@
 		cmd.Process.Kill()
 		cmd.Wait()
 	})
-	all[ts.Name()+"/"+args[0]] = cmd
+	spawned.Store(ts.Name()+"/"+args[0], cmd)
 	line, err := bufio.NewReader(stdout).ReadString('\n')
 	if err != nil || !strings.HasPrefix(line, "ready ") {
 		ts.Fatalf("%s is not ready: %q, %v", args[0], line, err)
 	}
 }
 
-// all holds the spawned processes by script and name. Scripts use it from the
-// goroutine of their own subtest; they do not run in parallel.
-var all = map[string]*exec.Cmd{}
+// spawned holds the spawned processes, each an *exec.Cmd, by script and name.
+// Scripts run in parallel.
+var spawned sync.Map
+
+// process returns the process that a script spawned under name.
+func process(ts *testscript.TestScript, name string) *exec.Cmd {
+	cmd, ok := spawned.Load(ts.Name() + "/" + name)
+	if !ok {
+		ts.Fatalf("no process %s", name)
+	}
+	return cmd.(*exec.Cmd)
+}
 
 func lookIn(path, program string) (string, error) {
 	for _, dir := range filepath.SplitList(path) {
@@ -148,7 +172,7 @@
 	if len(args) != 2 || signals[args[1]] == 0 {
 		ts.Fatalf("usage: signal NAME KILL|TERM|STOP|CONT")
 	}
-	ts.Check(all[ts.Name()+"/"+args[0]].Process.Signal(signals[args[1]]))
+	ts.Check(process(ts, args[0]).Process.Signal(signals[args[1]]))
 }
 
 // cmdAwait waits for a spawned process to end and checks that its exit was clean.
@@ -156,7 +180,7 @@
 	if len(args) != 1 {
 		ts.Fatalf("usage: await NAME")
 	}
-	err := all[ts.Name()+"/"+args[0]].Wait()
+	err := process(ts, args[0]).Wait()
 	if (err != nil) != neg {
 		ts.Fatalf("%s ended with %v", args[0], err)
 	}
--- a/pkg/bench/capacity_traffic.go
+++ b/pkg/bench/capacity_traffic.go
@@ -42,6 +42,7 @@
 type targetSite struct {
 	log     *standin.Log
 	vms     []platform.VM
+	network *transport.Reserving
 	traffic *countingNetwork
 	node    *node.Node
 	light   []*kernel.Kernel
@@ -52,7 +53,8 @@
 // traffic by counterpart, the processor time and the memory of the process.
 // Processor time and memory include the stand-ins' side of every call.
 func measureTarget(ctx context.Context, workers int, figures map[string]float64) (err error) {
-	s := &targetSite{traffic: &countingNetwork{network: transport.TCP{}, classes: map[string]string{}}}
+	network := transport.NewReserving(transport.TCP{})
+	s := &targetSite{network: network, traffic: &countingNetwork{network: network, classes: map[string]string{}}}
 	defer func() { err = errors.Join(err, s.stop(context.WithoutCancel(ctx))) }()
 	if err := s.start(ctx, workers, figures); err != nil {
 		return err
@@ -93,7 +95,7 @@
 	if err := s.startWorkers(workers); err != nil {
 		return err
 	}
-	entries, err := entryVMs()
+	entries, err := s.entryVMs()
 	if err != nil {
 		return err
 	}
@@ -198,11 +200,11 @@
 	return "http://" + l.Addr().String(), nil
 }
 
-// entryVMs lists the entry VMs with free loopback addresses.
-func entryVMs() ([]platform.VM, error) {
+// entryVMs lists the entry VMs, each with a reserved loopback address.
+func (s *targetSite) entryVMs() ([]platform.VM, error) {
 	vms := make([]platform.VM, targetNodes)
 	for i := range vms {
-		address, err := transport.FreeAddress("127.0.0.1")
+		address, err := s.network.Reserve("127.0.0.1")
 		if err != nil {
 			return nil, err
 		}
@@ -232,7 +234,7 @@
 
 // startLight starts a node that takes part in membership only.
 func (s *targetSite) startLight(ctx context.Context, vm platform.VM, entries []platform.VM) error {
-	peers := peer.New(transport.TCP{}, vm.Address)
+	peers := peer.New(s.network, vm.Address)
 	members, err := membership.New(membership.Member{ID: vm.ID, Incarnation: lightIncarnation(vm.ID), Zone: vm.Zone, Address: vm.Address}, peers)
 	if err != nil {
 		return err
@@ -296,6 +298,7 @@
 	for _, server := range s.servers {
 		errs = append(errs, server.Close())
 	}
+	errs = append(errs, s.network.Close())
 	return errors.Join(errs...)
 }
 
--- a/pkg/bench/requests.go
+++ b/pkg/bench/requests.go
@@ -92,9 +92,11 @@
 			return s, err
 		}
 	}
+	network := transport.NewReserving(transport.TCP{})
+	defer network.Close()
 	settings := make([]node.Settings, requestEntries)
 	for i := range settings {
-		peer, err := transport.FreeAddress("127.0.0.1")
+		peer, err := network.Reserve("127.0.0.1")
 		if err != nil {
 			return s, err
 		}
@@ -107,7 +109,7 @@
 	}
 	p := node.Platform{Log: standin.NewLog(0), VMs: standin.NewVMList(0, s.vms...), Workers: standin.LocalWorkers(nil)}
 	for i, set := range settings {
-		n, err := node.New(set, transport.TCP{}, p, rand.New(rand.NewPCG(seed, uint64(i))))
+		n, err := node.New(set, network, p, rand.New(rand.NewPCG(seed, uint64(i))))
 		if err != nil {
 			return s, err
 		}
--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -31,6 +31,7 @@
 type Site struct {
 	servers []*standin.Server
 	nodes   []*node.Node
+	network *transport.Reserving
 }
 
 // Start runs entries nodes, the first of them at listen, and publishes the
@@ -40,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Site{}
+	s := &Site{network: transport.NewReserving(transport.TCP{})}
 	if err := s.start(ctx, listen, entries, c, document); err != nil {
 		return nil, errors.Join(err, s.Stop(ctx))
 	}
@@ -60,7 +61,7 @@
 	vms := shapeOf(c).VMs(base(2), base(3))
 	settings := make([]node.Settings, entries)
 	for i := range settings {
-		if settings[i], err = entrySettings(i, host, listen, c, base(0), base(1)); err != nil {
+		if settings[i], err = s.entrySettings(i, host, listen, c, base(0), base(1)); err != nil {
 			return err
 		}
 		vms = append(vms, platform.VM{ID: settings[i].ID, Kind: platform.KindEntry, Zone: settings[i].Zone, Address: settings[i].Peer})
@@ -91,29 +92,28 @@
 	return standin.TodayShape(service, zones)
 }
 
-func entrySettings(i int, host, listen string, c *config.Config, log, vms string) (node.Settings, error) {
-	peer, err := transport.FreeAddress(host)
+func (s *Site) entrySettings(i int, host, listen string, c *config.Config, log, vms string) (node.Settings, error) {
+	peer, err := s.network.Reserve(host)
 	if err != nil {
 		return node.Settings{}, err
 	}
-	s := node.Settings{
+	set := node.Settings{
 		ID: fmt.Sprintf("entry-%d", i), Zone: c.Zones[i%len(c.Zones)].Name,
 		HTTP: net.JoinHostPort(host, "0"), Peer: peer, Log: log, VMs: vms,
 		DrainTimeout: 30 * time.Second, LeaseTTL: 10 * time.Second, StartWithin: 3 * time.Second, ClockDrift: 0.01,
 		SnapshotInterval: 10 * time.Minute,
 	}
 	if i == 0 {
-		s.HTTP = listen
+		set.HTTP = listen
 	}
-	return s, nil
+	return set, nil
 }
 
 func (s *Site) startNode(ctx context.Context, set node.Settings) error {
 	if problems := set.Problems(); len(problems) > 0 {
 		return errors.New(problems[0])
 	}
-	network := transport.TCP{}
-	n, err := node.New(set, network, node.HTTPPlatform(set, network), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	n, err := node.New(set, s.network, node.HTTPPlatform(set, s.network), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	if err != nil {
 		return err
 	}
@@ -161,5 +161,6 @@
 	for _, server := range s.servers {
 		errs = append(errs, server.Close())
 	}
+	errs = append(errs, s.network.Close())
 	return errors.Join(errs...)
 }
