Claim an attempt once for each coordinator that is lost

Several hundred appends a second are all that the log takes.

Change: a coordinator that is heard of but cut off from the log is claimed once it has said so for three heartbeats; a node without a list knows of no replaced VM; claims without a quorum wait twice as long each time. The rule is one pure function.

Conclusion: claims follow losses again.

--- a/pkg/lifecycle/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -86,8 +86,10 @@
 	claiming map[int64]bool
 	// silent is when an orphan's coordinator was first seen not to be live.
 	silent map[orphan]time.Time
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	// loneClaims counts this node's claims of an attempt without a quorum, by token.
+	loneClaims map[int64]int
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
 }
 
 // New returns a lifecycle service that reaches workers through workers. Its
--- a/pkg/lifecycle/takeover.go
+++ b/pkg/lifecycle/takeover.go
@@ -14,10 +14,41 @@
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
-// loneClaimAfter is the silence of a coordinator after which a node claims its
-// attempts although it hears from less than half of the nodes. It bounds how
-// often two nodes that are cut from each other claim an attempt in turn.
-const loneClaimAfter = 30 * time.Second
+const (
+	// loneClaimAfter is the silence of a coordinator after which a node claims its
+	// attempts although it hears from less than half of the nodes.
+	loneClaimAfter = 30 * time.Second
+	// maxLoneDoublings bounds how often loneClaimAfter doubles, to about an hour.
+	maxLoneDoublings = 7
+	// detachedClaimAfter is for how long a coordinator that is heard of must say
+	// that it is cut off from the log. After a fault of the log each node knows of
+	// itself at once that it is over, and of the others by a later heartbeat.
+	detachedClaimAfter = 3 * membership.HeartbeatInterval
+)
+
+// claimView is what a node knows of an orphan when it decides on a claim.
+type claimView struct {
+	// live means that the coordinator is heard of, but is cut off from the log.
+	live bool
+	// quorum means that this node hears from more than half of the entry VMs.
+	quorum bool
+	// replaced means that the coordinator's VM is gone or runs another process.
+	replaced bool
+	// silence is for how long the coordinator has been unable.
+	silence time.Duration
+	// loneClaims is how often this node claimed the attempt without a quorum.
+	loneClaims int
+}
+
+// due reports whether the node claims the attempt now. The fold accepts each
+// claim that is based on the coordinator in force, so nodes that see each other
+// as unable would claim an attempt in turn at the speed of the log.
+func (v claimView) due() bool {
+	if v.live {
+		return v.silence >= detachedClaimAfter
+	}
+	return v.quorum || v.replaced || v.silence >= loneClaimAfter<<min(v.loneClaims, maxLoneDoublings)
+}
 
 // orphan is an attempt whose coordinator is not live.
 type orphan struct {
@@ -46,12 +77,31 @@
 	if !s.staleness.fresh(now) {
 		return
 	}
+	s.claimDue(ctx, now, orphans)
+}
+
+// claimDue claims the orphans whose claim is due.
+func (s *Service) claimDue(ctx context.Context, now time.Time, orphans []*state.Job) {
 	quorum := s.hearsQuorum(now)
+	loneClaims := map[int64]int{}
 	for _, j := range orphans {
-		if quorum || s.replaced(now, j) || s.silence(now, j) >= loneClaimAfter {
-			s.claim(ctx, j)
+		v := claimView{
+			live: s.hears(now, j.Coordinator), quorum: quorum, replaced: s.replaced(now, j),
+			silence: s.silence(now, j), loneClaims: s.loneClaims[j.Token],
+		}
+		if loneClaims[j.Token] = v.loneClaims; !v.due() {
+			continue
+		}
+		if s.claim(ctx, j) && !v.live && !v.quorum && !v.replaced {
+			loneClaims[j.Token]++
 		}
 	}
+	s.loneClaims = loneClaims
+}
+
+// hears reports whether the process that is j's coordinator is heard of.
+func (s *Service) hears(now time.Time, coordinator string) bool {
+	return slices.ContainsFunc(s.members.Live(now), func(m membership.Member) bool { return m.Incarnation == coordinator })
 }
 
 // orphans returns copies of the jobs whose coordinator is not live, or cannot
@@ -115,7 +165,7 @@
 }
 
 // replaced reports whether the VM of j's coordinator is listed no more or runs
-// another incarnation.
+// another incarnation. A node that has no list yet knows of no such VM.
 func (s *Service) replaced(now time.Time, j *state.Job) bool {
 	vm, _, _ := strings.Cut(j.Coordinator, "/")
 	for _, m := range s.members.Live(now) {
@@ -123,22 +173,18 @@
 			return true
 		}
 	}
-	for _, id := range s.staleness.entryVMs() {
-		if id == vm {
-			return false
-		}
-	}
-	return true
+	listed := s.staleness.entryVMs()
+	return len(listed) > 0 && !slices.Contains(listed, vm)
 }
 
-// claim proposes a claim in the background, one at a time for each attempt. It
-// renews the leases first: if this node dies as well, its successor has a whole
+// claim proposes a claim in the background, one at a time for each attempt, and
+// reports whether it began one. It renews the leases first: if this node dies as well, its successor has a whole
 // lease's time to notice.
-func (s *Service) claim(ctx context.Context, j *state.Job) {
+func (s *Service) claim(ctx context.Context, j *state.Job) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.claiming[j.Token] {
-		return
+		return false
 	}
 	s.claiming[j.Token] = true
 	c := state.ClaimJob{Job: j.ID, Token: j.Token, From: j.Coordinator, To: s.journal.Writer()}
@@ -154,6 +200,7 @@
 		defer s.mu.Unlock()
 		delete(s.claiming, c.Token)
 	})
+	return true
 }
 
 // handOver makes other live nodes the coordinators of this node's attempts.
--- /dev/null
+++ b/pkg/memsite/claims_test.go
@@ -0,0 +1,144 @@
+package memsite
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/frontdoor"
+	"github.com/shallotpin/shallotpin/pkg/memnet"
+	"github.com/shallotpin/shallotpin/pkg/standin"
+	"github.com/shallotpin/shallotpin/pkg/state"
+)
+
+// claims counts the claims of attempts in the log.
+func claims(t *testing.T, s *Site) int {
+	t.Helper()
+	page, err := s.Log.Read(t.Context(), 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for {
+		for _, e := range page.Entries {
+			batch, err := state.DecodeBatch(e.Data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range batch.Records {
+				if r.Claim != nil {
+					n++
+				}
+			}
+		}
+		if len(page.Entries) == 0 {
+			return n
+		}
+		next := page.Entries[len(page.Entries)-1].Offset + 1
+		if page, err = s.Log.Read(t.Context(), next, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// busy makes every node write to the log now and then for d, as callers do.
+func busy(t *testing.T, s *Site, nodes int, d time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		for i := range nodes {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, _ = s.Client(i).SwitchPreset(ctx, frontdoor.PresetCall{Preset: "peak"})
+			cancel()
+		}
+	}
+}
+
+// generation counts the replacements of a test.
+var generation atomic.Int32
+
+// replace starts a new VM in place of the lost entry VM i.
+func replace(s *Site, i int) {
+	if err := s.Replace(context.Background(), i, int(generation.Add(1))); err != nil {
+		panic(err)
+	}
+}
+
+// TestFewClaims wants an attempt claimed once at most for each coordinator that
+// cannot go on: nodes that learn of a fault at different times must not take
+// the attempts from one another in turn.
+func TestFewClaims(t *testing.T) {
+	const (
+		jobs  = 4
+		nodes = 5
+		lasts = 20 * time.Second
+	)
+	cases := map[string]struct {
+		begin, end func(s *Site)
+	}{
+		"log dark for all": {
+			func(s *Site) { s.Log.SetFaults(standin.LogFaults{Down: true}) },
+			func(s *Site) { s.Log.SetFaults(standin.LogFaults{}) },
+		},
+		"no appends": {
+			func(s *Site) { s.Log.SetFaults(standin.LogFaults{AppendsDown: true}) },
+			func(s *Site) { s.Log.SetFaults(standin.LogFaults{}) },
+		},
+		"no reads": {
+			func(s *Site) { s.Log.SetFaults(standin.LogFaults{ReadsDown: true}) },
+			func(s *Site) { s.Log.SetFaults(standin.LogFaults{}) },
+		},
+		"two nodes cut off from the log": {
+			func(s *Site) { s.CutPlatform(0, PlatformCut{Log: true}); s.CutPlatform(3, PlatformCut{Log: true}) },
+			func(s *Site) { s.CutPlatform(0, PlatformCut{}); s.CutPlatform(3, PlatformCut{}) },
+		},
+		"log loses answers": {
+			func(s *Site) { s.Log.SetFaults(standin.LogFaults{LoseAcks: true}) },
+			func(s *Site) { s.Log.SetFaults(standin.LogFaults{}) },
+		},
+		"VM replaced while the VM list is down": {
+			func(s *Site) { s.VMs.SetDown(true); s.Lose(4); replace(s, 4) },
+			func(s *Site) { s.VMs.SetDown(false) },
+		},
+		"one node frozen": {
+			func(s *Site) { s.Freeze(1) },
+			func(s *Site) { s.Thaw(1) },
+		},
+		"two nodes cut off from each other": {
+			func(s *Site) { s.Net.SetBoth("entry-0", "entry-3", memnet.Cut) },
+			func(s *Site) { s.Net.SetBoth("entry-0", "entry-3", memnet.Healthy) },
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := startSite(t, func(o *Options) {
+					o.Entries = nodes
+					lossy := memnet.Lossy{Delay: 2 * time.Millisecond, Jitter: 12 * time.Millisecond, Loss: 0.02, Retransmit: 200 * time.Millisecond}
+					o.Link = lossy.Link(rand.New(rand.NewPCG(1, 1)))
+				})
+				for range jobs {
+					if _, err := s.Client(2).SubmitJob(testCtx(t, urgentWithin), gangSpec(t, 4, 300), ""); err != nil {
+						t.Fatal(err)
+					}
+				}
+				time.Sleep(10 * time.Second)
+				for range 3 {
+					tc.begin(s)
+					busy(t, s, nodes, lasts)
+					tc.end(s)
+					time.Sleep(lasts)
+				}
+				// Each round may take each job from one coordinator, and the job's
+				// preferred coordinator may come back.
+				if n := claims(t, s); n > 3*jobs {
+					t.Errorf("%d claims of %d jobs in 3 rounds", n, jobs)
+				} else {
+					t.Logf("%d claims", n)
+				}
+			})
+		})
+	}
+}
--- a/pkg/memsite/memsite.go
+++ b/pkg/memsite/memsite.go
@@ -29,6 +29,9 @@
 	Seed    uint64
 	// Delay is the one-way delay between two hosts.
 	Delay time.Duration
+	// Link gives the one-way delay of each piece of data, if not nil, in place of
+	// Delay. It is called by many goroutines.
+	Link func(from, to string) time.Duration
 	// VMListLag is the lag of the VM list.
 	VMListLag time.Duration
 	// Retain is how many entries the log keeps; zero keeps all.
@@ -83,8 +86,12 @@
 
 // New starts a site and publishes the configuration.
 func New(ctx context.Context, opts Options) (*Site, error) {
+	delay := opts.Link
+	if delay == nil {
+		delay = func(string, string) time.Duration { return opts.Delay }
+	}
 	s := &Site{
-		Net: memnet.New(func(string, string) time.Duration { return opts.Delay }), Log: standin.NewLog(opts.Retain),
+		Net: memnet.New(delay), Log: standin.NewLog(opts.Retain),
 		Workers: map[string]*standin.Worker{}, Upstreams: map[string]*standin.Upstream{},
 		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 	}
--- a/pkg/proof/proof_test.go
+++ b/pkg/proof/proof_test.go
@@ -43,6 +43,9 @@
 	if opts.faults {
 		r.wg.Go(func() { r.disturb(ctx) })
 	}
+	if opts.also != nil {
+		r.wg.Go(func() { opts.also(r, ctx) })
+	}
 	<-ctx.Done()
 	return r.finish(t, stop), r
 }
--- a/pkg/proof/run_test.go
+++ b/pkg/proof/run_test.go
@@ -40,6 +40,10 @@
 	// keyed makes callers retry half of their requests with a key.
 	keyed bool
 	wrap  func(node.Platform) node.Platform
+	// link gives the delays of the network, if not nil.
+	link func(from, to string) time.Duration
+	// also runs beside the load, if not nil.
+	also func(r *run, ctx context.Context)
 }
 
 // run is one concurrent run of real nodes.
@@ -73,7 +77,7 @@
 		clients: map[string]*client.Client{}, busy: map[string]bool{}, counts: map[string]int{}, config: c,
 	}
 	r.site, err = memsite.New(t.Context(), memsite.Options{
-		Entries: entries, Config: c, Seed: opts.seed, Delay: 2 * time.Millisecond, VMListLag: vmListLag,
+		Entries: entries, Config: c, Seed: opts.seed, Delay: 2 * time.Millisecond, Link: opts.link, VMListLag: vmListLag,
 		UpstreamTime: 20 * time.Millisecond, Shape: standin.TodayShape("stave-desk", zones),
 		Wrap: opts.wrap, Observe: r.h.observe,
 	})
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -53,6 +53,8 @@
 	faults WorkerFaults
 	dead   bool
 	used   api.Resources
+	// clockRate is how fast the worker's clock runs against true time.
+	clockRate float64
 }
 
 type task struct {
@@ -72,7 +74,21 @@
 	if observe == nil {
 		observe = func(TaskEvent) {}
 	}
-	return &Worker{vm: vm, observe: observe, tasks: map[platform.TaskID]*task{}, fences: map[string]int64{}}
+	return &Worker{vm: vm, observe: observe, tasks: map[platform.TaskID]*task{}, fences: map[string]int64{}, clockRate: 1}
+}
+
+// SetClockRate sets how fast the worker's clock runs against true time: at 1.01
+// it runs fast, and a lease of 10 s lapses after 9.9 s. Leases granted before
+// stay as they are.
+func (w *Worker) SetClockRate(rate float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clockRate = rate
+}
+
+// onClock returns the true time that passes while the worker's clock counts d.
+func (w *Worker) onClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / w.clockRate)
 }
 
 // SetFaults puts faults in force.
@@ -212,7 +228,7 @@
 		w.reserve(r, now)
 	}
 	t := w.tasks[r.Task]
-	t.startBy, t.lease = now.Add(r.StartWithin), now.Add(r.LeaseTTL)
+	t.startBy, t.lease = now.Add(w.onClock(r.StartWithin)), now.Add(w.onClock(r.LeaseTTL))
 	return w.leave()
 }
 
@@ -280,7 +296,7 @@
 			continue
 		}
 		if t.status.Phase == platform.TaskReserved || t.status.Phase == platform.TaskRunning {
-			t.extend(now.Add(ttl))
+			t.extend(now.Add(w.onClock(ttl)))
 		}
 		out[i] = t.status
 	}
