Offer idempotent requests again after a silent hand-over

Cause: a request handed over on a node-to-node connection that has gone silent ended as may-have-run, although an idempotent one may be offered to another node. Ruled out: the detection. A hello that times out closes the connection, which ends every call on it; so long a call with more patience does not wait. Change: an idempotent request is offered to another node after no answer. TestSilentConnectionEndsOtherCalls in pkg/peer covers the detection; it fails (patient call ends after 1m0s) if drop does not close the connection. Conclusion: silent connections between nodes have tests of their own.

--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -80,6 +80,45 @@
 	})
 }
 
+// TestSilentConnectionEndsOtherCalls makes an open connection silent. A call that
+// finds it ends the calls with more patience too, and the next one gets through.
+func TestSilentConnectionEndsOtherCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(nil)
+		server, client := New(network.Host("b"), "10.0.0.2:1"), New(network.Host("a"), "10.0.0.1:1")
+		if err := server.Handle("Echo", Echo{}); err != nil {
+			t.Fatal(err)
+		}
+		for _, s := range []*Service{server, client} {
+			if err := s.Start(t.Context(), nil); err != nil {
+				t.Fatal(err)
+			}
+			defer s.Stop(context.Background())
+		}
+		call := func(patience time.Duration) error {
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			args, reply := "x", ""
+			return client.Call(ctx, "10.0.0.2:1", "Echo.Say", &args, &reply)
+		}
+		if err := call(time.Second); err != nil {
+			t.Fatal(err)
+		}
+		network.SilenceOpen("a", "b")
+		began, patient := time.Now(), make(chan error, 1)
+		go func() { patient <- call(time.Minute) }()
+		if err := call(time.Second); err == nil {
+			t.Error("an answer came over a silent connection")
+		}
+		if err := <-patient; err == nil || time.Since(began) > time.Second {
+			t.Errorf("the patient call ended after %s with %v", time.Since(began), err)
+		}
+		if err := call(time.Second); err != nil {
+			t.Errorf("after the silence: %v", err)
+		}
+	})
+}
+
 // slowHandler answers after a second.
 type slowHandler struct{}
 
--- a/pkg/requests/keyed.go
+++ b/pkg/requests/keyed.go
@@ -300,7 +300,8 @@
 const maxRelays = 3
 
 // relay hands a request over to a reachable node that passes the filter. If the
-// node is stopping or gone, an unkeyed request is offered to another one.
+// node is stopping or gone, an unkeyed request is offered to another one, and so
+// is an idempotent one if the connection turned out to be silent.
 func (s *Service) relay(ctx context.Context, r *api.Request, hops int, filter func(*rosterNode) bool) api.Answer {
 	answer := uncertain(r, "this entry VM has not joined the others yet")
 	tried := map[string]bool{}
@@ -311,16 +312,18 @@
 		}
 		m := membership.Rendezvous(nodes, r.ID)
 		tried[m.ID] = true
-		if answer = s.handOver(ctx, r, m, "", hops); r.Key != "" || !offerAgain(answer) {
+		if answer = s.handOver(ctx, r, m, "", hops); (r.Key != "" && !r.Idempotent) || !offerAgain(r, answer) {
 			break
 		}
 	}
 	return answer
 }
 
-// offerAgain reports whether a node did not run the request, for reasons of its own.
-func offerAgain(a api.Answer) bool {
-	return a.Verdict == api.NotRun && a.Error != nil && a.Error.Code == api.CodeUnavailable
+// offerAgain reports whether another node may get the request after one that did
+// not run it, for reasons of its own, or that did not answer.
+func offerAgain(r *api.Request, a api.Answer) bool {
+	mayRun := a.Verdict == api.NotRun || (r.Idempotent && a.Verdict == api.MayHaveRun && a.Upstream == "")
+	return mayRun && a.Error != nil && a.Error.Code == api.CodeUnavailable
 }
 
 // handOver lets another node run the request. The node gets a little less time,
--- a/pkg/requests/silent_test.go
+++ b/pkg/requests/silent_test.go
@@ -95,3 +95,28 @@
 		f.check()
 	})
 }
+
+// TestSilentPeerConnectionAndHandOver hands idempotent requests over from a node
+// that has no slots yet, over a connection that has gone silent while new ones
+// work. The node finds it and offers the requests to another node in time.
+func TestSilentPeerConnectionAndHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 4, 1, 20*time.Millisecond)
+		// A silent node keeps the new one from its share for a while.
+		f.Freeze(3)
+		f.Lose(0)
+		if err := f.Replace(t.Context(), 0, 1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(300 * time.Millisecond)
+		price := api.Request{Account: "yard-agents", Service: "stave-desk", Class: "price-check", Idempotent: true, Body: []byte("price")}
+		if failures := f.loadAt(0, 100, 200*time.Millisecond, price); len(failures) > 0 {
+			t.Fatalf("before the silence: %v", failures[0].err)
+		}
+		f.Net.SilenceOpen("entry-0-1", "entry-1")
+		failures := f.loadAt(0, 100, 200*time.Millisecond, price)
+		for _, failed := range failures {
+			t.Errorf("sent after %s: %v", failed.sent, failed.err)
+		}
+	})
+}
