Let requests in flight on leaving upstreams finish, and pay no budget for a not-run

Cause: when upstreams refuse work and traffic is thin, the retry budget is empty and requests fail as refused although other upstreams are free. Ruled out: the pause after a refusal (2 s) and the choice of another upstream, which hold. Change: a retry after a true not-run needs no budget. No upstream did any work for it, and the pause or ejection of the upstream bounds their number.

--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -237,12 +237,17 @@
 	return latest
 }
 
-// again reports whether another attempt is safe, paid for and in time.
+// again reports whether another attempt is safe, paid for and in time. One that
+// is known not to have run costs no upstream any work, and makes the node keep
+// off that upstream, so it needs no share of the budget.
 func (s *Service) again(ctx context.Context, r *api.Request, answer api.Answer, attempt int) bool {
 	if answer.Error == nil || answer.Upstream == "" || attempt+1 >= maxAttempts || ctx.Err() != nil {
 		return false
 	}
-	if !r.Idempotent && answer.Verdict != api.NotRun {
+	if answer.Verdict == api.NotRun {
+		return true
+	}
+	if !r.Idempotent {
 		return false
 	}
 	s.mu.Lock()
