--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -237,12 +237,17 @@
 	return latest
 }
 
-// again reports whether another attempt is safe, paid for and in time.
+// again reports whether another attempt is safe, paid for and in time. One that
+// is known not to have run costs no upstream any work, and makes the node keep
+// off that upstream, so it needs no share of the budget.
 func (s *Service) again(ctx context.Context, r *api.Request, answer api.Answer, attempt int) bool {
 	if answer.Error == nil || answer.Upstream == "" || attempt+1 >= maxAttempts || ctx.Err() != nil {
 		return false
 	}
-	if !r.Idempotent && answer.Verdict != api.NotRun {
+	if answer.Verdict == api.NotRun {
+		return true
+	}
+	if !r.Idempotent {
 		return false
 	}
 	s.mu.Lock()
@@ -331,18 +336,18 @@
 	s.mu.Lock()
 	p := s.pool(r.Service)
 	if attempt == 0 {
-		p.budget.First()
+		p.budget.First(p.slots)
 	}
 	usual := p.each
 	s.mu.Unlock()
+	limit := max(minAttemptTime, attemptTimes*usual)
 	if deadline, _ := ctx.Deadline(); r.Idempotent {
-		limit := max(minAttemptTime, attemptTimes*usual)
 		if left := deadline.Sub(began); limit < left/2 {
 			var cancel context.CancelFunc
 			ctx, cancel = context.WithTimeout(ctx, limit)
 			defer cancel()
 		}
 	}
-	got := s.upstream.do(ctx, vm, r, fmt.Sprintf("%s.%d", r.ID, attempt))
+	got := s.upstream.do(ctx, vm, r, fmt.Sprintf("%s.%d", r.ID, attempt), limit)
 	return got, time.Since(began)
 }
