Act on an old VM list only if no entry VM can have a newer one

Cause: TestPromisesWithRegionsCutOff saw a request start on an upstream 59.7 s after the list showed it as leaving. Nodes cut off from the list asked their peers; that those within reach had no newer copy was enough, though the other region had. A second trace: 25.8 s, where the only node of the other region was a replacement that the nodes' copies did not hold yet. Ruled out: a longer or shorter age of the copy; the nodes knew that theirs was old.

Change: each listed entry VM must have said lately that it has no newer copy, to this node or to one within reach. A process that does not run has none; one silent for 10 minutes counts as lost. An entry VM that went off the list just before the last read may have an unknown replacement. Questions to one silent peer hold up no others. The random choice of peers is gone.

Measured: TestCurrentOnlyIfOutOfReachForAll, two of its cases fail on the former code (one node paused, this side cut off).

--- a/pkg/bench/capacity_traffic.go
+++ b/pkg/bench/capacity_traffic.go
@@ -239,7 +239,7 @@
 	if err != nil {
 		return err
 	}
-	vms, err := fleet.New(standin.NewVMList(0, entries...), vm.ID, peers, rand.New(rand.NewPCG(1, 1)))
+	vms, err := fleet.New(standin.NewVMList(0, entries...), vm.ID, peers)
 	if err != nil {
 		return err
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,9 +27,15 @@
 	staleAfter = 2 * time.Second
 	// currentWithin is the age up to which a copy may be acted on.
 	currentWithin = 4 * time.Second
-	// noNewsWithin is for how long the word of peers counts that they have no
-	// newer copy either.
+	// noNewsWithin is for how long the word of a peer counts that it has no newer
+	// copy either.
 	noNewsWithin = 3 * time.Second
+	// lostAfter is the silence after which a peer counts as lost while the list
+	// cannot tell. Regions that lose each other do so for minutes.
+	lostAfter = 10 * time.Minute
+	// replacedWithin is the time in which the platform starts a VM in place of one
+	// that is gone, and lists it.
+	replacedWithin = 30 * time.Second
 )
 
 // Service holds the latest copy of the VM list.
@@ -37,14 +43,20 @@
 	list  platform.VMList
 	peers *peer.Service
 	self  string
-	rng   *rand.Rand
 
 	mu     sync.RWMutex
 	copies map[platform.VMKind]listed
-	// noNews is when peers were last asked and had no newer copy.
-	noNews time.Time
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	// words is when each peer, by ID, last had no newer copy of the upstreams
+	// than this node.
+	words map[string]time.Time
+	// silent is since when each peer, by ID, has not answered.
+	silent map[string]time.Time
+	// asking holds the peers, by ID, that are being asked.
+	asking map[string]bool
+	// departed is when an entry VM was last found to be off the list.
+	departed time.Time
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
 }
 
 // listed holds the VMs of one kind, as the list had them at some time after at.
@@ -54,9 +66,12 @@
 }
 
 // New returns a fleet service over list for the entry VM called self. Its calls
-// between nodes are registered with peers. rng picks the peers to ask.
-func New(list platform.VMList, self string, peers *peer.Service, rng *rand.Rand) (*Service, error) {
-	s := &Service{list: list, self: self, peers: peers, rng: rng, copies: map[platform.VMKind]listed{}}
+// between nodes are registered with peers.
+func New(list platform.VMList, self string, peers *peer.Service) (*Service, error) {
+	s := &Service{
+		list: list, self: self, peers: peers, copies: map[platform.VMKind]listed{},
+		words: map[string]time.Time{}, silent: map[string]time.Time{}, asking: map[string]bool{},
+	}
 	return s, peers.Handle(rpcName, &handler{s})
 }
 
@@ -104,12 +119,26 @@
 }
 
 // Current reports whether the copy of the upstreams may be acted on: it is
-// recent, or no peer has a newer one, since the list is out of reach for all. A
-// process that was paused finds its copy not current until it has looked again.
+// recent, or no other entry VM has a newer one, since the list is out of reach
+// for all. One that does not answer may know what this node does not, and so may
+// the unlisted replacement of one that is gone. A process that was paused finds
+// its copy not current until it has looked again.
 func (s *Service) Current(now time.Time) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return now.Sub(s.copies[platform.KindUpstream].at) <= currentWithin || now.Sub(s.noNews) <= noNewsWithin
+	if now.Sub(s.copies[platform.KindUpstream].at) <= currentWithin {
+		return true
+	}
+	entries := s.copies[platform.KindEntry]
+	if entries.at.Sub(s.departed) <= replacedWithin && now.Sub(entries.at) < lostAfter {
+		return false
+	}
+	for _, vm := range entries.vms {
+		if vm.ID != s.self && now.Sub(s.words[vm.ID]) > noNewsWithin {
+			return false
+		}
+	}
+	return !entries.at.IsZero()
 }
 
 func (s *Service) poll(ctx context.Context) {
@@ -148,7 +177,17 @@
 func (s *Service) adopt(kind platform.VMKind, l listed) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l.at.After(s.copies[kind].at) {
-		s.copies[kind] = l
+	old := s.copies[kind]
+	if !l.at.After(old.at) {
+		return
+	}
+	s.copies[kind] = l
+	if kind == platform.KindEntry && slices.ContainsFunc(old.vms, func(vm platform.VM) bool { return !lists(l.vms, vm.ID) }) {
+		s.departed = l.at
 	}
 }
+
+// lists reports whether a VM is among vms.
+func lists(vms []platform.VM, id string) bool {
+	return slices.ContainsFunc(vms, func(vm platform.VM) bool { return vm.ID == id })
+}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -30,49 +29,126 @@
 	return l.VMList.List(ctx)
 }
 
-// TestCutOffNodeLearnsOfLeavingUpstream checks that a node which cannot reach
-// the VM list learns within 5 s, beyond the list's lag, that an upstream is leaving.
-func TestCutOffNodeLearnsOfLeavingUpstream(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		network := memnet.New(nil)
-		vms := []platform.VM{{ID: "u", Kind: platform.KindUpstream}}
-		for i := range 3 {
-			vms = append(vms, platform.VM{ID: fmt.Sprintf("e%d", i), Kind: platform.KindEntry, Address: fmt.Sprintf("10.0.0.%d:1", i)})
+// site is a few nodes that only read the VM list.
+type site struct {
+	network *memnet.Network
+	list    *standin.VMList
+	nodes   []*Service
+	ways    []*gatedList
+}
+
+// newSite starts n nodes over a list of them and one upstream.
+func newSite(t *testing.T, n int) *site {
+	t.Helper()
+	s := &site{network: memnet.New(nil)}
+	vms := []platform.VM{{ID: "u", Kind: platform.KindUpstream}}
+	for i := range n {
+		vms = append(vms, platform.VM{ID: fmt.Sprintf("e%d", i), Kind: platform.KindEntry, Address: fmt.Sprintf("10.0.0.%d:1", i)})
+	}
+	s.list = standin.NewVMList(0, vms...)
+	for _, vm := range vms[1:] {
+		peers := peer.New(s.network.Host(vm.ID), vm.Address)
+		way := &gatedList{VMList: s.list}
+		fleet, err := New(way, vm.ID, peers)
+		if err != nil {
+			t.Fatal(err)
 		}
-		list := standin.NewVMList(0, vms...)
-		var nodes []*Service
-		var ways []*gatedList
-		for _, vm := range vms[1:] {
-			peers := peer.New(network.Host(vm.ID), vm.Address)
-			way := &gatedList{VMList: list}
-			ways = append(ways, way)
-			s, err := New(way, vm.ID, peers, rand.New(rand.NewPCG(1, 1)))
-			if err != nil {
+		k := kernel.New()
+		for _, service := range []kernel.Service{peers, fleet} {
+			if err := k.Register(service); err != nil {
 				t.Fatal(err)
 			}
-			k := kernel.New()
-			for _, service := range []kernel.Service{peers, s} {
-				if err := k.Register(service); err != nil {
-					t.Fatal(err)
-				}
-			}
-			if err := k.Start(t.Context()); err != nil {
-				t.Fatal(err)
-			}
-			defer k.Stop(context.Background())
-			nodes = append(nodes, s)
 		}
-		time.Sleep(5 * time.Second)
-		ways[0].cut.Store(true)
-		list.Update(func(vms []platform.VM) []platform.VM {
+		if err := k.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { k.Stop(context.Background()) })
+		s.nodes, s.ways = append(s.nodes, fleet), append(s.ways, way)
+	}
+	time.Sleep(5 * time.Second)
+	return s
+}
+
+func (s *site) cutAll() {
+	for _, way := range s.ways {
+		way.cut.Store(true)
+	}
+}
+
+// TestCutOffNodeLearnsOfLeavingUpstream checks that a node which cannot reach
+// the VM list learns within 5 s, beyond the list's lag, that an upstream is leaving.
+func TestCutOffNodeLearnsOfLeavingUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 3)
+		s.ways[0].cut.Store(true)
+		s.list.Update(func(vms []platform.VM) []platform.VM {
 			vms[0].Leaving = true
 			return vms
 		})
 		time.Sleep(5 * time.Second)
-		for i, s := range nodes {
-			if vms, ok := s.VMs(platform.KindUpstream); !ok || len(vms) != 1 || !vms[0].Leaving {
+		for i, node := range s.nodes {
+			if vms, ok := node.VMs(platform.KindUpstream); !ok || len(vms) != 1 || !vms[0].Leaving {
 				t.Errorf("node %d does not know that the upstream is leaving: %+v", i, vms)
 			}
 		}
 	})
 }
+
+// TestCurrentOnlyIfOutOfReachForAll checks when node 0 may act on an old copy:
+// only if no other entry VM can have a newer one.
+func TestCurrentOnlyIfOutOfReachForAll(t *testing.T) {
+	cases := map[string]struct {
+		fault func(s *site)
+		after time.Duration
+		want  bool
+	}{
+		"out of reach for this node": {func(s *site) { s.ways[0].cut.Store(true) }, time.Minute, true},
+		"out of reach for all":       {(*site).cutAll, time.Minute, true},
+		"this side cut off from a node that has it": {func(s *site) {
+			s.ways[0].cut.Store(true)
+			s.ways[1].cut.Store(true)
+			s.network.SetBoth("e0", "e2", memnet.Cut)
+			s.network.SetBoth("e1", "e2", memnet.Cut)
+		}, time.Minute, false},
+		"out of reach for all, one cut off from this node only": {func(s *site) {
+			s.cutAll()
+			s.network.SetBoth("e0", "e2", memnet.Cut)
+		}, time.Minute, true},
+		"out of reach for all, one process dead": {func(s *site) {
+			s.cutAll()
+			s.network.Host("e2").Kill()
+		}, time.Minute, true},
+		"out of reach for all, one node paused": {func(s *site) {
+			s.cutAll()
+			s.network.Host("e2").Freeze()
+		}, time.Minute, false},
+		"out of reach, a node gone just before": {func(s *site) {
+			s.list.Update(func(vms []platform.VM) []platform.VM { return vms[:3] })
+			time.Sleep(2 * pollInterval)
+			s.cutAll()
+		}, time.Minute, false},
+		"out of reach, a node gone a while before": {func(s *site) {
+			s.list.Update(func(vms []platform.VM) []platform.VM { return vms[:3] })
+			time.Sleep(replacedWithin + 2*pollInterval)
+			s.cutAll()
+		}, time.Minute, true},
+		"out of reach for all, one node lost for long": {func(s *site) {
+			s.cutAll()
+			s.network.SetBoth("e0", "e2", memnet.Cut)
+			s.network.SetBoth("e1", "e2", memnet.Cut)
+		}, lostAfter + time.Minute, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, 3)
+				tc.fault(s)
+				defer s.network.Host("e2").Thaw()
+				time.Sleep(tc.after)
+				if got := s.nodes[0].Current(time.Now()); got != tc.want {
+					t.Errorf("current is %v after %v, want %v", got, tc.after, tc.want)
+				}
+			})
+		})
+	}
+}
--- a/pkg/fleet/peers.go
+++ b/pkg/fleet/peers.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
-	"sync"
+	"errors"
+	"maps"
+	"slices"
+	"syscall"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -17,9 +20,6 @@
 // clocks over the few seconds that matter.
 const ageMargin = 50 * time.Millisecond
 
-// maxAsked bounds the peers that are asked at once.
-const maxAsked = 8
-
 // CopyCall asks a peer for its copy of the upstreams, if it is newer.
 type CopyCall struct {
 	// Age is for how long the caller's copy may have been behind the list.
@@ -34,73 +34,124 @@
 	Upstreams []platform.VM
 	// Age is for how long the copy may have been behind the list.
 	Age time.Duration
+	// Words holds for how long ago other entry VMs, by ID, had no newer copy than
+	// the one that answers, so that nodes which cannot reach each other need not.
+	Words map[string]time.Duration
 }
 
 type handler struct{ s *Service }
 
 // Copy answers with this node's copy of the upstreams, if it is newer.
 func (h *handler) Copy(args *CopyCall, reply *CopyReply) error {
+	now := time.Now()
 	upstreams, known := h.s.VMs(platform.KindUpstream)
-	age, _ := h.s.ageOf(platform.KindUpstream, time.Now())
+	age, _ := h.s.ageOf(platform.KindUpstream, now)
+	reply.Words = h.s.recentWords(now)
 	if known && age+ageMargin < args.Age {
-		*reply = CopyReply{Newer: true, Upstreams: upstreams, Age: age}
+		reply.Newer, reply.Upstreams, reply.Age = true, upstreams, age
 	}
 	return nil
 }
 
-// askPeers takes the newest copy of some random peers if it is newer than this node's.
+// recentWords returns the ages of the words that still count.
+func (s *Service) recentWords(now time.Time) map[string]time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := map[string]time.Duration{}
+	for id, at := range s.words {
+		if age := now.Sub(at) + ageMargin; age <= noNewsWithin {
+			out[id] = age
+		}
+	}
+	return out
+}
+
+// askPeers begins to ask the peers for newer copies. A peer that does not answer
+// holds up the questions to no other.
 func (s *Service) askPeers(ctx context.Context) {
-	began := time.Now()
 	others := s.others()
-	s.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	others = others[:min(len(others), maxAsked)]
-	answers := make([]answer, len(others))
-	var wg sync.WaitGroup
-	for i, address := range others {
-		wg.Go(func() { answers[i] = s.askPeer(ctx, address) })
-	}
-	wg.Wait()
-	answered, newer := len(others) == 0, false
-	for _, a := range answers {
-		answered = answered || a.answered
-		newer = newer || a.newer
-	}
-	if answered && !newer {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.noNews = began
+	s.forgetExcept(others)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, vm := range others {
+		if s.asking[vm.ID] {
+			continue
+		}
+		s.asking[vm.ID] = true
+		s.wg.Go(func() {
+			s.askPeer(ctx, vm)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			delete(s.asking, vm.ID)
+		})
 	}
 }
 
-// others returns the addresses of the other entry VMs.
-func (s *Service) others() []string {
+// others returns the other entry VMs.
+func (s *Service) others() []platform.VM {
 	entries, _ := s.VMs(platform.KindEntry)
-	var out []string
-	for _, vm := range entries {
-		if vm.ID != s.self {
-			out = append(out, vm.Address)
-		}
-	}
-	return out
+	return slices.DeleteFunc(slices.Clone(entries), func(vm platform.VM) bool { return vm.ID == s.self })
 }
 
-// answer says what came of asking one peer.
-type answer struct{ answered, newer bool }
+// forgetExcept forgets what was noted of peers that are listed no more.
+func (s *Service) forgetExcept(peers []platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unlisted := func(id string, _ time.Time) bool {
+		return !lists(peers, id)
+	}
+	maps.DeleteFunc(s.words, unlisted)
+	maps.DeleteFunc(s.silent, unlisted)
+}
 
-func (s *Service) askPeer(ctx context.Context, address string) answer {
+// askPeer takes a peer's copy if it is newer, and notes what the peer knows.
+func (s *Service) askPeer(ctx context.Context, vm platform.VM) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := time.Now()
 	age, _ := s.ageOf(platform.KindUpstream, sent)
 	var reply CopyReply
-	if err := s.peers.Call(ctx, address, rpcName+".Copy", &CopyCall{Age: age}, &reply); err != nil {
+	if err := s.peers.Call(ctx, vm.Address, rpcName+".Copy", &CopyCall{Age: age}, &reply); err != nil {
 		klog.V(1).Infof("fleet: a peer gave no copy of the VM list: %v", err)
-		return answer{}
+		s.noteUnanswered(vm.ID, sent, err)
+		return
 	}
 	if reply.Newer {
 		// The answer was composed after the call was sent, so the copy is at
 		// least as recent as its age before that.
 		s.adopt(platform.KindUpstream, listed{reply.Upstreams, sent.Add(-reply.Age - ageMargin)})
 	}
-	return answer{answered: true, newer: reply.Newer}
+	s.noteWords(vm.ID, sent, reply.Words)
+}
+
+// noteWords notes that a peer answered a call sent at the given time, so that it
+// has no newer copy now, and what it knows of others.
+func (s *Service) noteWords(id string, sent time.Time, words map[string]time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.silent, id)
+	s.word(id, sent)
+	for other, age := range words {
+		s.word(other, sent.Add(-age))
+	}
+}
+
+// noteUnanswered notes that a peer did not answer. A process that does not run
+// has no copy, nor has one that has been silent for so long that it is lost.
+func (s *Service) noteUnanswered(id string, sent time.Time, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent[id].IsZero() {
+		s.silent[id] = sent
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) || sent.Sub(s.silent[id]) >= lostAfter {
+		s.word(id, sent)
+	}
+}
+
+// word notes when a peer had no newer copy. The caller holds mu.
+func (s *Service) word(id string, at time.Time) {
+	if at.After(s.words[id]) {
+		s.words[id] = at
+	}
 }
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -54,7 +53,7 @@
 		t.Fatal(err)
 	}
 	s.SetStatus(func() Status { return Status{Stale: c.stale.Load(), Offset: 1_000_000} })
-	list, err := fleet.New(c.list, id(i), peers, rand.New(rand.NewPCG(1, uint64(i))))
+	list, err := fleet.New(c.list, id(i), peers)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -120,7 +120,7 @@
 	incarnation := s.ID + "/" + uuid.NewString()
 	set := metrics.NewSet()
 	peers := peer.New(network, s.Peer)
-	vms, err := fleet.New(p.VMs, s.ID, peers, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())))
+	vms, err := fleet.New(p.VMs, s.ID, peers)
 	if err != nil {
 		return nil, err
 	}
