Let slots lapse when a node is paused, and say goodbye at a stop

Cause: a node that was paused while the VM list dropped it still held its agreement when it woke up, and used slots that others had taken over. After a planned stop the others learnt only from refused connections, for 3 s, that a node is gone. Ruled out: the check of the VM list before a send. It makes the node wait for a new copy, but says nothing of slots. Change: a node's slots lapse 3 s after its last round of hellos; it then agrees anew, as one that starts. A node that starts waits 4 s instead of 2 for silent ones, so that their slots have lapsed by then. The times grow with the hello interval in large sites. A node that stops tells the others once no slot of it is in use. The VM list is looked at between two rounds of hellos.

--- a/pkg/requests/dispatch.go
+++ b/pkg/requests/dispatch.go
@@ -126,7 +126,7 @@
 func (s *Service) speed(p *pool, vms []platform.VM, now time.Time) admission.Speed {
 	slots := 0
 	for _, vm := range vms {
-		slots += s.upstreamState(vm.ID).health.Limit(s.roster.share(vm), now)
+		slots += s.upstreamState(vm.ID).health.Limit(s.roster.share(vm, now), now)
 	}
 	p.slots = slots
 	perSecond := float64(slots) / p.each.Seconds()
@@ -209,7 +209,7 @@
 			out[i].Latency = p.each
 		}
 		if !u.draining && !now.Before(u.paused) {
-			out[i].Limit = u.health.Limit(s.roster.share(vm), now)
+			out[i].Limit = u.health.Limit(s.roster.share(vm, now), now)
 		}
 	}
 	return out
@@ -231,13 +231,13 @@
 // shareless reports whether no slot of a service is this node's, as long as it
 // has not agreed with the others, while another node may have some.
 func (s *Service) shareless(service string) bool {
-	vms := s.openUpstreams(service)
+	vms, now := s.openUpstreams(service), time.Now()
 	for _, vm := range vms {
-		if s.roster.share(vm) > 0 {
+		if s.roster.share(vm, now) > 0 {
 			return false
 		}
 	}
-	others := s.roster.reachable(time.Now(), func(n *rosterNode) bool { return n.joined })
+	others := s.roster.reachable(now, func(n *rosterNode) bool { return n.joined })
 	return len(vms) > 0 && len(others) > 0
 }
 
@@ -283,10 +283,23 @@
 // share in every view that is being agreed on.
 func (s *Service) drained() bool {
 	all, _ := s.fleet.VMs(platform.KindUpstream)
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, vm := range all {
-		if u := s.upstreams[vm.ID]; u != nil && u.inFlight > s.roster.share(vm) {
+		if u := s.upstreams[vm.ID]; u != nil && u.inFlight > s.roster.share(vm, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// idle reports whether this node uses no slot.
+func (s *Service) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.upstreams {
+		if u.inFlight > 0 {
 			return false
 		}
 	}
--- a/pkg/requests/peers.go
+++ b/pkg/requests/peers.go
@@ -23,6 +23,8 @@
 	meshSize      = 8
 	// startInterval replaces it until the node has joined and shares slots.
 	startInterval = 100 * time.Millisecond
+	// listInterval is the time between two looks at the copy of the VM list.
+	listInterval = 200 * time.Millisecond
 	// helloTimeout bounds one hello, and askTimeout one question about a key.
 	helloTimeout = 800 * time.Millisecond
 	askTimeout   = 500 * time.Millisecond
@@ -35,6 +37,12 @@
 // Hello is what nodes tell each other once a second.
 type Hello struct{ From membership.Member }
 
+// Goodbye is the last word of a node that stops.
+type Goodbye struct{ From membership.Member }
+
+// GoodbyeReply answers a goodbye.
+type GoodbyeReply struct{}
+
 // HelloReply answers a hello.
 type HelloReply struct {
 	From membership.Member
@@ -97,6 +105,12 @@
 	return nil
 }
 
+// Goodbye takes in that a node uses no slot any more.
+func (h *handler) Goodbye(args *Goodbye, _ *GoodbyeReply) error {
+	h.s.roster.stopped(args.From, time.Now())
+	return nil
+}
+
 // Ask answers a node that wants a key without the log.
 func (h *handler) Ask(args *KeyCall, reply *AskReply) error {
 	s := h.s
@@ -138,26 +152,46 @@
 	for ctx.Err() == nil {
 		s.helloRound(ctx)
 		s.tryJoin(ctx)
-		interval := time.Duration(s.roster.spread()) * helloInterval
+		s.awaitRound(ctx, time.Now())
+	}
+}
+
+// awaitRound waits for the time of the next round of hellos. It comes soon if
+// the node has not joined, or as soon as a change of the VM list makes a new
+// agreement necessary.
+func (s *Service) awaitRound(ctx context.Context, ended time.Time) {
+	for ctx.Err() == nil {
+		interval := s.roster.stretch(helloInterval)
 		if (!s.roster.isJoined() && !s.roster.isLeaving()) || !s.roster.inForce() {
 			interval = startInterval
 		}
+		left := interval - time.Since(ended)
+		if left <= 0 {
+			return
+		}
 		select {
-		case <-time.After(interval):
+		case <-time.After(min(left, listInterval)):
 		case <-ctx.Done():
 		}
+		s.readList()
 	}
 }
 
-func (s *Service) helloRound(ctx context.Context) {
+// readList takes the copy of the VM list into the roster.
+func (s *Service) readList() {
 	if vms, ok := s.fleet.VMs(platform.KindEntry); ok {
 		s.roster.list(vms, time.Now())
 	}
+}
+
+func (s *Service) helloRound(ctx context.Context) {
+	s.readList()
 	var wg sync.WaitGroup
 	for _, m := range s.roster.others() {
 		wg.Go(func() { s.hello(ctx, m) })
 	}
 	wg.Wait()
+	s.roster.roundEnded(time.Now())
 	s.roster.agree(time.Now())
 	s.pump()
 }
@@ -175,6 +209,36 @@
 	s.markDraining(reply.Draining)
 }
 
+// sayGoodbye tells the other nodes that this one, which has ended its hellos,
+// uses no slot any more, so that they need not find out.
+func (s *Service) sayGoodbye(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	if !s.awaitIdle(ctx) {
+		return
+	}
+	var wg sync.WaitGroup
+	for _, m := range s.roster.others() {
+		wg.Go(func() {
+			_ = s.peers.Call(ctx, m.Address, "Requests.Goodbye", &Goodbye{s.members.Self()}, &GoodbyeReply{})
+		})
+	}
+	wg.Wait()
+}
+
+// awaitIdle waits until no slot is in use. Slots of attempts without an answer
+// are held for a while.
+func (s *Service) awaitIdle(ctx context.Context) bool {
+	for !s.idle() {
+		select {
+		case <-time.After(abandonedHold / 5):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // tryJoin makes the node one that claims keys, once every other one has
 // answered it with no keys owed to the log, and the log has been read since.
 func (s *Service) tryJoin(ctx context.Context) {
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -125,6 +125,7 @@
 	}
 	s.cancel()
 	s.wg.Wait()
+	s.sayGoodbye(ctx)
 	s.upstream.close()
 	return nil
 }
@@ -291,6 +292,9 @@
 	if err := s.relays.CheckServe(now); err != nil {
 		return err
 	}
+	if s.roster.lapsed(now) {
+		return api.Errorf(api.CodeUnavailable, "this node was paused, and its slots may be another's")
+	}
 	if !s.fleet.Current(now) {
 		return api.Errorf(api.CodeUnavailable, "this node does not know which upstreams are leaving")
 	}
--- a/pkg/requests/roster.go
+++ b/pkg/requests/roster.go
@@ -18,8 +18,12 @@
 	goneAfter = 3 * time.Second
 	// refusedAfter is how long a VM must refuse connections until it gets no slots.
 	refusedAfter = 3 * time.Second
+	// lapseAfter is how long after its last round of hellos a node may use its
+	// slots. It is shorter than goneAfter and startPatience, after which others
+	// may use them, so that a node that was paused does not use them too.
+	lapseAfter = 3 * time.Second
 	// startPatience is how long a node that starts waits for silent ones.
-	startPatience = 2 * time.Second
+	startPatience = 4 * time.Second
 	// liveFor is how long a node counts as reachable after it was heard of.
 	liveFor = 4 * time.Second
 )
@@ -40,8 +44,10 @@
 	// everAgreed says that there was an agreement; before it, no slot is this node's.
 	everAgreed bool
 	round      int
-	acked      map[string]bool
-	joined     bool
+	// greetedAt is when the last round of hellos ended.
+	greetedAt time.Time
+	acked     map[string]bool
+	joined    bool
 	// leaving says that the node is to be stopped and takes over no requests.
 	leaving bool
 	shares  map[string]int
@@ -55,12 +61,14 @@
 	heard            time.Time
 	// greeted says that the node knows this one and owed the log no keys.
 	greeted bool
+	// stopped says that the node has ended its last request and uses no slot.
+	stopped bool
 	// joined and hasLog are what the node said of itself last.
 	joined, hasLog bool
 }
 
 func newRoster(self membership.Member, now time.Time) *roster {
-	return &roster{self: self, started: now, nodes: map[string]*rosterNode{}, acked: map[string]bool{}, shares: map[string]int{}}
+	return &roster{self: self, started: now, nodes: map[string]*rosterNode{}, greetedAt: now, acked: map[string]bool{}, shares: map[string]int{}}
 }
 
 // list takes in a copy of the VM list.
@@ -85,7 +93,7 @@
 		case seen[id] || !n.listed:
 		case n.missing.IsZero():
 			n.missing = now
-		case now.Sub(n.missing) >= goneAfter:
+		case now.Sub(n.missing) >= r.stretchLocked(goneAfter):
 			delete(r.nodes, id)
 		}
 	}
@@ -105,12 +113,22 @@
 		r.nodes[m.ID] = n
 	}
 	if n.member.Incarnation != m.Incarnation {
-		n.greeted, n.joined = false, false
+		n.greeted, n.joined, n.stopped = false, false, false
 	}
 	n.member, n.heard, n.refused = m, now, time.Time{}
 	r.retarget(now)
 }
 
+// stopped takes in that a node has ended its last request.
+func (r *roster) stopped(m membership.Member, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := r.nodes[m.ID]; n != nil && n.member.Incarnation == m.Incarnation {
+		n.stopped = true
+		r.retarget(now)
+	}
+}
+
 // failed takes in a call that got no answer.
 func (r *roster) failed(id string, err error, now time.Time) {
 	r.mu.Lock()
@@ -132,7 +150,7 @@
 func (r *roster) retarget(now time.Time) {
 	view := routing.View{r.self.ID}
 	for id, n := range r.nodes {
-		if !n.refused.IsZero() && now.Sub(n.refused) >= refusedAfter {
+		if n.stopped || (!n.refused.IsZero() && now.Sub(n.refused) >= refusedAfter) {
 			continue
 		}
 		view = append(view, id)
@@ -151,6 +169,31 @@
 	clear(r.shares)
 }
 
+// roundEnded takes in the end of a round of hellos. A node whose slots have
+// lapsed agrees on them anew, as one that starts does.
+func (r *roster) roundEnded(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lapsedLocked(now) {
+		r.held, r.agreed, r.everAgreed, r.started = nil, false, false, now
+		r.round++
+		r.acked = map[string]bool{}
+		clear(r.shares)
+	}
+	r.greetedAt = now
+}
+
+// lapsed reports whether others may have taken this node's slots, since it was paused.
+func (r *roster) lapsed(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lapsedLocked(now)
+}
+
+func (r *roster) lapsedLocked(now time.Time) bool {
+	return now.Sub(r.greetedAt) >= r.stretchLocked(lapseAfter)
+}
+
 // agree brings the target into force once every other node of it has agreed. A
 // node that starts while others are silent takes its share without their word
 // after startPatience: otherwise one silent VM would keep a whole site from starting.
@@ -175,7 +218,8 @@
 	if r.everAgreed {
 		return false
 	}
-	silent := now.Sub(r.started) >= startPatience && now.Sub(n.heard) >= startPatience
+	patience := r.stretchLocked(startPatience)
+	silent := now.Sub(r.started) >= patience && now.Sub(n.heard) >= patience
 	return silent || !n.refused.IsZero()
 }
 
@@ -194,9 +238,12 @@
 }
 
 // share returns how many slots of an upstream this node may use now.
-func (r *roster) share(vm platform.VM) int {
+func (r *roster) share(vm platform.VM, now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.lapsedLocked(now) {
+		return 0
+	}
 	n, ok := r.shares[vm.ID]
 	if !ok {
 		n = r.countShare(vm)
@@ -281,18 +328,23 @@
 func (r *roster) reachable(now time.Time, filter func(*rosterNode) bool) []membership.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	within := time.Duration(r.spreadLocked()) * liveFor
+	within := r.stretchLocked(liveFor)
 	return r.collect(func(n *rosterNode) bool { return now.Sub(n.heard) < within && filter(n) })
 }
 
-// spread returns by how much the time between hellos is stretched.
-func (r *roster) spread() int {
+// spreadLocked returns by how much the time between hellos is stretched.
+func (r *roster) spreadLocked() int { return max(1, (len(r.nodes)+meshSize-1)/meshSize) }
+
+// stretch lengthens a time as the time between hellos is.
+func (r *roster) stretch(d time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.spreadLocked()
+	return r.stretchLocked(d)
 }
 
-func (r *roster) spreadLocked() int { return max(1, (len(r.nodes)+meshSize-1)/meshSize) }
+func (r *roster) stretchLocked(d time.Duration) time.Duration {
+	return time.Duration(r.spreadLocked()) * d
+}
 
 func (r *roster) collect(filter func(*rosterNode) bool) []membership.Member {
 	var out []membership.Member
