Measure a store outage as a scenario of the bench

Cause: the figures of a store outage came from a test of pkg/requests alone, and the issue names a scenario.

--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -39,16 +39,17 @@
 
 // scenarios are the known scenarios by name.
 var scenarios = map[string]Scenario{
-	"config":      configScenario,
-	"restart":     restartScenario,
-	"capacity":    capacity,
-	"failover":    runFailover,
-	"mix-hooghly": mixHooghly,
-	"mix-lima":    mixLima,
-	"reclaim":     reclaim,
-	"zone-move":   zoneMove,
-	"target":      target,
-	"requests":    requestsScenario,
+	"config":       configScenario,
+	"restart":      restartScenario,
+	"capacity":     capacity,
+	"failover":     runFailover,
+	"mix-hooghly":  mixHooghly,
+	"mix-lima":     mixLima,
+	"reclaim":      reclaim,
+	"zone-move":    zoneMove,
+	"target":       target,
+	"requests":     requestsScenario,
+	"store-outage": storeOutageScenario,
 }
 
 // Run runs one scenario.
--- a/pkg/requests/leaving_test.go
+++ b/pkg/requests/leaving_test.go
@@ -17,6 +17,14 @@
 // leaveWithin is the bound of the issue on new work for a leaving upstream.
 const leaveWithin = 5 * time.Second
 
+// price sends a price check through entry VM i and reports whether it was answered.
+func (f *fixture) price(i int) bool {
+	ctx, cancel := context.WithTimeout(f.t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := f.Client(i).Request(ctx, &api.Request{Account: "yard-agents", Service: "stave-desk", Class: "price-check", Idempotent: true, Body: []byte("price")})
+	return err == nil
+}
+
 // traffic sends 40 price checks a second for d and returns how many failed.
 func (f *fixture) traffic(d time.Duration) (failed int) {
 	var wg sync.WaitGroup
