Keep retries after silent connections apart in the budget

Cause: the larger savings for silent connections let a node with many slots make more than a tenth of retries in a short overload after quiet times. Both together stay at a tenth of the first attempts. Tests: TestBudgetBoundsRetries asks for both kinds, same bound.

--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -214,11 +214,11 @@
 func (s *Service) run(ctx context.Context, r *api.Request, once *sendOnce) api.Answer {
 	var last api.Answer
 	for attempt := 0; ; attempt++ {
-		answer := s.attempt(ctx, r, once, attempt, last.Upstream)
+		answer, silent := s.attempt(ctx, r, once, attempt, last.Upstream)
 		if attempt > 0 {
 			answer = joinVerdicts(last, answer)
 		}
-		if !s.again(ctx, r, answer, attempt) {
+		if !s.again(ctx, r, answer, attempt, silent) {
 			s.histogram.attempts(r, attempt+1)
 			return answer
 		}
@@ -241,7 +241,7 @@
 // again reports whether another attempt is safe, paid for and in time. One that
 // is known not to have run costs no upstream any work, and makes the node keep
 // off that upstream, so it needs no share of the budget.
-func (s *Service) again(ctx context.Context, r *api.Request, answer api.Answer, attempt int) bool {
+func (s *Service) again(ctx context.Context, r *api.Request, answer api.Answer, attempt int, silent bool) bool {
 	if answer.Error == nil || answer.Upstream == "" || attempt+1 >= maxAttempts || ctx.Err() != nil {
 		return false
 	}
@@ -253,7 +253,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool(r.Service).budget.Retry()
+	return s.pool(r.Service).budget.Retry(silent)
 }
 
 // refuseUnsent refuses a request that was not sent. Another attempt with the same
@@ -301,26 +301,27 @@
 	return nil
 }
 
-// attempt waits for a slot and sends the request once.
-func (s *Service) attempt(ctx context.Context, r *api.Request, once *sendOnce, attempt int, avoid string) api.Answer {
+// attempt waits for a slot and sends the request once. silent says that it was
+// lost to a silent connection.
+func (s *Service) attempt(ctx context.Context, r *api.Request, once *sendOnce, attempt int, avoid string) (answer api.Answer, silent bool) {
 	class, err := s.class(r)
 	if err != nil {
-		return refuse(r, err)
+		return refuse(r, err), false
 	}
 	began := time.Now()
 	vm, refusal := s.acquire(ctx, r, class, avoid)
 	if refusal != nil {
-		return refuse(r, refusal)
+		return refuse(r, refusal), false
 	}
 	s.histogram.queued(r, time.Since(began))
 	s.awaitCurrent(ctx)
 	if err := s.checkSend(time.Now()); err != nil {
 		s.release(r.Service, vm, 0)
-		return refuseUnsent(r, err)
+		return refuseUnsent(r, err), false
 	}
 	if !once.begin() {
 		s.release(r.Service, vm, 0)
-		return uncertain(r, "the key has been given to another entry VM")
+		return uncertain(r, "the key has been given to another entry VM"), false
 	}
 	got, took := s.send(ctx, vm, r, attempt)
 	once.end(got.answer)
@@ -330,7 +331,7 @@
 		hold = abandonedHold
 	}
 	s.release(r.Service, vm, hold)
-	return got.answer
+	return got.answer, got.silent
 }
 
 // send makes one attempt. While an idempotent request has time for another
