Say not-run of a key only if no older attempt runs afterwards

Cause: the holder of a key told a refused attempt not-run while another attempt with the key was alive: waiting at the holder, or handed over by another node and still on its way. It ran afterwards. A second cause, found by the long run with keys: a node without the configuration, or that refused an idempotent request with a key, said not-run without holding the key.

Ruled out: two nodes sending for one key.

Change: the holder numbers its not-runs and tells the last number in hellos; an attempt carries the number known when it reached an entry VM, and is fenced if it may be older than the key's last not-run. A leader that others wait for is told may-have-run. Whoever does not hold the key says may-have-run. Reading the same code showed that a key noted for one body, but won by another, told the winner's body not-run; it is unsure now until the key has an owner.

--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -53,6 +53,10 @@
 	// leader says that a request of this node is working on the key; changed is
 	// closed when it stops.
 	leader bool
+	// waited says that another request waited for the leader.
+	waited bool
+	// barrier is the number of the last refusal that was told to be not-run.
+	barrier uint64
 	// first says that the leader has the word of the first node in order.
 	first   bool
 	changed chan struct{}
@@ -72,6 +76,8 @@
 	order   []string
 	kept    []string
 	bytes   int
+	// refusals numbers the refusals that were told to be not-run.
+	refusals uint64
 }
 
 // NewTable returns the table of the node with incarnation self.
@@ -81,6 +87,9 @@
 type Step struct {
 	// Reused means that the key belongs to another request body.
 	Reused bool
+	// Unsure means that the request must not be run now, and that nothing is
+	// known of the others with its key.
+	Unsure bool
 	// Owner is the other node to ask, if not empty.
 	Owner string
 	// Answer is the outcome, if the request has ended.
@@ -121,8 +130,32 @@
 // full reports whether no further key can be granted before the log is back.
 func (t *Table) full() bool { return len(t.entries) > 2*maxEntries }
 
+// Mark returns the number of the last refusal of this node that was told to be
+// not-run. A request that arrives later is younger than that refusal.
+func (t *Table) Mark() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refusals
+}
+
+// Refuse reports whether a leader that has sent nothing may be told not-run:
+// only if no other request waits for it. From then on the request runs only for
+// those that arrived after this refusal; older ones may still be on their way.
+func (t *Table) Refuse(key string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[key]
+	if e == nil || e.owner != t.self || e.phase != unsent || e.waited {
+		return false
+	}
+	t.refusals++
+	e.barrier = t.refusals
+	return true
+}
+
 // Enter begins a request. logged is the owner of the key in the log, if any.
-func (t *Table) Enter(key string, body uint64, logged string, loggedBody uint64) Step {
+// mark is a Mark of this node from before the request arrived at an entry VM.
+func (t *Table) Enter(key string, body uint64, logged string, loggedBody uint64, mark uint64) Step {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if logged != "" && loggedBody != body {
@@ -130,7 +163,15 @@
 	}
 	_, known := t.entries[key]
 	e := t.get(key, body)
-	if e.body != body {
+	switch {
+	case e.body == body:
+	case e.owner == "" && logged != "" && !e.leader:
+		// The claim that was noted for another body has lost in the log.
+		e.body = body
+	case e.owner == "":
+		// The key is being claimed for another body, which may lose.
+		return Step{Unsure: true}
+	default:
 		return Step{Reused: true}
 	}
 	if logged == t.self && !known {
@@ -148,9 +189,12 @@
 		answer := e.answer
 		return Step{Answer: &answer}
 	case e.leader:
+		e.waited = true
 		return Step{Wait: e.changed}
+	case mark < e.barrier:
+		return Step{Unsure: true}
 	}
-	e.leader, e.changed = true, make(chan struct{})
+	e.leader, e.waited, e.changed = true, false, make(chan struct{})
 	return Step{Lead: true, Won: e.owner == t.self}
 }
 
--- /dev/null
+++ b/pkg/claims/claims_test.go
@@ -0,0 +1,30 @@
+package claims
+
+import (
+	"reflect"
+	"testing"
+)
+
+// TestKeyReusedOnlyOnceOwned lets a key be noted for one body while it is used
+// for another one: until it has an owner, neither may be told that it was not run.
+func TestKeyReusedOnlyOnceOwned(t *testing.T) {
+	const key, noted, other = "key", 1, 2
+	for _, tt := range []struct {
+		name   string
+		logged string
+		body   uint64
+		want   Step
+	}{
+		{"being claimed", "", other, Step{Unsure: true}},
+		{"won by the other body", "b", other, Step{Owner: "b"}},
+		{"lost to the other body", "b", noted, Step{Reused: true}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			table := NewTable("self")
+			table.Note(key, noted, "a")
+			if got := table.Enter(key, tt.body, tt.logged, other, 0); !reflect.DeepEqual(got, tt.want) {
+				t.Errorf("got %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
--- a/pkg/requests/keyed.go
+++ b/pkg/requests/keyed.go
@@ -33,6 +33,34 @@
 	return refuse(r, &api.Error{Code: api.CodeUnavailable, Message: message, Verdict: api.MayHaveRun})
 }
 
+// unproven turns the not-run of a request with a key into may-have-run: this
+// node cannot tell what becomes of other attempts with the key.
+func unproven(r *api.Request, a api.Answer) api.Answer {
+	if r.Key == "" || a.Verdict != api.NotRun {
+		return a
+	}
+	e := *a.Error
+	e.Verdict = api.MayHaveRun
+	a.Verdict, a.Error = e.Verdict, &e
+	return a
+}
+
+// marks tell the age of a request with a key. Each is the number of a node's last
+// not-run of a key, as it was known when the request reached an entry VM: its own
+// one of this node, and those of the others by incarnation.
+type marks struct {
+	self   uint64
+	others map[string]uint64
+}
+
+// marks returns the marks of a request that arrives now.
+func (s *Service) marks(r *api.Request) marks {
+	if r.Key == "" {
+		return marks{}
+	}
+	return marks{s.table.Mark(), s.roster.marks()}
+}
+
 // dark reports whether this node cannot use the log for claims.
 func (s *Service) dark(now time.Time) bool {
 	age, ok := s.journal.Age(now)
@@ -45,22 +73,24 @@
 }
 
 // keyed runs a request at most once for its key, whichever nodes it reaches.
-func (s *Service) keyed(ctx context.Context, r *api.Request, hops int) api.Answer {
+func (s *Service) keyed(ctx context.Context, r *api.Request, hops int, arrived marks) api.Answer {
 	if hops > maxHops {
 		return uncertain(r, "the request was handed over too often")
 	}
 	key, body := claims.KeyID(r), claims.BodyID(r)
 	for {
 		logged := s.loggedClaim(key)
-		step := s.table.Enter(key, body, logged.Owner, logged.Body)
+		step := s.table.Enter(key, body, logged.Owner, logged.Body, arrived.self)
 		switch {
 		case step.Reused:
 			return refuse(r, api.FieldErrorf(api.HeaderIdempotencyKey, "was used for another request; this one was not run"))
+		case step.Unsure:
+			return uncertain(r, "an earlier attempt with the key may be under way; try again")
 		case step.Answer != nil:
 			step.Answer.RequestID = r.ID
 			return *step.Answer
 		case step.Owner != "":
-			return s.askOwner(ctx, r, step.Owner, hops)
+			return s.askOwner(ctx, r, step.Owner, hops, arrived)
 		case step.Lead:
 			answer, done := s.lead(ctx, r, key, body, step.Won, hops)
 			s.table.Leave(key)
@@ -90,7 +120,10 @@
 			return api.Answer{}, false
 		}
 	}
-	return s.run(ctx, r, &sendOnce{s.table, key}), true
+	if answer = s.run(ctx, r, &sendOnce{s.table, key}); answer.Verdict == api.NotRun && !s.table.Refuse(key) {
+		answer = unproven(r, answer)
+	}
+	return answer, true
 }
 
 // claim gets the key for this node, by the log or without it. It returns the
@@ -288,12 +321,12 @@
 }
 
 // askOwner hands a request over to the node that holds its key.
-func (s *Service) askOwner(ctx context.Context, r *api.Request, owner string, hops int) api.Answer {
+func (s *Service) askOwner(ctx context.Context, r *api.Request, owner string, hops int, arrived marks) api.Answer {
 	m, ok := s.roster.byIncarnation(owner)
 	if !ok {
 		return uncertain(r, "the entry VM that held the key is gone, an earlier attempt may have run")
 	}
-	return s.handOver(ctx, r, m, owner, hops)
+	return s.handOver(ctx, r, m, owner, hops, arrived.others[owner])
 }
 
 // maxRelays bounds the nodes that a request is offered to, one after the other.
@@ -311,7 +344,7 @@
 		}
 		m := membership.Rendezvous(nodes, r.ID)
 		tried[m.ID] = true
-		if answer = s.handOver(ctx, r, m, "", hops); r.Key != "" || !offerAgain(answer) {
+		if answer = s.handOver(ctx, r, m, "", hops, 0); r.Key != "" || !offerAgain(answer) {
 			break
 		}
 	}
@@ -325,10 +358,10 @@
 
 // handOver lets another node run the request. The node gets a little less time,
 // so that its answer is in before the deadline.
-func (s *Service) handOver(ctx context.Context, r *api.Request, m membership.Member, to string, hops int) api.Answer {
+func (s *Service) handOver(ctx context.Context, r *api.Request, m membership.Member, to string, hops int, mark uint64) api.Answer {
 	deadline, _ := ctx.Deadline()
 	left := time.Until(deadline)
-	call := &RunCall{Request: *r, Timeout: left * 9 / 10, Hops: hops + 1, To: to}
+	call := &RunCall{Request: *r, Timeout: left * 9 / 10, Hops: hops + 1, To: to, Mark: mark}
 	answer := make(chan api.Answer, 1)
 	s.wg.Go(func() {
 		callCtx, cancel := context.WithTimeout(s.life, left)
@@ -351,7 +384,7 @@
 // was opened the request did not run, but an earlier one with its key may have.
 func unanswered(r *api.Request, err error) api.Answer {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" && (r.Key == "" || r.Idempotent) {
+	if errors.As(err, &op) && op.Op == "dial" && r.Key == "" {
 		return refuse(r, api.Errorf(api.CodeUnavailable, "the entry VM that was to take the request over is gone"))
 	}
 	return uncertain(r, "the entry VM that took the request over does not answer")
--- a/pkg/requests/peers.go
+++ b/pkg/requests/peers.go
@@ -48,6 +48,8 @@
 	Joined, HasLog bool
 	// Draining lists the upstreams that asked for no new work.
 	Draining []string
+	// Mark is the number of the node's last not-run of a key.
+	Mark uint64
 }
 
 // KeyCall asks for, or notes, the right to a key.
@@ -75,8 +77,10 @@
 	Timeout time.Duration
 	// Hops counts how often the request was handed over.
 	Hops int
-	// To is the incarnation that is meant, if not empty.
-	To string
+	// To is the incarnation that is meant, if not empty, and Mark the mark of
+	// that node which was known when the request arrived.
+	To   string
+	Mark uint64
 }
 
 // RunReply carries the answer back.
@@ -94,6 +98,7 @@
 	reply.View, _ = s.roster.view()
 	reply.Drained, reply.Draining = s.drained(), s.drainingUpstreams()
 	reply.Joined, reply.HasLog = s.roster.isJoined(), !s.dark(time.Now())
+	reply.Mark = s.table.Mark()
 	return nil
 }
 
@@ -129,7 +134,7 @@
 	defer h.s.serving.Done()
 	ctx, cancel := context.WithTimeout(h.s.life, args.Timeout)
 	defer cancel()
-	reply.Answer = h.s.route(ctx, &args.Request, args.Hops)
+	reply.Answer = h.s.route(ctx, &args.Request, args.Hops, marks{self: args.Mark})
 	return nil
 }
 
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -142,9 +142,10 @@
 	if r.ID == "" {
 		r.ID = uuid.NewString()
 	}
+	arrived := s.marks(r)
 	class, err := s.class(r)
 	if err != nil {
-		return refuse(r, err)
+		return unproven(r, refuse(r, err))
 	}
 	if r.Timeout <= 0 {
 		r.Timeout = time.Duration(class.TimeoutMS) * time.Millisecond
@@ -152,27 +153,27 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
 	began := time.Now()
-	answer := s.route(ctx, r, 0)
+	answer := s.route(ctx, r, 0, arrived)
 	s.histogram.outcome(r, answer.Verdict, time.Since(began))
 	return answer
 }
 
 // route runs a request, or lets another node run it. hops counts how often it
-// was handed over.
-func (s *Service) route(ctx context.Context, r *api.Request, hops int) api.Answer {
+// was handed over, and arrived are the marks from when it reached an entry VM.
+func (s *Service) route(ctx context.Context, r *api.Request, hops int, arrived marks) api.Answer {
 	if _, err := s.class(r); err != nil {
-		return refuse(r, err)
+		return unproven(r, refuse(r, err))
 	}
 	if err := s.relays.CheckServe(time.Now()); err != nil {
 		return refuseUnsent(r, err)
 	}
 	if r.Key != "" && !r.Idempotent {
-		return s.keyed(ctx, r, hops)
+		return s.keyed(ctx, r, hops, arrived)
 	}
 	if hops == 0 && s.shareless(r.Service) {
-		return s.relay(ctx, r, hops, func(n *rosterNode) bool { return n.joined })
+		return unproven(r, s.relay(ctx, r, hops, func(n *rosterNode) bool { return n.joined }))
 	}
-	return s.run(ctx, r, nil)
+	return unproven(r, s.run(ctx, r, nil))
 }
 
 func refuse(r *api.Request, err error) api.Answer {
--- a/pkg/requests/roster.go
+++ b/pkg/requests/roster.go
@@ -55,8 +55,10 @@
 	heard            time.Time
 	// greeted says that the node knows this one and owed the log no keys.
 	greeted bool
-	// joined and hasLog are what the node said of itself last.
+	// joined and hasLog are what the node said of itself last, and mark is the
+	// highest mark of its keys that it told.
 	joined, hasLog bool
+	mark           uint64
 }
 
 func newRoster(self membership.Member, now time.Time) *roster {
@@ -105,7 +107,7 @@
 		r.nodes[m.ID] = n
 	}
 	if n.member.Incarnation != m.Incarnation {
-		n.greeted, n.joined = false, false
+		n.greeted, n.joined, n.mark = false, false, 0
 	}
 	n.member, n.heard, n.refused = m, now, time.Time{}
 	r.retarget(now)
@@ -228,6 +230,7 @@
 	}
 	n.greeted = n.greeted || reply.Unlogged == 0
 	n.joined, n.hasLog = reply.Joined, reply.HasLog
+	n.mark = max(n.mark, reply.Mark)
 	if r.round == round && reply.Drained && reply.View == r.target.Hash() {
 		r.acked[reply.From.ID] = true
 	}
@@ -310,6 +313,17 @@
 	return out
 }
 
+// marks returns the marks of the other nodes by incarnation.
+func (r *roster) marks() map[string]uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]uint64, len(r.nodes))
+	for _, n := range r.nodes {
+		out[n.member.Incarnation] = n.mark
+	}
+	return out
+}
+
 // byIncarnation returns the node that runs under an incarnation.
 func (r *roster) byIncarnation(incarnation string) (membership.Member, bool) {
 	r.mu.Lock()
