Let trials under virtual time not depend on the order of goroutines

Ruled out: the source of random names (the job's name was the same in all runs).

The trial now waits until the nodes have met, and a test that brings a fault about at a step reads the job's name from the log rather than from an answer that the fault may hold back. Nothing else in the checks changes; the cases now always include a coordinator that took the submission.

--- a/pkg/lifecycle/steps_test.go
+++ b/pkg/lifecycle/steps_test.go
@@ -120,8 +120,7 @@
 func runStep(t *testing.T, s step, f fault, attempts int) {
 	tr := startTrial(t, 3, 1)
 	reached := tr.at(s, func(i int) { f.begin(tr, i) })
-	id := tr.submit(0, 4, 20, attempts)
-	entry := <-reached
+	entry, id := tr.submitUntil(reached, gang(4, 20, attempts))
 	time.Sleep(f.lasts)
 	f.end(tr, entry)
 	status := tr.wait((entry+1)%3, id)
@@ -171,8 +170,7 @@
 		w.SetFaults(f)
 	}
 	reached := tr.at(s, func(i int) { tr.Freeze(i) })
-	id := tr.submit(0, 4, 20, 5)
-	entry := <-reached
+	entry, id := tr.submitUntil(reached, gang(4, 20, 5))
 	other := (entry + 1) % 3
 	worker := tr.job(other, id).Placements[0].Worker
 	tr.Entries[other].Node.Journal.View(func(st *state.State) { zone = st.Workers[worker].Zone })
--- a/pkg/lifecycle/trial_test.go
+++ b/pkg/lifecycle/trial_test.go
@@ -65,9 +65,23 @@
 			t.Error(err)
 		}
 	})
+	tr.meet()
 	return tr
 }
 
+// meet waits until the nodes have heard of one another, since which of them
+// coordinates a job depends on it.
+func (tr *trial) meet() {
+	for i := 0; i < len(tr.Entries); {
+		members := tr.Entries[i].Node.Members
+		if len(members.Attached(time.Now())) == len(tr.Entries) {
+			i++
+			continue
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // lockedReader is a source of random bytes for concurrent use.
 type lockedReader struct {
 	mu sync.Mutex
@@ -126,6 +140,32 @@
 	return job.ID
 }
 
+// submitUntil hands in a job at entry 0 and returns once the step is reached
+// whose entry the channel names. The answer to the submission is not waited for:
+// the step may befall the very entry that owes it, and at one virtual moment the
+// order of the two is up to the machine.
+func (tr *trial) submitUntil(reached <-chan int, spec api.JobSpec) (entry int, id string) {
+	tr.t.Helper()
+	data, err := json.Marshal(spec)
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	go func() { _, _ = tr.Client(0).SubmitJob(tr.ctx, data, "") }()
+	entry = <-reached
+	for id == "" {
+		tr.Entries[(entry+1)%len(tr.Entries)].Node.Journal.View(func(st *state.State) {
+			for _, j := range st.Jobs {
+				if len(j.Placements) > 0 {
+					id = j.ID
+				}
+			}
+		})
+		time.Sleep(time.Millisecond)
+	}
+	tr.specs[id] = spec
+	return entry, id
+}
+
 // wait waits at entry i for the end of a job.
 func (tr *trial) wait(i int, id string) *api.JobStatus {
 	tr.t.Helper()
