Keep gangs of a paused coordinator whole

Cause, by the cases of the new test: a coordinator that wakes stops the gang that a successor has taken over. Its calls have run out of time, so it judges that a worker was lost, or that the start failed, and sends stops before the log refuses its end; the successor then sees stopped tasks ("a task failed or was lost"). A coordinator paused between two starts leaves a gang in part, which can only fail: this one fits the script, where the node is still paused when the job fails.

Ruled out: the leases of the script's jobs, whose 8 s of work end before a lease of 10 s lapses.

Change: a coordinator of a failed attempt writes a stop record before it stops a task, refused if it was replaced (format 2 of the records). Whether a task may have started is read from the log. A round that began within a lease's time of the last whole one ends nothing. A deputy sends the starts of a coordinator that does not answer. A gang is no longer reserved twice under one token. The in-memory platform now lets calls run out of time while their process is paused, as they do outside of tests: its former kindness hid the first cause in the renewals.

After, `go test -count=1 ./pkg/lifecycle`: all pass. TestStopIsRefusedAfterClaim does not compile without the record.

A coordinator that is silent, but listed, for longer than the staleness bound in an outage of the log still costs the gang, since it may see the log.

--- a/pkg/lifecycle/begin.go
+++ b/pkg/lifecycle/begin.go
@@ -9,41 +9,39 @@
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
-const (
-	// maxReservations bounds how often a gang is reserved anew because the log
-	// confirmed too late for a start.
-	maxReservations = 3
-	// retryPause is the wait before a failed call of a worker is repeated.
-	retryPause = 100 * time.Millisecond
-)
+// retryPause is the wait before a failed call of a worker is repeated.
+const retryPause = 100 * time.Millisecond
 
 // begin reserves every task, confirms in the log that the attempt is still
 // wanted, and starts every task.
 func (g *gang) begin(ctx context.Context) error {
-	g.beganHere = true
-	for range maxReservations {
-		reserved := time.Now()
-		if err := g.untilAccepted(ctx, reserved.Add(g.s.settings.StartWithin), g.reserve); err != nil {
-			return err
-		}
-		if err := g.confirm(ctx); err != nil {
-			return err
-		}
-		// Leave some of the time to the starts: a gang that starts on some
-		// workers and is refused on others is worse than one that starts later.
-		if time.Since(reserved) < g.s.settings.StartWithin*4/5 {
-			return g.start(ctx, reserved)
-		}
+	reserved := time.Now()
+	if err := g.untilAccepted(ctx, reserved.Add(g.s.settings.StartWithin), g.reserve); err != nil {
+		return err
+	}
+	err := g.confirmAndStart(ctx, reserved)
+	if err == nil || g.runsWhole(ctx) {
+		// If this process was paused in between, its deputy has sent the starts.
+		return nil
+	}
+	return err
+}
+
+func (g *gang) confirmAndStart(ctx context.Context, reserved time.Time) error {
+	if err := g.confirm(ctx); err != nil {
+		return err
+	}
+	// Leave some of the time to the starts: a gang that starts on some
+	// workers and is refused on others is worse than one that starts later.
+	if time.Since(reserved) >= g.s.settings.StartWithin*4/5 {
+		return api.Errorf(api.CodeUnavailable, "the log is too slow to confirm a start within %s", g.s.settings.StartWithin)
 	}
-	return api.Errorf(api.CodeUnavailable, "the log is too slow to confirm a start within %s", g.s.settings.StartWithin)
+	return g.start(ctx, reserved)
 }
 
 func (g *gang) start(ctx context.Context, reserved time.Time) error {
 	err := g.untilAccepted(ctx, reserved.Add(g.s.settings.StartWithin), func(ctx context.Context, m *member) error {
-		err := m.worker.Start(ctx, m.task)
-		// A call that never went out, or was refused, started nothing.
-		m.mayHaveStarted = m.mayHaveStarted || err == nil || api.AsError(err, api.MayHaveRun).Verdict != api.NotRun
-		return err
+		return m.worker.Start(ctx, m.task)
 	})
 	// The leases run from the reservation.
 	g.since, g.lastWhole = time.Now(), reserved
@@ -98,36 +96,19 @@
 // confirm asks the log, after the reservations were made, whether the attempt
 // is still wanted. An availability zone that is in then was in when the
 // reservations began, so a start that the workers accept, within StartWithin
-// of them, is no later than that after the zone was taken out. The first
-// confirmation is a record, so that the log tells attempts that may have
-// started tasks from those that have not.
+// of them, is no later than that after the zone was taken out. The confirmation
+// is a record, so that the log tells attempts that may have started tasks from
+// those that have not.
 func (g *gang) confirm(ctx context.Context) error {
-	if !g.job.Started {
-		out, err := g.s.propose(ctx, state.Record{Begin: &state.BeginAttempt{
-			Job: g.job.ID, Token: g.job.Token, Coordinator: g.s.journal.Writer(),
-		}})
-		if err != nil {
-			return err
-		}
-		if out.Err != nil {
-			return out.Err
-		}
-		g.job.Started = true
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
-	if err := g.s.journal.Sync(ctx); err != nil {
+	out, err := g.s.propose(ctx, state.Record{Begin: &state.BeginAttempt{
+		Job: g.job.ID, Token: g.job.Token, Coordinator: g.s.journal.Writer(),
+	}})
+	if err != nil {
 		return err
 	}
-	var err error = api.Errorf(api.CodeConflict, "the attempt is no longer in force")
-	g.s.journal.View(func(st *state.State) {
-		if j := st.Jobs[g.job.ID]; j != nil && j.Token == g.job.Token {
-			err = nil
-			if refusal := st.CheckWanted(j, g.s.journal.Writer()); refusal != nil {
-				err = refusal
-			}
-		}
-	})
-	return err
+	if out.Err != nil {
+		return out.Err
+	}
+	g.job.Started = true
+	return nil
 }
--- a/pkg/lifecycle/gang.go
+++ b/pkg/lifecycle/gang.go
@@ -19,12 +19,11 @@
 	s       *Service
 	job     *state.Job
 	members []member
-	// beganHere says that this node has tried to start the attempt.
-	beganHere bool
 	// since is when this node took the attempt on, or started its tasks.
 	since time.Time
-	// lastWhole is when the last renewal began that reached every member.
-	lastWhole time.Time
+	// lastWhole is when the last renewal began that reached every member, and
+	// lastRound when the last round began, whether it reached them or not.
+	lastWhole, lastRound time.Time
 	// quietSince is since when the attempt has been stopping under a fresh view.
 	quietSince time.Time
 }
@@ -40,8 +39,6 @@
 	// doubtful says that the worker did not answer lately. No member is renewed
 	// while one is doubtful.
 	doubtful bool
-	// mayHaveStarted says that a start sent by this node may have taken effect.
-	mayHaveStarted bool
 	// blamed says that the worker refused, failed or lost the task.
 	blamed bool
 }
@@ -107,7 +104,7 @@
 		switch g.phase() {
 		case api.PhasePlaced:
 		case api.PhaseStopping:
-			g.stop(ctx, state.OutcomeStopped, "the attempt was stopped on request")
+			g.stop(ctx, state.OutcomeStopped, g.stopReason())
 			return
 		default:
 			return
@@ -136,7 +133,9 @@
 		// Another node may have claimed the attempt: neither renew nor stop.
 		g.doubtAll()
 		return false
-	case err != nil && time.Since(g.lastWhole) > g.s.settings.LeaseTTL:
+	case err != nil && g.lastRound.Sub(g.lastWhole) > g.s.settings.LeaseTTL:
+		// A round that began earlier may have failed because this process was
+		// paused in it, while another node kept the gang alive.
 		g.blameDoubtful()
 		g.stop(ctx, state.OutcomeFailed, "a worker was lost: "+err.Error())
 	default:
@@ -158,9 +157,24 @@
 	return phase
 }
 
+// stopReason returns why the attempt is stopping.
+func (g *gang) stopReason() string {
+	reason := ""
+	g.s.journal.View(func(st *state.State) {
+		if j := st.Jobs[g.job.ID]; j != nil && j.Token == g.job.Token {
+			reason = j.Reason
+		}
+	})
+	if reason == "" {
+		return "the attempt was stopped on request"
+	}
+	return reason
+}
+
 // round renews the leases of all members, or of none while one is in doubt.
 func (g *gang) round(ctx context.Context) error {
 	began := time.Now()
+	g.lastRound = began
 	if g.anyDoubtful() {
 		err := g.ask(ctx)
 		if err != nil || !g.allIn(platform.TaskRunning, platform.TaskDone) {
--- a/pkg/lifecycle/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -86,6 +86,8 @@
 	claiming map[int64]bool
 	// silent is when an orphan's coordinator was first seen not to be live.
 	silent map[orphan]time.Time
+	// begun holds the tokens of the attempts that the log shows to have begun.
+	begun  map[int64]bool
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
@@ -148,6 +150,7 @@
 	for ctx.Err() == nil {
 		changed := s.journal.Changed()
 		s.adopt(ctx)
+		s.backUpStarts(ctx)
 		s.tendOrphans(ctx)
 		select {
 		case <-changed:
--- /dev/null
+++ b/pkg/lifecycle/pause_test.go
@@ -0,0 +1,79 @@
+package lifecycle_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/memsite"
+	"github.com/shallotpin/shallotpin/pkg/standin"
+)
+
+// pauses are shorter than a suspicion, about as long, shorter than a lease's
+// time, longer, and longer than the staleness bound.
+var pauses = []time.Duration{
+	3 * time.Second, 4500 * time.Millisecond, 6 * time.Second, 9 * time.Second, 13 * time.Second, 25 * time.Second, time.Minute,
+}
+
+// pauseSteps are the moments of a start and of the renewals after it: of the
+// first looks at a gang, and of those that are a full interval apart.
+func pauseSteps() []step {
+	out := append([]step{}, steps...)
+	for nth := 1; nth <= 4; nth++ {
+		for _, answered := range []bool{false, true} {
+			out = append(out, step{memsite.OpRenew, answered, nth}, step{memsite.OpRenew, answered, 100 + nth})
+		}
+	}
+	return out
+}
+
+// TestPausedCoordinatorCostsNoGang pauses the coordinator of a gang that may run
+// once, at every step, and lets it go on: the gang must be done by one attempt.
+func TestPausedCoordinatorCostsNoGang(t *testing.T) {
+	for _, s := range pauseSteps() {
+		for _, pause := range pauses {
+			t.Run(fmt.Sprintf("%s/%s", s, pause), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					tr := startTrial(t, 3, 1)
+					entry, id := tr.submitUntil(tr.at(s, func(i int) { tr.Freeze(i) }), gang(4, 90, 1))
+					time.Sleep(pause)
+					tr.Thaw(entry)
+					tr.checkDone(tr.wait((entry+1)%3, id))
+					tr.check(settings.PausedPartialBound())
+				})
+			})
+		}
+	}
+}
+
+// TestPausedCoordinatorWithoutLog pauses the coordinator while the log is dark.
+// When it wakes it still coordinates the gang, which others kept alive meanwhile.
+// They do so for no longer than the staleness bound: a listed node that is silent
+// may see the log, and have ended the attempt.
+func TestPausedCoordinatorWithoutLog(t *testing.T) {
+	for _, pause := range pauses {
+		t.Run(pause.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tr := startTrial(t, 3, 1)
+				id := tr.submit(0, 4, 300, 1)
+				c := tr.running(0, id)
+				time.Sleep(20 * time.Second)
+				tr.Log.SetFaults(standin.LogFaults{Down: true})
+				tr.Freeze(c)
+				time.Sleep(pause)
+				tr.Thaw(c)
+				time.Sleep(time.Minute)
+				tr.Log.SetFaults(standin.LogFaults{})
+				status := tr.wait((c+1)%3, id)
+				tr.check(settings.PartialBound())
+				if pause < settings.StalenessBound {
+					tr.checkDone(status)
+				} else if status.Phase != api.PhaseFailed || status.Verdict != api.MayHaveRun {
+					t.Errorf("ended as %s, %s; a node that is silent for longer may see the log", status.Phase, status.Verdict)
+				}
+			})
+		})
+	}
+}
--- a/pkg/lifecycle/stop.go
+++ b/pkg/lifecycle/stop.go
@@ -13,13 +13,19 @@
 // stop ends every task, and then the attempt. A task has ended once its worker
 // has acknowledged the stop, which fences the attempt there; once its worker is
 // gone for good; or once no lease of it can be in force any more.
+//
+// The log decides first that the attempt stops: a call that stops a task may be
+// late by any time, and must not reach the gang that a successor keeps alive.
 func (g *gang) stop(ctx context.Context, outcome state.AttemptOutcome, reason string) {
+	if !g.markStopping(ctx, reason) {
+		return
+	}
 	mayRun := g.mayHaveStarted()
 	ended := make([]bool, len(g.members))
 	g.quietSince = time.Time{}
 	for {
 		g.stopOnce(ctx, ended)
-		if !anyFalse(ended) || !mayRun || g.quiet(ctx, reason) >= g.s.settings.UnreachableWait() {
+		if !anyFalse(ended) || !mayRun || g.quiet() >= g.s.settings.UnreachableWait() {
 			break
 		}
 		if !waitFor(ctx, nil, g.s.settings.RenewInterval) {
@@ -34,14 +40,39 @@
 	g.end(ctx, g.endAttempt(outcome, reason))
 }
 
-// mayHaveStarted reports whether a task of the attempt may have been started.
-// Only the coordinator whose begin the log accepted sends a start, and this
-// node knows whether it was the one.
-func (g *gang) mayHaveStarted() bool {
-	if !g.beganHere {
-		return g.job.Started
+// markStopping has the log record that the attempt is stopping. It returns
+// false if this node does not coordinate the attempt any more. Until the log
+// answers no lease is renewed, so that the tasks end by themselves.
+func (g *gang) markStopping(ctx context.Context, reason string) bool {
+	for ctx.Err() == nil {
+		switch g.phase() {
+		case api.PhaseStopping:
+			return true
+		case api.PhasePlaced:
+		default:
+			return false
+		}
+		_, err := g.s.propose(ctx, state.Record{Stop: &state.StopAttempt{
+			Job: g.job.ID, Token: g.job.Token, Coordinator: g.s.journal.Writer(), Reason: reason,
+		}})
+		if err != nil {
+			waitFor(ctx, nil, retryPause)
+		}
 	}
-	return slices.ContainsFunc(g.members, func(m member) bool { return m.mayHaveStarted })
+	return false
+}
+
+// mayHaveStarted reports whether a task of a stopping attempt may have been
+// started: no start is sent before the log has accepted the begin, and it
+// accepts none of an attempt that is stopping.
+func (g *gang) mayHaveStarted() bool {
+	started := g.job.Started
+	g.s.journal.View(func(st *state.State) {
+		if j := st.Jobs[g.job.ID]; j != nil && j.Token == g.job.Token {
+			started = j.Started
+		}
+	})
+	return started
 }
 
 // stopOnce asks every worker once to stop its task.
@@ -80,10 +111,7 @@
 // the attempt is stopping, since until then a node that misses the coordinator
 // may keep the attempt alive. It only counts while this node's view is fresh:
 // meanwhile no node can find the log dark for all, and renew for that reason.
-func (g *gang) quiet(ctx context.Context, reason string) time.Duration {
-	if g.phase() == api.PhasePlaced {
-		_, _ = g.s.propose(ctx, state.Record{Preempt: &state.PreemptJob{Job: g.job.ID, Token: g.job.Token, Reason: reason}})
-	}
+func (g *gang) quiet() time.Duration {
 	now := time.Now()
 	switch {
 	case !g.s.staleness.fresh(now) || g.phase() != api.PhaseStopping:
--- a/pkg/memsite/gate.go
+++ b/pkg/memsite/gate.go
@@ -94,11 +94,15 @@
 	return nil
 }
 
-// after waits while the process is paused, and then lets the answer in.
-func (g *gate) after(err error) error {
+// after waits while the process is paused, and then lets the answer in, unless
+// the caller's time has run out.
+func (g *gate) after(ctx context.Context, err error) error {
 	if !g.host.Wait() {
 		return net.ErrClosed
 	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	return err
 }
 
@@ -116,9 +120,9 @@
 }
 
 // afterFrom ends a call of a worker.
-func (w *gatedWorker) afterFrom(op Op, err error) error {
+func (w *gatedWorker) afterFrom(ctx context.Context, op Op, err error) error {
 	w.gate.observe(op, w.id, true)
-	return w.gate.after(err)
+	return w.gate.after(ctx, err)
 }
 
 type gatedLog struct {
@@ -133,7 +137,7 @@
 	}
 	offset, err := l.log.Append(context.WithoutCancel(ctx), data)
 	l.gate.observe(OpAppend, "", true)
-	return offset, l.gate.after(err)
+	return offset, l.gate.after(ctx, err)
 }
 
 func (l *gatedLog) Read(ctx context.Context, from int64, wait time.Duration) (platform.Page, error) {
@@ -141,7 +145,7 @@
 		return platform.Page{}, err
 	}
 	page, err := l.log.Read(ctx, from, wait)
-	return page, l.gate.after(err)
+	return page, l.gate.after(ctx, err)
 }
 
 type gatedVMs struct {
@@ -154,7 +158,7 @@
 		return nil, err
 	}
 	vms, err := v.vms.List(ctx)
-	return vms, v.gate.after(err)
+	return vms, v.gate.after(ctx, err)
 }
 
 type gatedWorkers struct {
@@ -183,14 +187,14 @@
 	if err := w.passTo(OpReserve); err != nil {
 		return err
 	}
-	return w.afterFrom(OpReserve, w.worker.Reserve(context.WithoutCancel(ctx), r))
+	return w.afterFrom(ctx, OpReserve, w.worker.Reserve(context.WithoutCancel(ctx), r))
 }
 
 func (w *gatedWorker) Start(ctx context.Context, id platform.TaskID) error {
 	if err := w.passTo(OpStart); err != nil {
 		return err
 	}
-	return w.afterFrom(OpStart, w.worker.Start(context.WithoutCancel(ctx), id))
+	return w.afterFrom(ctx, OpStart, w.worker.Start(context.WithoutCancel(ctx), id))
 }
 
 func (w *gatedWorker) Renew(ctx context.Context, ids []platform.TaskID, ttl time.Duration) ([]platform.TaskStatus, error) {
@@ -198,7 +202,7 @@
 		return nil, err
 	}
 	out, err := w.worker.Renew(context.WithoutCancel(ctx), ids, ttl)
-	return out, w.afterFrom(OpRenew, err)
+	return out, w.afterFrom(ctx, OpRenew, err)
 }
 
 func (w *gatedWorker) Stop(ctx context.Context, id platform.TaskID, checkpoint bool) (platform.TaskStatus, error) {
@@ -206,14 +210,14 @@
 		return platform.TaskStatus{}, err
 	}
 	out, err := w.worker.Stop(context.WithoutCancel(ctx), id, checkpoint)
-	return out, w.afterFrom(OpStop, err)
+	return out, w.afterFrom(ctx, OpStop, err)
 }
 
 func (w *gatedWorker) Throttle(ctx context.Context, id platform.TaskID, percent int) error {
 	if err := w.gate.pass(w.isCut); err != nil {
 		return err
 	}
-	return w.gate.after(w.worker.Throttle(context.WithoutCancel(ctx), id, percent))
+	return w.gate.after(ctx, w.worker.Throttle(context.WithoutCancel(ctx), id, percent))
 }
 
 func encodeConfig(c *config.Config) []byte {
--- a/pkg/state/apply.go
+++ b/pkg/state/apply.go
@@ -48,6 +48,8 @@
 		return s.applyClaim(r.Claim)
 	case r.Begin != nil:
 		return s.applyBegin(r.Begin)
+	case r.Stop != nil:
+		return s.applyStop(r.Stop)
 	case r.End != nil:
 		return s.applyEnd(r.End)
 	case r.ClaimKey != nil:
--- a/pkg/state/attempts_test.go
+++ b/pkg/state/attempts_test.go
@@ -84,3 +84,20 @@
 		t.Errorf("second attempt: started %v, %v", f.Jobs["j"].Started, out.Err)
 	}
 }
+
+func TestStopIsRefusedAfterClaim(t *testing.T) {
+	f := placedJob(t, 1)
+	f.apply(Record{Claim: &ClaimJob{Job: "j", Token: 1, From: "a", To: "b"}})
+	for _, c := range []struct {
+		coordinator string
+		want        api.Phase
+	}{{"a", api.PhasePlaced}, {"b", api.PhaseStopping}} {
+		out := f.apply(Record{Stop: &StopAttempt{Job: "j", Token: 1, Coordinator: c.coordinator, Reason: "a task was lost"}})
+		if refused := out.Err != nil; refused != (c.want == api.PhasePlaced) || f.Jobs["j"].Phase != c.want {
+			t.Errorf("%s: refused %v, the job is %s, want %s", c.coordinator, refused, f.Jobs["j"].Phase, c.want)
+		}
+	}
+	if out := f.begin("b"); out.Err == nil {
+		t.Error("an attempt that is stopping may still start")
+	}
+}
--- a/pkg/state/jobs.go
+++ b/pkg/state/jobs.go
@@ -171,16 +171,30 @@
 	if j == nil {
 		return out
 	}
-	if err := s.CheckWanted(j, r.Coordinator); err != nil {
+	if err := s.checkWanted(j, r.Coordinator); err != nil {
 		return refuse(err)
 	}
 	j.Started = true
 	return Outcome{JobID: j.ID, Token: j.Token}
 }
 
-// CheckWanted returns an error unless the attempt in force of j may start its
+func (s *State) applyStop(r *StopAttempt) Outcome {
+	j, out := s.attempt(r.Job, r.Token)
+	if j == nil {
+		return out
+	}
+	if j.Coordinator != r.Coordinator {
+		return refuse(api.Errorf(api.CodeConflict, "job %s is coordinated by %s, not %s", j.ID, j.Coordinator, r.Coordinator))
+	}
+	if j.Phase == api.PhasePlaced {
+		j.Phase, j.Reason = api.PhaseStopping, r.Reason
+	}
+	return Outcome{JobID: j.ID}
+}
+
+// checkWanted returns an error unless the attempt in force of j may start its
 // tasks under the given coordinator.
-func (s *State) CheckWanted(j *Job, coordinator string) *api.Error {
+func (s *State) checkWanted(j *Job, coordinator string) *api.Error {
 	if j.Phase != api.PhasePlaced {
 		return api.Errorf(api.CodeConflict, "job %s is %s", j.ID, j.Phase)
 	}
--- a/pkg/state/record.go
+++ b/pkg/state/record.go
@@ -31,6 +31,7 @@
 	Preempt  *PreemptJob   `json:"preempt,omitempty"`
 	Claim    *ClaimJob     `json:"claim,omitempty"`
 	Begin    *BeginAttempt `json:"begin,omitempty"`
+	Stop     *StopAttempt  `json:"stop,omitempty"`
 	End      *EndAttempt   `json:"end,omitempty"`
 	ClaimKey *ClaimKey     `json:"claim_key,omitempty"`
 
@@ -40,7 +41,7 @@
 // Format is the format of the records that this program writes. It rises with
 // every change of the records or of the fold that an older program would apply
 // differently, since all nodes must fold alike.
-const Format = 1
+const Format = 2
 
 // Batch is the payload of one log entry.
 type Batch struct {
@@ -154,6 +155,16 @@
 	Coordinator string `json:"coordinator"`
 }
 
+// StopAttempt is written by the coordinator of a failed attempt before it stops
+// the first task. It is refused unless Coordinator coordinates the attempt, in
+// log order: so a coordinator that was replaced stops nothing.
+type StopAttempt struct {
+	Job         string `json:"job"`
+	Token       int64  `json:"token"`
+	Coordinator string `json:"coordinator"`
+	Reason      string `json:"reason"`
+}
+
 // AttemptOutcome says how an attempt ended.
 type AttemptOutcome string
 
