--- a/pkg/lifecycle/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -88,8 +88,10 @@
 	silent map[orphan]time.Time
 	// loneClaims counts this node's claims of an attempt without a quorum, by token.
 	loneClaims map[int64]int
-	cancel     context.CancelFunc
-	wg         sync.WaitGroup
+	// begun holds the tokens of the attempts that the log shows to have begun.
+	begun  map[int64]bool
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 }
 
 // New returns a lifecycle service that reaches workers through workers. Its
@@ -150,6 +152,7 @@
 	for ctx.Err() == nil {
 		changed := s.journal.Changed()
 		s.adopt(ctx)
+		s.backUpStarts(ctx)
 		s.tendOrphans(ctx)
 		select {
 		case <-changed:
