Let the refusal of a key be tested where retries of a not-run are free

A retry after a true not-run needs no budget any more, so in TestRefusalHoldsForOlderAttempts/older_attempt_waits_for_the_retry the retry got through to an upstream that refuses no more, and ran: the case that the test is for, a retry that is refused while an older attempt waits, did not occur.

Change: the upstreams refuse for 18 ms, longer than the four attempts of the retry (4 ms apart from 4 ms on) and shorter than the older attempt's way after them. What is wanted is as before.

Conclusion: the case occurs again.

--- a/pkg/requests/refusal_test.go
+++ b/pkg/requests/refusal_test.go
@@ -49,7 +49,7 @@
 		want     api.Verdict
 	}{
 		{"older attempt arrives after the refusal", false, time.Millisecond, 5 * time.Millisecond, 0, api.NotRun},
-		{"older attempt waits for the retry", false, time.Millisecond, 5 * time.Second, 5 * time.Millisecond, api.MayHaveRun},
+		{"older attempt waits for the retry", false, time.Millisecond, 5 * time.Second, 18 * time.Millisecond, api.MayHaveRun},
 		{"idempotent", true, time.Millisecond, 5 * time.Millisecond, 0, api.MayHaveRun},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
