Renew for a silent coordinator before it is suspected

Cause, by the constants: another node renewed only after the suspicion (4 s, 8 s in a fleet of more than 9 nodes), a look each second, and two calls of up to 1 s, against a lease of which 8 s are left in the worst case: 1 s of margin, and -3 s in a large fleet.

Renewing a lease decides nothing, so it now begins once the coordinator is late (2.5 s, 5 s), with a look each 0.5 s; the claim still waits for the suspicion. TakeoverMargin gives what is left: 3 s and 0.5 s with the default settings. A heartbeat that is late by chance costs some renewals twice, no more.

TestTakeoverLeavesMargin fails for 12 nodes with the former silences put in place of the new ones ("the margin is -2.5s"). After: `go test -count=1 ./pkg/lifecycle ./pkg/membership ./pkg/memsite` passes, under load.

--- a/pkg/lifecycle/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -67,6 +67,14 @@
 	return time.Duration(float64(2*s.LeaseTTL+s.RenewInterval+s.CallTimeout) * (1 + s.ClockDrift))
 }
 
+// TakeoverMargin is the least time that is left of a lease when the node that
+// keeps a silent coordinator's gang alive has renewed it: of the lease at the
+// coordinator's last renewal, which may have been one interval ago, what remains
+// after the silence until the coordinator is late, a look, and two calls.
+func (s *Settings) TakeoverMargin(lateAfter time.Duration) time.Duration {
+	return s.LeaseTTL - s.RenewInterval - lateAfter - lookInterval - 2*s.CallTimeout
+}
+
 // Service coordinates the attempts that name this node, and keeps alive those
 // whose coordinator was lost until they can be claimed.
 type Service struct {
@@ -144,7 +152,7 @@
 }
 
 // lookInterval is the longest time between two looks for attempts to adopt.
-const lookInterval = time.Second
+const lookInterval = 500 * time.Millisecond
 
 func (s *Service) loop(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/pkg/lifecycle/pause_test.go
+++ b/pkg/lifecycle/pause_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/membership"
 	"github.com/shallotpin/shallotpin/pkg/memsite"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
@@ -77,3 +78,39 @@
 		})
 	}
 }
+
+// TestTakeoverLeavesMargin pauses the coordinator just before a renewal and takes
+// the time until another node renews, in a small and in a large fleet.
+func TestTakeoverLeavesMargin(t *testing.T) {
+	for entries, lateAfter := range map[int]time.Duration{3: membership.LateAfter, 12: membership.LateAfterLarge} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				margin := settings.TakeoverMargin(lateAfter)
+				if margin <= 0 {
+					t.Errorf("the margin is %s", margin)
+				}
+				tr := startTrial(t, entries, 1)
+				c := tr.running(0, tr.submit(0, 4, 300, 1))
+				time.Sleep(20 * time.Second)
+				took := make(chan time.Duration, 1)
+				var lost time.Time
+				tr.hook(func(call memsite.Call) {
+					tr.mu.Lock()
+					defer tr.mu.Unlock()
+					switch mine := tr.index(call.Entry) == c; {
+					case call.Op != memsite.OpRenew || call.Answered:
+					case mine && lost.IsZero():
+						lost = time.Now()
+						tr.Freeze(c)
+					case !mine && !lost.IsZero() && len(took) == 0:
+						took <- time.Since(lost)
+					}
+				})
+				if got, most := <-took, settings.LeaseTTL-settings.RenewInterval-margin; got > most {
+					t.Errorf("another node took %s to renew, want at most %s", got, most)
+				}
+				tr.Thaw(c)
+			})
+		})
+	}
+}
--- a/pkg/lifecycle/takeover.go
+++ b/pkg/lifecycle/takeover.go
@@ -34,15 +34,7 @@
 func (s *Service) tendOrphans(ctx context.Context) {
 	now := time.Now()
 	orphans := s.orphans(now)
-	wanted := map[int64]*state.Job{}
-	for _, j := range orphans {
-		// Before the begin is recorded nothing runs, and a stopping attempt
-		// may as well end by itself.
-		if j.Started && j.Phase == api.PhasePlaced {
-			wanted[j.Token] = j
-		}
-	}
-	s.keep(ctx, s.caring, wanted, (*gang).care)
+	s.keep(ctx, s.caring, s.neglected(now), (*gang).care)
 	if !s.staleness.fresh(now) {
 		return
 	}
@@ -54,6 +46,34 @@
 	}
 }
 
+// neglected returns copies of the running jobs by token whose coordinator is
+// late, or cut off from the log, and which fall to this node. Renewing a lease
+// decides nothing, and so need not wait for a suspicion.
+func (s *Service) neglected(now time.Time) map[int64]*state.Job {
+	// A node that has just started has heard of no one yet.
+	if now.Sub(s.started) < membership.SuspectAfter {
+		return nil
+	}
+	punctual := s.members.Punctual(now)
+	able := map[string]bool{}
+	for _, m := range punctual {
+		able[m.Incarnation] = true
+	}
+	out := map[int64]*state.Job{}
+	s.journal.View(func(st *state.State) {
+		for _, j := range st.Jobs {
+			// Before the begin is recorded nothing runs, and a stopping attempt
+			// may as well end by itself.
+			if j.Started && j.Phase == api.PhasePlaced && !able[j.Coordinator] &&
+				membership.Rendezvous(punctual, j.ID).ID == s.members.Self().ID {
+				copied := *j
+				out[j.Token] = &copied
+			}
+		}
+	})
+	return out
+}
+
 // orphans returns copies of the jobs whose coordinator is not live, or cannot
 // end an attempt since it is cut off from the log, and for which this node is
 // preferred, and notes since when that is so.
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -33,6 +33,11 @@
 	// than maxMesh nodes, news takes several rounds, and it is suspectAfterLarge.
 	SuspectAfter      = 4 * time.Second
 	suspectAfterLarge = 8 * time.Second
+	// LateAfter is the silence after which a node counts as late, LateAfterLarge
+	// that at more than maxMesh nodes: by then, a node close to suspicion has been
+	// sent a heartbeat of its own.
+	LateAfter      = 2500 * time.Millisecond
+	LateAfterLarge = 5 * time.Second
 	// maxMesh is the greatest number of other nodes that all get a heartbeat in
 	// every round. Beyond it, a round goes to fanOut of them.
 	maxMesh = 8
@@ -143,14 +148,34 @@
 func (s *Service) Live(now time.Time) []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	live := []Member{s.self}
+	return s.heardWithin(now, s.suspectAfter())
+}
+
+// heardWithin returns this node and those heard of within d, sorted by ID. The
+// caller holds mu.
+func (s *Service) heardWithin(now time.Time, d time.Duration) []Member {
+	heard := []Member{s.self}
 	for _, r := range s.seen {
-		if now.Sub(r.Heard) < s.suspectAfter() {
-			live = append(live, r.Member)
+		if now.Sub(r.Heard) < d {
+			heard = append(heard, r.Member)
 		}
 	}
-	sort.Slice(live, func(i, j int) bool { return live[i].ID < live[j].ID })
-	return live
+	sort.Slice(heard, func(i, j int) bool { return heard[i].ID < heard[j].ID })
+	return heard
+}
+
+// Punctual returns the attached nodes that are not late. Others may do for a
+// late node what does no harm if it is done twice. Like Preferred, it asks for
+// this node's status.
+func (s *Service) Punctual(now time.Time) []Member {
+	s.mu.Lock()
+	late := LateAfter
+	if len(s.seen) > maxMesh {
+		late = LateAfterLarge
+	}
+	heard := s.heardWithin(now, late)
+	s.mu.Unlock()
+	return s.attached(heard)
 }
 
 // suspectAfter returns the silence after which a node counts as not live. The
@@ -173,7 +198,12 @@
 // log, or all live ones if each of them is. Like Preferred, it asks for this
 // node's status.
 func (s *Service) Attached(now time.Time) []Member {
-	live := s.Live(now)
+	return s.attached(s.Live(now))
+}
+
+// attached returns those of live that are not known to be cut off from the log,
+// or live if each of them is.
+func (s *Service) attached(live []Member) []Member {
 	self := s.status()
 	s.mu.Lock()
 	defer s.mu.Unlock()
