Wait before a job whose plan came to nothing is planned again

Cause: an attempt that never started makes its job pending at once, and the planner plans it again with the change of the state, so that a job whose workers refuse reservations writes as fast as the log answers.

Meanwhile the others are planned without it. The wait follows from the states seen, the clock and the random source alone; a start ends it. A planner that has just started knows of no plans in a row, and plans such a job once more at once.

--- a/pkg/memsite/planner_test.go
+++ b/pkg/memsite/planner_test.go
@@ -1,11 +1,15 @@
 package memsite
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/node"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
 // urgentWithin is the target's bound on the start of urgent work.
@@ -36,3 +40,41 @@
 		})
 	}
 }
+
+// refusingWorkers refuses every reservation.
+type refusingWorkers struct{ platform.Workers }
+
+func (w refusingWorkers) Worker(address string) platform.Worker {
+	return refusingWorker{w.Workers.Worker(address)}
+}
+
+type refusingWorker struct{ platform.Worker }
+
+func (refusingWorker) Reserve(context.Context, platform.Reservation) error {
+	return api.Errorf(api.CodeConflict, "refused")
+}
+
+// TestRefusedPlansDoNotFloodTheLog submits a job that every worker refuses, and
+// counts the plans in a minute.
+func TestRefusedPlansDoNotFloodTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, func(o *Options) {
+			o.Wrap = func(p node.Platform) node.Platform {
+				p.Workers = refusingWorkers{p.Workers}
+				return p
+			}
+		})
+		job, err := s.Client(0).SubmitJob(testCtx(t, urgentWithin), gangSpec(t, 4, 1), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		plans := 0
+		s.Entries[0].Node.Journal.View(func(st *state.State) { plans = st.Jobs[job.ID].Plans })
+		t.Logf("%d plans", plans)
+		// At most a wait of half of 0.5 s, 1 s, 2 s, and then 4 s each.
+		if plans > 4+60/2 || plans == 0 {
+			t.Errorf("%d plans of one job in a minute", plans)
+		}
+	})
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -148,7 +148,7 @@
 	}
 	services := []kernel.Service{
 		n.Journal, vms, peers, members, relays,
-		planner.New(), jobs, n.Requests, n.front,
+		planner.New(rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))), jobs, n.Requests, n.front,
 	}
 	for _, service := range services {
 		if err := n.kernel.Register(service); err != nil {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,14 +36,17 @@
 	journal *journal.Journal
 	members *membership.Service
 	fleet   *fleet.Service
-	// book is kept by every node, so that it is filled when the node takes over.
-	book   *estimate.Book
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	// book and backoff are kept by every node, so that they are filled when the node takes over.
+	book    *estimate.Book
+	backoff *backoff
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
 }
 
-// New returns a planner.
-func New() *Service { return &Service{book: estimate.NewBook()} }
+// New returns a planner. rng spreads the retries of plans.
+func New(rng *rand.Rand) *Service {
+	return &Service{book: estimate.NewBook(), backoff: newBackoff(rng)}
+}
 
 // Name implements kernel.Service.
 func (s *Service) Name() string { return ServiceName }
@@ -79,7 +83,11 @@
 func (s *Service) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := s.journal.Changed()
-		s.journal.View(func(st *state.State) { s.book.Observe(st, time.Now()) })
+		s.journal.View(func(st *state.State) {
+			now := time.Now()
+			s.book.Observe(st, now)
+			s.backoff.observe(st, now)
+		})
 		if s.members.Preferred(time.Now(), "planner").ID == s.members.Self().ID {
 			s.recordFleet(ctx)
 			s.plan(ctx)
@@ -129,7 +137,11 @@
 func (s *Service) plan(ctx context.Context) {
 	now := time.Now()
 	var snap *scheduler.Snapshot
-	s.journal.View(func(st *state.State) { snap = scheduler.Take(st, s.book, now) })
+	s.journal.View(func(st *state.State) {
+		s.backoff.observe(st, now)
+		snap = scheduler.Take(st, s.book, now)
+	})
+	snap.Pending = s.backoff.due(snap.Pending, now)
 	plan := scheduler.Decide(snap, scheduler.DefaultPolicy(snap.Objective))
 	coordinator := func(job string) string { return s.members.Preferred(now, job).Incarnation }
 	var wg sync.WaitGroup
