--- a/pkg/bench/storeoutage.go
+++ b/pkg/bench/storeoutage.go
@@ -30,8 +30,8 @@
 	outageSettle = 3 * time.Second
 	// outagePatience is how long a caller waits.
 	outagePatience = 10 * time.Second
-	// outageRetryEvery is the share of the keyed requests that are sent again
-	// through another entry VM, with the same key, after outageRetryAfter.
+	// outageRetryEvery is which requests, if they have a key, are sent again
+	// through another entry VM after outageRetryAfter.
 	outageRetryEvery = 10
 	outageRetryAfter = 3 * time.Second
 )
--- a/pkg/requests/dispatch.go
+++ b/pkg/requests/dispatch.go
@@ -318,7 +318,7 @@
 		u.paused = now.Add(refusedPause)
 	}
 	switch {
-	case got.refused, got.silent:
+	case got.refused, got.silent, got.canceled:
 	case got.answer.Error == nil:
 		u.health.Success(took)
 		p := s.pool(service)
--- a/pkg/requests/upstream.go
+++ b/pkg/requests/upstream.go
@@ -51,6 +51,8 @@
 	// silent means that no answer came in time on a connection that had been used
 	// before, which says nothing about the upstream behind it.
 	silent bool
+	// canceled means that the caller gave up, which says nothing about the upstream either.
+	canceled bool
 }
 
 func newUpstreamClient(network transport.Network) *upstreamClient {
@@ -143,7 +145,8 @@
 	if silent {
 		c.replaceIdle(time.Now())
 	}
-	return attemptResult{answer: failed(r, vm, verdict, api.CodeUnavailable, err.Error()), abandoned: begun, silent: silent}
+	return attemptResult{answer: failed(r, vm, verdict, api.CodeUnavailable, err.Error()), abandoned: begun, silent: silent,
+		canceled: errors.Is(err, context.Canceled)}
 }
 
 // checkAnswer accepts a reply only if it is the whole reply to this attempt.
