Move small gangs out of the way of wide ones

Change: a wide gang stops smaller ones that checkpoint and have run for 30 s, up to as many accelerators as it needs, in the group that loses the least. Reservations, which hold racks open, begin after an hour in place of two minutes. Order by (wait + 200 s) / (run time + 200 s)^1.2 (60 s, 1 before).

--- a/pkg/scheduler/reserve.go
+++ b/pkg/scheduler/reserve.go
@@ -34,7 +34,7 @@
 	var best *reservation
 	for _, group := range c.spans(j.Spec.Within) {
 		for _, wait := range drains {
-			if found := c.drainIn(group, j, wait); found != nil && (best == nil || found.cost < best.cost) {
+			if found := c.drainIn(group, j, wait, c.policy.Displace); found != nil && (best == nil || found.cost < best.cost) {
 				best = found
 			}
 		}
@@ -44,12 +44,22 @@
 	}
 	c.reservations++
 	if best.wait == 0 {
-		for _, k := range best.victims {
-			c.preempt(k, j.ID, "stopped with a checkpoint to make room for wide gang "+j.ID)
-		}
+		c.displace(best.victims, j)
+	}
+	c.hold(best)
+}
+
+// displace stops attempts with a checkpoint for the wide gang j.
+func (c *cycle) displace(victims []int, j *Pending) {
+	for _, k := range victims {
+		c.preempt(k, j.ID, "stopped with a checkpoint to make room for wide gang "+j.ID)
 	}
-	for _, i := range best.chosen {
-		c.limit[i] = min(c.limit[i], best.wait)
+}
+
+// hold lets only gangs that are over by then start on the workers of r.
+func (c *cycle) hold(r *reservation) {
+	for _, i := range r.chosen {
+		c.limit[i] = min(c.limit[i], r.wait)
 	}
 }
 
@@ -63,8 +73,9 @@
 	return true
 }
 
-// drainIn returns how j could start in a group after wait, or nil.
-func (c *cycle) drainIn(group span, j *Pending, wait float64) *reservation {
+// drainIn returns how j could start in a group after wait, or nil. limits say
+// which attempts may be stopped for it.
+func (c *cycle) drainIn(group span, j *Pending, wait float64, limits Displacement) *reservation {
 	type option struct {
 		worker, slots int
 		victims       []int
@@ -76,7 +87,7 @@
 		if !math.IsInf(c.limit[i], 1) || !c.trusts(i, j) {
 			continue
 		}
-		n, victims, after := c.drained(i, j, wait)
+		n, victims, after := c.drained(i, j, wait, limits)
 		if n > 0 {
 			idle := after * float64(max(0, c.snap.Workers[i].Free.Accelerators))
 			options = append(options, option{i, n, victims, after, (c.lossOf(victims) + idle) / float64(n)})
@@ -110,7 +121,7 @@
 
 // drained returns how many tasks of j worker i could take within wait, which
 // attempts would have to be stopped by then, and when the others are over.
-func (c *cycle) drained(i int, j *Pending, wait float64) (slots int, victims []int, after float64) {
+func (c *cycle) drained(i int, j *Pending, wait float64, limits Displacement) (slots int, victims []int, after float64) {
 	w := &c.snap.Workers[i]
 	room := w.Free.Add(c.soon[i])
 	for _, k := range c.onWorker[i] {
@@ -120,7 +131,7 @@
 		case a.Remaining <= wait:
 			room = room.Add(times(a.PerTask, c.tasksOn(a, i)))
 			after = max(after, a.Remaining)
-		case c.mayDisplace(i, k, j):
+		case c.mayDisplace(i, k, j, limits):
 			room = room.Add(times(a.PerTask, c.tasksOn(a, i)))
 			victims = append(victims, k)
 		}
@@ -133,14 +144,14 @@
 }
 
 // mayDisplace reports whether attempt k may be stopped with a checkpoint for
-// the wide gang j: it has run for a while, ranks well below, and does not run
-// in a cell of its own account.
-func (c *cycle) mayDisplace(i, k int, j *Pending) bool {
+// the wide gang j: it has run for a while, does not rank too far above, and does
+// not run in a cell of its own account.
+func (c *cycle) mayDisplace(i, k int, j *Pending, limits Displacement) bool {
 	a := &c.snap.Attempts[k]
-	if !a.Checkpoint || a.Urgent || a.Ran < c.policy.DisplaceAfter {
+	if !a.Checkpoint || a.Urgent || a.Ran < limits.After {
 		return false
 	}
-	if c.value(j.Spec.Account, j.Waited, j.Estimate) < c.policy.DisplaceRatio*c.value(a.Account, a.Waited, a.Remaining) {
+	if c.value(j.Spec.Account, j.Waited, j.Estimate) < limits.Ratio*c.value(a.Account, a.Waited, a.Remaining) {
 		return false
 	}
 	own := c.snap.Workers[i].Reserved.Of(a.Account)
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -5,7 +5,8 @@
 // A decision passes through a few steps, each in a file of its own: the order
 // of the queue, the filter of the workers that may take a task, the score of
 // the groups of adjacent workers, the reclaim of guaranteed shapes, the
-// reservation for gangs that wait long, and the moves out of zones.
+// moves that make room for wide gangs, the reservation for those that wait
+// long, and the moves out of zones.
 package scheduler
 
 import (
@@ -87,6 +88,9 @@
 		c.allocate(j, chosen)
 		return
 	}
+	if c.consolidate(j) {
+		return
+	}
 	c.reserve(j)
 	c.failed[key] = j.Estimate
 }
@@ -139,13 +143,14 @@
 	// AgeingSeconds is the wait that counts as much as a short estimate.
 	AgeingSeconds float64
 	// ShortFirst is how far short jobs go first: 0 is by wait alone, 1 is by
-	// the wait relative to the expected run time.
+	// the wait relative to the expected run time, and more prefers them further.
 	ShortFirst float64
-	// DisplaceAfter is the run time in seconds before which an attempt is not
-	// stopped for a wide gang.
-	DisplaceAfter float64
-	// DisplaceRatio is how far a waiting wide gang must rank above an attempt to stop it.
-	DisplaceRatio float64
+	// Displace limits which attempts are stopped for a gang with a reservation,
+	// and Move which are moved out of the way of a wide gang.
+	Displace, Move Displacement
+	// MoveShare bounds the accelerators of the gangs that are moved, as a share
+	// of what the wide gang needs.
+	MoveShare float64
 	// AlignWeight weighs how much longer a gang that cannot checkpoint keeps
 	// its rack from draining.
 	AlignWeight float64
@@ -153,14 +158,24 @@
 	MoveSeconds float64
 }
 
+// Displacement limits which attempts may be stopped for a wide gang.
+type Displacement struct {
+	// After is the run time in seconds before which an attempt is not stopped.
+	After float64
+	// Ratio is how far the wide gang must rank above an attempt to stop it;
+	// below 1, it may rank lower.
+	Ratio float64
+}
+
 // DefaultPolicy returns the policy for an objective.
 func DefaultPolicy(objective config.Objective) Policy {
 	return Policy{
 		Objective: objective, MaxTries: 256,
 		QuarantineAfter: 3, QuarantineShare: 0.1, ProbationSeconds: 600,
-		ReserveShare: 0.25, ReserveAfter: 120, MaxReservations: 2,
-		CellPenalty: 0.2, LostCellPenalty: 0.5, AgeingSeconds: 60, MoveSeconds: 30,
+		ReserveShare: 1, ReserveAfter: 3600, MaxReservations: 2,
+		CellPenalty: 0.2, LostCellPenalty: 0.5, AgeingSeconds: 200, ShortFirst: 1.2, MoveSeconds: 30,
 		AlignWeight: 0.5,
-		ShortFirst:  1, DisplaceAfter: 120, DisplaceRatio: 1.5,
+		Displace:    Displacement{After: 120, Ratio: 1.5},
+		Move:        Displacement{After: 30, Ratio: 0.7}, MoveShare: 1,
 	}
 }
