Let hellos back off while nobody answers

Cause: until a node has joined and shares slots, it sends a round of hellos every 100 ms, for as long as that takes. A region that is cut off would do the same on every one of its nodes.

Ruled out: a pace for each node. Agreement needs all nodes of a view, so that quick hellos to those that have answered bring nothing while one is silent.

Change: the time between rounds doubles from 100 ms up to the usual one while a round brings nothing. A new view, an acknowledgement or a greeting sets it back to 100 ms, so a start and an agreement take as long as before.

--- a/pkg/requests/peers.go
+++ b/pkg/requests/peers.go
@@ -21,7 +21,8 @@
 	// others. Beyond, it rises with their number, so that traffic does not.
 	helloInterval = time.Second
 	meshSize      = 8
-	// startInterval replaces it until the node has joined and shares slots.
+	// startInterval replaces it until the node has joined and shares slots. It
+	// doubles, up to the usual time, while no node brings the agreement on.
 	startInterval = 100 * time.Millisecond
 	// helloTimeout bounds one hello, and askTimeout one question about a key.
 	helloTimeout = 800 * time.Millisecond
@@ -32,6 +33,13 @@
 	flushTimeout = 5 * time.Second
 )
 
+// HelloPause returns the time between two hellos to each of others nodes, once
+// they share slots.
+func HelloPause(others int) time.Duration { return time.Duration(spreadOf(others)) * helloInterval }
+
+// spreadOf returns by how much the time between hellos to others nodes is stretched.
+func spreadOf(others int) int { return max(1, (others+meshSize-1)/meshSize) }
+
 // Hello is what nodes tell each other once a second.
 type Hello struct{ From membership.Member }
 
@@ -135,20 +143,43 @@
 
 // helloLoop keeps the roster.
 func (s *Service) helloLoop(ctx context.Context) {
+	var pace helloPace
 	for ctx.Err() == nil {
 		s.helloRound(ctx)
 		s.tryJoin(ctx)
-		interval := time.Duration(s.roster.spread()) * helloInterval
-		if (!s.roster.isJoined() && !s.roster.isLeaving()) || !s.roster.inForce() {
-			interval = startInterval
-		}
+		usual := time.Duration(s.roster.spread()) * helloInterval
+		settled := (s.roster.isJoined() || s.roster.isLeaving()) && s.roster.inForce()
 		select {
-		case <-time.After(interval):
+		case <-time.After(pace.next(settled, s.roster.progress(), usual)):
 		case <-ctx.Done():
 		}
 	}
 }
 
+// helloPace gives the time to the next round of hellos. Nodes that cannot be
+// reached, or give no agreement, must not be asked ten times a second for good.
+type helloPace struct {
+	interval time.Duration
+	last     helloProgress
+}
+
+// next returns the time to the next round: the usual one once settled. Before,
+// it is short after each round that brought something, and doubles otherwise.
+func (p *helloPace) next(settled bool, now helloProgress, usual time.Duration) time.Duration {
+	brought := now != p.last
+	p.last = now
+	switch {
+	case settled:
+		p.interval = 0
+		return usual
+	case brought || p.interval == 0:
+		p.interval = startInterval
+	default:
+		p.interval = min(2*p.interval, usual)
+	}
+	return p.interval
+}
+
 func (s *Service) helloRound(ctx context.Context) {
 	if vms, ok := s.fleet.VMs(platform.KindEntry); ok {
 		s.roster.list(vms, time.Now())
--- /dev/null
+++ b/pkg/requests/peers_test.go
@@ -0,0 +1,74 @@
+package requests_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/kernel"
+	"github.com/shallotpin/shallotpin/pkg/memnet"
+	"github.com/shallotpin/shallotpin/pkg/node"
+	"github.com/shallotpin/shallotpin/pkg/peer"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/requests"
+	"github.com/shallotpin/shallotpin/pkg/standin"
+)
+
+// Hellos counts hellos, and answers none of them while deaf.
+type Hellos struct {
+	count atomic.Int64
+	deaf  atomic.Bool
+}
+
+// Hello is the call between nodes.
+func (h *Hellos) Hello(_ *requests.Hello, _ *requests.HelloReply) error {
+	h.count.Add(1)
+	if h.deaf.Load() {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+// TestHellosBackOff runs a node whose only peer answers no hello. The hellos
+// must thin out to the usual rate, and the peer be greeted soon once it answers.
+func TestHellosBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const silence = time.Minute
+		usual := requests.HelloPause(1)
+		net, hellos := memnet.New(nil), &Hellos{}
+		hellos.deaf.Store(true)
+		other := platform.VM{ID: "other", Kind: platform.KindEntry, Zone: "a", Address: "10.0.0.2:7401"}
+		peers := peer.New(net.Host("other"), other.Address)
+		if err := errors.Join(peers.Handle("Requests", hellos), peers.Start(t.Context(), kernel.New())); err != nil {
+			t.Fatal(err)
+		}
+		set := node.Settings{ID: "n", Zone: "a", HTTP: "10.0.0.1:80", Peer: "10.0.0.1:7401", LeaseTTL: 10 * time.Second, SnapshotInterval: time.Hour, DrainTimeout: time.Second}
+		self := platform.VM{ID: "n", Kind: platform.KindEntry, Zone: "a", Address: set.Peer}
+		p := node.Platform{Log: standin.NewLog(0), VMs: standin.NewVMList(0, self, other), Workers: standin.LocalWorkers{}}
+		n, err := node.New(set, net.Host("n"), p, rand.New(rand.NewPCG(1, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := n.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(silence)
+		// The intervals double from a tenth of the usual one: five more rounds,
+		// and as many again for each of the two changes of view at the start.
+		if got, most := hellos.count.Load(), int64(silence/usual)+3*5; got > most {
+			t.Errorf("%d hellos in %s without an answer, want at most %d", got, silence, most)
+		}
+		hellos.deaf.Store(false)
+		before := hellos.count.Load()
+		time.Sleep(usual + usual/10)
+		if got := hellos.count.Load() - before; got < 2 {
+			t.Errorf("%d hellos in the first %s after the peer answers again, want a second one soon after the first", got, usual)
+		}
+		if err := errors.Join(n.Stop(t.Context()), peers.Stop(t.Context())); err != nil {
+			t.Log(err)
+		}
+	})
+}
--- a/pkg/requests/roster.go
+++ b/pkg/requests/roster.go
@@ -233,6 +233,22 @@
 	}
 }
 
+// helloProgress is how far the agreement of the nodes has come.
+type helloProgress struct{ round, acked, greeted int }
+
+// progress returns how far the agreement on the target has come.
+func (r *roster) progress() helloProgress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := helloProgress{round: r.round, acked: len(r.acked)}
+	for _, n := range r.nodes {
+		if n.greeted {
+			p.greeted++
+		}
+	}
+	return p
+}
+
 // greetedByAll reports whether every other node that runs has answered a hello
 // of this one while it owed the log no keys.
 func (r *roster) greetedByAll() bool {
@@ -292,7 +308,7 @@
 	return r.spreadLocked()
 }
 
-func (r *roster) spreadLocked() int { return max(1, (len(r.nodes)+meshSize-1)/meshSize) }
+func (r *roster) spreadLocked() int { return spreadOf(len(r.nodes)) }
 
 func (r *roster) collect(filter func(*rosterNode) bool) []membership.Member {
 	var out []membership.Member
