Measure the node of the capacity scenario in a process of its own

Cause: the scenario held the stand-ins, 23 light nodes and the measured node in one process, so that processor time and memory were upper bounds. The light nodes answered no hellos, which made the node repeat them.

Options: - a run without the node, taken off: the stand-ins cost most while a node calls them, so that the difference says nothing; - the tool starts a second process: no process of ours starts another; - whole nodes around it: 23 of them would fold and renew too, for the sake of two kinds of messages; - taken: the operator starts `shallotpin-standin target` first, and points the tool at it with `--site URL`. Without it all is in one process as before.

The kernel labels the goroutines of each service with its name, and `--profile FILE` writes a profile of the window, so that `go tool pprof -tags FILE` tells the services apart.

--- a/cmd/shallotpin-standin/main.go
+++ b/cmd/shallotpin-standin/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,6 +16,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/shallotpin/shallotpin/pkg/bench"
 	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
@@ -99,6 +101,23 @@
 	return enc.Encode(vms)
 }
 
+type targetCommand struct {
+	Listen  string `long:"listen" default:"127.0.0.1:7310" description:"IP:port to serve the bench on"`
+	Node    string `long:"node" default:"127.0.0.1:7311" description:"IP:port that the measured node will serve other nodes on"`
+	Workers int    `long:"workers" default:"1500" description:"number of workers"`
+}
+
+// Execute implements flags.Commander. It surrounds the node of
+// "shallotpin bench --scenario capacity --site URL".
+func (c *targetCommand) Execute([]string) error {
+	ctx := context.Background()
+	site, err := bench.StartTargetSite(ctx, c.Workers, c.Node)
+	if err != nil {
+		return err
+	}
+	return errors.Join(serve(c.Listen, site.Handler()), site.Stop(ctx))
+}
+
 func readVMs(file string) ([]platform.VM, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
@@ -135,6 +154,7 @@
 		{"vmlist", "lagging list of VMs", &vmListCommand{}},
 		{"workers", "workers that run tasks under leases", &workersCommand{}},
 		{"upstreams", "upstreams that answer short requests", &upstreamsCommand{}},
+		{"target", "surroundings of one node at the target size", &targetCommand{}},
 		{"fleet", "print a VM file for the other commands", &fleetCommand{}},
 	}
 	for _, c := range commands {
--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -18,6 +18,11 @@
 	Seed uint64
 	// Workers replaces the scenario's number of workers, if positive.
 	Workers int
+	// Site is the URL of a TargetSite in another process, for the capacity scenario.
+	Site string
+	// Profile is the file that gets a processor profile of the measured window of
+	// the capacity scenario, if not empty.
+	Profile string
 }
 
 // Result is the outcome of one run.
--- a/pkg/bench/capacity.go
+++ b/pkg/bench/capacity.go
@@ -24,7 +24,7 @@
 	}
 	// The target comes first, while the process has held nothing else.
 	steps := []func() error{
-		func() error { return measureTarget(ctx, workers, figures) },
+		func() error { return measureTarget(ctx, workers, o, figures) },
 		func() error { return fitHeap(figures) },
 		func() error { return fitJobs(figures) },
 		func() error { return fitChanges(figures) },
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/pprof"
 
 	"k8s.io/klog/v2"
 )
@@ -60,7 +61,7 @@
 		return err
 	}
 	for _, s := range sorted {
-		if err := s.Start(ctx, k); err != nil {
+		if err := k.start(ctx, s); err != nil {
 			return errors.Join(fmt.Errorf("kernel: start %s: %w", s.Name(), err), k.Stop(ctx))
 		}
 		k.started = append(k.started, s)
@@ -69,6 +70,12 @@
 	return nil
 }
 
+// start starts one service. Its goroutines carry its name as a label in profiles.
+func (k *Kernel) start(ctx context.Context, s Service) (err error) {
+	pprof.Do(ctx, pprof.Labels("service", s.Name()), func(ctx context.Context) { err = s.Start(ctx, k) })
+	return err
+}
+
 // Stop stops the started services in reverse order.
 func (k *Kernel) Stop(ctx context.Context) error {
 	var errs []error
