Write changes of configuration as differences

Cause: each change was logged as a whole document, 78,604 bytes at the target.

Change: a publication may hold the difference against the document in force: splices of its lists. The fold checks the base first, applies the difference and validates the document as one whole, so verdicts stay those of whole documents and the loser of a race is told both versions. Operators publish whole documents as before. Records of format 2 are written only while every live node says that it reads them; entries without a difference stay format 1.

--- a/pkg/frontdoor/operators.go
+++ b/pkg/frontdoor/operators.go
@@ -74,7 +74,23 @@
 		return
 	}
 	rec := &state.Publish{Config: c}
-	s.change(w, r, base, state.Record{Publish: rec}, &rec.Base, func(st *state.State) uint64 { return st.ConfigVersion })
+	diff := s.allRead(state.FormatDiff)
+	s.change(w, r, base, state.Record{Publish: rec}, &rec.Base, func(st *state.State) uint64 {
+		if base == nil || *base == st.ConfigVersion {
+			*rec = *st.NewPublish(c, diff)
+		}
+		return st.ConfigVersion
+	})
+}
+
+// allRead reports whether the program of every live node reads a format.
+func (s *Service) allRead(format int) bool {
+	for _, m := range s.members.Live(time.Now()) {
+		if m.Format < format {
+			return false
+		}
+	}
+	return true
 }
 
 func (s *Service) putPreset(w http.ResponseWriter, r *http.Request) {
@@ -109,10 +125,9 @@
 		writeError(w, err)
 		return
 	}
+	s.journal.View(func(st *state.State) { *base = current(st) })
 	if given != nil {
 		*base = *given
-	} else {
-		s.journal.View(func(st *state.State) { *base = current(st) })
 	}
 	out, err := s.propose(r.Context(), rec)
 	if err != nil {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -51,6 +51,9 @@
 	Address     string
 	// Started orders the runs of a node, in nanoseconds of its wall clock.
 	Started int64
+	// Format is the newest format of records that the node's program reads. It is
+	// zero for programs that do not say.
+	Format int
 }
 
 // Status is what a node says about its view of the log.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/relay"
 	"github.com/shallotpin/shallotpin/pkg/requests"
+	"github.com/shallotpin/shallotpin/pkg/state"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
 
@@ -124,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	members, err := membership.New(membership.Member{ID: s.ID, Incarnation: incarnation, Zone: s.Zone, Address: s.Peer, Started: time.Now().UnixNano()}, peers)
+	members, err := membership.New(membership.Member{ID: s.ID, Incarnation: incarnation, Zone: s.Zone, Address: s.Peer, Started: time.Now().UnixNano(), Format: state.Format}, peers)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/state/apply.go
+++ b/pkg/state/apply.go
@@ -68,29 +68,42 @@
 	if p.Base != s.ConfigVersion {
 		return conflict("the configuration", p.Base, s.ConfigVersion)
 	}
-	if p.Config == nil {
-		return refuse(api.FieldErrorf("config", "must be set"))
-	}
-	if err := p.Config.Validate(); err != nil {
+	c, err := s.published(p)
+	if err != nil {
 		return refuse(api.AsError(err, api.NotRun))
 	}
 	preset := s.Preset
 	if s.Config == nil {
-		preset = p.Config.InitialPreset
+		preset = c.InitialPreset
 	}
-	if p.Config.Preset(preset) == nil {
+	if c.Preset(preset) == nil {
 		return refuse(api.FieldErrorf("presets", "preset %q is in force and must not be removed", preset))
 	}
-	if err := s.checkGuarantees(p.Config, preset); err != nil {
+	if err := s.checkGuarantees(c, preset); err != nil {
 		return refuse(err)
 	}
-	s.Config, s.Preset = p.Config, preset
+	s.Config, s.Preset = c, preset
 	s.ConfigVersion++
-	s.addZones(p.Config)
+	s.addZones(c)
 	s.rebind()
 	return Outcome{Version: s.ConfigVersion}
 }
 
+// published returns the whole document of a publication, validated.
+func (s *State) published(p *Publish) (*config.Config, error) {
+	c := p.Config
+	if p.Diff != nil && s.Config != nil {
+		var err error
+		if c, err = p.Diff.Apply(s.Config); err != nil {
+			return nil, err
+		}
+	}
+	if c == nil {
+		return nil, api.FieldErrorf("config", "must be set")
+	}
+	return c, c.Validate()
+}
+
 // addZones adds the availability zones that are new; the others keep their state.
 func (s *State) addZones(c *config.Config) {
 	for _, z := range c.Zones {
--- a/pkg/state/record.go
+++ b/pkg/state/record.go
@@ -37,10 +37,17 @@
 	Snapshot *SnapshotChunk `json:"snapshot,omitempty"`
 }
 
-// Format is the format of the records that this program writes. It rises with
+// Format is the newest format of records that this program reads. It rises with
 // every change of the records or of the fold that an older program would apply
 // differently, since all nodes must fold alike.
-const Format = 1
+const Format = FormatDiff
+
+const (
+	// FormatWhole is the format of the first programs: a publication is a whole document.
+	FormatWhole = 1
+	// FormatDiff adds publications that hold the difference against their base.
+	FormatDiff = 2
+)
 
 // Batch is the payload of one log entry.
 type Batch struct {
@@ -48,8 +55,17 @@
 	Records []Record `json:"records"`
 }
 
-// EncodeBatch returns the log entry for records.
-func EncodeBatch(records []Record) ([]byte, error) { return json.Marshal(Batch{Format, records}) }
+// EncodeBatch returns the log entry for records. Its format is the oldest that
+// holds them, so that older programs go on as long as they can.
+func EncodeBatch(records []Record) ([]byte, error) {
+	format := FormatWhole
+	for i := range records {
+		if p := records[i].Publish; p != nil && p.Diff != nil {
+			format = FormatDiff
+		}
+	}
+	return json.Marshal(Batch{format, records})
+}
 
 // NewerFormatError reports a log entry that a newer program wrote. A node that
 // meets one must not fold on.
@@ -72,10 +88,26 @@
 }
 
 // Publish replaces the configuration document. It is refused unless Base is
-// the version of the document in force.
+// the version of the document in force. Either Config is the new document, or
+// Diff is its difference against the one in force; both are validated as a whole.
 type Publish struct {
 	Base   uint64         `json:"base"`
-	Config *config.Config `json:"config"`
+	Config *config.Config `json:"config,omitempty"`
+	Diff   *config.Diff   `json:"diff,omitempty"`
+}
+
+// NewPublish returns the publication of c on top of the document in force. With
+// diff, it holds only the difference if that gives the same document.
+func (s *State) NewPublish(c *config.Config, diff bool) *Publish {
+	p := &Publish{Base: s.ConfigVersion, Config: c}
+	if !diff || s.Config == nil {
+		return p
+	}
+	d := config.NewDiff(s.Config, c)
+	if got, err := d.Apply(s.Config); err != nil || !config.Same(got, c) {
+		return p
+	}
+	return &Publish{Base: s.ConfigVersion, Diff: d}
 }
 
 // SwitchPreset puts another preset in force. It is refused unless Base is the
--- a/pkg/state/snapshot.go
+++ b/pkg/state/snapshot.go
@@ -80,7 +80,7 @@
 	if s.Format > Format {
 		return nil, &NewerFormatError{s.Format}
 	}
-	s.Format = Format
+	s.Format = FormatWhole
 	return s, nil
 }
 
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -11,7 +11,8 @@
 
 // State is the result of folding the log up to Offset.
 type State struct {
-	// Format is the format of the records that the state was folded from.
+	// Format is the format of the state itself. Diffs do not show in it, so that
+	// programs that know only whole documents can read it.
 	Format int `json:"format"`
 	// Offset is the offset of the next entry to apply.
 	Offset int64 `json:"offset"`
@@ -118,7 +119,7 @@
 // New returns the state before the first record.
 func New() *State {
 	return &State{
-		Format: Format,
+		Format: FormatWhole,
 		Zones:  map[string]*ZoneState{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{},
 		JobKeys: map[string]string{}, Writers: map[string]WriterMark{},
 	}
