--- a/pkg/requests/peers.go
+++ b/pkg/requests/peers.go
@@ -21,7 +21,8 @@
 	// others. Beyond, it rises with their number, so that traffic does not.
 	helloInterval = time.Second
 	meshSize      = 8
-	// startInterval replaces it until the node has joined and shares slots.
+	// startInterval replaces it until the node has joined and shares slots. It
+	// doubles, up to the usual time, while no node brings the agreement on.
 	startInterval = 100 * time.Millisecond
 	// listInterval is the time between two looks at the copy of the VM list.
 	listInterval = 200 * time.Millisecond
@@ -34,6 +35,13 @@
 	flushTimeout = 5 * time.Second
 )
 
+// HelloPause returns the time between two hellos to each of others nodes, once
+// they share slots.
+func HelloPause(others int) time.Duration { return time.Duration(spreadOf(others)) * helloInterval }
+
+// spreadOf returns by how much the time between hellos to others nodes is stretched.
+func spreadOf(others int) int { return max(1, (others+meshSize-1)/meshSize) }
+
 // Hello is what nodes tell each other once a second.
 type Hello struct{ From membership.Member }
 
@@ -154,24 +162,27 @@
 
 // helloLoop keeps the roster.
 func (s *Service) helloLoop(ctx context.Context) {
+	var pace helloPace
 	for ctx.Err() == nil {
 		s.helloRound(ctx)
 		s.tryJoin(ctx)
-		s.awaitRound(ctx, time.Now())
+		usual := s.roster.stretch(helloInterval)
+		s.awaitRound(ctx, pace.next(s.settled(), s.roster.progress(), usual))
 	}
 }
 
-// awaitRound waits for the time of the next round of hellos. It comes soon if
-// the node has not joined, or as soon as a change of the VM list makes a new
-// agreement necessary.
-func (s *Service) awaitRound(ctx context.Context, ended time.Time) {
-	for ctx.Err() == nil {
-		interval := s.roster.stretch(helloInterval)
-		if (!s.roster.isJoined() && !s.roster.isLeaving()) || !s.roster.inForce() {
-			interval = startInterval
-		}
+// settled reports whether the node shares slots, so that hellos need not hurry.
+func (s *Service) settled() bool {
+	return (s.roster.isJoined() || s.roster.isLeaving()) && s.roster.inForce()
+}
+
+// awaitRound waits for the time of the next round of hellos. It comes at once
+// if a change of the VM list makes a new agreement necessary.
+func (s *Service) awaitRound(ctx context.Context, interval time.Duration) {
+	settled := s.settled()
+	for ended := time.Now(); ctx.Err() == nil; {
 		left := interval - time.Since(ended)
-		if left <= 0 {
+		if left <= 0 || (settled && !s.settled()) {
 			return
 		}
 		select {
@@ -189,6 +200,30 @@
 	}
 }
 
+// helloPace gives the time to the next round of hellos. Nodes that cannot be
+// reached, or give no agreement, must not be asked ten times a second for good.
+type helloPace struct {
+	interval time.Duration
+	last     helloProgress
+}
+
+// next returns the time to the next round: the usual one once settled. Before,
+// it is short after each round that brought something, and doubles otherwise.
+func (p *helloPace) next(settled bool, now helloProgress, usual time.Duration) time.Duration {
+	brought := now != p.last
+	p.last = now
+	switch {
+	case settled:
+		p.interval = 0
+		return usual
+	case brought || p.interval == 0:
+		p.interval = startInterval
+	default:
+		p.interval = min(2*p.interval, usual)
+	}
+	return p.interval
+}
+
 func (s *Service) helloRound(ctx context.Context) {
 	s.readList()
 	var wg sync.WaitGroup
