Cut no request on a new connection when a node stops

Cause, two of them: net/http closes a connection without an answer if the server began to shut down while its first request was read (EOF, as in the entry TestScripts/drain); and closing the listener resets the connections that the kernel has accepted and Go has not. The latter alone was suspected.

Ruled out: waiting until no connection comes for a while, which steady callers prevent, and refusing while closing, which is cut alike. First try: the socket filter was not supported, since Go listens with Multipath TCP by default; our listeners do not any more.

Kept connections that were idle while the node drained may still be cut; see the design note.

--- a/pkg/frontdoor/frontdoor.go
+++ b/pkg/frontdoor/frontdoor.go
@@ -4,7 +4,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -41,7 +41,11 @@
 	relay    *relay.Service
 	requests *requests.Service
 
-	server     *http.Server
+	server   *http.Server
+	listener net.Listener
+	open     openConns
+	// served is closed when the server takes no more connections.
+	served     chan struct{}
 	bound      string
 	drainDelay time.Duration
 	drainOnce  sync.Once
@@ -54,6 +58,7 @@
 	return &Service{
 		network: network, address: address, metrics: set,
 		drainDelay: drainDelay, draining: make(chan struct{}),
+		served: make(chan struct{}), open: openConns{conns: map[net.Conn]struct{}{}},
 	}
 }
 
@@ -95,10 +100,11 @@
 	if err != nil {
 		return err
 	}
-	s.bound = l.Addr().String()
-	s.server = &http.Server{Handler: s.closing(h), ReadHeaderTimeout: readHeaderTimeout}
+	s.listener, s.bound = l, l.Addr().String()
+	s.server = &http.Server{Handler: s.closing(h), ReadHeaderTimeout: readHeaderTimeout, ConnState: s.open.track}
 	go func() {
-		if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		defer close(s.served)
+		if err := s.server.Serve(l); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 			klog.Errorf("frontdoor: stopped serving: %v", err)
 		}
 	}()
@@ -124,25 +130,6 @@
 // and answers the calls that wait for a job's end at once.
 func (s *Service) Drain() { s.drainOnce.Do(func() { close(s.draining) }) }
 
-// Stop implements kernel.Service. The node is not ready first, while callers
-// that the balancer still sends are served; then it takes no new requests and
-// answers those in flight, as long as ctx allows.
-func (s *Service) Stop(ctx context.Context) error {
-	s.Drain()
-	if s.requests != nil {
-		s.requests.Leave()
-	}
-	select {
-	case <-time.After(s.drainDelay):
-	case <-ctx.Done():
-	}
-	if err := s.server.Shutdown(ctx); err != nil {
-		s.server.Close()
-		return fmt.Errorf("requests in flight were cut: %w", err)
-	}
-	return nil
-}
-
 func (s *Service) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", s.getHealth)
--- a/pkg/frontdoor/frontdoor_test.go
+++ b/pkg/frontdoor/frontdoor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,6 +81,32 @@
 	})
 }
 
+// TestStopAnswersWhatArrivesSlowly stops a node while the headers of a first
+// request are on their way.
+func TestStopAnswersWhatArrivesSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := startServer(t, 0, time.Second)
+		conn, err := s.network.Dial(t.Context(), address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, "GET /work HTTP/1.1\r\n")
+		time.Sleep(time.Second)
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Stop(context.Background()) }()
+		time.Sleep(2 * time.Second)
+		io.WriteString(conn, "Host: entry\r\n\r\n")
+		answer, err := io.ReadAll(conn)
+		if err != nil || !strings.HasSuffix(string(answer), "whole answer") {
+			t.Errorf("the request was cut: %q, %v", answer, err)
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 func TestStopIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, client := startServer(t, 0, time.Minute)
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -27,8 +27,13 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// Listen implements Network.
-func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+// Listen implements Network. Multipath TCP, the default, takes no socket filter,
+// which CloseListener needs.
+func (TCP) Listen(address string) (net.Listener, error) {
+	var c net.ListenConfig
+	c.SetMultipathTCP(false)
+	return c.Listen(context.Background(), "tcp", address)
+}
 
 // idleConnTimeout closes idle HTTP connections.
 const idleConnTimeout = 30 * time.Second
