Run the trials of lifecycle at once, each with names of its own

Cause of the long test: each trial under virtual time keeps about one core busy, and a third of that went into collecting garbage of past trials (CPU profile of TestGangIsWholeOrNoneAtEveryStep). They could not run at once, since the source of names was one for the process.

A node takes the source of its names from its platform, random UUIDs if there is none; a site in memory gives each node one that depends on the seed.

--- a/pkg/frontdoor/callers.go
+++ b/pkg/frontdoor/callers.go
@@ -7,8 +7,6 @@
 	"time"
 	"unicode/utf8"
 
-	"github.com/google/uuid"
-
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
@@ -67,7 +65,7 @@
 		writeError(w, err)
 		return
 	}
-	out, err := s.propose(r.Context(), state.Record{Submit: &state.SubmitJob{ID: uuid.NewString(), Key: key, Spec: spec}})
+	out, err := s.propose(r.Context(), state.Record{Submit: &state.SubmitJob{ID: s.newID(), Key: key, Spec: spec}})
 	if err != nil {
 		writeError(w, err)
 		return
--- a/pkg/frontdoor/frontdoor.go
+++ b/pkg/frontdoor/frontdoor.go
@@ -33,6 +33,7 @@
 type Service struct {
 	network transport.Network
 	address string
+	newID   func() string
 	metrics *metrics.Set
 
 	journal  *journal.Journal
@@ -50,9 +51,9 @@
 
 // New returns a front door that listens on address and exposes set at /metrics.
 // drainDelay is how long it goes on taking requests, while not ready, when it stops.
-func New(network transport.Network, address string, drainDelay time.Duration, set *metrics.Set) *Service {
+func New(network transport.Network, address string, drainDelay time.Duration, set *metrics.Set, newID func() string) *Service {
 	return &Service{
-		network: network, address: address, metrics: set,
+		network: network, address: address, metrics: set, newID: newID,
 		drainDelay: drainDelay, draining: make(chan struct{}),
 	}
 }
--- a/pkg/frontdoor/frontdoor_test.go
+++ b/pkg/frontdoor/frontdoor_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
 
 	"github.com/shallotpin/shallotpin/pkg/memnet"
 	"github.com/shallotpin/shallotpin/pkg/transport"
@@ -20,7 +21,7 @@
 func startServer(t *testing.T, drainDelay, work time.Duration) (*Service, *http.Client) {
 	t.Helper()
 	network := memnet.New(nil)
-	s := New(network.Host("entry"), address, drainDelay, metrics.NewSet())
+	s := New(network.Host("entry"), address, drainDelay, metrics.NewSet(), uuid.NewString)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if s.isDraining() {
--- a/pkg/lifecycle/mixture_test.go
+++ b/pkg/lifecycle/mixture_test.go
@@ -23,6 +23,7 @@
 func TestFaultsInMixture(t *testing.T) {
 	for seed := range *mixtureSeeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { runMixture(t, seed) })
 		})
 	}
@@ -108,6 +109,7 @@
 // TestMixtureHasEffect proves that the mixture is not too gentle to find
 // anything: some attempts of its jobs must be lost to it.
 func TestMixtureHasEffect(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		m := &mixture{startTrial(t, 5, 1), rand.New(rand.NewPCG(1, 7))}
 		id := m.submit(0, 4, 300, 100)
--- a/pkg/lifecycle/pause_test.go
+++ b/pkg/lifecycle/pause_test.go
@@ -18,13 +18,25 @@
 	3 * time.Second, 4500 * time.Millisecond, 6 * time.Second, 9 * time.Second, 13 * time.Second, 25 * time.Second, time.Minute,
 }
 
+// lateRenewal is a number of renewals of a gang of four after which its rounds
+// are a full interval apart. That takes less than lateRenewalSeconds.
+const (
+	lateRenewal        = 140
+	lateRenewalSeconds = 25
+)
+
 // pauseSteps are the moments of a start and of the renewals after it: of the
 // first looks at a gang, and of those that are a full interval apart.
 func pauseSteps() []step {
-	out := append([]step{}, steps...)
+	var out []step
+	for _, s := range steps {
+		if s.op != memsite.OpRenew {
+			out = append(out, s)
+		}
+	}
 	for nth := 1; nth <= 4; nth++ {
 		for _, answered := range []bool{false, true} {
-			out = append(out, step{memsite.OpRenew, answered, nth}, step{memsite.OpRenew, answered, 100 + nth})
+			out = append(out, step{memsite.OpRenew, answered, nth}, step{memsite.OpRenew, answered, lateRenewal + nth})
 		}
 	}
 	return out
@@ -36,9 +48,12 @@
 	for _, s := range pauseSteps() {
 		for _, pause := range pauses {
 			t.Run(fmt.Sprintf("%s/%s", s, pause), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					tr := startTrial(t, 3, 1)
-					entry, id := tr.submitUntil(tr.at(s, func(i int) { tr.Freeze(i) }), gang(4, 90, 1))
+					// Work enough for the coordinator to wake while the gang runs.
+					seconds := lateRenewalSeconds + pause.Seconds() + 2*settings.LeaseTTL.Seconds()
+					entry, id := tr.submitUntil(tr.at(s, func(i int) { tr.Freeze(i) }), gang(4, seconds, 1))
 					time.Sleep(pause)
 					tr.Thaw(entry)
 					tr.checkDone(tr.wait((entry+1)%3, id))
@@ -56,6 +71,7 @@
 func TestPausedCoordinatorWithoutLog(t *testing.T) {
 	for _, pause := range pauses {
 		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				tr := startTrial(t, 3, 1)
 				id := tr.submit(0, 4, 300, 1)
@@ -84,6 +100,7 @@
 func TestTakeoverLeavesMargin(t *testing.T) {
 	for entries, lateAfter := range map[int]time.Duration{3: membership.LateAfter, 12: membership.LateAfterLarge} {
 		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				margin := settings.TakeoverMargin(lateAfter)
 				if margin <= 0 {
--- a/pkg/lifecycle/scenarios_test.go
+++ b/pkg/lifecycle/scenarios_test.go
@@ -26,6 +26,7 @@
 // TestLostMemberIsNotOutlived loses a worker, and then every node before any
 // can stop the rest of the gang: its leases must not have been renewed.
 func TestLostMemberIsNotOutlived(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		tr := startTrial(t, 3, 1)
 		id := tr.submit(0, 4, 600, 1)
@@ -45,6 +46,7 @@
 // other nodes, and these from its worker. The worker's zone is taken out, so
 // that the next attempt is placed elsewhere and can start.
 func TestStaleCoordinatorDoesNotDouble(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		tr := startTrial(t, 3, 1)
 		id := tr.submit(0, 1, 300, 5)
@@ -79,6 +81,7 @@
 // TestGangOutlivesCoordinatorsWhileLogIsDark loses the coordinator, and then
 // the node that keeps its gang alive, in an hour without the log.
 func TestGangOutlivesCoordinatorsWhileLogIsDark(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		tr := startTrial(t, 4, 1)
 		id := tr.submit(0, 4, 4000, 1)
@@ -97,6 +100,7 @@
 
 // TestCoordinatorsDieInTurn loses each node that takes a gang over, as soon as it has.
 func TestCoordinatorsDieInTurn(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		tr := startTrial(t, 5, 1)
 		id := tr.submit(0, 4, 120, 1)
@@ -116,6 +120,7 @@
 
 // TestPlannedStopHandsOver stops the coordinator of a gang gracefully.
 func TestPlannedStopHandsOver(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		tr := startTrial(t, 3, 1)
 		id := tr.submit(0, 4, 60, 1)
@@ -137,6 +142,7 @@
 
 // TestZonesCutFromEachOther cuts two nodes from two others; all see the log.
 func TestZonesCutFromEachOther(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		tr := startTrial(t, 4, 1)
 		id := tr.submit(0, 4, 300, 1)
@@ -158,6 +164,7 @@
 
 // TestEveryVMIsReplacedInAnHour replaces each VM in turn under a running gang.
 func TestEveryVMIsReplacedInAnHour(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		tr := startTrial(t, 3, 1)
 		id := tr.submit(0, 4, 3700, 1)
@@ -176,6 +183,7 @@
 
 // TestShortJobEndsSoon bounds what the system adds to a job of half a second.
 func TestShortJobEndsSoon(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		tr := startTrial(t, 3, 1)
 		time.Sleep(time.Minute)
@@ -189,6 +197,7 @@
 
 // TestRenewalsOfOneWorkerJoin runs eight jobs on one worker and counts the calls.
 func TestRenewalsOfOneWorkerJoin(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		tr := startTrial(t, 3, 1)
 		var ids []string
@@ -225,6 +234,7 @@
 
 // TestPreemptedGangResumesWhole stops a gang halfway; no work may be lost.
 func TestPreemptedGangResumesWhole(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		tr := startTrial(t, 3, 1)
 		spec := gang(4, 60, 1)
@@ -251,6 +261,7 @@
 
 // TestWorkersThatFailTasksAreBlamed checks what the planner learns of a failure.
 func TestWorkersThatFailTasksAreBlamed(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		tr := startTrial(t, 3, 1)
 		for _, w := range tr.Workers {
--- a/pkg/lifecycle/steps_test.go
+++ b/pkg/lifecycle/steps_test.go
@@ -111,6 +111,7 @@
 		for j, f := range faults {
 			attempts := 1 + 4*((i+j)%2)
 			t.Run(fmt.Sprintf("%s/%s/%d", s, f.name, attempts), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { runStep(t, s, f, attempts) })
 			})
 		}
@@ -141,6 +142,7 @@
 	for _, s := range steps[:9] {
 		for _, pause := range []time.Duration{time.Second, 3 * time.Second, 7 * time.Second, time.Minute} {
 			t.Run(fmt.Sprintf("%s/%s", s, pause), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					tr, zone, out := pauseAndTakeZoneOut(t, s, pause, standin.WorkerFaults{})
 					if late := tr.lateStarts(zone, out); len(late) > 0 {
@@ -155,6 +157,7 @@
 // TestLateStartIsFound proves that the check finds a late start: the workers do
 // not bound it, and no other node fences the attempt.
 func TestLateStartIsFound(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		before := step{memsite.OpStart, false, 1}
 		tr, zone, out := pauseAndTakeZoneOut(t, before, 7*time.Second, standin.WorkerFaults{LateStarts: true})
--- a/pkg/lifecycle/trial_test.go
+++ b/pkg/lifecycle/trial_test.go
@@ -3,16 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/shallotpin/shallotpin/deploy"
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/config"
@@ -45,8 +41,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	// Names of jobs and incarnations decide who coordinates what.
-	uuid.SetRand(&lockedReader{r: rand.NewChaCha8([32]byte{byte(seed)})})
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Hour)
 	tr := &trial{t: t, ctx: ctx, history: standin.NewHistory(), specs: map[string]api.JobSpec{}}
 	shape := standin.TodayShape("stave-desk", []string{"howrah", "salt-lake", "barasat"})
@@ -82,19 +76,6 @@
 	}
 }
 
-// lockedReader is a source of random bytes for concurrent use.
-type lockedReader struct {
-	mu sync.Mutex
-	r  io.Reader
-}
-
-// Read implements io.Reader.
-func (l *lockedReader) Read(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.r.Read(p)
-}
-
 func (tr *trial) hook(fn func(memsite.Call)) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
--- a/pkg/memsite/memsite.go
+++ b/pkg/memsite/memsite.go
@@ -164,7 +164,7 @@
 	log, vms := s.platformOf(e.Host)
 	p := node.Platform{
 		Log: &gatedLog{e.gate, log}, VMs: &gatedVMs{e.gate, vms},
-		Workers: &gatedWorkers{e.gate, s.Workers},
+		Workers: &gatedWorkers{e.gate, s.Workers}, NewID: s.newIDs(),
 	}
 	if s.opts.Wrap != nil {
 		p = s.opts.Wrap(p)
@@ -177,6 +177,18 @@
 	return e.Node.Start(ctx)
 }
 
+// newIDs returns a source of names that depends on the seed alone: names of jobs
+// decide who coordinates what.
+func (s *Site) newIDs() func() string {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64()))
+	return func() string {
+		mu.Lock()
+		defer mu.Unlock()
+		return fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64())
+	}
+}
+
 const (
 	// logAddress and vmsAddress are where the log and the VM list listen if they
 	// are reached by HTTP.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -89,6 +89,9 @@
 	Log     platform.Log
 	VMs     platform.VMList
 	Workers platform.Workers
+	// NewID makes the names of the node's run and of the jobs that it accepts,
+	// which nothing else may have; nil means random UUIDs.
+	NewID func() string
 }
 
 // HTTPPlatform returns the platform at the addresses in the settings.
@@ -117,7 +120,10 @@
 
 // New assembles a node. rng drives its random choices.
 func New(s Settings, network transport.Network, p Platform, rng *rand.Rand) (*Node, error) {
-	incarnation := s.ID + "/" + uuid.NewString()
+	if p.NewID == nil {
+		p.NewID = uuid.NewString
+	}
+	incarnation := s.ID + "/" + p.NewID()
 	set := metrics.NewSet()
 	peers := peer.New(network, s.Peer)
 	vms, err := fleet.New(p.VMs, s.ID, peers, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())))
@@ -144,7 +150,7 @@
 		kernel: kernel.New(), settings: s, Members: members,
 		Journal: log, Relay: relays,
 		Requests: requests.New(network, rng, set),
-		front:    frontdoor.New(network, s.HTTP, s.DrainDelay, set),
+		front:    frontdoor.New(network, s.HTTP, s.DrainDelay, set, p.NewID),
 	}
 	services := []kernel.Service{
 		n.Journal, vms, peers, members, relays,
