--- a/pkg/frontdoor/stop_test.go
+++ b/pkg/frontdoor/stop_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
 
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
@@ -21,7 +22,7 @@
 func TestStopUnderNewConnections(t *testing.T) {
 	const stops, callers, requests = 3, 8, 100_000
 	for range stops {
-		s := New(transport.TCP{}, "127.0.0.1:0", 0, metrics.NewSet())
+		s := New(transport.TCP{}, "127.0.0.1:0", 0, metrics.NewSet(), uuid.NewString)
 		err := s.listen(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "whole answer") }))
 		if err != nil {
 			t.Fatal(err)
