Search once for gangs of a kind that cannot be placed by moves

Change: a gang like one for which none could be moved, and that ranks no higher, does not search again; values of attempts are kept for a decision; jobs are sorted before they are copied.

--- a/pkg/scheduler/consolidate.go
+++ b/pkg/scheduler/consolidate.go
@@ -8,9 +8,18 @@
 	if !c.wide(j) {
 		return false
 	}
+	// Room only shrinks within a cycle, so a gang like one for which there was
+	// none, and that ranks no higher, need not search again.
+	key, rank := keyOf(j), c.value(j.Spec.Account, j.Waited, j.Estimate)
+	if highest, failed := c.unmovable[key]; failed && rank <= highest {
+		return false
+	}
 	allowed := int(c.policy.MoveShare * float64(j.Spec.Total().Accelerators))
 	var best *reservation
 	for _, group := range c.spans(j.Spec.Within) {
+		if c.idle(group) < j.Spec.Total().Accelerators-allowed {
+			continue
+		}
 		found := c.drainIn(group, j, 0, c.policy.Move)
 		if found == nil || c.accelerators(found.victims) > allowed {
 			continue
@@ -20,6 +29,7 @@
 		}
 	}
 	if best == nil {
+		c.unmovable[key] = rank
 		return false
 	}
 	c.displace(best.victims, j)
@@ -35,3 +45,12 @@
 	}
 	return sum
 }
+
+// idle returns how many accelerators of a group are free or being given back.
+func (c *cycle) idle(group span) int {
+	sum := 0
+	for i := group.start; i < group.end; i++ {
+		sum += max(0, c.snap.Workers[i].Free.Accelerators+c.soon[i].Accelerators)
+	}
+	return sum
+}
--- a/pkg/scheduler/cycle.go
+++ b/pkg/scheduler/cycle.go
@@ -44,7 +44,14 @@
 	guaranteed map[string]int
 	using      map[string]int
 	share      map[string]float64
-	failed     map[gangKey]float64
+	// failed is the shortest estimate of the gangs of a kind that were not
+	// placed, and unmovable is the highest rank of those for which none could be moved.
+	failed    map[gangKey]float64
+	unmovable map[gangKey]float64
+	// ranks caches the values of attempts; NaN is unknown.
+	ranks []float64
+	// largest is how many accelerators the largest worker has.
+	largest    int
 	tries      int
 	candidates []candidate
 }
@@ -55,11 +62,13 @@
 		snap: snap, policy: policy, rackOf: make([]int, n), onWorker: make([][]int, n), own: make([]cells.Uses, n),
 		soon: make([]api.Resources, n), limit: make([]float64, n),
 		guaranteed: map[string]int{}, using: map[string]int{}, failed: map[gangKey]float64{},
+		unmovable: map[gangKey]float64{}, ranks: slices.Repeat([]float64{math.NaN()}, len(snap.Attempts)),
 	}
 	c.group()
 	c.indexAttempts()
 	for i := range snap.Workers {
 		c.limit[i] = math.Inf(1)
+		c.largest = max(c.largest, snap.Workers[i].Capacity.Accelerators)
 		for _, use := range snap.Workers[i].Reserved {
 			c.guaranteed[use.Account] += use.Resources.Accelerators
 		}
--- a/pkg/scheduler/reserve.go
+++ b/pkg/scheduler/reserve.go
@@ -65,12 +65,7 @@
 
 // wide reports whether j needs at least one worker whole.
 func (c *cycle) wide(j *Pending) bool {
-	for i := range c.snap.Workers {
-		if j.Spec.Total().Accelerators < c.snap.Workers[i].Capacity.Accelerators {
-			return false
-		}
-	}
-	return true
+	return j.Spec.Total().Accelerators >= c.largest
 }
 
 // drainIn returns how j could start in a group after wait, or nil. limits say
@@ -151,9 +146,18 @@
 	if !a.Checkpoint || a.Urgent || a.Ran < limits.After {
 		return false
 	}
-	if c.value(j.Spec.Account, j.Waited, j.Estimate) < limits.Ratio*c.value(a.Account, a.Waited, a.Remaining) {
+	if c.value(j.Spec.Account, j.Waited, j.Estimate) < limits.Ratio*c.rankOf(k) {
 		return false
 	}
 	own := c.snap.Workers[i].Reserved.Of(a.Account)
 	return own == api.Resources{} || cells.Excess(c.own[i].Of(a.Account), own) != api.Resources{}
 }
+
+// rankOf returns the value of attempt k in the queue.
+func (c *cycle) rankOf(k int) float64 {
+	if math.IsNaN(c.ranks[k]) {
+		a := &c.snap.Attempts[k]
+		c.ranks[k] = c.value(a.Account, a.Waited, a.Remaining)
+	}
+	return c.ranks[k]
+}
--- a/pkg/scheduler/snapshot.go
+++ b/pkg/scheduler/snapshot.go
@@ -105,17 +105,30 @@
 	slices.SortFunc(snap.Workers, func(a, b Worker) int {
 		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
 	})
+	pending, placed := liveJobs(s)
+	for _, j := range pending {
+		snap.Pending = append(snap.Pending, Pending{*j, book.Waited(j.ID, now), book.Remaining(j, now), j.Pinned()})
+	}
+	for _, j := range placed {
+		snap.Attempts = append(snap.Attempts, takeAttempt(s, j, book, now))
+	}
+	return snap
+}
+
+// liveJobs returns the waiting jobs in order of submission, and those with an
+// attempt in force by token.
+func liveJobs(s *state.State) (pending, placed []*state.Job) {
 	for _, j := range s.Jobs {
 		switch {
 		case j.Phase == api.PhasePending:
-			snap.Pending = append(snap.Pending, Pending{*j, book.Waited(j.ID, now), book.Remaining(j, now), j.Pinned()})
+			pending = append(pending, j)
 		case len(j.Placements) > 0:
-			snap.Attempts = append(snap.Attempts, takeAttempt(s, j, book, now))
+			placed = append(placed, j)
 		}
 	}
-	slices.SortFunc(snap.Pending, func(a, b Pending) int { return cmp.Compare(a.Order, b.Order) })
-	slices.SortFunc(snap.Attempts, func(a, b Attempt) int { return cmp.Compare(a.Token, b.Token) })
-	return snap
+	slices.SortFunc(pending, func(a, b *state.Job) int { return cmp.Compare(a.Order, b.Order) })
+	slices.SortFunc(placed, func(a, b *state.Job) int { return cmp.Compare(a.Token, b.Token) })
+	return pending, placed
 }
 
 func takeAttempt(s *state.State, j *state.Job, book *estimate.Book, now time.Time) Attempt {
