Answer with a copy of the VM list and the words on it of one moment

A node answered a question about the VM list with its copy, then read what it knew of its peers: between the two it could take in a newer copy, with the peer's word that it had no newer one. The asker then held the old copy and the word that nobody had a newer one.

Change: copy and words are read under one lock.

Measured: TestWordsAreOfTheCopy fails with the two read one after the other.

--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -152,3 +152,33 @@
 		})
 	}
 }
+
+// TestWordsAreOfTheCopy asks a node for its copy while it takes in newer ones
+// from a peer and notes the peer's word. An answer with a word must hold a copy
+// that is as new.
+func TestWordsAreOfTheCopy(t *testing.T) {
+	const rounds = 500_000
+	s, err := New(nil, "a", peer.New(memnet.New(nil).Host("a"), "10.0.0.1:1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	at := func(round int) time.Time { return began.Add(time.Duration(round) * time.Microsecond) }
+	var done atomic.Bool
+	go func() {
+		defer done.Store(true)
+		for round := range rounds {
+			s.adopt(platform.KindUpstream, listed{nil, at(round)})
+			s.noteWords("b", at(round), nil)
+		}
+	}()
+	// The caller's copy is old, and the clock stands at the end.
+	now := at(rounds)
+	for !done.Load() {
+		reply := s.reply(now, time.Hour)
+		word, ok := reply.Words["b"]
+		if ok && (!reply.Newer || reply.Age+ageMargin > word) {
+			t.Fatalf("a word of %v with a copy of %v, newer %v", word, reply.Age, reply.Newer)
+		}
+	}
+}
--- a/pkg/fleet/peers.go
+++ b/pkg/fleet/peers.go
@@ -43,26 +43,26 @@
 
 // Copy answers with this node's copy of the upstreams, if it is newer.
 func (h *handler) Copy(args *CopyCall, reply *CopyReply) error {
-	now := time.Now()
-	upstreams, known := h.s.VMs(platform.KindUpstream)
-	age, _ := h.s.ageOf(platform.KindUpstream, now)
-	reply.Words = h.s.recentWords(now)
-	if known && age+ageMargin < args.Age {
-		reply.Newer, reply.Upstreams, reply.Age = true, upstreams, age
-	}
+	*reply = h.s.reply(time.Now(), args.Age)
 	return nil
 }
 
-// recentWords returns the ages of the words that still count.
-func (s *Service) recentWords(now time.Time) map[string]time.Duration {
+// reply returns the copy of the upstreams, if it is newer than one of the given
+// age, and the words that still count. They must be of one moment: a word says
+// that a peer has no newer copy than the one that this node held then.
+func (s *Service) reply(now time.Time, age time.Duration) CopyReply {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	out := map[string]time.Duration{}
+	out := CopyReply{Words: map[string]time.Duration{}}
 	for id, at := range s.words {
 		if age := now.Sub(at) + ageMargin; age <= noNewsWithin {
-			out[id] = age
+			out.Words[id] = age
 		}
 	}
+	upstreams := s.copies[platform.KindUpstream]
+	if own := now.Sub(upstreams.at); !upstreams.at.IsZero() && own+ageMargin < age {
+		out.Newer, out.Upstreams, out.Age = true, upstreams.vms, own
+	}
 	return out
 }
 
