Choose another upstream when the one chosen is leaving by the newer list

Cause: a request takes a slot on an upstream by the copy of the VM list at hand, then waits up to 2 s for a copy that may be acted on, and was sent to the upstream chosen by the old one. A trace of the proof: a node whose cut had healed at 2:54.05 was sent a request at 2:54.38, read the list, and started the request at 2:55.04 on an upstream listed as leaving for 67 s. Ruled out: the copy itself, its age and the words of peers, which were right then.

Change: after the wait the upstream must still be listed and not leaving, and its zone not out; otherwise the slot is given back and another upstream is chosen.

Measured: TestHealedNodeForgetsItsOldChoice fails without the check (starts 11.9 s after the upstreams left).

Conclusion: the promise on leaving upstreams holds through waits, too.

--- /dev/null
+++ b/pkg/requests/current_test.go
@@ -0,0 +1,60 @@
+package requests_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/memnet"
+	"github.com/shallotpin/shallotpin/pkg/memsite"
+	"github.com/shallotpin/shallotpin/pkg/platform"
+)
+
+// TestHealedNodeForgetsItsOldChoice lets upstreams leave while an entry VM is cut
+// off from the VM list and from the others. Requests that reach it shortly before
+// it looks at the list again wait, and must not go to an upstream that they were
+// given before.
+func TestHealedNodeForgetsItsOldChoice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3, 1, 20*time.Millisecond)
+		cut := func(fault memnet.Fault) {
+			f.CutPlatform(0, memsite.PlatformCut{VMList: fault != memnet.Healthy})
+			f.Net.SetBoth("entry-0", "entry-1", fault)
+			f.Net.SetBoth("entry-0", "entry-2", fault)
+		}
+		cut(memnet.Cut)
+		left := map[string]bool{}
+		f.VMs.Update(func(vms []platform.VM) []platform.VM {
+			for i := range vms {
+				if vms[i].Kind == platform.KindUpstream && i%2 == 0 {
+					vms[i].Leaving, left[vms[i].ID] = true, true
+				}
+			}
+			return vms
+		})
+		time.Sleep(2 * leaveWithin)
+		began := time.Now()
+		time.AfterFunc(time.Second, func() { cut(memnet.Healthy) })
+		quote := api.Request{Account: "coopers", Service: "stave-desk", Class: "quote", Body: []byte("quote")}
+		for _, failed := range f.loadAt(0, 40, time.Second, quote) {
+			if failed.err.Verdict != api.NotRun {
+				t.Errorf("sent after %s: %v", failed.sent, failed.err)
+			}
+		}
+		ran := 0
+		for id, u := range f.Upstreams {
+			for _, e := range u.Executions() {
+				if e.At.Before(began) {
+					continue
+				}
+				if ran++; left[id] {
+					t.Errorf("a request started on %s, which left %s before", id, e.At.Sub(began)+2*leaveWithin)
+				}
+			}
+		}
+		if len(left) == 0 || ran == 0 {
+			t.Errorf("%d upstreams left, %d requests ran", len(left), ran)
+		}
+	})
+}
--- a/pkg/requests/dispatch.go
+++ b/pkg/requests/dispatch.go
@@ -165,6 +165,17 @@
 	return open
 }
 
+// open reports whether an upstream may still take new work.
+func (s *Service) open(vm platform.VM) (open bool) {
+	all, _ := s.fleet.VMs(platform.KindUpstream)
+	i := slices.IndexFunc(all, func(listed platform.VM) bool { return listed.ID == vm.ID })
+	if i < 0 || all[i].Leaving {
+		return false
+	}
+	s.journal.View(func(st *state.State) { open = !st.ZoneOut(all[i].Zone) })
+	return open
+}
+
 // dispatch gives free slots to waiting requests. It must be called under mu.
 func (s *Service) dispatch(service string, vms []platform.VM, now time.Time) {
 	p := s.pool(service)
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -302,6 +302,23 @@
 	return nil
 }
 
+// acquireOpen waits for a slot and for views that may be acted on. An upstream that
+// was chosen by an older view may be leaving, or its zone out, by the new one:
+// another one is chosen then.
+func (s *Service) acquireOpen(ctx context.Context, r *api.Request, class config.Class, avoid string) (platform.VM, *api.Error) {
+	for {
+		vm, refusal := s.acquire(ctx, r, class, avoid)
+		if refusal != nil {
+			return vm, refusal
+		}
+		s.awaitCurrent(ctx)
+		if s.open(vm) {
+			return vm, nil
+		}
+		s.release(r.Service, vm, 0)
+	}
+}
+
 // attempt waits for a slot and sends the request once. silent says that it was
 // lost to a silent connection.
 func (s *Service) attempt(ctx context.Context, r *api.Request, once *sendOnce, attempt int, avoid string) (answer api.Answer, silent bool) {
@@ -310,12 +327,11 @@
 		return refuse(r, err), false
 	}
 	began := time.Now()
-	vm, refusal := s.acquire(ctx, r, class, avoid)
+	vm, refusal := s.acquireOpen(ctx, r, class, avoid)
 	if refusal != nil {
 		return refuse(r, refusal), false
 	}
 	s.histogram.queued(r, time.Since(began))
-	s.awaitCurrent(ctx)
 	if err := s.checkSend(time.Now()); err != nil {
 		s.release(r.Service, vm, 0)
 		return refuseUnsent(r, err), false
