Refuse leases that no takeover can save

Cause: `--lease-ttl` allowed 2 s, but another node renews for a silent coordinator after 2.5 s at the earliest. Every gang of a paused node would have ended.

Change: the shortest lease is 7 s, for which the time of a takeover, worked out from the constants (lifecycle.TakeoverMargin), leaves a margin in a site of a few nodes.

Conclusion: in fleets of more than 9 nodes leases under 9.4 s have no margin; the settings cannot know the size, the default of 10 s is enough.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -38,7 +38,7 @@
 
 	DrainDelay       time.Duration `long:"drain-delay" env:"SHALLOTPIN_DRAIN_DELAY" default:"2s" description:"how long a planned stop goes on taking requests while /readyz says no, 0s to 1m"`
 	DrainTimeout     time.Duration `long:"drain-timeout" env:"SHALLOTPIN_DRAIN_TIMEOUT" default:"30s" description:"longest time that a planned stop waits for requests in flight, 1s to 10m"`
-	LeaseTTL         time.Duration `long:"lease-ttl" env:"SHALLOTPIN_LEASE_TTL" default:"10s" description:"how long a task runs on without a renewal, 2s to 5m"`
+	LeaseTTL         time.Duration `long:"lease-ttl" env:"SHALLOTPIN_LEASE_TTL" default:"10s" description:"how long a task runs on without a renewal, 7s to 5m"`
 	StartWithin      time.Duration `long:"start-within" env:"SHALLOTPIN_START_WITHIN" default:"3s" description:"longest time from reservation to start on a worker's clock, 500ms to 4s"`
 	SnapshotInterval time.Duration `long:"snapshot-interval" env:"SHALLOTPIN_SNAPSHOT_INTERVAL" default:"10m" description:"greatest age of the newest snapshot in the log, under half of the log's retention, 10s to 24h"`
 	ClockDrift       float64       `long:"clock-drift" env:"SHALLOTPIN_CLOCK_DRIFT" default:"0.01" description:"assumed bound on the relative drift between two VMs' clocks, 0 to 0.2"`
@@ -76,7 +76,7 @@
 	}
 	checkRange("--drain-delay", s.DrainDelay, 0, time.Minute)
 	checkRange("--drain-timeout", s.DrainTimeout, time.Second, 10*time.Minute)
-	checkRange("--lease-ttl", s.LeaseTTL, 2*time.Second, 5*time.Minute)
+	checkRange("--lease-ttl", s.LeaseTTL, minLeaseTTL, 5*time.Minute)
 	checkRange("--start-within", s.StartWithin, 500*time.Millisecond, 4*time.Second)
 	checkRange("--snapshot-interval", s.SnapshotInterval, 10*time.Second, 24*time.Hour)
 	if s.ClockDrift < 0 || s.ClockDrift > 0.2 {
@@ -85,6 +85,13 @@
 	return problems
 }
 
+// minLeaseTTL is the shortest lease for which another node renews in time when a
+// coordinator falls silent, in a site of a few nodes (lifecycle.TakeoverMargin).
+const minLeaseTTL = 7 * time.Second
+
+// renewInterval returns the time between two renewals of a lease.
+func renewInterval(lease time.Duration) time.Duration { return lease / 5 }
+
 // Platform is what a node needs from the platform.
 type Platform struct {
 	Log     platform.Log
@@ -137,7 +144,7 @@
 	}
 	lifecycleSettings := lifecycle.DefaultSettings
 	lifecycleSettings.LeaseTTL, lifecycleSettings.StartWithin, lifecycleSettings.ClockDrift = s.LeaseTTL, s.StartWithin, s.ClockDrift
-	lifecycleSettings.RenewInterval = s.LeaseTTL / 5
+	lifecycleSettings.RenewInterval = renewInterval(s.LeaseTTL)
 	jobs, err := lifecycle.New(lifecycleSettings, p.Workers, peers)
 	if err != nil {
 		return nil, err
