--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -55,8 +55,7 @@
 	asking map[string]bool
 	// departed is when an entry VM was last found to be off the list.
 	departed time.Time
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	loops    kernel.Loops
 }
 
 // listed holds the VMs of one kind, as the list had them at some time after at.
@@ -83,16 +82,13 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(context.Context, *kernel.Kernel) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.wg.Go(func() { s.poll(ctx) })
+	s.loops.Start(s.poll)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
-	s.cancel()
-	s.wg.Wait()
+	s.loops.Stop()
 	return nil
 }
 
--- a/pkg/fleet/peers.go
+++ b/pkg/fleet/peers.go
@@ -78,7 +78,7 @@
 			continue
 		}
 		s.asking[vm.ID] = true
-		s.wg.Go(func() {
+		s.loops.Go(func() {
 			s.askPeer(ctx, vm)
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -43,9 +43,8 @@
 	wake    chan struct{}
 	nodes   int
 
-	reach  reach
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	reach reach
+	loops kernel.Loops
 }
 
 // New returns a journal over log that writes as writer, the node's incarnation.
@@ -64,17 +63,13 @@
 
 // Start implements kernel.Service.
 func (j *Journal) Start(context.Context, *kernel.Kernel) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	j.cancel = cancel
-	j.wg.Go(func() { j.readLoop(ctx) })
-	j.wg.Go(func() { j.writeLoop(ctx) })
+	j.loops.Start(j.readLoop, j.writeLoop)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (j *Journal) Stop(context.Context) error {
-	j.cancel()
-	j.wg.Wait()
+	j.loops.Stop()
 	return nil
 }
 
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -65,7 +65,7 @@
 func (s *Service) round(ctx context.Context) {
 	vms, _ := s.fleet.VMs(platform.KindEntry)
 	for _, address := range s.targets(time.Now(), vms) {
-		s.wg.Go(func() { s.beat(ctx, address) })
+		s.loops.Go(func() { s.beat(ctx, address) })
 	}
 }
 
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -99,8 +99,7 @@
 	listed map[string]bool
 	order  []string
 	rng    *rand.Rand
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	loops  kernel.Loops
 }
 
 // New returns a membership service for the node self. Its heartbeat handler is
@@ -131,16 +130,13 @@
 	if s.fleet, err = kernel.Lookup[*fleet.Service](k, fleet.ServiceName); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.wg.Go(func() { s.loop(ctx) })
+	s.loops.Start(s.loop)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
-	s.cancel()
-	s.wg.Wait()
+	s.loops.Stop()
 	return nil
 }
 
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -40,8 +40,7 @@
 	// book and backoff are kept by every node, so that they are filled when the node takes over.
 	book    *estimate.Book
 	backoff *backoff
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	loops   kernel.Loops
 }
 
 // New returns a planner. rng spreads the retries of plans.
@@ -68,16 +67,13 @@
 	if s.fleet, err = kernel.Lookup[*fleet.Service](k, fleet.ServiceName); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.wg.Go(func() { s.loop(ctx) })
+	s.loops.Start(s.loop)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
-	s.cancel()
-	s.wg.Wait()
+	s.loops.Stop()
 	return nil
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -57,8 +57,7 @@
 	rng    *rand.Rand
 	served served
 
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	loops kernel.Loops
 }
 
 // New returns a relay. Its handler is registered with peers, and it reports the
@@ -79,17 +78,13 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(context.Context, *kernel.Kernel) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.wg.Go(func() { s.pullLoop(ctx) })
-	s.wg.Go(func() { s.snapshotLoop(ctx) })
+	s.loops.Start(s.pullLoop, s.snapshotLoop)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
-	s.cancel()
-	s.wg.Wait()
+	s.loops.Stop()
 	return nil
 }
 
