--- a/pkg/scheduler/consolidate.go
+++ b/pkg/scheduler/consolidate.go
@@ -1,9 +1,9 @@
 package scheduler
 
-// consolidate makes room for a wide gang at once by stopping smaller gangs with
-// a checkpoint, which resume in holes that the wide gang cannot use. It takes
-// the group in which the least work is lost, and never stops more than
-// MoveShare of what the gang needs.
+// consolidate makes room for a wide gang at once by stopping others, up to as
+// many accelerators as it needs, with a checkpoint. They resume in holes that the
+// wide gang cannot use. It takes the group in which the least work is lost, and
+// never stops more than MoveShare of what the gang needs.
 func (c *cycle) consolidate(j *Pending) bool {
 	if !c.wide(j) {
 		return false
