Set the reply of a call between nodes only when the call succeeds

Cause: the race detector, run over the tests for the first time, found net/rpc decoding an answer into the reply of a call that had run out of time, while its caller read it (TestKeyedOwnerPaused). A caller that had been told of a failure could then see a late answer, or part of one: what a node answers for another one goes to a caller. Ruled out: dropping the connection at the timeout, which was done already; an answer that is being decoded is not stopped by it.

Change: answers are decoded into a value of their own, handed over on success.

--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -144,18 +145,24 @@
 }
 
 // Call invokes a method of the node at address. If ctx ends first, the call
-// may still take effect there.
+// may still take effect there. reply, a pointer, is set only if there is no error.
 func (s *Service) Call(ctx context.Context, address, method string, args, reply any) error {
 	c, err := s.client(ctx, address)
 	if err != nil {
 		return err
 	}
-	call, err := c.send(ctx, method, args, reply)
+	// net/rpc may decode an answer at any time, also when nobody waits for it.
+	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	call, err := c.send(ctx, method, args, answer.Interface())
 	if err == nil {
 		select {
 		case <-call.Done:
+			if call.Error == nil {
+				reflect.ValueOf(reply).Elem().Set(answer.Elem())
+				return nil
+			}
 			var remote rpc.ServerError
-			if call.Error != nil && !errors.As(call.Error, &remote) {
+			if !errors.As(call.Error, &remote) {
 				s.drop(address, c)
 			}
 			return call.Error
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -129,6 +129,41 @@
 	return nil
 }
 
+// TestLateAnswerSetsNoReply lets answers arrive just as their calls run out of
+// time. A call that fails must leave its reply alone.
+func TestLateAnswerSetsNoReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay = 2 * time.Millisecond
+		network := memnet.New(func(string, string) time.Duration { return delay })
+		callee, caller := New(network.Host("callee"), "10.0.0.1:1"), New(network.Host("caller"), "10.0.0.2:1")
+		if err := callee.Handle("Slow", slowHandler{}); err != nil {
+			t.Fatal(err)
+		}
+		for _, s := range []*Service{callee, caller} {
+			if err := s.Start(t.Context(), nil); err != nil {
+				t.Fatal(err)
+			}
+			defer s.Stop(context.Background())
+		}
+		failed := 0
+		for range 200 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second+2*delay)
+			args, reply := 0, 0
+			if err := caller.Call(ctx, "10.0.0.1:1", "Slow.Work", &args, &reply); err != nil {
+				failed++
+				time.Sleep(time.Second)
+				if reply != 0 {
+					t.Fatalf("a call that ended with %v has the reply %d", err, reply)
+				}
+			}
+			cancel()
+		}
+		if failed == 0 {
+			t.Error("no call ran out of time")
+		}
+	})
+}
+
 // TestStopAnswersCallsUnderWay stops a node while it runs a call for another one.
 func TestStopAnswersCallsUnderWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
