Judge no node lost before it could be heard of

When the list comes back the new node sends its first heartbeats, and the answers come one by one over lossy links. Once three of five nodes were heard it had a quorum, and took those not heard of yet for dead; they claimed back, since they did not know it either. The guard for nodes that have just started had passed meanwhile. Ruled out: the list itself and the rule for a node without one; heartbeats that are late later on, as all nodes have been heard of then.

Change: for 4 s after a node first has a list, it has neither a quorum nor a ground to take a VM for replaced.

--- a/pkg/lifecycle/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -94,6 +94,8 @@
 	claiming map[int64]bool
 	// silent is when an orphan's coordinator was first seen not to be live.
 	silent map[orphan]time.Time
+	// listed is when the node first had the VM list while it looked for orphans.
+	listed time.Time
 	// loneClaims counts this node's claims of an attempt without a quorum, by token.
 	loneClaims map[int64]int
 	// begun holds the tokens of the attempts that the log shows to have begun.
--- a/pkg/lifecycle/takeover.go
+++ b/pkg/lifecycle/takeover.go
@@ -75,11 +75,12 @@
 
 // claimDue claims the orphans whose claim is due.
 func (s *Service) claimDue(ctx context.Context, now time.Time, orphans []*state.Job) {
-	quorum := s.hearsQuorum(now)
+	acquainted := s.acquainted(now)
+	quorum := acquainted && s.hearsQuorum(now)
 	loneClaims := map[int64]int{}
 	for _, j := range orphans {
 		v := claimView{
-			live: s.hears(now, j.Coordinator), quorum: quorum, replaced: s.replaced(now, j),
+			live: s.hears(now, j.Coordinator), quorum: quorum, replaced: acquainted && s.replaced(now, j),
 			silence: s.silence(now, j), loneClaims: s.loneClaims[j.Token],
 		}
 		if loneClaims[j.Token] = v.loneClaims; !v.due() {
@@ -92,6 +93,19 @@
 	s.loneClaims = loneClaims
 }
 
+// acquainted reports whether the node has known the VM list for long enough to
+// have heard from every other node that lives. Before, one that it has not heard
+// of yet looks lost: the answers to its first heartbeats come one by one.
+func (s *Service) acquainted(now time.Time) bool {
+	if len(s.staleness.entryVMs()) == 0 {
+		return false
+	}
+	if s.listed.IsZero() {
+		s.listed = now
+	}
+	return now.Sub(s.listed) >= membership.SuspectAfter
+}
+
 // hears reports whether the process that is j's coordinator is heard of.
 func (s *Service) hears(now time.Time, coordinator string) bool {
 	return slices.ContainsFunc(s.members.Live(now), func(m membership.Member) bool { return m.Incarnation == coordinator })
