Start the pair of nodes of peer tests in one place

Cause: four tests started a server and a client in the same ten lines.

Change: startPair does it. What the tests check is unchanged.

Conclusion: shorter tests, nothing loosened.

--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -45,26 +45,36 @@
 	})
 }
 
+// serverAddress is the address of the server of a pair.
+const serverAddress = "10.0.0.2:1"
+
+// startPair starts a server "b" with a handler, and a client "a", until the test ends.
+func startPair(t *testing.T, network *memnet.Network, name string, handler any) (server, client *Service) {
+	t.Helper()
+	server, client = New(network.Host("b"), serverAddress), New(network.Host("a"), "10.0.0.1:1")
+	if err := server.Handle(name, handler); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range []*Service{server, client} {
+		if err := s.Start(t.Context(), nil); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { s.Stop(context.Background()) })
+	}
+	return server, client
+}
+
 // TestSilentConnectionIsReplaced lets a connection go silent for good while
 // new ones work, as a device in between that lost track of it does.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.New(nil)
-		server, client := New(network.Host("b"), "10.0.0.2:1"), New(network.Host("a"), "10.0.0.1:1")
-		if err := server.Handle("Echo", Echo{}); err != nil {
-			t.Fatal(err)
-		}
-		for _, s := range []*Service{server, client} {
-			if err := s.Start(t.Context(), nil); err != nil {
-				t.Fatal(err)
-			}
-			defer s.Stop(context.Background())
-		}
+		_, client := startPair(t, network, "Echo", Echo{})
 		call := func() error {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			args, reply := "x", ""
-			return client.Call(ctx, "10.0.0.2:1", "Echo.Say", &args, &reply)
+			return client.Call(ctx, serverAddress, "Echo.Say", &args, &reply)
 		}
 		if err := call(); err != nil {
 			t.Fatal(err)
@@ -85,21 +95,12 @@
 func TestSilentConnectionEndsOtherCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.New(nil)
-		server, client := New(network.Host("b"), "10.0.0.2:1"), New(network.Host("a"), "10.0.0.1:1")
-		if err := server.Handle("Echo", Echo{}); err != nil {
-			t.Fatal(err)
-		}
-		for _, s := range []*Service{server, client} {
-			if err := s.Start(t.Context(), nil); err != nil {
-				t.Fatal(err)
-			}
-			defer s.Stop(context.Background())
-		}
+		_, client := startPair(t, network, "Echo", Echo{})
 		call := func(patience time.Duration) error {
 			ctx, cancel := context.WithTimeout(t.Context(), patience)
 			defer cancel()
 			args, reply := "x", ""
-			return client.Call(ctx, "10.0.0.2:1", "Echo.Say", &args, &reply)
+			return client.Call(ctx, serverAddress, "Echo.Say", &args, &reply)
 		}
 		if err := call(time.Second); err != nil {
 			t.Fatal(err)
@@ -135,21 +136,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		const delay = 2 * time.Millisecond
 		network := memnet.New(func(string, string) time.Duration { return delay })
-		callee, caller := New(network.Host("callee"), "10.0.0.1:1"), New(network.Host("caller"), "10.0.0.2:1")
-		if err := callee.Handle("Slow", slowHandler{}); err != nil {
-			t.Fatal(err)
-		}
-		for _, s := range []*Service{callee, caller} {
-			if err := s.Start(t.Context(), nil); err != nil {
-				t.Fatal(err)
-			}
-			defer s.Stop(context.Background())
-		}
+		_, caller := startPair(t, network, "Slow", slowHandler{})
 		failed := 0
 		for range 200 {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second+2*delay)
 			args, reply := 0, 0
-			if err := caller.Call(ctx, "10.0.0.1:1", "Slow.Work", &args, &reply); err != nil {
+			if err := caller.Call(ctx, serverAddress, "Slow.Work", &args, &reply); err != nil {
 				failed++
 				time.Sleep(time.Second)
 				if reply != 0 {
@@ -168,23 +160,13 @@
 func TestStopAnswersCallsUnderWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.New(func(string, string) time.Duration { return 2 * time.Millisecond })
-		callee := New(network.Host("callee"), "10.0.0.1:1")
-		if err := callee.Handle("Slow", slowHandler{}); err != nil {
-			t.Fatal(err)
-		}
-		caller := New(network.Host("caller"), "10.0.0.2:1")
-		for _, s := range []*Service{callee, caller} {
-			if err := s.Start(t.Context(), nil); err != nil {
-				t.Fatal(err)
-			}
-		}
-		defer caller.Stop(context.Background())
+		callee, caller := startPair(t, network, "Slow", slowHandler{})
 		stopped := make(chan error, 1)
 		time.AfterFunc(500*time.Millisecond, func() { stopped <- callee.Stop(context.Background()) })
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
 		var arg, reply int
-		if err := caller.Call(ctx, "10.0.0.1:1", "Slow.Work", &arg, &reply); err != nil || reply != 7 {
+		if err := caller.Call(ctx, serverAddress, "Slow.Work", &arg, &reply); err != nil || reply != 7 {
 			t.Errorf("a call under way at a planned stop got %d, %v", reply, err)
 		}
 		if err := <-stopped; err != nil {
