--- a/pkg/memsite/input_test.go
+++ b/pkg/memsite/input_test.go
@@ -31,3 +31,21 @@
 		}
 	})
 }
+
+// TestGangLargerThanAnyRackIsRefused submits a gang that no rack could hold even
+// if it were empty: 9 tasks that need a worker each, with 8 workers to a rack.
+func TestGangLargerThanAnyRackIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, ctx := startSite(t, nil).Client(0), testCtx(t, urgentWithin)
+		if _, err := c.SubmitJob(ctx, gangSpec(t, 8, 1), ""); err != nil {
+			t.Errorf("a gang of 8 gave %v", err)
+		}
+		_, err := c.SubmitJob(ctx, gangSpec(t, 9, 1), "")
+		if err == nil {
+			t.Fatal("a gang of 9 was accepted")
+		}
+		if e := api.AsError(err, api.MayHaveRun); e.Verdict != api.NotRun || e.Code != api.CodeInvalid {
+			t.Errorf("a gang of 9 gave %v", err)
+		}
+	})
+}
