Let the test of the backoff fail when a start does not end it

Cause: reading the change again, the second half of TestBackoffGrowsToItsBoundAndEndsWithAStart could not fail: the wait had passed anyway when it was looked at.

Change: a plan that comes to nothing after a start must wait like a first one. The end of a job is asked of its phase, which knows, in place of three comparisons.

Measured: with the reset at a start taken out the test fails now, before it passed; with the doubling or the bound changed it failed before, too. pkg/planner passes.

Conclusion: the check is stricter than before.

--- a/pkg/planner/backoff.go
+++ b/pkg/planner/backoff.go
@@ -58,7 +58,7 @@
 		b.jobs[id] = r
 	}
 	for id := range b.jobs {
-		if j := st.Jobs[id]; j == nil || j.Phase == api.PhaseDone || j.Phase == api.PhaseFailed || j.Phase == api.PhaseCancelled {
+		if j := st.Jobs[id]; j == nil || j.Phase.Ended() {
 			delete(b.jobs, id)
 		}
 	}
--- a/pkg/planner/backoff_test.go
+++ b/pkg/planner/backoff_test.go
@@ -44,5 +44,9 @@
 		if d := waits(); d != 0 {
 			t.Errorf("seed %d: a job that had started waits %s", seed, d)
 		}
+		j.Plans++
+		if d := waits(); d > firstBackoff {
+			t.Errorf("seed %d: waits %s after the first plan since a start, want at most %s", seed, d, firstBackoff)
+		}
 	}
 }
