--- /dev/null
+++ b/cmd/shallotpin-entry/main.go
@@ -0,0 +1,202 @@
+// Command shallotpin-entry is the daemon of an entry VM on the users' platform.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/dispatch"
+	"github.com/shallotpin/shallotpin/pkg/election"
+	"github.com/shallotpin/shallotpin/pkg/entry"
+	"github.com/shallotpin/shallotpin/pkg/logsink"
+	"github.com/shallotpin/shallotpin/pkg/steady"
+	"github.com/shallotpin/shallotpin/platform"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+const (
+	// rotationTime is how long the balancer takes to see that a node is not ready:
+	// two checks, a second apart, and a little more.
+	rotationTime = 2500 * time.Millisecond
+	// stopMargin is left of the grace time when the last connection must be closed.
+	stopMargin = 700 * time.Millisecond
+	// dialTimeout bounds a connection attempt; it outlasts one lost packet.
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout keeps connections to workers and the store between calls.
+	idleTimeout = 90 * time.Second
+	// headerTimeout bounds the time for a request's header.
+	headerTimeout = 3 * time.Second
+	// callerIdleTimeout closes connections of callers that send nothing.
+	callerIdleTimeout = 15 * time.Second
+	// memoryShare is the share of the memory limit at which collection gets eager.
+	memoryShare = 0.5
+	// clockDrift is how much slower a worker's clock may run: the platform's bound.
+	clockDrift = 0.02
+)
+
+type options struct {
+	SettingsFile string `long:"settings" env:"SHALLOTPIN_NODE_FILE" required:"true" description:"path of the platform's settings file (YAML)"`
+	Metrics      string `long:"metrics" env:"SHALLOTPIN_METRICS" default:":7001" description:"address that serves /metrics"`
+	Verbosity    int    `long:"verbosity" env:"SHALLOTPIN_VERBOSITY" default:"0" description:"log verbosity, 0 to 5"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var opts options
+	if _, err := flags.ParseArgs(&opts, args); err != nil {
+		var flagErr *flags.Error
+		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+			return exitDone
+		}
+		return exitUsage
+	}
+	settings, err := platform.LoadSettings(opts.SettingsFile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "shallotpin-entry: "+err.Error())
+		return exitUsage
+	}
+	sink := logsink.New(os.Stdout)
+	defer sink.Close()
+	setUpLogs(sink, opts.Verbosity)
+	defer klog.Flush()
+	debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * memoryShare * (1 << 20)))
+	if err := serve(settings, opts); err != nil {
+		klog.ErrorS(err, "shallotpin-entry: cannot serve")
+		return exitFailed
+	}
+	return exitDone
+}
+
+func setUpLogs(sink *logsink.Sink, verbosity int) {
+	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	for name, value := range map[string]string{"v": fmt.Sprint(verbosity), "logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL", "one_output": "true"} {
+		if err := fs.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	klog.SetOutput(sink)
+}
+
+// dispatchSettings derives the engine's settings from the platform's bounds.
+func dispatchSettings(s *platform.Settings) dispatch.Settings {
+	silence := platform.Millis(s.Bounds.ContactMS) * 2 / 3
+	return dispatch.Settings{
+		LeaseTime: platform.Millis(s.Bounds.HoldMaxMS), ClockDrift: clockDrift, GangWait: platform.Millis(s.Bounds.GangMS),
+		StopTime: platform.Millis(s.Bounds.StopMS), SaveEvery: platform.Seconds(s.Bounds.SaveS), KeepEnded: platform.Seconds(s.Bounds.StatusS),
+		Election: election.Settings{Silence: silence, Stagger: silence / 20, OrderBound: silence, RenewBound: 3 * silence, Beat: silence / 4},
+	}
+}
+
+func serve(s *platform.Settings, opts options) error {
+	store := &http.Client{Transport: newTransport()}
+	topic := func(name string) *platform.Topic {
+		return &platform.Topic{Base: "http://" + s.Store.Addr, Name: name, Client: store}
+	}
+	unixMS := func() int64 { return time.Now().UnixMilli() }
+	node := entry.New(entry.Settings{Node: s.NodeName + "/" + uuid.NewString(), Dispatch: dispatchSettings(s), MaxBatchBytes: s.Store.CallBytes / 2, Now: steady.Now, UnixMS: unixMS},
+		entry.Platform{Ledger: topic(platform.LedgerTopic), Operators: topic(platform.OperatorTopic), Workers: topic(platform.WorkerTopic),
+			Orders: &platform.Orders{Client: &http.Client{Transport: newTransport()}}, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	node.Start(ctx)
+	klog.InfoS("shallotpin-entry: started", "node", s.NodeName, "zone", s.Zone, "front", s.Listen.Front, "settings", opts.SettingsFile)
+
+	var draining atomic.Bool
+	callers := &platform.Callers{Intake: node.Intake, Operators: node.Operators, UnixMS: unixMS}
+	front := &http.Server{Handler: closing(&draining, callers), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+	ready := &http.Server{Handler: readiness(&draining, node), ReadHeaderTimeout: headerTimeout}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	stats := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 3)
+	for address, server := range map[string]*http.Server{s.Listen.Front: front, s.Listen.Ready: ready, opts.Metrics: stats} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		go func() { failed <- server.Serve(listener) }()
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				reload(opts.SettingsFile)
+				continue
+			}
+		}
+		break
+	}
+	klog.InfoS("shallotpin-entry: draining", "leading", node.Leading(), "grace_s", s.Bounds.GraceS)
+	draining.Store(true)
+	node.Retire()
+	time.Sleep(rotationTime)
+	stopCtx, stop := context.WithTimeout(ctx, platform.Seconds(s.Bounds.GraceS)-rotationTime-stopMargin)
+	defer stop()
+	if err := front.Shutdown(stopCtx); err != nil {
+		klog.InfoS("shallotpin-entry: requests were still open at the end of the grace time", "err", err)
+	}
+	cancel()
+	node.Wait()
+	klog.InfoS("shallotpin-entry: stopped", "node", s.NodeName)
+	return nil
+}
+
+// reload reads the settings file again. Bounds and addresses hold for the life
+// of a process, so that a change takes effect with the next start.
+func reload(path string) {
+	if _, err := platform.LoadSettings(path); err != nil {
+		klog.InfoS("shallotpin-entry: settings not reloaded", "file", path, "err", err)
+		return
+	}
+	klog.InfoS("shallotpin-entry: settings reloaded", "file", path)
+}
+
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: idleTimeout}
+}
+
+// closing asks callers to leave their connections once the node drains.
+func closing(draining *atomic.Bool, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func readiness(draining *atomic.Bool, node *entry.Node) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if draining.Load() || !node.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
--- a/cmd/shallotpin-standin/main.go
+++ b/cmd/shallotpin-standin/main.go
@@ -16,8 +16,8 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/bench"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
 
@@ -94,7 +94,7 @@
 	shape.Workers, shape.Upstreams = c.Workers, c.Upstreams
 	vms := shape.VMs(c.WorkerURL, c.UpURL)
 	for id, address := range c.Entries {
-		vms = append(vms, platform.VM{ID: id, Kind: platform.KindEntry, Zone: c.Zones[0], Address: address})
+		vms = append(vms, backend.VM{ID: id, Kind: backend.KindEntry, Zone: c.Zones[0], Address: address})
 	}
 	enc := json.NewEncoder(os.Stdout)
 	enc.SetIndent("", " ")
@@ -118,12 +118,12 @@
 	return errors.Join(serve(c.Listen, site.Handler()), site.Stop(ctx))
 }
 
-func readVMs(file string) ([]platform.VM, error) {
+func readVMs(file string) ([]backend.VM, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
 	}
-	var vms []platform.VM
+	var vms []backend.VM
 	if err := json.Unmarshal(data, &vms); err != nil {
 		return nil, fmt.Errorf("%s: %w", file, err)
 	}
--- a/pkg/platform/httpclient.go
+++ b/pkg/backend/httpclient.go
@@ -1,4 +1,4 @@
-package platform
+package backend
 
 import (
 	"bytes"
--- a/pkg/platform/platform.go
+++ b/pkg/backend/platform.go
@@ -1,7 +1,7 @@
-// Package platform declares the interfaces to what the platform provides: the
+// Package backend declares the interfaces to what the platform provides: the
 // append-only log service, the workers, and the list of VMs. Adapters fill
 // them; the stand-ins in package standin serve the same protocol.
-package platform
+package backend
 
 import (
 	"context"
--- a/pkg/bench/capacity_light.go
+++ b/pkg/bench/capacity_light.go
@@ -5,11 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/fleet"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/membership"
 	"github.com/shallotpin/shallotpin/pkg/peer"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/requests"
 	"github.com/shallotpin/shallotpin/pkg/routing"
 	"github.com/shallotpin/shallotpin/pkg/standin"
@@ -24,7 +24,7 @@
 
 // startLight starts a light node: it takes part in membership, and exchanges
 // hellos with the measured node as a node does that has joined and shares slots.
-func startLight(ctx context.Context, network transport.Network, log *standin.Log, vm platform.VM, site SiteInfo) (*kernel.Kernel, error) {
+func startLight(ctx context.Context, network transport.Network, log *standin.Log, vm backend.VM, site SiteInfo) (*kernel.Kernel, error) {
 	self := membership.Member{ID: vm.ID, Incarnation: lightIncarnation(vm.ID), Zone: vm.Zone, Address: vm.Address, Format: state.Format}
 	peers := peer.New(network, vm.Address)
 	members, err := membership.New(self, peers)
@@ -50,7 +50,7 @@
 }
 
 // viewOf returns the hash of the view that holds all entries.
-func viewOf(entries []platform.VM) uint64 {
+func viewOf(entries []backend.VM) uint64 {
 	var view routing.View
 	for _, vm := range entries {
 		view = append(view, vm.ID)
@@ -63,7 +63,7 @@
 type greeter struct {
 	self     membership.Member
 	peers    *peer.Service
-	measured platform.VM
+	measured backend.VM
 	others   int
 	view     uint64
 	cancel   context.CancelFunc
--- a/pkg/bench/capacity_site.go
+++ b/pkg/bench/capacity_site.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/coordination"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/membership"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 	"github.com/shallotpin/shallotpin/pkg/state"
 	"github.com/shallotpin/shallotpin/pkg/transport"
@@ -29,9 +29,9 @@
 	VMList string `json:"vm_list"`
 	// Workers and Entries are the VMs of the site. Measured is the entry VM that
 	// the site leaves to the node that is measured.
-	Workers  []platform.VM `json:"workers"`
-	Entries  []platform.VM `json:"entries"`
-	Measured platform.VM   `json:"measured"`
+	Workers  []backend.VM `json:"workers"`
+	Entries  []backend.VM `json:"entries"`
+	Measured backend.VM   `json:"measured"`
 }
 
 // TargetSite surrounds one node at the target size over loopback: stand-ins for
@@ -62,7 +62,7 @@
 	if err := s.listEntries(nodeAddress); err != nil {
 		return err
 	}
-	vms := append(append([]platform.VM(nil), s.info.Workers...), s.info.Entries...)
+	vms := append(append([]backend.VM(nil), s.info.Workers...), s.info.Entries...)
 	var err error
 	if s.info.Log, err = s.serve(s.log.Handler()); err != nil {
 		return err
@@ -110,10 +110,10 @@
 // listEntries lists the entry VMs. The one that is preferred for planning is
 // left to the measured node.
 func (s *TargetSite) listEntries(nodeAddress string) error {
-	vms := make([]platform.VM, targetNodes)
+	vms := make([]backend.VM, targetNodes)
 	members := make([]membership.Member, targetNodes)
 	for i := range vms {
-		vms[i] = platform.VM{ID: fmt.Sprintf("entry-%02d", i), Kind: platform.KindEntry, Zone: targetZones[i%len(targetZones)]}
+		vms[i] = backend.VM{ID: fmt.Sprintf("entry-%02d", i), Kind: backend.KindEntry, Zone: targetZones[i%len(targetZones)]}
 		members[i] = membership.Member{ID: vms[i].ID}
 	}
 	measured := membership.Rendezvous(members, "planner").ID
--- a/pkg/bench/capacity_target.go
+++ b/pkg/bench/capacity_target.go
@@ -4,8 +4,8 @@
 	"fmt"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/config"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -38,9 +38,9 @@
 
 // fleetVMs lists workers workers, spread over the zones in racks of eight.
 // Every worker has one accelerator, and two in five have two.
-func fleetVMs(workers int, address string) []platform.VM {
+func fleetVMs(workers int, address string) []backend.VM {
 	const rackSize = 8
-	vms := make([]platform.VM, workers)
+	vms := make([]backend.VM, workers)
 	for i := range vms {
 		zone, n := targetZones[i%len(targetZones)], i/len(targetZones)
 		accelerators := 1
@@ -48,8 +48,8 @@
 			accelerators = 2
 		}
 		id := fmt.Sprintf("w-%s-%04d", zone, n)
-		vms[i] = platform.VM{
-			ID: id, Kind: platform.KindWorker, Zone: zone, Rack: fmt.Sprintf("%s-r%03d", zone, n/rackSize),
+		vms[i] = backend.VM{
+			ID: id, Kind: backend.KindWorker, Zone: zone, Rack: fmt.Sprintf("%s-r%03d", zone, n/rackSize),
 			Address: address + "/" + id, Capacity: api.Resources{Cores: 64, MemoryGB: 256, Accelerators: accelerators},
 		}
 	}
@@ -113,7 +113,7 @@
 
 // addTarget adds the configuration, the fleet and the running gangs.
 // coordinator names the coordinator of a gang.
-func (r *recorder) addTarget(accounts, tasks int, vms []platform.VM, coordinator func([]state.Placement) string) error {
+func (r *recorder) addTarget(accounts, tasks int, vms []backend.VM, coordinator func([]state.Placement) string) error {
 	if err := r.add(state.Record{Publish: &state.Publish{Config: accountConfig(accounts)}}); err != nil {
 		return err
 	}
--- a/pkg/bench/driver.go
+++ b/pkg/bench/driver.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/cells"
 	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/estimate"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/scheduler"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
@@ -128,7 +128,7 @@
 }
 
 // setUp publishes the configuration over the fleet.
-func (w *world) setUp(c *config.Config, vms []platform.VM) {
+func (w *world) setUp(c *config.Config, vms []backend.VM) {
 	w.mustApply(state.Record{Publish: &state.Publish{Config: c}})
 	w.mustApply(state.Record{Fleet: &state.ChangeFleet{Seen: vms}})
 }
--- a/pkg/bench/mix.go
+++ b/pkg/bench/mix.go
@@ -8,8 +8,8 @@
 
 	"github.com/shallotpin/shallotpin/deploy"
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/config"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/scheduler"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
@@ -67,7 +67,7 @@
 func mixLima(_ context.Context, o Options) (map[string]float64, error)    { return runMix(&lima, o) }
 
 // fleet returns the workers of a setting.
-func (m *mix) fleet(workers int) []platform.VM {
+func (m *mix) fleet(workers int) []backend.VM {
 	shape := standin.TodayShape(m.service, m.zones)
 	shape.Upstreams = 0
 	if workers > 0 {
@@ -76,7 +76,7 @@
 	return shape.VMs("worker", "")
 }
 
-func acceleratorsOf(vms []platform.VM) int {
+func acceleratorsOf(vms []backend.VM) int {
 	n := 0
 	for i := range vms {
 		n += vms[i].Capacity.Accelerators
@@ -171,7 +171,7 @@
 
 // addFaults lets some workers fail everything for a while, loses one for good,
 // and cancels a share of the live jobs at once.
-func (w *world) addFaults(rng *rand.Rand, vms []platform.VM, length time.Duration) {
+func (w *world) addFaults(rng *rand.Rand, vms []backend.VM, length time.Duration) {
 	order := rng.Perm(len(vms))
 	for _, i := range order[:badWorkers] {
 		from := time.Duration(rng.Float64() * float64(length-badFor))
--- a/pkg/bench/requests.go
+++ b/pkg/bench/requests.go
@@ -12,11 +12,11 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/client"
 	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/frontdoor"
 	"github.com/shallotpin/shallotpin/pkg/node"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
@@ -38,7 +38,7 @@
 
 // requestSite is a set of nodes and upstreams on TCP.
 type requestSite struct {
-	vms       []platform.VM
+	vms       []backend.VM
 	upstreams []*slottedUpstream
 	servers   []*standin.Server
 	nodes     []*node.Node
@@ -105,7 +105,7 @@
 			Log: "http://127.0.0.1:1", VMs: "http://127.0.0.1:2", DrainTimeout: 5 * time.Second,
 			LeaseTTL: 10 * time.Second, StartWithin: 3 * time.Second, ClockDrift: 0.01, SnapshotInterval: 10 * time.Minute,
 		}
-		s.vms = append(s.vms, platform.VM{ID: settings[i].ID, Kind: platform.KindEntry, Zone: settings[i].Zone, Address: peer})
+		s.vms = append(s.vms, backend.VM{ID: settings[i].ID, Kind: backend.KindEntry, Zone: settings[i].Zone, Address: peer})
 	}
 	p := node.Platform{Log: standin.NewLog(0), VMs: standin.NewVMList(0, s.vms...), Workers: standin.LocalWorkers(nil)}
 	for i, set := range settings {
@@ -142,8 +142,8 @@
 	if err != nil {
 		return err
 	}
-	vm := platform.VM{
-		ID: fmt.Sprintf("u%d", i), Kind: platform.KindUpstream, Zone: fmt.Sprintf("z%d", i%3), Service: "desk",
+	vm := backend.VM{
+		ID: fmt.Sprintf("u%d", i), Kind: backend.KindUpstream, Zone: fmt.Sprintf("z%d", i%3), Service: "desk",
 		Address: "http://" + l.Addr().String(), Slots: requestSlots, Connections: 64,
 	}
 	u := standin.NewUpstream(vm, requestTime)
--- a/pkg/bench/restart.go
+++ b/pkg/bench/restart.go
@@ -11,9 +11,9 @@
 
 	"github.com/shallotpin/shallotpin/deploy"
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/journal"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
@@ -46,11 +46,11 @@
 
 // countingLog counts the data that a node reads.
 type countingLog struct {
-	platform.Log
+	backend.Log
 	read atomic.Int64
 }
 
-func (l *countingLog) Read(ctx context.Context, from int64, wait time.Duration) (platform.Page, error) {
+func (l *countingLog) Read(ctx context.Context, from int64, wait time.Duration) (backend.Page, error) {
 	page, err := l.Log.Read(ctx, from, wait)
 	for _, e := range page.Entries {
 		l.read.Add(int64(len(e.Data)))
@@ -97,8 +97,8 @@
 	var fleet state.ChangeFleet
 	for i := range size.workers {
 		zone := c.Zones[i%len(c.Zones)].Name
-		fleet.Seen = append(fleet.Seen, platform.VM{
-			ID: fmt.Sprintf("w-%s-%d", zone, i), Kind: platform.KindWorker, Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, i/24),
+		fleet.Seen = append(fleet.Seen, backend.VM{
+			ID: fmt.Sprintf("w-%s-%d", zone, i), Kind: backend.KindWorker, Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, i/24),
 			Address: fmt.Sprintf("http://10.1.%d.%d:7000", i/250, i%250), Capacity: api.Resources{Cores: 64, MemoryGB: 256, Accelerators: 8},
 		})
 	}
--- a/pkg/bench/target.go
+++ b/pkg/bench/target.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/config"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -71,8 +71,8 @@
 }
 
 // targetFleet has 2,100 accelerators on 1,500 workers, in 4 zones of 2 regions.
-func targetFleet(workers int) []platform.VM {
-	vms := make([]platform.VM, workers)
+func targetFleet(workers int) []backend.VM {
+	vms := make([]backend.VM, workers)
 	for i := range vms {
 		zone := i % 4
 		n := 1
@@ -82,8 +82,8 @@
 		case 19:
 			n = 0
 		}
-		vms[i] = platform.VM{
-			ID: fmt.Sprintf("w%05d", i), Kind: platform.KindWorker, Zone: fmt.Sprintf("z%d", zone), Rack: fmt.Sprintf("z%d-r%d", zone, i/4/targetRack),
+		vms[i] = backend.VM{
+			ID: fmt.Sprintf("w%05d", i), Kind: backend.KindWorker, Zone: fmt.Sprintf("z%d", zone), Rack: fmt.Sprintf("z%d-r%d", zone, i/4/targetRack),
 			Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), Capacity: api.Resources{Cores: 64, MemoryGB: 256, Accelerators: n},
 		}
 	}
--- a/pkg/dev/dev.go
+++ b/pkg/dev/dev.go
@@ -10,10 +10,10 @@
 	"net"
 	"time"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/client"
 	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/node"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
@@ -64,7 +64,7 @@
 		if settings[i], err = s.entrySettings(i, host, listen, c, base(0), base(1)); err != nil {
 			return err
 		}
-		vms = append(vms, platform.VM{ID: settings[i].ID, Kind: platform.KindEntry, Zone: settings[i].Zone, Address: settings[i].Peer})
+		vms = append(vms, backend.VM{ID: settings[i].ID, Kind: backend.KindEntry, Zone: settings[i].Zone, Address: settings[i].Peer})
 	}
 	s.servers = []*standin.Server{
 		standin.Serve(listeners[0], standin.NewLog(0).Handler()),
--- /dev/null
+++ b/pkg/dispatch/model.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/catalog"
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+// job is a job that has not ended.
+type job struct {
+	spec *workload.Job
+	// inherited jobs were submitted before this leader's term.
+	inherited bool
+	cancelled bool
+	progress  ledger.Progress
+	// recorded says that the ledger is known to hold the job's end.
+	recorded bool
+	// unsaved says that progress differs from the ledger.
+	unsaved bool
+	units   []*unit
+	// queue settings as of the newest configuration that has the queue.
+	service     string
+	priority    int
+	maxAttempts int
+	stretch     float64
+	slack       time.Duration
+	// guaranteed jobs lie within their account's guarantee.
+	guaranteed bool
+}
+
+// unit is one step of one round of a job.
+type unit struct {
+	id    workload.UnitID
+	job   *job
+	step  *workload.Step
+	tasks []*task
+	// checkpoint is the newest one of a gang's members.
+	checkpoint string
+	notBefore  time.Duration
+	avoid      map[string]bool
+	// reserved maps task indices to the workers on which room is awaited.
+	reserved      map[int]*worker
+	reservedUntil time.Duration
+	// aborting says that the gang's present run is being given up.
+	aborting  bool
+	abortedAt time.Duration
+	// gangSince is when the starts of the gang's present run were sent.
+	gangSince time.Duration
+	// waitingSince is when the unit could first have started.
+	waitingSince time.Duration
+}
+
+// task is one task of a unit.
+type task struct {
+	unit       *unit
+	id         workload.TaskID
+	number     int
+	done       bool
+	checkpoint string
+	run        *run
+}
+
+type runPhase string
+
+const (
+	// runStarting runs have an order under way.
+	runStarting runPhase = "starting"
+	// runActive runs are known to have started.
+	runActive runPhase = "active"
+	// runUnresolved runs had an order without an answer.
+	runUnresolved runPhase = "unresolved"
+	// runStopping runs are being stopped.
+	runStopping runPhase = "stopping"
+)
+
+// run is one start of a task on a worker. It takes room until its end is known.
+type run struct {
+	id     backend.RunID
+	task   *task
+	worker *worker
+	need   workload.Resources
+	phase  runPhase
+	// ordered is when the start was sent, active when it was known to run.
+	ordered, active time.Duration
+	// stopConfirmed is when the worker answered a stop; 0 means not yet.
+	stopConfirmed time.Duration
+	stopCalling   bool
+	stopReason    string
+	percent       int
+	percentSince  time.Duration
+}
+
+// worker is one incarnation of a worker.
+type worker struct {
+	key  string
+	info catalog.Worker
+	// listed says that the platform's list has the worker.
+	listed bool
+	// enrolled says that the ledger names the worker.
+	enrolled, enrolling bool
+	// fenced says that the worker has answered in this term.
+	fenced bool
+	runs   map[workload.TaskID]*run
+	used   workload.Resources
+	// clock is the worker's clock less the engine's, in milliseconds, a lower bound.
+	clock      int64
+	clockKnown bool
+	// answered is the send time of the last call that was answered.
+	answered time.Duration
+	// leaseEnd is when everything that was ordered has ended unless it was renewed.
+	leaseEnd time.Duration
+	holding  bool
+	looking  bool
+	holdDue  time.Duration
+	// seen is the last end handled, noted the last one in the ledger, told the
+	// last one that the worker knows to be noted.
+	seen, noted, told int64
+	suspectUntil      time.Duration
+	strikes           int
+	speed             float64
+	samples           int
+	// strays counts the unknown runs that are being stopped.
+	strays int
+}
+
+func (w *worker) ref() backend.WorkerRef {
+	return backend.WorkerRef{ID: w.info.ID, Address: w.info.Address}
+}
--- /dev/null
+++ b/pkg/dispatch/plan.go
@@ -0,0 +1,375 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/placement"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+// runTime is what is known of the run times of a queue's tasks.
+type runTime struct {
+	mean    float64
+	samples int
+}
+
+// learnWeight is the weight of a new sample in a moving average.
+const learnWeight = 0.15
+
+// learn notes how long a task took.
+func (e *Engine) learn(u *unit, w *worker, took time.Duration) {
+	rt := e.runTimes[u.job.spec.Queue]
+	if rt == nil {
+		rt = &runTime{}
+		e.runTimes[u.job.spec.Queue] = rt
+	}
+	rt.samples++
+	weight := max(learnWeight, 1/float64(rt.samples))
+	rt.mean += weight * (took.Seconds() - rt.mean)
+}
+
+// minSamples is how many run times make a mean worth more than an estimate.
+const minSamples = 5
+
+// expected returns how long a task of the unit is likely to run.
+func (e *Engine) expected(u *unit) time.Duration {
+	if rt := e.runTimes[u.job.spec.Queue]; rt != nil && rt.samples >= minSamples {
+		return time.Duration(rt.mean * float64(time.Second))
+	}
+	return u.step.Estimate()
+}
+
+// objective returns the time from submission in which the job should complete.
+func (e *Engine) objective(j *job) time.Duration {
+	var chain time.Duration
+	finish := make([]time.Duration, len(j.spec.Steps))
+	for i := range j.spec.Steps {
+		var begin time.Duration
+		for _, d := range j.spec.Steps[i].DependsOn {
+			begin = max(begin, finish[d])
+		}
+		finish[i] = begin + e.expected(j.units[i])
+		chain = max(chain, finish[i])
+	}
+	return time.Duration(j.stretch*float64(chain)) + j.slack
+}
+
+// lateFactor times the objective is when a job can earn nothing more.
+const lateFactor = 3
+
+// plan decides what to start and stop, and gives the orders.
+func (e *Engine) plan() {
+	now := e.Now()
+	if !e.tenure.MayStart(now) || now-e.view.Confirmed > freshBound || e.view.Config == nil {
+		return
+	}
+	e.startReserved(now)
+	e.rateGuarantees()
+	workers, byID := e.snapshotWorkers(now)
+	units := e.waitingUnits(now)
+	for _, service := range e.servicesOf(units) {
+		var pool []*placement.Worker
+		for _, w := range workers {
+			if byID[w.ID].info.Service == service {
+				pool = append(pool, w)
+			}
+		}
+		var waiting []*placement.Unit
+		for _, u := range units {
+			if e.jobs[u.ID.Job].service == service {
+				waiting = append(waiting, u)
+			}
+		}
+		e.apply(placement.Decide(pool, waiting), byID, now)
+	}
+}
+
+// servicesOf lists the services that the units need.
+func (e *Engine) servicesOf(units []*placement.Unit) []string {
+	var services []string
+	for _, u := range units {
+		if s := e.jobs[u.ID.Job].service; !slices.Contains(services, s) {
+			services = append(services, s)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
+// snapshotWorkers describes the workers to the placement decision.
+func (e *Engine) snapshotWorkers(now time.Duration) ([]*placement.Worker, map[string]*worker) {
+	reserved := map[*worker]workload.Resources{}
+	for _, j := range e.jobs {
+		for _, u := range j.units {
+			for _, w := range u.reserved {
+				reserved[w] = reserved[w].Add(u.step.Demand())
+			}
+		}
+	}
+	byID := map[string]*worker{}
+	var workers []*placement.Worker
+	for key, w := range e.workers {
+		if !w.listed {
+			continue
+		}
+		pw := &placement.Worker{ID: key, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity,
+			Free: w.info.Capacity.Sub(w.used).Sub(reserved[w]), Speed: w.speed, Open: e.open(w, now)}
+		if now < w.suspectUntil {
+			pw.Penalty = 1 + w.strikes
+		}
+		for id, r := range w.runs {
+			u := r.task.unit
+			if r.phase == runStopping {
+				pw.Leaving = pw.Leaving.Add(r.need)
+				continue
+			}
+			pw.Running = append(pw.Running, placement.Running{Unit: id.UnitID, Index: id.Index, Need: r.need,
+				Priority: u.job.priority, Guaranteed: u.job.guaranteed, Gang: u.step.Gang, Cost: e.lossOf(r, now)})
+		}
+		slices.SortFunc(pw.Running, func(a, b placement.Running) int {
+			return cmp.Or(cmp.Compare(a.Unit.Job, b.Unit.Job), cmp.Compare(a.Unit.Step, b.Unit.Step), cmp.Compare(a.Index, b.Index))
+		})
+		workers = append(workers, pw)
+		byID[key] = w
+	}
+	slices.SortFunc(workers, func(a, b *placement.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return workers, byID
+}
+
+// open says whether new tasks may start on the worker.
+func (e *Engine) open(w *worker, now time.Duration) bool {
+	return w.listed && !w.info.Draining && !e.view.ZonesOut[w.info.Zone] && w.strays == 0 &&
+		(!w.enrolled || w.fenced) && (len(w.runs) == 0 || now-w.answered <= contactBound)
+}
+
+// accelerator counts as so many cores in lost work.
+const acceleratorCores = 8
+
+// lossOf returns the work that a stop of the run would throw away, in core-seconds.
+func (e *Engine) lossOf(r *run, now time.Duration) float64 {
+	u := r.task.unit
+	lost := (now - r.ordered).Seconds()
+	if u.step.SavesProgress {
+		lost = min(lost, e.Settings.SaveEvery.Seconds()/2)
+	}
+	return lost * (float64(r.need.MilliCores)/1000 + acceleratorCores*float64(r.need.Accelerators))
+}
+
+// rateGuarantees finds the jobs that lie within their accounts' guarantees,
+// the oldest first.
+func (e *Engine) rateGuarantees() {
+	var urgent []*job
+	for _, j := range e.jobs {
+		e.refreshQueue(j)
+		j.guaranteed = false
+		if j.priority == 0 && !j.progress.Phase.Ended() {
+			urgent = append(urgent, j)
+		}
+	}
+	slices.SortFunc(urgent, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.spec.SubmittedMS, b.spec.SubmittedMS), cmp.Compare(a.spec.ID, b.spec.ID))
+	})
+	used := map[string]int{}
+	for _, j := range urgent {
+		account := e.view.Config.Account(j.spec.Account)
+		if account == nil {
+			continue
+		}
+		need := 0
+		for i := range j.spec.Steps {
+			need += j.spec.Steps[i].Count * j.spec.Steps[i].Need.Accelerators
+		}
+		if used[account.Name]+need <= account.GuaranteedAccelerators {
+			used[account.Name] += need
+			j.guaranteed = true
+		}
+	}
+}
+
+// waitingUnits describes the units with tasks that may start now.
+func (e *Engine) waitingUnits(now time.Duration) []*placement.Unit {
+	unixMS := e.UnixMS()
+	var units []*placement.Unit
+	for _, j := range e.jobs {
+		if j.progress.Phase.Ended() || j.cancelled || j.inherited && !e.settled {
+			continue
+		}
+		objective := e.objective(j)
+		for _, u := range j.units {
+			if unixMS < j.spec.Due(u.id.Round) || now < u.notBefore || u.reserved != nil || !e.ready(u) {
+				continue
+			}
+			waiting := u.waiting()
+			if len(waiting) == 0 {
+				continue
+			}
+			begin := max(j.spec.SubmittedMS, j.spec.Due(u.id.Round))
+			pu := &placement.Unit{ID: u.id, Step: u.step, Waiting: waiting, Priority: j.priority, Guaranteed: j.guaranteed,
+				Deadline: begin + objective.Milliseconds(), Expired: unixMS > begin+lateFactor*objective.Milliseconds(),
+				PerWorker: map[string]int{}, Avoid: u.avoidKeys(e)}
+			for _, t := range u.tasks {
+				if t.run != nil {
+					pu.PerWorker[t.run.worker.key]++
+				}
+			}
+			units = append(units, pu)
+		}
+	}
+	return units
+}
+
+func (u *unit) avoidKeys(e *Engine) map[string]bool {
+	if len(u.avoid) == 0 {
+		return nil
+	}
+	keys := map[string]bool{}
+	for key, w := range e.workers {
+		if u.avoid[w.info.ID] {
+			keys[key] = true
+		}
+	}
+	return keys
+}
+
+// ready says whether all tasks that the unit depends on are done.
+func (e *Engine) ready(u *unit) bool {
+	first := u.id.Round * len(u.job.spec.Steps)
+	for _, d := range u.step.DependsOn {
+		if !u.job.units[first+d].done() {
+			return false
+		}
+	}
+	return true
+}
+
+// waiting returns the tasks to place; a gang waits until none of it runs.
+func (u *unit) waiting() []int {
+	var indices []int
+	for i, t := range u.tasks {
+		if t.run != nil && u.step.Gang {
+			return nil
+		}
+		if t.run == nil && !t.done {
+			indices = append(indices, i)
+		}
+	}
+	return indices
+}
+
+// unitOf returns the unit of a job that has not ended.
+func (e *Engine) unitOf(id workload.UnitID) *unit {
+	j := e.jobs[id.Job]
+	return j.units[id.Round*len(j.spec.Steps)+id.Step]
+}
+
+// apply gives the orders of a plan. The plan was made from the engine's own
+// state in the same turn, so it still holds.
+func (e *Engine) apply(p placement.Plan, byID map[string]*worker, now time.Duration) {
+	for _, id := range p.Stop {
+		if t := e.taskOf(id); t != nil && t.run != nil {
+			if t.unit.step.Gang {
+				t.unit.aborting = true
+			}
+			e.stopRun(t.run, "room for a guaranteed job")
+		}
+	}
+	for _, a := range p.Reserve {
+		u := e.unitOf(a.Task.UnitID)
+		if u.reserved == nil {
+			u.reserved = map[int]*worker{}
+		}
+		u.reserved[a.Task.Index] = byID[a.Worker]
+		u.reservedUntil = now + e.Settings.StopTime + reservationTime
+		klog.InfoS("dispatch: room awaited", "job", a.Task.Job, "task", a.Task.UnitID.String(), "index", a.Task.Index, "worker", byID[a.Worker].info.ID)
+	}
+	starts := map[*unit]map[int]*worker{}
+	for _, a := range p.Start {
+		u := e.unitOf(a.Task.UnitID)
+		if starts[u] == nil {
+			starts[u] = map[int]*worker{}
+		}
+		starts[u][a.Task.Index] = byID[a.Worker]
+	}
+	for u, targets := range starts {
+		e.startUnit(u, targets, now)
+	}
+}
+
+// startReserved starts the units for which room has been made.
+func (e *Engine) startReserved(now time.Duration) {
+	for _, j := range e.jobs {
+		for _, u := range j.units {
+			if u.reserved == nil {
+				continue
+			}
+			fits := true
+			need := map[*worker]workload.Resources{}
+			for _, w := range u.reserved {
+				need[w] = need[w].Add(u.step.Demand())
+				fits = fits && need[w].Fits(w.info.Capacity.Sub(w.used))
+				if e.workers[w.key] != w || !e.open(w, now) {
+					fits = false
+					u.reservedUntil = 0
+				}
+			}
+			if fits {
+				targets := u.reserved
+				u.reserved = nil
+				e.startUnit(u, targets, now)
+			} else if now > u.reservedUntil {
+				klog.InfoS("dispatch: room given up", "job", j.spec.ID, "task", u.id.String())
+				u.reserved = nil
+			}
+		}
+	}
+}
+
+// startUnit starts tasks of a unit. The ledger must name all their workers, so
+// that a later leader knows where to look for them.
+func (e *Engine) startUnit(u *unit, targets map[int]*worker, now time.Duration) {
+	number := e.nextRun()
+	u.aborting, u.gangSince = false, now
+	for _, i := range slices.Sorted(maps.Keys(targets)) {
+		e.startRun(u.tasks[i], targets[i], number)
+	}
+}
+
+// enroll records the listed workers that the ledger does not name yet. Nothing
+// starts on them before.
+func (e *Engine) enroll() {
+	var records []backend.KeyedRecord
+	var enrolled []*worker
+	for _, w := range e.workers {
+		if w.listed && !w.enrolled && !w.enrolling && !w.info.Draining {
+			w.enrolling = true
+			enrolled = append(enrolled, w)
+			records = append(records, ledger.WorkerRecord(w.key, ledger.Assignment{Term: e.Term.Number, Address: w.info.Address, Zone: w.info.Zone, Service: w.info.Service}))
+		}
+	}
+	if len(records) == 0 {
+		return
+	}
+	go func() {
+		sent, err := e.Writer.Write(e.ctx, records...)
+		e.post(func() {
+			if err != nil {
+				e.fail(fmt.Errorf("the ledger refused the record of a worker: %w", err))
+				return
+			}
+			e.tenure.Confirm(sent)
+			for _, w := range enrolled {
+				// No earlier leader can have used the worker.
+				w.enrolled, w.enrolling, w.fenced = true, false, true
+			}
+			e.dirty = true
+		})
+	}()
+}
--- /dev/null
+++ b/pkg/dispatch/settings.go
@@ -0,0 +1,65 @@
+// Package dispatch runs the jobs: the leader's engine keeps what it believes of
+// every task and worker, applies the placement decisions as orders to workers,
+// and records in the ledger what must last.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/election"
+)
+
+// Settings are the engine's time bounds and limits.
+type Settings struct {
+	// LeaseTime is how long a worker goes on without a renewal: the platform's
+	// longest lease.
+	LeaseTime time.Duration
+	// ClockDrift is how much slower a worker's clock may run, as a share: the
+	// platform's bound.
+	ClockDrift float64
+	// GangWait is how long a gang's members wait for the others: the platform's bound.
+	GangWait time.Duration
+	// StopTime is how long a stop may take: the platform's bound.
+	StopTime time.Duration
+	// SaveEvery is how much work lies between two checkpoints: the platform's bound.
+	SaveEvery time.Duration
+	// KeepEnded is how long callers can ask for an ended job: the platform's bound.
+	KeepEnded time.Duration
+	// Election bounds the lead.
+	Election election.Settings
+}
+
+const (
+	// orderTimeout is how long an order may go unanswered: some hundred round
+	// trips within a region, and a fifth of the time that a gang waits.
+	orderTimeout = 600 * time.Millisecond
+	// holdWait is how long a worker may delay its answer to a renewal: a sixth of
+	// the lease, so that several may be lost.
+	holdWait = time.Second
+	// contactBound is the silence after which a worker's lease is not renewed any
+	// more and nothing new starts there: two renewals.
+	contactBound = 2 * time.Second
+	// unnotedPause is the wait before a renewal while ends are not in the ledger
+	// yet, which the worker would repeat at once.
+	unnotedPause = 300 * time.Millisecond
+	// planPause is the least time between two plans, which batches events.
+	planPause = 15 * time.Millisecond
+	// tick is how often time bounds are checked.
+	tick = 100 * time.Millisecond
+	// freshBound is the greatest age of what the engine knows of workers and
+	// configuration for a start: less than the shortest bound of a change.
+	freshBound = 1500 * time.Millisecond
+	// stallBound is how long a task may show no progress: many times what a
+	// hundredth of a task of a minute takes.
+	stallBound = 2500 * time.Millisecond
+	// suspectTime is how long a worker is used last after a failure there.
+	suspectTime = 3 * time.Second
+	// maxStrikes bounds how often suspectTime is counted for failures in a row.
+	maxStrikes = 4
+	// retryPause is the wait before a unit is tried again after a refused start.
+	retryPause = 100 * time.Millisecond
+	// reservationTime is how long room is held for a unit beyond the stop time.
+	reservationTime = time.Second
+	// leaseSlack is added to the end of a lease for delays of timers.
+	leaseSlack = 150 * time.Millisecond
+)
--- /dev/null
+++ b/pkg/dispatch/workers.go
@@ -0,0 +1,304 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/catalog"
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+// workerKey names an incarnation of a worker: an ID may serve several.
+func workerKey(w catalog.Worker) string { return w.ID + "@" + strconv.FormatInt(w.Born, 10) }
+
+func workerID(key string) string {
+	id, _, _ := strings.Cut(key, "@")
+	return id
+}
+
+func bornOf(key string) int64 {
+	_, born, _ := strings.Cut(key, "@")
+	// Keys are made by workerKey only.
+	n, _ := strconv.ParseInt(born, 10, 64)
+	return n
+}
+
+// checkWorkers renews leases that are due and gives up workers whose leases have
+// ended unheard.
+func (e *Engine) checkWorkers(now time.Duration) {
+	unsettled := 0
+	for _, w := range e.workers {
+		if w.enrolled && !w.fenced {
+			unsettled++
+		}
+		if len(w.runs) > 0 && now > w.leaseEnd && now-w.answered > contactBound {
+			e.loseWorker(w, "its leases have ended and it does not answer")
+		}
+		e.scheduleHold(w, now)
+		if !w.listed && w.fenced && len(w.runs) == 0 && w.noted >= w.seen || !w.listed && now > e.settledBy && len(w.runs) == 0 {
+			e.dropWorker(w)
+		}
+	}
+	if !e.settled && (unsettled == 0 || now > e.settledBy) {
+		e.settled = true
+		klog.InfoS("dispatch: runs of earlier leaders are accounted for", "term", e.Term.Number, "silent_workers", unsettled)
+	}
+}
+
+// dropWorker forgets a worker that is gone and holds nothing.
+func (e *Engine) dropWorker(w *worker) {
+	delete(e.workers, w.key)
+	if !w.enrolled {
+		return
+	}
+	record := ledger.ForgetWorker(w.key)
+	go func() {
+		if _, err := e.Writer.Write(e.ctx, record); err != nil {
+			klog.InfoS("dispatch: could not record that a worker is gone", "worker", w.info.ID, "err", err)
+		}
+	}()
+}
+
+// wantsHold says whether the engine has to stay in touch with the worker.
+func (w *worker) wantsHold() bool {
+	return len(w.runs) > 0 || w.told < w.seen || w.enrolled && !w.fenced
+}
+
+// scheduleHold sends a renewal if one is due and none is under way.
+func (e *Engine) scheduleHold(w *worker, now time.Duration) {
+	if now == 0 {
+		now = e.Now()
+		w.holdDue = min(w.holdDue, now)
+	}
+	if w.holding || now < w.holdDue || !w.wantsHold() || !e.tenure.MayRenew(now) {
+		return
+	}
+	order := backend.HoldOrder{Term: e.Term.Number, SeenUpTo: w.noted, Wait: holdWait}
+	silent := now-w.answered > contactBound
+	if !w.clockKnown || silent || len(w.runs) == 0 || w.stopsOnly() {
+		order.Wait = 0
+	}
+	if w.clockKnown && len(w.runs) > 0 && !silent {
+		order.LeaseUntilMS = e.leaseUntil(w, now)
+	}
+	w.holding = true
+	go e.hold(w, order, now)
+}
+
+// stopsOnly says whether all that is left on the worker awaits the proof that it
+// never started.
+func (w *worker) stopsOnly() bool {
+	for _, r := range w.runs {
+		if r.phase != runUnresolved {
+			return false
+		}
+	}
+	return true
+}
+
+// leaseUntil returns the end of a full lease on the worker's clock, and notes
+// that the worker may go on until then.
+func (e *Engine) leaseUntil(w *worker, now time.Duration) int64 {
+	w.leaseEnd = max(w.leaseEnd, now+e.leaseSpan())
+	return w.clock + now.Milliseconds() + e.Settings.LeaseTime.Milliseconds()
+}
+
+func (e *Engine) hold(w *worker, order backend.HoldOrder, sent time.Duration) {
+	ctx, cancel := context.WithTimeout(e.ctx, order.Wait+orderTimeout)
+	defer cancel()
+	reply, err := e.Orders.Hold(ctx, w.ref(), order)
+	e.post(func() {
+		w.holding = false
+		e.onHold(w, order, sent, reply, err)
+	})
+}
+
+// look asks a worker at once what it runs.
+func (e *Engine) look(w *worker) {
+	if w.looking || !e.tenure.MayRenew(e.Now()) {
+		return
+	}
+	w.looking = true
+	order := backend.HoldOrder{Term: e.Term.Number, SeenUpTo: w.noted}
+	sent := e.Now()
+	go func() {
+		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
+		defer cancel()
+		reply, err := e.Orders.Hold(ctx, w.ref(), order)
+		e.post(func() {
+			w.looking = false
+			e.onHold(w, order, sent, reply, err)
+		})
+	}()
+}
+
+// onHold takes over a worker's word on what it runs.
+func (e *Engine) onHold(w *worker, order backend.HoldOrder, sent time.Duration, reply backend.HoldReply, err error) {
+	now := e.Now()
+	if e.workers[w.key] != w {
+		return
+	}
+	if err != nil {
+		w.holdDue = now + unnotedPause
+		e.onOrderError(w, err)
+		return
+	}
+	if born := bornOf(w.key); reply.Born != 0 && born != 0 && reply.Born != born {
+		e.loseWorker(w, "another incarnation of the worker answered")
+		return
+	}
+	if now-w.answered > contactBound && len(w.runs) > 0 {
+		klog.InfoS("dispatch: worker answers again", "worker", w.info.ID, "silent", now-w.answered)
+	}
+	w.answered = max(w.answered, sent)
+	e.noteClock(w, reply.ClockMS, sent)
+	w.told = max(w.told, order.SeenUpTo)
+	w.holdDue = now
+	listed := map[backend.RunID]bool{}
+	for _, a := range reply.Active {
+		listed[a.Run] = true
+		e.onActive(w, a, sent)
+	}
+	for _, end := range reply.Ended {
+		listed[end.Run] = true
+		if end.Number > w.seen {
+			e.onEnd(w, end)
+		}
+	}
+	e.checkMissing(w, listed, sent)
+	if !w.fenced {
+		w.fenced = true
+		klog.V(1).InfoS("dispatch: worker answered in this term", "worker", w.info.ID, "active", len(reply.Active), "ended", len(reply.Ended))
+	}
+	for _, end := range reply.Ended {
+		w.seen = max(w.seen, end.Number)
+	}
+	if w.noted < w.seen {
+		w.holdDue = now + unnotedPause
+		e.flush()
+	} else if order.Wait == 0 && len(w.runs) > 0 && w.stopsOnly() {
+		w.holdDue = now + unnotedPause
+	}
+	e.dirty = true
+	e.scheduleHold(w, now)
+}
+
+// checkMissing resolves runs that a worker does not list although it would.
+func (e *Engine) checkMissing(w *worker, listed map[backend.RunID]bool, sent time.Duration) {
+	for _, r := range w.runs {
+		if listed[r.id] {
+			continue
+		}
+		switch {
+		case r.stopConfirmed != 0 && r.stopConfirmed < sent:
+			e.removeRun(r, "never started or ended unseen")
+		case r.phase == runActive && r.active < sent:
+			e.removeRun(r, "the worker does not list it any more")
+		}
+	}
+}
+
+// noteClock derives a lower bound of the worker's clock from a reply.
+func (e *Engine) noteClock(w *worker, clockMS int64, sent time.Duration) {
+	if clockMS == 0 {
+		return
+	}
+	// The clock was read after the call was sent and before now.
+	w.clock = clockMS - e.Now().Milliseconds()
+	w.clockKnown = true
+}
+
+// onOrderError handles what an error says of the worker as a whole.
+func (e *Engine) onOrderError(w *worker, err error) {
+	var orderErr *backend.OrderError
+	if !errors.As(err, &orderErr) {
+		return
+	}
+	metrics.GetOrCreateCounter(`shallotpin_order_errors_total{kind="` + string(orderErr.Kind) + `"}`).Inc()
+	switch orderErr.Kind {
+	case backend.OrderFenced:
+		klog.InfoS("dispatch: a worker has seen a later leader", "worker", w.info.ID, "term", e.Term.Number)
+		e.fail(errFenced)
+	case backend.OrderReplaced:
+		e.loseWorker(w, "another incarnation answered in its place")
+	case backend.OrderUnhealthy:
+		w.suspectUntil = max(w.suspectUntil, e.Now()+suspectTime)
+	}
+}
+
+// loseWorker takes all runs of a worker for ended.
+func (e *Engine) loseWorker(w *worker, why string) {
+	if len(w.runs) > 0 || w.listed {
+		klog.InfoS("dispatch: worker lost", "worker", w.info.ID, "why", why, "runs", len(w.runs), "silent", e.Now()-w.answered)
+	}
+	for _, r := range w.runs {
+		e.removeRun(r, "worker lost: "+why)
+	}
+	w.fenced = true
+	w.noted, w.told = w.seen, w.seen
+	if current, known := e.view.Workers[w.info.ID]; !known || workerKey(current) != w.key {
+		w.listed = false
+		e.dropWorker(w)
+	}
+	e.dirty = true
+}
+
+// removeRun gives back the room of a run that has ended or never began.
+func (e *Engine) removeRun(r *run, why string) {
+	w, t := r.worker, r.task
+	if w.runs[t.id] != r {
+		return
+	}
+	delete(w.runs, t.id)
+	w.used = w.used.Sub(r.need)
+	if t.run == r {
+		t.run = nil
+	}
+	klog.InfoS("dispatch: run ended", "job", t.id.Job, "task", t.id.UnitID.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "why", why, "ran", e.Now()-r.ordered)
+	u := t.unit
+	if u.step.Gang && !t.done && !u.aborting {
+		// The other members end by themselves; checkGang sees to those that do not.
+		u.aborting, u.abortedAt = true, e.Now()
+	}
+	if u.idle() {
+		u.aborting = false
+	}
+	e.dirty = true
+}
+
+// idle says whether no task of the unit has a run.
+func (u *unit) idle() bool {
+	for _, t := range u.tasks {
+		if t.run != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// abortGang stops the members of a gang that cannot work as a whole.
+func (e *Engine) abortGang(u *unit, why string) {
+	u.aborting, u.abortedAt = true, e.Now()
+	for _, t := range u.tasks {
+		if t.run != nil {
+			e.stopRun(t.run, "gang: "+why)
+		}
+	}
+}
+
+// taskOf returns the task of a job that has not ended, or nil.
+func (e *Engine) taskOf(id workload.TaskID) *task {
+	j := e.jobs[id.Job]
+	if j == nil || id.Round >= j.spec.Rounds() || id.Step >= len(j.spec.Steps) || id.Index >= j.spec.Steps[id.Step].Count {
+		return nil
+	}
+	return j.units[id.Round*len(j.spec.Steps)+id.Step].tasks[id.Index]
+}
--- /dev/null
+++ b/pkg/election/election.go
@@ -0,0 +1,88 @@
+// Package election decides when a node takes the lead and how long a leader may
+// go on without the log. The decisions are pure; times are of a steady clock
+// that goes on while the process is suspended.
+package election
+
+import "time"
+
+// Settings are the time bounds of an election.
+type Settings struct {
+	// Silence is how long the log must show nothing of the leader, while it can
+	// be read, before another node takes the lead.
+	Silence time.Duration
+	// Stagger separates the claims of two nodes.
+	Stagger time.Duration
+	// OrderBound is how long after its last confirmed write a leader may start tasks.
+	OrderBound time.Duration
+	// RenewBound is how long after its last confirmed write a leader may renew leases.
+	RenewBound time.Duration
+	// Beat is the longest time between two writes of a leader.
+	Beat time.Duration
+}
+
+// Watch is what a follower has seen of the leader.
+type Watch struct {
+	settings Settings
+	// readable is when the present span of successful reads began.
+	readable time.Duration
+	// lastRead is the send time of the last successful read.
+	lastRead time.Duration
+	heard    time.Duration
+	vacant   bool
+}
+
+// NewWatch returns a Watch that begins at now.
+func NewWatch(s Settings, now time.Duration) *Watch {
+	return &Watch{settings: s, readable: now, lastRead: now, heard: now}
+}
+
+// Read notes a successful read of the log.
+func (w *Watch) Read(at time.Duration) {
+	if at-w.lastRead > w.settings.Silence/2 {
+		w.readable = at
+	}
+	w.lastRead = max(w.lastRead, at)
+}
+
+// Heard notes a record of the leader.
+func (w *Watch) Heard(now time.Duration) { w.heard, w.vacant = now, false }
+
+// Vacated notes that nobody leads.
+func (w *Watch) Vacated() { w.vacant = true }
+
+// Claim says whether to take the lead. rank is the node's place in the order of
+// claims, from 0.
+func (w *Watch) Claim(now time.Duration, rank int) bool {
+	delay := time.Duration(rank) * w.settings.Stagger
+	if now-w.lastRead > w.settings.Silence/2 {
+		return false
+	}
+	if w.vacant {
+		return now-w.heard >= delay
+	}
+	return now-max(w.heard, w.readable) >= w.settings.Silence+delay
+}
+
+// Tenure is a leader's own view of its lead.
+type Tenure struct {
+	settings Settings
+	// confirmed is the send time of the last write that the log accepted.
+	confirmed time.Duration
+}
+
+// NewTenure returns the tenure of a leader whose claim was sent at a time.
+func NewTenure(s Settings, claimed time.Duration) *Tenure {
+	return &Tenure{settings: s, confirmed: claimed}
+}
+
+// Confirm notes that a write sent at a time was accepted.
+func (t *Tenure) Confirm(sent time.Duration) { t.confirmed = max(t.confirmed, sent) }
+
+// Confirmed returns the send time of the last write that was accepted.
+func (t *Tenure) Confirmed() time.Duration { return t.confirmed }
+
+// MayStart says whether the leader may start tasks.
+func (t *Tenure) MayStart(now time.Duration) bool { return now-t.confirmed < t.settings.OrderBound }
+
+// MayRenew says whether the leader may renew leases.
+func (t *Tenure) MayRenew(now time.Duration) bool { return now-t.confirmed < t.settings.RenewBound }
--- /dev/null
+++ b/pkg/entry/entry.go
@@ -0,0 +1,133 @@
+// Package entry assembles an entry VM that keeps its state in a keyed log: the
+// feeds, the replica of the ledger, the intake and the node's part in the lead.
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/catalog"
+	"github.com/shallotpin/shallotpin/pkg/dispatch"
+	"github.com/shallotpin/shallotpin/pkg/feed"
+	"github.com/shallotpin/shallotpin/pkg/intake"
+	"github.com/shallotpin/shallotpin/pkg/leader"
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+)
+
+const (
+	// feedWait is how long a read waits for records: half of the shortest bound
+	// for a change to be in force.
+	feedWait = time.Second
+	// feedTimeout is how long a read may take beyond its wait: many times the
+	// log's usual answer, and short enough to notice a silent connection in time.
+	feedTimeout = 700 * time.Millisecond
+	// feedRetry is the wait after a failed read.
+	feedRetry = 100 * time.Millisecond
+	// workerGap batches what workers say of themselves.
+	workerGap = 300 * time.Millisecond
+	// followerGap batches the ledger's records on nodes that do not lead.
+	followerGap = 100 * time.Millisecond
+	// writeTimeout, writeRetry and batchDelay are as for the leader's writes.
+	writeTimeout = time.Second
+	writeRetry   = 50 * time.Millisecond
+	batchDelay   = 2 * time.Millisecond
+	// readyBound is the age of the ledger's view up to which a node is ready.
+	readyBound = 2500 * time.Millisecond
+)
+
+// Platform is what the node is given by the platform.
+type Platform struct {
+	Ledger, Operators, Workers backend.KeyedLog
+	Orders                     backend.Orders
+	DecodeOperator             func(backend.KeyedRecord) (catalog.Change, error)
+	DecodeWorker               func(backend.KeyedRecord) (catalog.Worker, error)
+}
+
+// Settings are a node's settings.
+type Settings struct {
+	// Node is the name of this run of the node; no other run may have it.
+	Node     string
+	Dispatch dispatch.Settings
+	// MaxBatchBytes bounds a call to the log.
+	MaxBatchBytes int
+	// Now is a steady clock that goes on while the process is suspended.
+	Now    func() time.Duration
+	UnixMS func() int64
+}
+
+// Node is an entry VM.
+type Node struct {
+	Intake    *intake.Service
+	Operators *catalog.Operators
+
+	settings Settings
+	leader   *leader.Service
+	ledger   *feed.Feed
+	config   *feed.Feed
+	writer   *ledger.Appender
+	stopped  sync.WaitGroup
+}
+
+// New assembles a node; Start starts it.
+func New(s Settings, p Platform) *Node {
+	n := &Node{settings: s}
+	n.leader = leader.New(leader.Settings{Node: s.Node, Dispatch: s.Dispatch, MaxBatchBytes: s.MaxBatchBytes, Now: s.Now, UnixMS: s.UnixMS}, p.Ledger, p.Orders)
+	replica := ledger.NewReplica(n.leader.Listener())
+	settings := func(name string, gap func() time.Duration) feed.Settings {
+		return feed.Settings{Name: name, Wait: feedWait, CallTimeout: feedTimeout, RetryDelay: feedRetry, Gap: gap, Now: s.Now}
+	}
+	n.ledger = feed.New(p.Ledger, settings("ledger", func() time.Duration {
+		if n.leader.Leading() {
+			return 0
+		}
+		return followerGap
+	}), replica)
+	n.Operators = catalog.NewOperators(p.DecodeOperator, n.leader.ViewChanged)
+	n.config = feed.New(p.Operators, settings("operators", func() time.Duration { return 0 }), n.Operators)
+	workers := catalog.NewWorkers(p.DecodeWorker, s.Now, n.leader.ViewChanged)
+	n.leader.Bind(replica, n.ledger, n.Operators, workers, func() *feed.Feed {
+		return feed.New(p.Workers, settings("workers", func() time.Duration { return workerGap }), workers)
+	})
+	n.writer = ledger.NewAppender(p.Ledger, ledger.AppenderSettings{Producer: s.Node, Epoch: 1, NextSequence: 1, CallTimeout: writeTimeout, RetryDelay: writeRetry,
+		BatchDelay: batchDelay, MaxBatchBytes: s.MaxBatchBytes, Now: s.Now})
+	n.Intake = intake.New(replica, n.ledger, n.writer, s.Now)
+	return n
+}
+
+// Start starts the node's work, which ends with ctx.
+func (n *Node) Start(ctx context.Context) {
+	for _, run := range []func(context.Context){
+		n.ledger.Run, n.config.Run, n.leader.Run,
+		func(ctx context.Context) {
+			if err := n.writer.Run(ctx); err != nil && ctx.Err() == nil {
+				klog.InfoS("entry: writing to the ledger ended", "err", err)
+			}
+		},
+	} {
+		n.stopped.Add(1)
+		go func() {
+			defer n.stopped.Done()
+			run(ctx)
+		}()
+	}
+}
+
+// Wait returns when all work has ended.
+func (n *Node) Wait() { n.stopped.Wait() }
+
+// Ready says whether the node can serve callers.
+func (n *Node) Ready() bool {
+	config, _, _ := n.Operators.Current()
+	confirmed, ready := n.ledger.Confirmed()
+	return config != nil && ready && n.settings.Now()-confirmed < readyBound
+}
+
+// Retire gives up the lead for good.
+func (n *Node) Retire() { n.leader.Retire() }
+
+// Leading says whether the node leads.
+func (n *Node) Leading() bool { return n.leader.Leading() }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -10,9 +10,9 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/peer"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 )
 
 // ServiceName is the name of the fleet service in the kernel.
@@ -40,12 +40,12 @@
 
 // Service holds the latest copy of the VM list.
 type Service struct {
-	list  platform.VMList
+	list  backend.VMList
 	peers *peer.Service
 	self  string
 
 	mu     sync.RWMutex
-	copies map[platform.VMKind]listed
+	copies map[backend.VMKind]listed
 	// words is when each peer, by ID, last had no newer copy of the upstreams
 	// than this node.
 	words map[string]time.Time
@@ -60,15 +60,15 @@
 
 // listed holds the VMs of one kind, as the list had them at some time after at.
 type listed struct {
-	vms []platform.VM
+	vms []backend.VM
 	at  time.Time
 }
 
 // New returns a fleet service over list for the entry VM called self. Its calls
 // between nodes are registered with peers.
-func New(list platform.VMList, self string, peers *peer.Service) (*Service, error) {
+func New(list backend.VMList, self string, peers *peer.Service) (*Service, error) {
 	s := &Service{
-		list: list, self: self, peers: peers, copies: map[platform.VMKind]listed{},
+		list: list, self: self, peers: peers, copies: map[backend.VMKind]listed{},
 		words: map[string]time.Time{}, silent: map[string]time.Time{}, asking: map[string]bool{},
 	}
 	return s, peers.Handle(rpcName, &handler{s})
@@ -94,7 +94,7 @@
 
 // VMs returns the VMs of one kind as last listed; the caller must not change
 // them. ok is false if the list has never been read.
-func (s *Service) VMs(kind platform.VMKind) (vms []platform.VM, ok bool) {
+func (s *Service) VMs(kind backend.VMKind) (vms []backend.VM, ok bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	l := s.copies[kind]
@@ -104,10 +104,10 @@
 // Age returns for how long the copy of the entry VMs may be behind the list. ok
 // is false if the list has never been read.
 func (s *Service) Age(now time.Time) (age time.Duration, ok bool) {
-	return s.ageOf(platform.KindEntry, now)
+	return s.ageOf(backend.KindEntry, now)
 }
 
-func (s *Service) ageOf(kind platform.VMKind, now time.Time) (age time.Duration, ok bool) {
+func (s *Service) ageOf(kind backend.VMKind, now time.Time) (age time.Duration, ok bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	l := s.copies[kind]
@@ -122,10 +122,10 @@
 func (s *Service) Current(now time.Time) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if now.Sub(s.copies[platform.KindUpstream].at) <= currentWithin {
+	if now.Sub(s.copies[backend.KindUpstream].at) <= currentWithin {
 		return true
 	}
-	entries := s.copies[platform.KindEntry]
+	entries := s.copies[backend.KindEntry]
 	if entries.at.Sub(s.departed) <= replacedWithin && now.Sub(entries.at) < lostAfter {
 		return false
 	}
@@ -140,7 +140,7 @@
 func (s *Service) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.readOnce(ctx)
-		if age, ok := s.ageOf(platform.KindUpstream, time.Now()); ok && age > staleAfter {
+		if age, ok := s.ageOf(backend.KindUpstream, time.Now()); ok && age > staleAfter {
 			s.askPeers(ctx)
 		}
 		select {
@@ -160,17 +160,17 @@
 		klog.V(1).Infof("fleet: cannot read the VM list: %v", err)
 		return
 	}
-	byKind := map[platform.VMKind][]platform.VM{}
+	byKind := map[backend.VMKind][]backend.VM{}
 	for _, vm := range vms {
 		byKind[vm.Kind] = append(byKind[vm.Kind], vm)
 	}
-	for _, kind := range []platform.VMKind{platform.KindEntry, platform.KindWorker, platform.KindUpstream} {
+	for _, kind := range []backend.VMKind{backend.KindEntry, backend.KindWorker, backend.KindUpstream} {
 		s.adopt(kind, listed{byKind[kind], began})
 	}
 }
 
 // adopt replaces a copy by a newer one.
-func (s *Service) adopt(kind platform.VMKind, l listed) {
+func (s *Service) adopt(kind backend.VMKind, l listed) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.copies[kind]
@@ -178,12 +178,12 @@
 		return
 	}
 	s.copies[kind] = l
-	if kind == platform.KindEntry && slices.ContainsFunc(old.vms, func(vm platform.VM) bool { return !lists(l.vms, vm.ID) }) {
+	if kind == backend.KindEntry && slices.ContainsFunc(old.vms, func(vm backend.VM) bool { return !lists(l.vms, vm.ID) }) {
 		s.departed = l.at
 	}
 }
 
 // lists reports whether a VM is among vms.
-func lists(vms []platform.VM, id string) bool {
-	return slices.ContainsFunc(vms, func(vm platform.VM) bool { return vm.ID == id })
+func lists(vms []backend.VM, id string) bool {
+	return slices.ContainsFunc(vms, func(vm backend.VM) bool { return vm.ID == id })
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -9,20 +9,20 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/memnet"
 	"github.com/shallotpin/shallotpin/pkg/peer"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
 
 // gatedList is one node's way to the VM list, which can be cut.
 type gatedList struct {
-	platform.VMList
+	backend.VMList
 	cut atomic.Bool
 }
 
-func (l *gatedList) List(ctx context.Context) ([]platform.VM, error) {
+func (l *gatedList) List(ctx context.Context) ([]backend.VM, error) {
 	if l.cut.Load() {
 		return nil, api.Errorf(api.CodeUnavailable, "cut off")
 	}
@@ -41,9 +41,9 @@
 func newSite(t *testing.T, n int) *site {
 	t.Helper()
 	s := &site{network: memnet.New(nil)}
-	vms := []platform.VM{{ID: "u", Kind: platform.KindUpstream}}
+	vms := []backend.VM{{ID: "u", Kind: backend.KindUpstream}}
 	for i := range n {
-		vms = append(vms, platform.VM{ID: fmt.Sprintf("e%d", i), Kind: platform.KindEntry, Address: fmt.Sprintf("10.0.0.%d:1", i)})
+		vms = append(vms, backend.VM{ID: fmt.Sprintf("e%d", i), Kind: backend.KindEntry, Address: fmt.Sprintf("10.0.0.%d:1", i)})
 	}
 	s.list = standin.NewVMList(0, vms...)
 	for _, vm := range vms[1:] {
@@ -81,13 +81,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 3)
 		s.ways[0].cut.Store(true)
-		s.list.Update(func(vms []platform.VM) []platform.VM {
+		s.list.Update(func(vms []backend.VM) []backend.VM {
 			vms[0].Leaving = true
 			return vms
 		})
 		time.Sleep(5 * time.Second)
 		for i, node := range s.nodes {
-			if vms, ok := node.VMs(platform.KindUpstream); !ok || len(vms) != 1 || !vms[0].Leaving {
+			if vms, ok := node.VMs(backend.KindUpstream); !ok || len(vms) != 1 || !vms[0].Leaving {
 				t.Errorf("node %d does not know that the upstream is leaving: %+v", i, vms)
 			}
 		}
@@ -123,12 +123,12 @@
 			s.network.Host("e2").Freeze()
 		}, time.Minute, false},
 		"out of reach, a node gone just before": {func(s *site) {
-			s.list.Update(func(vms []platform.VM) []platform.VM { return vms[:3] })
+			s.list.Update(func(vms []backend.VM) []backend.VM { return vms[:3] })
 			time.Sleep(2 * pollInterval)
 			s.cutAll()
 		}, time.Minute, false},
 		"out of reach, a node gone a while before": {func(s *site) {
-			s.list.Update(func(vms []platform.VM) []platform.VM { return vms[:3] })
+			s.list.Update(func(vms []backend.VM) []backend.VM { return vms[:3] })
 			time.Sleep(replacedWithin + 4*pollInterval)
 			s.cutAll()
 		}, time.Minute, true},
@@ -168,7 +168,7 @@
 	go func() {
 		defer done.Store(true)
 		for round := range rounds {
-			s.adopt(platform.KindUpstream, listed{nil, at(round)})
+			s.adopt(backend.KindUpstream, listed{nil, at(round)})
 			s.noteWords("b", at(round), nil)
 		}
 	}()
--- a/pkg/fleet/peers.go
+++ b/pkg/fleet/peers.go
@@ -10,7 +10,7 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 // rpcName is the name of this package's calls between nodes.
@@ -31,7 +31,7 @@
 // from heartbeats.
 type CopyReply struct {
 	Newer     bool
-	Upstreams []platform.VM
+	Upstreams []backend.VM
 	// Age is for how long the copy may have been behind the list.
 	Age time.Duration
 	// Words holds for how long ago other entry VMs, by ID, had no newer copy than
@@ -59,7 +59,7 @@
 			out.Words[id] = age
 		}
 	}
-	upstreams := s.copies[platform.KindUpstream]
+	upstreams := s.copies[backend.KindUpstream]
 	if own := now.Sub(upstreams.at); !upstreams.at.IsZero() && own+ageMargin < age {
 		out.Newer, out.Upstreams, out.Age = true, upstreams.vms, own
 	}
@@ -88,13 +88,13 @@
 }
 
 // others returns the other entry VMs.
-func (s *Service) others() []platform.VM {
-	entries, _ := s.VMs(platform.KindEntry)
-	return slices.DeleteFunc(slices.Clone(entries), func(vm platform.VM) bool { return vm.ID == s.self })
+func (s *Service) others() []backend.VM {
+	entries, _ := s.VMs(backend.KindEntry)
+	return slices.DeleteFunc(slices.Clone(entries), func(vm backend.VM) bool { return vm.ID == s.self })
 }
 
 // forgetExcept forgets what was noted of peers that are listed no more.
-func (s *Service) forgetExcept(peers []platform.VM) {
+func (s *Service) forgetExcept(peers []backend.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	unlisted := func(id string, _ time.Time) bool {
@@ -105,11 +105,11 @@
 }
 
 // askPeer takes a peer's copy if it is newer, and notes what the peer knows.
-func (s *Service) askPeer(ctx context.Context, vm platform.VM) {
+func (s *Service) askPeer(ctx context.Context, vm backend.VM) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := time.Now()
-	age, _ := s.ageOf(platform.KindUpstream, sent)
+	age, _ := s.ageOf(backend.KindUpstream, sent)
 	var reply CopyReply
 	if err := s.peers.Call(ctx, vm.Address, rpcName+".Copy", &CopyCall{Age: age}, &reply); err != nil {
 		klog.V(1).Infof("fleet: a peer gave no copy of the VM list: %v", err)
@@ -119,7 +119,7 @@
 	if reply.Newer {
 		// The answer was composed after the call was sent, so the copy is at
 		// least as recent as its age before that.
-		s.adopt(platform.KindUpstream, listed{reply.Upstreams, sent.Add(-reply.Age - ageMargin)})
+		s.adopt(backend.KindUpstream, listed{reply.Upstreams, sent.Add(-reply.Age - ageMargin)})
 	}
 	s.noteWords(vm.ID, sent, reply.Words)
 }
--- a/pkg/frontdoor/operators.go
+++ b/pkg/frontdoor/operators.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/cells"
 	"github.com/shallotpin/shallotpin/pkg/config"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -211,12 +211,12 @@
 	for _, m := range s.members.Live(now) {
 		body.Nodes = append(body.Nodes, m.ID)
 	}
-	upstreams, _ := s.fleet.VMs(platform.KindUpstream)
+	upstreams, _ := s.fleet.VMs(backend.KindUpstream)
 	s.journal.View(func(st *state.State) { fillStatus(&body, st, upstreams) })
 	writeJSON(w, http.StatusOK, api.Ran, body)
 }
 
-func fillStatus(body *StatusBody, st *state.State, upstreams []platform.VM) {
+func fillStatus(body *StatusBody, st *state.State, upstreams []backend.VM) {
 	body.Preset, body.ConfigVersion, body.Offset = st.Preset, st.ConfigVersion, st.Offset
 	body.Zones = zoneStatuses(st, upstreams)
 	body.Accounts = accountStatuses(st)
@@ -226,7 +226,7 @@
 }
 
 // zoneStatuses returns the availability zones by name.
-func zoneStatuses(st *state.State, upstreams []platform.VM) []ZoneStatus {
+func zoneStatuses(st *state.State, upstreams []backend.VM) []ZoneStatus {
 	zones := map[string]*ZoneStatus{}
 	zone := func(name string) *ZoneStatus {
 		if zones[name] == nil {
--- /dev/null
+++ b/pkg/intake/intake.go
@@ -0,0 +1,129 @@
+// Package intake takes submissions and cancellations from callers and answers
+// their questions, on any node.
+package intake
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/feed"
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+const (
+	// writeBound is how long a caller waits for its submission to be stored: well
+	// within the time that callers wait for an answer.
+	writeBound = 1800 * time.Millisecond
+	// readBound is how long a caller waits for a fresh view.
+	readBound = time.Second
+	// freshEnough is the age up to which a view may say that a job is unknown.
+	freshEnough = 100 * time.Millisecond
+	// retryAfter is when a caller whose job was not stored may come again: the
+	// log's outages last seconds, and other nodes may reach it.
+	retryAfter = time.Second
+	// followBound is the age up to which a view may answer for a known job.
+	followBound = 2 * time.Second
+)
+
+// Service is the intake of a node.
+type Service struct {
+	replica *ledger.Replica
+	feed    *feed.Feed
+	writer  *ledger.Appender
+	now     func() time.Duration
+	latency *metrics.Histogram
+}
+
+// New returns the intake of a node.
+func New(replica *ledger.Replica, f *feed.Feed, writer *ledger.Appender, now func() time.Duration) *Service {
+	return &Service{replica: replica, feed: f, writer: writer, now: now, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
+}
+
+// Submit stores a job. An *api.Error tells whether the job may be stored later.
+func (s *Service) Submit(ctx context.Context, job *workload.Job) error {
+	if err := job.Validate(); err != nil {
+		return api.Errorf(api.CodeInvalid, "%v", err)
+	}
+	if e, known := s.replica.Job(job.ID); known && e.Job != nil {
+		klog.InfoS("intake: submission repeated", "job", job.ID, "phase", e.Phase())
+		return nil
+	}
+	err := s.write(ctx, ledger.JobRecord(job))
+	s.logOutcome("submission", job.ID, err)
+	return err
+}
+
+// Cancel stores that a job is cancelled. It reports whether the job is known.
+func (s *Service) Cancel(ctx context.Context, id string) (bool, error) {
+	phase, err := s.Phase(ctx, id)
+	if err != nil {
+		return false, err
+	}
+	if phase.Ended() {
+		return true, nil
+	}
+	// A job that is not known yet may still arrive; it must not run then.
+	err = s.write(ctx, ledger.CancelRecord(id))
+	s.logOutcome("cancellation", id, err)
+	return phase != "", err
+}
+
+// Phase returns a job's phase, or an empty one if no such job exists.
+func (s *Service) Phase(ctx context.Context, id string) (ledger.Phase, error) {
+	e, known := s.replica.Job(id)
+	known = known && e.Job != nil
+	confirmed, ready := s.feed.Confirmed()
+	age := s.now() - confirmed
+	if !ready || known && !e.Phase().Ended() && age > followBound || !known && age > freshEnough {
+		ctx, cancel := context.WithTimeout(ctx, readBound)
+		defer cancel()
+		if err := s.feed.Refresh(ctx); err != nil {
+			klog.InfoS("intake: cannot tell a job's phase", "job", id, "known", known, "age", age, "err", err)
+			return "", &api.Error{Code: api.CodeUnavailable, Message: "the log cannot be read", RetryAfter: retryAfter}
+		}
+		e, known = s.replica.Job(id)
+		known = known && e.Job != nil
+	}
+	if !known {
+		return "", nil
+	}
+	if !e.Phase().Ended() {
+		s.feed.Hurry()
+	}
+	return e.Phase(), nil
+}
+
+// Pending counts the jobs of a queue of which no task has started.
+func (s *Service) Pending(queue string) int { return s.replica.Pending(queue) }
+
+func (s *Service) write(ctx context.Context, r backend.KeyedRecord) error {
+	ctx, cancel := context.WithTimeout(ctx, writeBound)
+	defer cancel()
+	began := s.now()
+	_, err := s.writer.Write(ctx, r)
+	if err == nil {
+		s.latency.Update((s.now() - began).Seconds())
+		return nil
+	}
+	var logErr *backend.LogError
+	if errors.As(err, &logErr) && logErr.Verdict == api.NotRun {
+		return &api.Error{Code: api.CodeUnavailable, Message: "the log does not take the record", Verdict: api.NotRun, RetryAfter: retryAfter}
+	}
+	return &api.Error{Code: api.CodeTimeout, Message: "it is not known whether the log took the record", Verdict: api.MayHaveRun, RetryAfter: retryAfter}
+}
+
+func (s *Service) logOutcome(what, id string, err error) {
+	if err == nil {
+		klog.InfoS("intake: stored", "what", what, "job", id, "offset", s.feed.End())
+		return
+	}
+	confirmed, _ := s.feed.Confirmed()
+	klog.InfoS("intake: not stored", "what", what, "job", id, "err", err, "verdict", api.AsError(err, api.MayHaveRun).Verdict, "log_age", s.now()-confirmed)
+}
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -20,7 +20,7 @@
 
 // Journal is the node's view of the log.
 type Journal struct {
-	log    platform.Log
+	log    backend.Log
 	writer string
 
 	mu      sync.RWMutex
@@ -48,7 +48,7 @@
 }
 
 // New returns a journal over log that writes as writer, the node's incarnation.
-func New(log platform.Log, writer string) *Journal {
+func New(log backend.Log, writer string) *Journal {
 	return &Journal{
 		log: log, writer: writer, st: state.New(), changed: make(chan struct{}),
 		pending: map[uint64]*proposal{}, wake: make(chan struct{}, 1), nodes: 1,
--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/config"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
@@ -59,7 +59,7 @@
 	return c
 }
 
-func startJournal(t *testing.T, log platform.Log, writer string) *Journal {
+func startJournal(t *testing.T, log backend.Log, writer string) *Journal {
 	t.Helper()
 	j := New(log, writer)
 	if err := j.Start(t.Context(), nil); err != nil {
@@ -309,7 +309,7 @@
 	if _, ok := j.Age(now); ok {
 		t.Error("confirmed at offset 1 with nothing read")
 	}
-	j.Merge([]platform.Entry{{Offset: 0, Data: []byte("{}")}, {Offset: 2, Data: []byte("{}")}})
+	j.Merge([]backend.Entry{{Offset: 0, Data: []byte("{}")}, {Offset: 2, Data: []byte("{}")}})
 	j.Confirm(1, now)
 	j.Confirm(1, now.Add(-time.Second))
 	if age, ok := j.Age(now); !ok || age != 0 || j.Offset() != 1 {
@@ -324,7 +324,7 @@
 	done := make(chan struct{})
 	j.View(func(*state.State) {
 		go func() {
-			j.Merge([]platform.Entry{{Offset: 0, Data: []byte("{}")}})
+			j.Merge([]backend.Entry{{Offset: 0, Data: []byte("{}")}})
 			close(done)
 		}()
 		time.Sleep(20 * time.Millisecond)
--- a/pkg/journal/read.go
+++ b/pkg/journal/read.go
@@ -8,7 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -86,7 +86,7 @@
 	return nil
 }
 
-func (j *Journal) noteExtent(page platform.Page) {
+func (j *Journal) noteExtent(page backend.Page) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.extent.First, j.extent.Next, j.extent.Read = page.First, page.Next, true
@@ -118,7 +118,7 @@
 }
 
 // findSnapshot returns the first usable snapshot that the page completes.
-func findSnapshot(chunks *state.Assembler, page platform.Page) *state.State {
+func findSnapshot(chunks *state.Assembler, page backend.Page) *state.State {
 	for _, e := range page.Entries {
 		batch, err := state.DecodeBatch(e.Data)
 		if err != nil {
@@ -174,7 +174,7 @@
 // Merge folds entries and wakes those who wait for them. Entries that the
 // state already holds, and those after a gap, are passed over. The error is a
 // *state.NewerFormatError if this program is too old to fold on.
-func (j *Journal) Merge(entries []platform.Entry) error {
+func (j *Journal) Merge(entries []backend.Entry) error {
 	if len(entries) == 0 {
 		return nil
 	}
@@ -197,7 +197,7 @@
 
 // fold applies one entry and adds the verdicts on this node's own records. An
 // entry that a newer program wrote is not applied.
-func (j *Journal) fold(e platform.Entry, own []ownResult) ([]ownResult, error) {
+func (j *Journal) fold(e backend.Entry, own []ownResult) ([]ownResult, error) {
 	batch, err := state.DecodeBatch(e.Data)
 	var newer *state.NewerFormatError
 	if errors.As(err, &newer) {
--- a/pkg/journal/recent.go
+++ b/pkg/journal/recent.go
@@ -1,6 +1,6 @@
 package journal
 
-import "github.com/shallotpin/shallotpin/pkg/platform"
+import "github.com/shallotpin/shallotpin/pkg/backend"
 
 const (
 	// maxRecentEntries and maxRecentBytes bound the entries kept for peers.
@@ -10,11 +10,11 @@
 
 // recentEntries holds the newest entries applied, without gaps.
 type recentEntries struct {
-	entries []platform.Entry
+	entries []backend.Entry
 	bytes   int
 }
 
-func (r *recentEntries) add(e platform.Entry) {
+func (r *recentEntries) add(e backend.Entry) {
 	r.entries = append(r.entries, e)
 	r.bytes += len(e.Data)
 	for len(r.entries) > maxRecentEntries || (r.bytes > maxRecentBytes && len(r.entries) > 1) {
@@ -28,7 +28,7 @@
 
 // from returns entries from offset on, of at most about limit bytes. ok is
 // false if the entry at offset is not held any more.
-func (r *recentEntries) from(offset, next int64, limit int) (entries []platform.Entry, ok bool) {
+func (r *recentEntries) from(offset, next int64, limit int) (entries []backend.Entry, ok bool) {
 	if offset >= next {
 		return nil, true
 	}
@@ -40,15 +40,15 @@
 	for i, e := range rest {
 		size += len(e.Data)
 		if i > 0 && size > limit {
-			return append([]platform.Entry(nil), rest[:i]...), true
+			return append([]backend.Entry(nil), rest[:i]...), true
 		}
 	}
-	return append([]platform.Entry(nil), rest...), true
+	return append([]backend.Entry(nil), rest...), true
 }
 
 // Since returns entries that the state holds from offset on, of at most about
 // limit bytes, and the state's offset. ok is false if they are not kept any more.
-func (j *Journal) Since(offset int64, limit int) (entries []platform.Entry, next int64, ok bool) {
+func (j *Journal) Since(offset int64, limit int) (entries []backend.Entry, next int64, ok bool) {
 	j.mu.RLock()
 	defer j.mu.RUnlock()
 	entries, ok = j.recent.from(offset, j.st.Offset, limit)
--- /dev/null
+++ b/pkg/leader/leader.go
@@ -0,0 +1,300 @@
+// Package leader takes the lead of a site when nobody has it, and runs the
+// dispatch engine for as long as the node leads.
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/catalog"
+	"github.com/shallotpin/shallotpin/pkg/dispatch"
+	"github.com/shallotpin/shallotpin/pkg/election"
+	"github.com/shallotpin/shallotpin/pkg/feed"
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+)
+
+const (
+	// producer names the leader's writes; its epoch is the term.
+	producer = "leader"
+	// tick is how often a follower looks whether to claim the lead.
+	tick = 50 * time.Millisecond
+	// ranks is the number of places in the order of claims.
+	ranks = 8
+	// writeTimeout bounds a call to the log.
+	writeTimeout = time.Second
+	// writeRetry is the wait after a failed call.
+	writeRetry = 50 * time.Millisecond
+	// batchDelay is the wait for further records of the leader.
+	batchDelay = 4 * time.Millisecond
+	// forgetInterval is how often ended jobs are dropped.
+	forgetInterval = 5 * time.Second
+)
+
+// Settings are a node's part in the lead.
+type Settings struct {
+	// Node is the name of this run of the node.
+	Node     string
+	Dispatch dispatch.Settings
+	// MaxBatchBytes bounds a call to the log.
+	MaxBatchBytes int
+	Now           func() time.Duration
+	UnixMS        func() int64
+}
+
+// Service is a node's part in the lead.
+type Service struct {
+	settings  Settings
+	log       backend.KeyedLog
+	orders    backend.Orders
+	operators *catalog.Operators
+	workers   *catalog.Workers
+	replica   *ledger.Replica
+	ledger    *feed.Feed
+	// workerFeed follows the workers while the node leads.
+	workerFeed func() *feed.Feed
+
+	mu       sync.Mutex
+	watch    *election.Watch
+	engine   *dispatch.Engine
+	lead     context.Context
+	retiring bool
+	read     time.Duration
+}
+
+// New returns a Service; Bind completes it and Run does its work.
+func New(s Settings, log backend.KeyedLog, orders backend.Orders) *Service {
+	return &Service{settings: s, log: log, orders: orders, watch: election.NewWatch(s.Dispatch.Election, s.Now())}
+}
+
+// Bind gives the service the parts of the node that it uses and that call it.
+func (s *Service) Bind(replica *ledger.Replica, ledgerFeed *feed.Feed, operators *catalog.Operators, workers *catalog.Workers, workerFeed func() *feed.Feed) {
+	s.replica, s.ledger, s.operators, s.workers, s.workerFeed = replica, ledgerFeed, operators, workers, workerFeed
+}
+
+// Listener returns what the node's replica has to call.
+func (s *Service) Listener() ledger.Listener {
+	return ledger.Listener{
+		Job: func(id string, e ledger.Entry) {
+			if engine, ctx := s.current(); engine != nil {
+				engine.JobChanged(ctx, id, e)
+			}
+		},
+		Leader: func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.watch.Heard(s.settings.Now())
+		},
+		Read: func(at time.Duration) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.read = max(s.read, at)
+			s.watch.Read(at)
+		},
+	}
+}
+
+// ViewChanged tells the engine, if there is one, that the view has changed.
+func (s *Service) ViewChanged() {
+	if engine, _ := s.current(); engine != nil {
+		engine.ViewChanged()
+	}
+}
+
+// Leading says whether the node leads.
+func (s *Service) Leading() bool {
+	engine, _ := s.current()
+	return engine != nil
+}
+
+func (s *Service) current() (*dispatch.Engine, context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engine, s.lead
+}
+
+// Retire makes the node give up the lead and never claim it again.
+func (s *Service) Retire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retiring = true
+}
+
+func (s *Service) isRetiring() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retiring
+}
+
+// Run takes part until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if s.isRetiring() || !s.shouldClaim() {
+			continue
+		}
+		term, sent, err := s.claim(ctx)
+		if err != nil {
+			klog.InfoS("leader: claim failed", "term", term.Number, "err", err)
+			continue
+		}
+		s.runTerm(ctx, term, sent)
+	}
+}
+
+func (s *Service) shouldClaim() bool {
+	term := s.replica.Term()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if term.Number == 0 || term.Resigned {
+		s.watch.Vacated()
+	}
+	return s.read > 0 && s.watch.Claim(s.settings.Now(), s.rank(term.Number))
+}
+
+// rank spreads the claims of the nodes.
+func (s *Service) rank(term int64) int {
+	h := fnv.New32a()
+	fmt.Fprintf(h, "%s %d", s.settings.Node, term)
+	return int(h.Sum32() % ranks)
+}
+
+// claim writes a new term, on the condition that nothing else was written.
+func (s *Service) claim(ctx context.Context) (ledger.Term, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*writeTimeout)
+	defer cancel()
+	if err := s.ledger.Refresh(ctx); err != nil {
+		return ledger.Term{}, 0, err
+	}
+	if !s.shouldClaim() {
+		return ledger.Term{}, 0, errors.New("the lead was taken meanwhile")
+	}
+	end := s.ledger.End()
+	term := ledger.Term{Number: s.replica.Term().Number + 1, Leader: s.settings.Node}
+	sent := s.settings.Now()
+	callCtx, cancelCall := context.WithTimeout(ctx, writeTimeout)
+	_, err := s.log.Append(callCtx, backend.KeyedAppend{Records: []backend.KeyedRecord{ledger.TermRecord(term)}, Producer: producer, Epoch: term.Number, Sequence: 1, At: end})
+	cancelCall()
+	var logErr *backend.LogError
+	if errors.As(err, &logErr) && logErr.Kind == backend.LogMoved {
+		return term, 0, err
+	}
+	// Whatever the answer was, the log says who leads.
+	if refreshErr := s.ledger.Refresh(ctx); refreshErr != nil {
+		return term, 0, errors.Join(err, refreshErr)
+	}
+	if got := s.replica.Term(); got != term {
+		return term, 0, errors.Join(err, fmt.Errorf("%s leads term %d", got.Leader, got.Number))
+	}
+	return term, sent, nil
+}
+
+// runTerm leads until the lead is lost or given up.
+func (s *Service) runTerm(ctx context.Context, term ledger.Term, claimed time.Duration) {
+	klog.InfoS("leader: lead taken", "term", term.Number, "node", s.settings.Node, "offset", s.ledger.End())
+	metrics.GetOrCreateCounter("shallotpin_terms_total").Inc()
+	writerCtx, stopWriter := context.WithCancel(ctx)
+	defer stopWriter()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	writer := ledger.NewAppender(s.log, ledger.AppenderSettings{Producer: producer, Epoch: term.Number, NextSequence: 2, CallTimeout: writeTimeout,
+		RetryDelay: writeRetry, BatchDelay: batchDelay, MaxBatchBytes: s.settings.MaxBatchBytes, Now: s.settings.Now})
+	go func() {
+		if err := writer.Run(writerCtx); err != nil && writerCtx.Err() == nil {
+			klog.InfoS("leader: writing ended", "term", term.Number, "err", err)
+		}
+	}()
+	engine := dispatch.New(dispatch.Inputs{Settings: s.settings.Dispatch, Orders: s.orders, Writer: writer, Now: s.settings.Now, UnixMS: s.settings.UnixMS,
+		View: s.view, Term: term, Claimed: claimed})
+	s.mu.Lock()
+	s.engine, s.lead = engine, ctx
+	s.mu.Unlock()
+	// From here on the engine hears of every change, so none is missed.
+	engine.Load(s.replica.State())
+	go s.workerFeed().Run(ctx)
+	go s.forgetEnded(ctx, writer)
+	go s.watchRetirement(ctx, cancel)
+	s.ledger.Hurry()
+	err := engine.Run(ctx)
+	cancel()
+	s.mu.Lock()
+	s.engine, s.lead = nil, nil
+	s.watch.Heard(s.settings.Now())
+	s.mu.Unlock()
+	klog.InfoS("leader: lead ended", "term", term.Number, "err", err)
+	if s.isRetiring() {
+		s.resign(writerCtx, writer, term)
+	}
+}
+
+// resign tells the other nodes that the lead is vacant.
+func (s *Service) resign(ctx context.Context, writer *ledger.Appender, term ledger.Term) {
+	term.Resigned = true
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if _, err := writer.Write(ctx, ledger.TermRecord(term)); err != nil {
+		klog.InfoS("leader: could not resign", "term", term.Number, "err", err)
+		return
+	}
+	klog.InfoS("leader: resigned", "term", term.Number)
+}
+
+func (s *Service) watchRetirement(ctx context.Context, cancel func()) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if s.isRetiring() {
+				cancel()
+				return
+			}
+		}
+	}
+}
+
+// view assembles what the engine may act on. It is as old as its oldest part.
+func (s *Service) view() dispatch.View {
+	config, out, configAt := s.operators.Current()
+	workers, workersAt := s.workers.Current()
+	ledgerAt, _ := s.ledger.Confirmed()
+	return dispatch.View{Config: config, ZonesOut: out, Workers: workers, Confirmed: min(configAt, workersAt, ledgerAt)}
+}
+
+// forgetEnded drops jobs that callers cannot ask for any more.
+func (s *Service) forgetEnded(ctx context.Context, writer *ledger.Appender) {
+	ticker := time.NewTicker(forgetInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		var records []backend.KeyedRecord
+		for _, id := range s.replica.Ended(s.settings.UnixMS() - s.settings.Dispatch.KeepEnded.Milliseconds()) {
+			records = append(records, ledger.ForgetJob(id)...)
+		}
+		if len(records) == 0 {
+			continue
+		}
+		if _, err := writer.Write(ctx, records...); err != nil && ctx.Err() == nil {
+			klog.InfoS("leader: could not drop ended jobs", "records", len(records), "err", err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/ledger/appender.go
@@ -0,0 +1,267 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
+)
+
+// AppenderSettings bound the writes of an Appender.
+type AppenderSettings struct {
+	Producer string
+	Epoch    int64
+	// NextSequence is the sequence number of the first append.
+	NextSequence int64
+	// CallTimeout bounds one call to the log.
+	CallTimeout time.Duration
+	// RetryDelay is the wait after a failed call.
+	RetryDelay time.Duration
+	// BatchDelay is the wait for further records before a call.
+	BatchDelay time.Duration
+	// MaxBatchBytes bounds the records of one call.
+	MaxBatchBytes int
+	// Now is a steady clock that goes on while the process is suspended.
+	Now func() time.Duration
+}
+
+// Appender writes records to a keyed log in order, several in one call. A call
+// whose outcome is unknown is repeated under its sequence number until the
+// outcome is known, so that its records are added exactly once.
+type Appender struct {
+	log      backend.KeyedLog
+	settings AppenderSettings
+	wake     chan struct{}
+
+	mu     sync.Mutex
+	queue  []*proposal
+	failed error
+}
+
+type proposal struct {
+	records []backend.KeyedRecord
+	bytes   int
+	done    chan struct{}
+	err     error
+	sent    time.Duration
+	// uncertain says that a call with these records has an unknown outcome.
+	uncertain bool
+	withdrawn bool
+}
+
+// NewAppender returns an Appender; Run does its work.
+func NewAppender(log backend.KeyedLog, s AppenderSettings) *Appender {
+	return &Appender{log: log, settings: s, wake: make(chan struct{}, 1)}
+}
+
+// Write adds records and returns the time at which the call that added them was
+// sent. If ctx ends first, the error tells whether they may be added later.
+func (a *Appender) Write(ctx context.Context, records ...backend.KeyedRecord) (time.Duration, error) {
+	p := &proposal{records: records, done: make(chan struct{})}
+	for _, r := range records {
+		p.bytes += len(r.Key) + len(r.Value)
+	}
+	a.mu.Lock()
+	if a.failed != nil {
+		defer a.mu.Unlock()
+		return 0, a.failed
+	}
+	a.queue = append(a.queue, p)
+	a.mu.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case <-p.done:
+		return p.sent, p.err
+	case <-ctx.Done():
+		return 0, a.withdraw(p, ctx.Err())
+	}
+}
+
+// withdraw takes back a proposal that no call holds.
+func (a *Appender) withdraw(p *proposal, cause error) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case <-p.done:
+		return p.err
+	default:
+	}
+	if p.uncertain {
+		return &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.MayHaveRun, Cause: cause}
+	}
+	p.withdrawn = true
+	return &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.NotRun, Cause: cause}
+}
+
+// Run writes until ctx ends or the log refuses the producer for good; what was
+// not written then fails.
+func (a *Appender) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return a.fail(ctx.Err())
+		case <-a.wake:
+		}
+		if !pause(ctx, a.settings.BatchDelay) {
+			return a.fail(ctx.Err())
+		}
+		if err := a.drain(ctx); err != nil {
+			return a.fail(err)
+		}
+	}
+}
+
+// drain writes what is queued.
+func (a *Appender) drain(ctx context.Context) error {
+	for {
+		batch := a.take()
+		if len(batch) == 0 {
+			return nil
+		}
+		for {
+			refused, err := a.call(ctx, batch)
+			if err == nil && refused && !pause(ctx, a.settings.RetryDelay) {
+				err = ctx.Err()
+			}
+			if err != nil {
+				a.finish(batch, 0, abandoned(batch, err))
+				return err
+			}
+			if !refused {
+				break
+			}
+			// Nothing of the batch was added, so it may be composed anew.
+			if !uncertain(batch) {
+				a.putBack(batch)
+				if batch = a.take(); len(batch) == 0 {
+					return nil
+				}
+			}
+		}
+	}
+}
+
+// abandoned is the error of a batch that is not repeated any more.
+func abandoned(batch []*proposal, cause error) error {
+	e := &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.NotRun, Cause: cause}
+	if uncertain(batch) {
+		e.Verdict = api.MayHaveRun
+	}
+	return e
+}
+
+func uncertain(batch []*proposal) bool { return batch[0].uncertain }
+
+// call sends a batch once. It reports refused if the call must be repeated.
+func (a *Appender) call(ctx context.Context, batch []*proposal) (refused bool, err error) {
+	write := backend.KeyedAppend{Producer: a.settings.Producer, Epoch: a.settings.Epoch, Sequence: a.settings.NextSequence, At: -1}
+	a.mu.Lock()
+	before := uncertain(batch)
+	for _, p := range batch {
+		write.Records = append(write.Records, p.records...)
+		p.uncertain = true
+	}
+	a.mu.Unlock()
+	sent := a.settings.Now()
+	callCtx, cancel := context.WithTimeout(ctx, a.settings.CallTimeout)
+	defer cancel()
+	_, err = a.log.Append(callCtx, write)
+	var logErr *backend.LogError
+	errors.As(err, &logErr)
+	switch {
+	case err == nil:
+		a.settings.NextSequence++
+		a.finish(batch, sent, nil)
+		return false, nil
+	case ctx.Err() != nil:
+		return false, ctx.Err()
+	case logErr != nil && (logErr.Kind == backend.LogFenced || logErr.Kind == backend.LogSequence):
+		return false, err
+	case logErr != nil && logErr.Kind == backend.LogInvalid && !before:
+		a.finish(batch, sent, err)
+		return false, nil
+	case logErr != nil && logErr.Verdict == api.NotRun && !before:
+		a.mu.Lock()
+		for _, p := range batch {
+			p.uncertain = false
+		}
+		a.mu.Unlock()
+	}
+	return true, nil
+}
+
+func (a *Appender) finish(batch []*proposal, sent time.Duration, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range batch {
+		p.sent, p.err = sent, err
+		close(p.done)
+	}
+}
+
+// take removes the next batch from the queue.
+func (a *Appender) take() []*proposal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var batch []*proposal
+	size, used := 0, 0
+	for _, p := range a.queue {
+		if len(batch) > 0 && size+p.bytes > a.settings.MaxBatchBytes {
+			break
+		}
+		used++
+		if p.withdrawn {
+			continue
+		}
+		size += p.bytes
+		batch = append(batch, p)
+	}
+	a.queue = a.queue[used:]
+	return batch
+}
+
+func (a *Appender) putBack(batch []*proposal) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue = append(append([]*proposal(nil), batch...), a.queue...)
+}
+
+// fail ends everything that waits.
+func (a *Appender) fail(err error) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.failed = &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.NotRun, Cause: err}
+	var logErr *backend.LogError
+	if errors.As(err, &logErr) {
+		a.failed = logErr
+	}
+	for _, p := range a.queue {
+		if !p.withdrawn {
+			p.err = a.failed
+			close(p.done)
+		}
+	}
+	a.queue = nil
+	return err
+}
+
+// pause waits, and reports false if ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/ledger/replica.go
@@ -0,0 +1,125 @@
+package ledger
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/backend"
+)
+
+// Listener hears of what the ledger's records change.
+type Listener struct {
+	// Job is called after a job has changed.
+	Job func(id string, e Entry)
+	// Leader is called for each record of the current leader.
+	Leader func()
+	// Read is called with the time of each successful read.
+	Read func(at time.Duration)
+}
+
+// Replica is a node's copy of the state; it is a feed's sink.
+type Replica struct {
+	mu       sync.Mutex
+	state    *State
+	listener Listener
+}
+
+// NewReplica returns the replica of an empty ledger.
+func NewReplica(l Listener) *Replica { return &Replica{state: NewState(), listener: l} }
+
+// Replace implements feed.Sink.
+func (r *Replica) Replace(records []backend.KeyedRecord) {
+	r.mu.Lock()
+	r.state = NewState()
+	r.mu.Unlock()
+	r.Apply(records)
+}
+
+// Apply implements feed.Sink.
+func (r *Replica) Apply(records []backend.KeyedRecord) {
+	r.mu.Lock()
+	jobs := map[string]Entry{}
+	fromLeader := false
+	for _, record := range records {
+		change, err := r.state.Apply(record)
+		if err != nil {
+			klog.InfoS("ledger: ignored a record", "err", err)
+			continue
+		}
+		fromLeader = fromLeader || change.FromLeader
+		if e := r.state.Jobs[change.Job]; e != nil {
+			jobs[change.Job] = *e
+		}
+	}
+	r.mu.Unlock()
+	if fromLeader {
+		r.listener.Leader()
+	}
+	for id, e := range jobs {
+		r.listener.Job(id, e)
+	}
+}
+
+// Confirmed implements feed.Sink.
+func (r *Replica) Confirmed(at time.Duration) { r.listener.Read(at) }
+
+// Job returns what the ledger holds of a job.
+func (r *Replica) Job(id string) (Entry, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, known := r.state.Jobs[id]
+	if !known {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Term returns the current term.
+func (r *Replica) Term() Term {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Term
+}
+
+// Pending counts a queue's jobs of which no task has started, but for those on
+// a schedule.
+func (r *Replica) Pending(queue string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, e := range r.state.Jobs {
+		if e.Job != nil && e.Job.Queue == queue && e.Job.Occurrences == 0 && e.Phase() == Queued {
+			n++
+		}
+	}
+	return n
+}
+
+// Ended lists the jobs that ended before a time, in Unix milliseconds.
+func (r *Replica) Ended(before int64) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for id, e := range r.state.Jobs {
+		if e.Progress.Phase.Ended() && e.Progress.EndedMS < before {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// State returns a copy of the state; the jobs' specifications are shared and
+// never change.
+func (r *Replica) State() *State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := &State{Jobs: map[string]*Entry{}, Term: r.state.Term, Workers: maps.Clone(r.state.Workers)}
+	for id, e := range r.state.Jobs {
+		c := *e
+		s.Jobs[id] = &c
+	}
+	return s
+}
--- a/pkg/lifecycle/begin.go
+++ b/pkg/lifecycle/begin.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -47,13 +47,13 @@
 	g.since, g.lastWhole = time.Now(), reserved
 	for i := range g.members {
 		g.members[i].doubtful = false
-		g.members[i].status = platform.TaskStatus{}
+		g.members[i].status = backend.TaskStatus{}
 	}
 	return err
 }
 
 func (g *gang) reserve(ctx context.Context, m *member) error {
-	r := platform.Reservation{
+	r := backend.Reservation{
 		Task: m.task, Request: g.job.Spec.PerTask, Payload: g.job.Spec.Payload,
 		LeaseTTL: g.s.settings.LeaseTTL, StartWithin: g.s.settings.StartWithin,
 	}
--- a/pkg/lifecycle/deputy.go
+++ b/pkg/lifecycle/deputy.go
@@ -7,8 +7,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/membership"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -114,5 +114,5 @@
 // runsWhole reports whether every task runs or is done, whoever started it.
 func (g *gang) runsWhole(ctx context.Context) bool {
 	g.doubtAll()
-	return g.ask(ctx) == nil && g.allIn(platform.TaskRunning, platform.TaskDone)
+	return g.ask(ctx) == nil && g.allIn(backend.TaskRunning, backend.TaskDone)
 }
--- a/pkg/lifecycle/gang.go
+++ b/pkg/lifecycle/gang.go
@@ -10,7 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -32,10 +32,10 @@
 type member struct {
 	id      string
 	address string
-	worker  platform.Worker
-	task    platform.TaskID
+	worker  backend.Worker
+	task    backend.TaskID
 	// status is the worker's last word on the task.
-	status platform.TaskStatus
+	status backend.TaskStatus
 	// doubtful says that the worker did not answer lately. No member is renewed
 	// while one is doubtful.
 	doubtful bool
@@ -53,7 +53,7 @@
 			}
 			g.members[i] = member{
 				id: p.Worker, address: address, worker: s.workers.Worker(address),
-				task: platform.TaskID{Job: j.ID, Token: j.Token, Index: i},
+				task: backend.TaskID{Job: j.ID, Token: j.Token, Index: i},
 			}
 		}
 	})
@@ -88,7 +88,7 @@
 // be claimed. It decides nothing.
 func (g *gang) care(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := g.round(ctx); err == nil && !g.allIn(platform.TaskRunning, platform.TaskDone) {
+		if err := g.round(ctx); err == nil && !g.allIn(backend.TaskRunning, backend.TaskDone) {
 			return
 		}
 		waitFor(ctx, nil, g.pause(time.Now()))
@@ -125,7 +125,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return true
-	case g.allIn(platform.TaskDone):
+	case g.allIn(backend.TaskDone):
 		g.end(ctx, state.EndAttempt{Outcome: state.OutcomeDone, Results: g.results()})
 	case g.hasLost():
 		g.stop(ctx, state.OutcomeFailed, "a task failed or was lost")
@@ -177,15 +177,15 @@
 	g.lastRound = began
 	if g.anyDoubtful() {
 		err := g.ask(ctx)
-		if err != nil || !g.allIn(platform.TaskRunning, platform.TaskDone) {
+		if err != nil || !g.allIn(backend.TaskRunning, backend.TaskDone) {
 			return err
 		}
 	}
 	err := g.each(ctx, func(ctx context.Context, m *member) error {
-		if m.status.Phase == platform.TaskDone {
+		if m.status.Phase == backend.TaskDone {
 			return nil
 		}
-		out, err := g.s.renewals.renew(ctx, m.address, m.worker, []platform.TaskID{m.task}, g.s.settings.LeaseTTL)
+		out, err := g.s.renewals.renew(ctx, m.address, m.worker, []backend.TaskID{m.task}, g.s.settings.LeaseTTL)
 		m.doubtful = err != nil
 		if err == nil {
 			m.status = out[0]
@@ -201,10 +201,10 @@
 // ask learns the state of the doubtful members without renewing their leases.
 func (g *gang) ask(ctx context.Context) error {
 	return g.each(ctx, func(ctx context.Context, m *member) error {
-		if !m.doubtful || m.status.Phase == platform.TaskDone {
+		if !m.doubtful || m.status.Phase == backend.TaskDone {
 			return nil
 		}
-		out, err := m.worker.Renew(ctx, []platform.TaskID{m.task}, 0)
+		out, err := m.worker.Renew(ctx, []backend.TaskID{m.task}, 0)
 		if err == nil && len(out) == 1 {
 			m.status, m.doubtful = out[0], false
 		}
@@ -236,7 +236,7 @@
 
 func (g *gang) anyDoubtful() bool {
 	for i := range g.members {
-		if g.members[i].doubtful && g.members[i].status.Phase != platform.TaskDone {
+		if g.members[i].doubtful && g.members[i].status.Phase != backend.TaskDone {
 			return true
 		}
 	}
@@ -244,7 +244,7 @@
 }
 
 // allIn reports whether the last known phase of every member is one of phases.
-func (g *gang) allIn(phases ...platform.TaskPhase) bool {
+func (g *gang) allIn(phases ...backend.TaskPhase) bool {
 	for i := range g.members {
 		if !slices.Contains(phases, g.members[i].status.Phase) {
 			return false
@@ -258,8 +258,8 @@
 	lost := false
 	for i := range g.members {
 		m := &g.members[i]
-		if m.status.Phase != "" && m.status.Phase != platform.TaskRunning && m.status.Phase != platform.TaskDone {
-			m.blamed = m.blamed || m.status.Phase == platform.TaskFailed
+		if m.status.Phase != "" && m.status.Phase != backend.TaskRunning && m.status.Phase != backend.TaskDone {
+			m.blamed = m.blamed || m.status.Phase == backend.TaskFailed
 			lost = true
 		}
 	}
--- a/pkg/lifecycle/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -8,12 +8,12 @@
 	"sync"
 	"time"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/fleet"
 	"github.com/shallotpin/shallotpin/pkg/journal"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/membership"
 	"github.com/shallotpin/shallotpin/pkg/peer"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -79,7 +79,7 @@
 // whose coordinator was lost until they can be claimed.
 type Service struct {
 	settings  Settings
-	workers   platform.Workers
+	workers   backend.Workers
 	journal   *journal.Journal
 	members   *membership.Service
 	staleness *staleness
@@ -106,7 +106,7 @@
 
 // New returns a lifecycle service that reaches workers through workers. Its
 // calls between nodes are registered with peers.
-func New(settings Settings, workers platform.Workers, peers *peer.Service) (*Service, error) {
+func New(settings Settings, workers backend.Workers, peers *peer.Service) (*Service, error) {
 	s := &Service{
 		settings: settings, workers: workers,
 		running: map[int64]context.CancelFunc{}, caring: map[int64]context.CancelFunc{},
--- a/pkg/lifecycle/renewals.go
+++ b/pkg/lifecycle/renewals.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 // gatherTime is how long a renewal waits for others of the same worker.
@@ -40,13 +40,13 @@
 
 // renewal is the renewal of one gang's tasks on one worker.
 type renewal struct {
-	tasks []platform.TaskID
+	tasks []backend.TaskID
 	ttl   time.Duration
 	done  chan renewed
 }
 
 type renewed struct {
-	statuses []platform.TaskStatus
+	statuses []backend.TaskStatus
 	err      error
 }
 
@@ -55,7 +55,7 @@
 }
 
 // renew renews tasks of one worker, together with what others ask of it.
-func (r *renewals) renew(ctx context.Context, address string, w platform.Worker, tasks []platform.TaskID, ttl time.Duration) ([]platform.TaskStatus, error) {
+func (r *renewals) renew(ctx context.Context, address string, w backend.Worker, tasks []backend.TaskID, ttl time.Duration) ([]backend.TaskStatus, error) {
 	item := &renewal{tasks: tasks, ttl: ttl, done: make(chan renewed, 1)}
 	r.mu.Lock()
 	q := r.queue[address]
@@ -78,7 +78,7 @@
 }
 
 // drain makes calls until nothing waits.
-func (r *renewals) drain(address string, q *workerQueue, w platform.Worker) {
+func (r *renewals) drain(address string, q *workerQueue, w backend.Worker) {
 	for {
 		time.Sleep(gatherTime)
 		r.mu.Lock()
@@ -96,15 +96,15 @@
 }
 
 // compareTasks orders tasks by attempt and index.
-func compareTasks(a, b platform.TaskID) int {
+func compareTasks(a, b backend.TaskID) int {
 	return cmp.Or(cmp.Compare(a.Token, b.Token), cmp.Compare(a.Index, b.Index))
 }
 
-func (r *renewals) call(w platform.Worker, batch []*renewal) {
+func (r *renewals) call(w backend.Worker, batch []*renewal) {
 	// The same tasks are named in the same order each time, so that the worker's
 	// client can tell that it has renewed them before.
 	slices.SortFunc(batch, func(a, b *renewal) int { return compareTasks(a.tasks[0], b.tasks[0]) })
-	var ids []platform.TaskID
+	var ids []backend.TaskID
 	for _, item := range batch {
 		ids = append(ids, item.tasks...)
 	}
--- a/pkg/lifecycle/staleness.go
+++ b/pkg/lifecycle/staleness.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/fleet"
 	"github.com/shallotpin/shallotpin/pkg/journal"
 	"github.com/shallotpin/shallotpin/pkg/peer"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 )
 
 const (
@@ -88,7 +88,7 @@
 
 // entryVMs returns the IDs of the listed entry VMs.
 func (s *staleness) entryVMs() []string {
-	vms, _ := s.fleet.VMs(platform.KindEntry)
+	vms, _ := s.fleet.VMs(backend.KindEntry)
 	ids := make([]string, len(vms))
 	for i := range vms {
 		ids[i] = vms[i].ID
@@ -116,7 +116,7 @@
 }
 
 func (s *staleness) askAll(ctx context.Context) {
-	vms, _ := s.fleet.VMs(platform.KindEntry)
+	vms, _ := s.fleet.VMs(backend.KindEntry)
 	var wg sync.WaitGroup
 	for _, vm := range vms {
 		if vm.ID != s.self {
@@ -126,7 +126,7 @@
 	wg.Wait()
 }
 
-func (s *staleness) ask(ctx context.Context, vm platform.VM) {
+func (s *staleness) ask(ctx context.Context, vm backend.VM) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	began := time.Now()
--- a/pkg/lifecycle/stop.go
+++ b/pkg/lifecycle/stop.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -34,7 +34,7 @@
 	}
 	for i := range g.members {
 		if !ended[i] {
-			g.members[i].status = platform.TaskStatus{Phase: platform.TaskUnknown}
+			g.members[i].status = backend.TaskStatus{Phase: backend.TaskUnknown}
 		}
 	}
 	g.end(ctx, g.endAttempt(outcome, reason))
@@ -82,7 +82,7 @@
 		i := m.task.Index
 		if ended[i] || gone[m.id] {
 			if !ended[i] {
-				m.status, ended[i] = platform.TaskStatus{Phase: platform.TaskUnknown}, true
+				m.status, ended[i] = backend.TaskStatus{Phase: backend.TaskUnknown}, true
 			}
 			return nil
 		}
@@ -124,7 +124,7 @@
 }
 
 func (g *gang) endAttempt(outcome state.AttemptOutcome, reason string) state.EndAttempt {
-	if g.allIn(platform.TaskDone) {
+	if g.allIn(backend.TaskDone) {
 		return state.EndAttempt{Outcome: state.OutcomeDone, Results: g.results()}
 	}
 	end := state.EndAttempt{Outcome: state.OutcomeNeverStarted, Reason: reason, Blame: g.blame()}
@@ -145,7 +145,7 @@
 // mayHaveRun reports whether a task ran, or is on a worker that does not know.
 func (g *gang) mayHaveRun() bool {
 	for i := range g.members {
-		if st := &g.members[i].status; st.Ran || st.Phase != platform.TaskStopped {
+		if st := &g.members[i].status; st.Ran || st.Phase != backend.TaskStopped {
 			return true
 		}
 	}
--- a/pkg/membership/heartbeat.go
+++ b/pkg/membership/heartbeat.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 const (
@@ -63,7 +63,7 @@
 
 // round sends the heartbeats of one round.
 func (s *Service) round(ctx context.Context) {
-	vms, _ := s.fleet.VMs(platform.KindEntry)
+	vms, _ := s.fleet.VMs(backend.KindEntry)
 	for _, address := range s.targets(time.Now(), vms) {
 		s.loops.Go(func() { s.beat(ctx, address) })
 	}
@@ -71,7 +71,7 @@
 
 // targets picks whom to send heartbeats: everyone in a small fleet, otherwise
 // the next few in a random order, and those that are close to suspicion.
-func (s *Service) targets(now time.Time, vms []platform.VM) []string {
+func (s *Service) targets(now time.Time, vms []backend.VM) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.noteListed(vms)
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -12,10 +12,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/fleet"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/peer"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 )
 
 // ServiceName is the name of the membership service in the kernel.
@@ -239,7 +239,7 @@
 // may be more. A listed node that was never heard of has a zero Report apart
 // from its member's ID.
 func (s *Service) Others(now time.Time) (reports []Report, complete bool) {
-	vms, complete := s.fleet.VMs(platform.KindEntry)
+	vms, complete := s.fleet.VMs(backend.KindEntry)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.noteListed(vms)
@@ -263,7 +263,7 @@
 	return reports, complete
 }
 
-func (s *Service) noteListed(vms []platform.VM) {
+func (s *Service) noteListed(vms []backend.VM) {
 	for _, vm := range vms {
 		s.listed[vm.ID] = true
 	}
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -8,11 +8,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/fleet"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/memnet"
 	"github.com/shallotpin/shallotpin/pkg/peer"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
 
@@ -30,9 +30,9 @@
 func startCluster(t *testing.T, n int) *cluster {
 	t.Helper()
 	c := &cluster{net: memnet.New(func(string, string) time.Duration { return 4 * time.Millisecond })}
-	var vms []platform.VM
+	var vms []backend.VM
 	for i := range n {
-		vms = append(vms, platform.VM{ID: id(i), Kind: platform.KindEntry, Zone: "z", Address: address(i)})
+		vms = append(vms, backend.VM{ID: id(i), Kind: backend.KindEntry, Zone: "z", Address: address(i)})
 	}
 	c.list = standin.NewVMList(time.Second, vms...)
 	for i := range n {
@@ -127,7 +127,7 @@
 		if reports, _ := observer.Others(time.Now()); len(reports) != 11 {
 			t.Errorf("%d others are not known to be gone; the silent one is listed still, want 11", len(reports))
 		}
-		c.list.Update(func(vms []platform.VM) []platform.VM { return append(vms[:3], vms[4:]...) })
+		c.list.Update(func(vms []backend.VM) []backend.VM { return append(vms[:3], vms[4:]...) })
 		time.Sleep(5 * time.Second)
 		now := time.Now()
 		reports, complete := observer.Others(now)
--- a/pkg/memsite/drift_test.go
+++ b/pkg/memsite/drift_test.go
@@ -6,8 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/frontdoor"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
 
@@ -45,7 +45,7 @@
 	observe := func(e standin.TaskEvent) {
 		mu.Lock()
 		defer mu.Unlock()
-		if e.Phase != platform.TaskRunning || out.IsZero() {
+		if e.Phase != backend.TaskRunning || out.IsZero() {
 			return
 		}
 		if started++; e.At.Sub(out) > startsLateAfter {
--- a/pkg/memsite/gate.go
+++ b/pkg/memsite/gate.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/memnet"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
 
@@ -127,7 +127,7 @@
 
 type gatedLog struct {
 	gate *gate
-	log  platform.Log
+	log  backend.Log
 }
 
 func (l *gatedLog) Append(ctx context.Context, data []byte) (int64, error) {
@@ -140,9 +140,9 @@
 	return offset, l.gate.after(ctx, err)
 }
 
-func (l *gatedLog) Read(ctx context.Context, from int64, wait time.Duration) (platform.Page, error) {
+func (l *gatedLog) Read(ctx context.Context, from int64, wait time.Duration) (backend.Page, error) {
 	if err := l.gate.pass(cutLog); err != nil {
-		return platform.Page{}, err
+		return backend.Page{}, err
 	}
 	page, err := l.log.Read(ctx, from, wait)
 	return page, l.gate.after(ctx, err)
@@ -150,10 +150,10 @@
 
 type gatedVMs struct {
 	gate *gate
-	vms  platform.VMList
+	vms  backend.VMList
 }
 
-func (v *gatedVMs) List(ctx context.Context) ([]platform.VM, error) {
+func (v *gatedVMs) List(ctx context.Context) ([]backend.VM, error) {
 	if err := v.gate.pass(cutVMList); err != nil {
 		return nil, err
 	}
@@ -169,7 +169,7 @@
 // workerAddressPrefix precedes the ID of a worker in its address.
 const workerAddressPrefix = "worker/"
 
-func (w *gatedWorkers) Worker(address string) platform.Worker {
+func (w *gatedWorkers) Worker(address string) backend.Worker {
 	id := ""
 	if len(address) > len(workerAddressPrefix) {
 		id = address[len(workerAddressPrefix):]
@@ -180,24 +180,24 @@
 type gatedWorker struct {
 	gate   *gate
 	id     string
-	worker platform.Worker
+	worker backend.Worker
 }
 
-func (w *gatedWorker) Reserve(ctx context.Context, r platform.Reservation) error {
+func (w *gatedWorker) Reserve(ctx context.Context, r backend.Reservation) error {
 	if err := w.passTo(OpReserve); err != nil {
 		return err
 	}
 	return w.afterFrom(ctx, OpReserve, w.worker.Reserve(context.WithoutCancel(ctx), r))
 }
 
-func (w *gatedWorker) Start(ctx context.Context, id platform.TaskID) error {
+func (w *gatedWorker) Start(ctx context.Context, id backend.TaskID) error {
 	if err := w.passTo(OpStart); err != nil {
 		return err
 	}
 	return w.afterFrom(ctx, OpStart, w.worker.Start(context.WithoutCancel(ctx), id))
 }
 
-func (w *gatedWorker) Renew(ctx context.Context, ids []platform.TaskID, ttl time.Duration) ([]platform.TaskStatus, error) {
+func (w *gatedWorker) Renew(ctx context.Context, ids []backend.TaskID, ttl time.Duration) ([]backend.TaskStatus, error) {
 	if err := w.passTo(OpRenew); err != nil {
 		return nil, err
 	}
@@ -205,15 +205,15 @@
 	return out, w.afterFrom(ctx, OpRenew, err)
 }
 
-func (w *gatedWorker) Stop(ctx context.Context, id platform.TaskID, checkpoint bool) (platform.TaskStatus, error) {
+func (w *gatedWorker) Stop(ctx context.Context, id backend.TaskID, checkpoint bool) (backend.TaskStatus, error) {
 	if err := w.passTo(OpStop); err != nil {
-		return platform.TaskStatus{}, err
+		return backend.TaskStatus{}, err
 	}
 	out, err := w.worker.Stop(context.WithoutCancel(ctx), id, checkpoint)
 	return out, w.afterFrom(ctx, OpStop, err)
 }
 
-func (w *gatedWorker) Throttle(ctx context.Context, id platform.TaskID, percent int) error {
+func (w *gatedWorker) Throttle(ctx context.Context, id backend.TaskID, percent int) error {
 	if err := w.gate.pass(w.isCut); err != nil {
 		return err
 	}
--- a/pkg/memsite/memsite.go
+++ b/pkg/memsite/memsite.go
@@ -12,11 +12,11 @@
 	"sync"
 	"time"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/client"
 	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/memnet"
 	"github.com/shallotpin/shallotpin/pkg/node"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
@@ -103,7 +103,7 @@
 	}
 	for i := range opts.Entries {
 		set := s.entrySettings(i, 0)
-		vms = append(vms, platform.VM{ID: set.ID, Kind: platform.KindEntry, Zone: set.Zone, Address: set.Peer})
+		vms = append(vms, backend.VM{ID: set.ID, Kind: backend.KindEntry, Zone: set.Zone, Address: set.Peer})
 		s.Entries = append(s.Entries, &Entry{Settings: set})
 	}
 	s.VMs = standin.NewVMList(opts.VMListLag, vms...)
@@ -123,11 +123,11 @@
 	return s, s.publish(ctx)
 }
 
-func (s *Site) addVM(vm *platform.VM, i int) error {
+func (s *Site) addVM(vm *backend.VM, i int) error {
 	switch vm.Kind {
-	case platform.KindWorker:
+	case backend.KindWorker:
 		s.Workers[vm.ID] = standin.NewWorker(*vm, s.opts.Observe)
-	case platform.KindUpstream:
+	case backend.KindUpstream:
 		address := fmt.Sprintf("10.1.%d.%d:80", i/250, i%250)
 		vm.Address = "http://" + address
 		u := standin.NewUpstream(*vm, s.opts.UpstreamTime)
@@ -204,13 +204,13 @@
 )
 
 // platformOf returns the log and the VM list as a host reaches them.
-func (s *Site) platformOf(h *memnet.Host) (platform.Log, platform.VMList) {
+func (s *Site) platformOf(h *memnet.Host) (backend.Log, backend.VMList) {
 	if !s.opts.HTTP {
 		return s.Log, s.VMs
 	}
 	c := transport.HTTPClient(h, 0)
 	s.clients = append(s.clients, c)
-	return &platform.HTTPLog{Base: "http://" + logAddress, Client: c}, &platform.HTTPVMList{Base: "http://" + vmsAddress, Client: c}
+	return &backend.HTTPLog{Base: "http://" + logAddress, Client: c}, &backend.HTTPVMList{Base: "http://" + vmsAddress, Client: c}
 }
 
 // servePlatform serves the log and the VM list by HTTP.
@@ -280,7 +280,7 @@
 // Retire stops entry VM i gracefully and takes it off the VM list.
 func (s *Site) Retire(ctx context.Context, i int) error {
 	e := s.Entries[i]
-	s.VMs.Update(func(vms []platform.VM) []platform.VM {
+	s.VMs.Update(func(vms []backend.VM) []backend.VM {
 		for k := range vms {
 			vms[k].Leaving = vms[k].Leaving || vms[k].ID == e.Settings.ID
 		}
@@ -294,7 +294,7 @@
 }
 
 func (s *Site) unlist(id string) {
-	s.VMs.Update(func(vms []platform.VM) []platform.VM {
+	s.VMs.Update(func(vms []backend.VM) []backend.VM {
 		kept := vms[:0]
 		for _, vm := range vms {
 			if vm.ID != id {
@@ -309,8 +309,8 @@
 func (s *Site) Replace(ctx context.Context, i, generation int) error {
 	set := s.entrySettings(i, generation)
 	s.Entries[i] = &Entry{Settings: set}
-	s.VMs.Update(func(vms []platform.VM) []platform.VM {
-		return append(vms, platform.VM{ID: set.ID, Kind: platform.KindEntry, Zone: set.Zone, Address: set.Peer})
+	s.VMs.Update(func(vms []backend.VM) []backend.VM {
+		return append(vms, backend.VM{ID: set.ID, Kind: backend.KindEntry, Zone: set.Zone, Address: set.Peer})
 	})
 	return s.startEntry(ctx, i)
 }
--- a/pkg/memsite/memsite_test.go
+++ b/pkg/memsite/memsite_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/shallotpin/shallotpin/deploy"
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/frontdoor"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
 
@@ -90,7 +90,7 @@
 			o.Observe = func(e standin.TaskEvent) {
 				mu.Lock()
 				defer mu.Unlock()
-				if e.Phase == platform.TaskRunning {
+				if e.Phase == backend.TaskRunning {
 					started[e.Worker]++
 				}
 			}
--- a/pkg/memsite/planner_test.go
+++ b/pkg/memsite/planner_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/node"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -42,15 +42,15 @@
 }
 
 // refusingWorkers refuses every reservation.
-type refusingWorkers struct{ platform.Workers }
+type refusingWorkers struct{ backend.Workers }
 
-func (w refusingWorkers) Worker(address string) platform.Worker {
+func (w refusingWorkers) Worker(address string) backend.Worker {
 	return refusingWorker{w.Workers.Worker(address)}
 }
 
-type refusingWorker struct{ platform.Worker }
+type refusingWorker struct{ backend.Worker }
 
-func (refusingWorker) Reserve(context.Context, platform.Reservation) error {
+func (refusingWorker) Reserve(context.Context, backend.Reservation) error {
 	return api.Errorf(api.CodeConflict, "refused")
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/fleet"
 	"github.com/shallotpin/shallotpin/pkg/frontdoor"
 	"github.com/shallotpin/shallotpin/pkg/journal"
@@ -20,7 +21,6 @@
 	"github.com/shallotpin/shallotpin/pkg/membership"
 	"github.com/shallotpin/shallotpin/pkg/peer"
 	"github.com/shallotpin/shallotpin/pkg/planner"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/relay"
 	"github.com/shallotpin/shallotpin/pkg/requests"
 	"github.com/shallotpin/shallotpin/pkg/state"
@@ -94,9 +94,9 @@
 
 // Platform is what a node needs from the platform.
 type Platform struct {
-	Log     platform.Log
-	VMs     platform.VMList
-	Workers platform.Workers
+	Log     backend.Log
+	VMs     backend.VMList
+	Workers backend.Workers
 	// NewID makes the names of the node's run and of the jobs that it accepts,
 	// which nothing else may have; nil means random UUIDs.
 	NewID func() string
@@ -106,9 +106,9 @@
 func HTTPPlatform(s Settings, network transport.Network) Platform {
 	client := transport.HTTPClient(network, 0)
 	return Platform{
-		Log:     &platform.HTTPLog{Base: s.Log, Client: client},
-		VMs:     &platform.HTTPVMList{Base: s.VMs, Client: client},
-		Workers: &platform.HTTPWorkers{Client: client, HTTP2: transport.HTTP2Client(network)},
+		Log:     &backend.HTTPLog{Base: s.Log, Client: client},
+		VMs:     &backend.HTTPVMList{Base: s.VMs, Client: client},
+		Workers: &backend.HTTPWorkers{Client: client, HTTP2: transport.HTTP2Client(network)},
 	}
 }
 
--- /dev/null
+++ b/pkg/placement/placement.go
@@ -0,0 +1,306 @@
+// Package placement decides which waiting tasks start on which workers, and what
+// is stopped for them. The decision is a pure function of a snapshot.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+// Worker is a worker as the decision sees it.
+type Worker struct {
+	ID     string
+	Rack   string
+	Labels []string
+	// Free is what is neither taken nor reserved; it may be negative.
+	Free workload.Resources
+	// Leaving is what stops that are under way will free.
+	Leaving  workload.Resources
+	Capacity workload.Resources
+	// Open workers take new tasks.
+	Open bool
+	// Penalty ranks workers: those with a higher one are used last.
+	Penalty int
+	// Speed is how fast the worker is, where 1 is usual.
+	Speed float64
+	// Running is what could be stopped on the worker.
+	Running []Running
+}
+
+func (w *Worker) hasLabel(label string) bool { return slices.Contains(w.Labels, label) }
+
+// Running is a task that runs on a worker and is not being stopped.
+type Running struct {
+	Unit  workload.UnitID
+	Need  workload.Resources
+	Index int
+	// Priority and Guaranteed say what may be stopped for whom.
+	Priority   int
+	Guaranteed bool
+	// Cost is the work lost by a stop, in core-seconds.
+	Cost float64
+	// Gang members are stopped together.
+	Gang bool
+}
+
+// Unit is a step of a job with tasks that wait.
+type Unit struct {
+	ID   workload.UnitID
+	Step *workload.Step
+	// Waiting are the tasks to place.
+	Waiting  []int
+	Priority int
+	// Guaranteed units may stop whatever is not guaranteed itself.
+	Guaranteed bool
+	// Deadline orders units of one priority, in Unix milliseconds.
+	Deadline int64
+	// Expired units can earn nothing more and come last.
+	Expired bool
+	// PerWorker counts the tasks of the step that run on each worker.
+	PerWorker map[string]int
+	// Avoid are workers on which the unit's tasks failed.
+	Avoid map[string]bool
+}
+
+// Assignment puts a task on a worker.
+type Assignment struct {
+	Task   workload.TaskID
+	Worker string
+}
+
+// Plan is what to do.
+type Plan struct {
+	Start []Assignment
+	// Reserve are assignments that have to wait for Stop to take effect.
+	Reserve []Assignment
+	// Stop are the tasks to stop, gangs as a whole.
+	Stop []workload.TaskID
+	// Blocked counts the units that found no room.
+	Blocked int
+}
+
+// planner is one decision in progress.
+type planner struct {
+	workers []*Worker
+	byRack  map[string][]*Worker
+	racks   []string
+	plan    Plan
+	stopped map[workload.TaskID]bool
+}
+
+// Decide places units in order. It changes the workers' Free.
+func Decide(workers []*Worker, units []*Unit) Plan {
+	p := &planner{workers: workers, byRack: map[string][]*Worker{}, stopped: map[workload.TaskID]bool{}}
+	for _, w := range workers {
+		if _, known := p.byRack[w.Rack]; !known {
+			p.racks = append(p.racks, w.Rack)
+		}
+		p.byRack[w.Rack] = append(p.byRack[w.Rack], w)
+	}
+	slices.Sort(p.racks)
+	slices.SortStableFunc(units, Order)
+	for _, u := range units {
+		if u.Step.Gang {
+			p.placeGang(u)
+		} else {
+			p.placeTasks(u)
+		}
+	}
+	return p.plan
+}
+
+// Order is the order in which units are placed.
+func Order(a, b *Unit) int {
+	return cmp.Or(
+		compareBool(b.Guaranteed, a.Guaranteed),
+		compareBool(a.Expired, b.Expired),
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.Deadline, b.Deadline),
+		cmp.Compare(a.ID.Job, b.ID.Job),
+		cmp.Compare(a.ID.Round, b.ID.Round),
+		cmp.Compare(a.ID.Step, b.ID.Step),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// eligible says whether the unit's tasks may run on the worker at all.
+func eligible(u *Unit, w *Worker) bool {
+	return w.Open && (u.Step.Label == "" || w.hasLabel(u.Step.Label)) && u.Step.Demand().Fits(w.Capacity)
+}
+
+// slots returns how many tasks of the unit the worker could take within free.
+func slots(u *Unit, w *Worker, free workload.Resources) int {
+	n := u.Step.Demand().Count(free)
+	if u.Step.MaxPerWorker > 0 {
+		n = min(n, u.Step.MaxPerWorker-u.PerWorker[w.ID])
+	}
+	return max(0, n)
+}
+
+// localRack returns the rack that the unit's tasks should use: the one with its
+// data, if a worker there could ever take one.
+func (p *planner) localRack(u *Unit) string {
+	if u.Step.DataRack == "" {
+		return ""
+	}
+	for _, w := range p.byRack[u.Step.DataRack] {
+		if eligible(u, w) {
+			return u.Step.DataRack
+		}
+	}
+	return ""
+}
+
+// placeTasks places the tasks of a unit one by one.
+func (p *planner) placeTasks(u *Unit) {
+	pool := p.workers
+	if rack := p.localRack(u); rack != "" {
+		pool = p.byRack[rack]
+	}
+	for i, index := range u.Waiting {
+		w := best(u, pool)
+		if w == nil {
+			p.plan.Blocked++
+			if u.Guaranteed {
+				p.makeRoom(u, u.Waiting[i:], [][]*Worker{pool})
+			}
+			return
+		}
+		p.start(u, index, w)
+	}
+}
+
+// best returns the worker with room that is left with the least after a task.
+func best(u *Unit, pool []*Worker) *Worker {
+	var chosen *Worker
+	for _, w := range pool {
+		if !eligible(u, w) || slots(u, w, w.Free) == 0 {
+			continue
+		}
+		if chosen == nil || compareFit(u, w, chosen) < 0 {
+			chosen = w
+		}
+	}
+	return chosen
+}
+
+// compareFit orders workers by how well a task of the unit suits them.
+func compareFit(u *Unit, a, b *Worker) int {
+	return cmp.Or(
+		compareBool(u.Avoid[a.ID], u.Avoid[b.ID]),
+		cmp.Compare(a.Penalty, b.Penalty),
+		cmp.Compare(a.Free.Accelerators, b.Free.Accelerators),
+		cmp.Compare(b.Speed, a.Speed),
+		cmp.Compare(a.Free.MemoryMB, b.Free.MemoryMB),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+func (p *planner) start(u *Unit, index int, w *Worker) {
+	w.Free = w.Free.Sub(u.Step.Demand())
+	u.PerWorker[w.ID]++
+	p.plan.Start = append(p.plan.Start, Assignment{Task: workload.TaskID{UnitID: u.ID, Index: index}, Worker: w.ID})
+}
+
+// placeGang places all tasks of a unit or none.
+func (p *planner) placeGang(u *Unit) {
+	pools := p.gangPools(u)
+	var chosen []*Worker
+	bestScore := 0.0
+	for _, pool := range pools {
+		picks, score := fill(u, pool)
+		if picks != nil && (chosen == nil || score < bestScore) {
+			chosen, bestScore = picks, score
+		}
+	}
+	if chosen == nil {
+		p.plan.Blocked++
+		if u.Guaranteed {
+			p.makeRoom(u, u.Waiting, pools)
+		}
+		return
+	}
+	for i, w := range chosen {
+		p.start(u, u.Waiting[i], w)
+	}
+}
+
+// gangPools returns the sets of workers among which a gang may be placed.
+func (p *planner) gangPools(u *Unit) [][]*Worker {
+	if rack := p.localRack(u); rack != "" && p.everFits(u, p.byRack[rack]) {
+		return [][]*Worker{p.byRack[rack]}
+	}
+	if !u.Step.SameRack {
+		return [][]*Worker{p.workers}
+	}
+	var pools [][]*Worker
+	for _, rack := range p.racks {
+		if p.everFits(u, p.byRack[rack]) {
+			pools = append(pools, p.byRack[rack])
+		}
+	}
+	if pools == nil {
+		return [][]*Worker{p.workers}
+	}
+	return pools
+}
+
+// everFits says whether the gang would fit into the pool if it were empty.
+func (p *planner) everFits(u *Unit, pool []*Worker) bool {
+	room := 0
+	for _, w := range pool {
+		if eligible(u, w) {
+			n := u.Step.Demand().Count(w.Capacity)
+			if u.Step.MaxPerWorker > 0 {
+				n = min(n, u.Step.MaxPerWorker)
+			}
+			room += n
+		}
+	}
+	return room >= len(u.Waiting)
+}
+
+// fill finds workers of the pool for all waiting tasks. The score ranks pools:
+// lower is better.
+func fill(u *Unit, pool []*Worker) (picks []*Worker, score float64) {
+	var order []*Worker
+	for _, w := range pool {
+		if eligible(u, w) && slots(u, w, w.Free) > 0 {
+			order = append(order, w)
+		}
+	}
+	slices.SortFunc(order, func(a, b *Worker) int { return compareFit(u, a, b) })
+	slowest := 0.0
+	for _, w := range order {
+		n := min(slots(u, w, w.Free), len(u.Waiting)-len(picks))
+		for range n {
+			picks = append(picks, w)
+		}
+		if n > 0 {
+			left := w.Free.Accelerators - n*u.Step.Need.Accelerators
+			score += float64(left) + 10*float64(w.Penalty)
+			if u.Avoid[w.ID] {
+				score += 100
+			}
+			if w.Speed > 0 {
+				slowest = max(slowest, 1/w.Speed)
+			}
+		}
+		if len(picks) == len(u.Waiting) {
+			return picks, score + 8*slowest
+		}
+	}
+	return nil, 0
+}
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -11,13 +11,13 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/coordination"
 	"github.com/shallotpin/shallotpin/pkg/estimate"
 	"github.com/shallotpin/shallotpin/pkg/fleet"
 	"github.com/shallotpin/shallotpin/pkg/journal"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/membership"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/scheduler"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
@@ -99,7 +99,7 @@
 
 // recordFleet writes what the VM list shows and the state does not yet hold.
 func (s *Service) recordFleet(ctx context.Context) {
-	vms, ok := s.fleet.VMs(platform.KindWorker)
+	vms, ok := s.fleet.VMs(backend.KindWorker)
 	if !ok {
 		return
 	}
@@ -112,7 +112,7 @@
 }
 
 // fleetChange returns the difference between the state and the VM list.
-func fleetChange(st *state.State, vms []platform.VM) state.ChangeFleet {
+func fleetChange(st *state.State, vms []backend.VM) state.ChangeFleet {
 	var change state.ChangeFleet
 	listed := map[string]bool{}
 	for _, vm := range vms {
--- a/pkg/proof/broken_test.go
+++ b/pkg/proof/broken_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/node"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
@@ -71,7 +71,7 @@
 			t.Fatal(err)
 		}
 		for _, vm := range vms {
-			if vm.Kind != platform.KindUpstream {
+			if vm.Kind != backend.KindUpstream {
 				continue
 			}
 			r.site.Upstreams[vm.ID].SetFaults(standin.UpstreamFaults{Truncate: true})
@@ -95,64 +95,64 @@
 
 // brokenWorkers changes the calls of workers.
 type brokenWorkers struct {
-	platform.Workers
-	change func(platform.Worker) platform.Worker
+	backend.Workers
+	change func(backend.Worker) backend.Worker
 }
 
-func (w *brokenWorkers) Worker(address string) platform.Worker {
+func (w *brokenWorkers) Worker(address string) backend.Worker {
 	return w.change(w.Workers.Worker(address))
 }
 
 // noFence answers every stop without making it, so that old attempts go on, and
 // reserves no room, so that they do not stand in the way of the next.
-type noFence struct{ platform.Worker }
+type noFence struct{ backend.Worker }
 
-func (w noFence) Reserve(ctx context.Context, r platform.Reservation) error {
+func (w noFence) Reserve(ctx context.Context, r backend.Reservation) error {
 	r.Request = api.Resources{}
 	return w.Worker.Reserve(ctx, r)
 }
 
-func (w noFence) Stop(_ context.Context, id platform.TaskID, _ bool) (platform.TaskStatus, error) {
-	return platform.TaskStatus{Task: id, Phase: platform.TaskStopped, Ran: true}, nil
+func (w noFence) Stop(_ context.Context, id backend.TaskID, _ bool) (backend.TaskStatus, error) {
+	return backend.TaskStatus{Task: id, Phase: backend.TaskStopped, Ran: true}, nil
 }
 
 // alwaysStart starts whenever it likes: it reserves with a start window without
 // end, and each start comes late.
-type alwaysStart struct{ platform.Worker }
+type alwaysStart struct{ backend.Worker }
 
 const lateStart = 8 * time.Second
 
-func (w alwaysStart) Reserve(ctx context.Context, r platform.Reservation) error {
+func (w alwaysStart) Reserve(ctx context.Context, r backend.Reservation) error {
 	r.StartWithin, r.LeaseTTL = time.Hour, time.Hour
 	return w.Worker.Reserve(ctx, r)
 }
 
-func (w alwaysStart) Start(ctx context.Context, id platform.TaskID) error {
+func (w alwaysStart) Start(ctx context.Context, id backend.TaskID) error {
 	time.Sleep(lateStart)
 	return w.Worker.Start(context.WithoutCancel(ctx), id)
 }
 
 // oneShort starts every task of a gang but the first.
-type oneShort struct{ platform.Worker }
+type oneShort struct{ backend.Worker }
 
-func (w oneShort) Start(ctx context.Context, id platform.TaskID) error {
+func (w oneShort) Start(ctx context.Context, id backend.TaskID) error {
 	if id.Index == 0 {
 		return nil
 	}
 	return w.Worker.Start(ctx, id)
 }
 
-func (w oneShort) Renew(ctx context.Context, ids []platform.TaskID, ttl time.Duration) ([]platform.TaskStatus, error) {
+func (w oneShort) Renew(ctx context.Context, ids []backend.TaskID, ttl time.Duration) ([]backend.TaskStatus, error) {
 	out, err := w.Worker.Renew(ctx, ids, ttl)
 	for i := range out {
-		if out[i].Task.Index == 0 && out[i].Phase == platform.TaskReserved {
-			out[i].Phase, out[i].Ran = platform.TaskRunning, true
+		if out[i].Task.Index == 0 && out[i].Phase == backend.TaskReserved {
+			out[i].Phase, out[i].Ran = backend.TaskRunning, true
 		}
 	}
 	return out, err
 }
 
-func breakWorkers(change func(platform.Worker) platform.Worker) func(node.Platform) node.Platform {
+func breakWorkers(change func(backend.Worker) backend.Worker) func(node.Platform) node.Platform {
 	return func(p node.Platform) node.Platform {
 		p.Workers = &brokenWorkers{p.Workers, change}
 		return p
@@ -178,7 +178,7 @@
 // TestBrokenFence lets the tasks of a lost attempt run on beside the next one.
 func TestBrokenFence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := start(t, options{seed: 1, wrap: breakWorkers(func(w platform.Worker) platform.Worker { return noFence{w} })})
+		r := start(t, options{seed: 1, wrap: breakWorkers(func(w backend.Worker) backend.Worker { return noFence{w} })})
 		// Two of the four tasks fail at once; the others are never stopped.
 		r.site.Workers["w-barasat-0"].SetFaults(standin.WorkerFaults{FailTasks: true})
 		r.submitGang(t, 4, 30, 3)
@@ -190,7 +190,7 @@
 // TestBrokenGang starts three tasks of four.
 func TestBrokenGang(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := start(t, options{seed: 1, wrap: breakWorkers(func(w platform.Worker) platform.Worker { return oneShort{w} })})
+		r := start(t, options{seed: 1, wrap: breakWorkers(func(w backend.Worker) backend.Worker { return oneShort{w} })})
 		r.submitGang(t, 4, 60, 3)
 		time.Sleep(30 * time.Second)
 		mustFind(t, r.finish(t, func() {}), "gang whole or none")
@@ -200,7 +200,7 @@
 // TestBrokenZoneCheck checks the zone when it plans and never again.
 func TestBrokenZoneCheck(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := start(t, options{seed: 1, wrap: breakWorkers(func(w platform.Worker) platform.Worker { return alwaysStart{w} })})
+		r := start(t, options{seed: 1, wrap: breakWorkers(func(w backend.Worker) backend.Worker { return alwaysStart{w} })})
 		r.submitGang(t, 4, 1, 3)
 		time.Sleep(time.Second)
 		for _, zone := range zones {
@@ -212,9 +212,9 @@
 }
 
 // reordered swaps neighbouring entries of each page.
-type reordered struct{ platform.Log }
+type reordered struct{ backend.Log }
 
-func (l reordered) Read(ctx context.Context, from int64, wait time.Duration) (platform.Page, error) {
+func (l reordered) Read(ctx context.Context, from int64, wait time.Duration) (backend.Page, error) {
 	time.Sleep(2 * time.Second)
 	page, err := l.Log.Read(ctx, from, wait)
 	for i := 0; i+1 < len(page.Entries); i += 2 {
@@ -264,9 +264,9 @@
 	h := newHistory()
 	at := time.Unix(100, 0)
 	for token := range int64(2) {
-		for _, phase := range []platform.TaskPhase{platform.TaskRunning, platform.TaskFailed} {
+		for _, phase := range []backend.TaskPhase{backend.TaskRunning, backend.TaskFailed} {
 			at = at.Add(time.Second)
-			h.events = append(h.events, standin.TaskEvent{At: at, Worker: "w", Task: platform.TaskID{Job: "j", Token: token}, Phase: phase})
+			h.events = append(h.events, standin.TaskEvent{At: at, Worker: "w", Task: backend.TaskID{Job: "j", Token: token}, Phase: phase})
 		}
 	}
 	h.final["j"] = api.JobStatus{Phase: api.PhaseFailed, Spec: api.JobSpec{Tasks: 1, MaxAttempts: 1}, Verdict: api.MayHaveRun}
--- a/pkg/proof/checks_test.go
+++ b/pkg/proof/checks_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 // The bounds that the promises are checked against.
@@ -128,12 +128,12 @@
 
 // attempts collects the running spans of all tasks, by job and then by token.
 func (h *history) attempts() map[string][]*attempt {
-	byID := map[platform.TaskID]*attempt{}
+	byID := map[backend.TaskID]*attempt{}
 	var order []*attempt
 	events := append(h.events[:0:0], h.events...)
 	sort.SliceStable(events, func(i, j int) bool { return events[i].At.Before(events[j].At) })
 	for _, e := range events {
-		id := platform.TaskID{Job: e.Task.Job, Token: e.Task.Token}
+		id := backend.TaskID{Job: e.Task.Job, Token: e.Task.Token}
 		a := byID[id]
 		if a == nil {
 			a = &attempt{job: id.Job, token: id.Token, tasks: map[int][]window{}, done: map[int]time.Time{}}
@@ -142,12 +142,12 @@
 		}
 		spans := a.tasks[e.Task.Index]
 		switch {
-		case e.Phase == platform.TaskRunning:
+		case e.Phase == backend.TaskRunning:
 			a.tasks[e.Task.Index] = append(spans, window{e.At, h.end})
-		case e.Phase == platform.TaskDone:
+		case e.Phase == backend.TaskDone:
 			a.done[e.Task.Index] = e.At
 			fallthrough
-		case len(spans) > 0 && e.Phase != platform.TaskReserved:
+		case len(spans) > 0 && e.Phase != backend.TaskReserved:
 			spans[len(spans)-1].to = e.At
 		}
 	}
@@ -314,7 +314,7 @@
 		}
 	}
 	for _, e := range h.events {
-		if e.Phase == platform.TaskRunning {
+		if e.Phase == backend.TaskRunning {
 			late(e.Worker, e.At, fmt.Sprintf("task %v", e.Task))
 		}
 	}
--- a/pkg/proof/planned_test.go
+++ b/pkg/proof/planned_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/memsite"
 	"github.com/shallotpin/shallotpin/pkg/node"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
 
@@ -87,9 +87,9 @@
 }
 
 // slowStop acknowledges stops late.
-type slowStop struct{ platform.Worker }
+type slowStop struct{ backend.Worker }
 
-func (w slowStop) Stop(ctx context.Context, id platform.TaskID, checkpoint bool) (platform.TaskStatus, error) {
+func (w slowStop) Stop(ctx context.Context, id backend.TaskID, checkpoint bool) (backend.TaskStatus, error) {
 	time.Sleep(urgentBound)
 	return w.Worker.Stop(context.WithoutCancel(ctx), id, checkpoint)
 }
@@ -189,7 +189,7 @@
 
 // TestBrokenReclaim stops tasks so late that the shape cannot be had in time.
 func TestBrokenReclaim(t *testing.T) {
-	slow := breakWorkers(func(w platform.Worker) platform.Worker { return slowStop{w} })
+	slow := breakWorkers(func(w backend.Worker) backend.Worker { return slowStop{w} })
 	if took := reclaim(t, slow, nil); took <= urgentBound {
 		t.Errorf("the shape ran whole after %s although every stop took %s", took, urgentBound)
 	}
--- a/pkg/proof/schedule_test.go
+++ b/pkg/proof/schedule_test.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/frontdoor"
 	"github.com/shallotpin/shallotpin/pkg/memnet"
 	"github.com/shallotpin/shallotpin/pkg/memsite"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
 
@@ -114,7 +114,7 @@
 		if r.counts["upstream leaves"] >= maxLost || !r.h.leaving[id].IsZero() {
 			return "", nil
 		}
-		r.site.VMs.Update(func(vms []platform.VM) []platform.VM {
+		r.site.VMs.Update(func(vms []backend.VM) []backend.VM {
 			for i := range vms {
 				vms[i].Leaving = vms[i].Leaving || vms[i].ID == id
 			}
--- a/pkg/relay/handler.go
+++ b/pkg/relay/handler.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -20,7 +20,7 @@
 
 // PullReply is the answer to PullCall.
 type PullReply struct {
-	Entries []platform.Entry
+	Entries []backend.Entry
 	// Offset is the offset of the node's state, and Age for how long it may
 	// have been behind the log when the answer was composed, if Known.
 	Offset int64
--- a/pkg/requests/conn_test.go
+++ b/pkg/requests/conn_test.go
@@ -17,14 +17,14 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/memnet"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
 
 const upstreamAddress = "10.1.0.1:80"
 
-var testVM = platform.VM{ID: "u", Address: "http://" + upstreamAddress}
+var testVM = backend.VM{ID: "u", Address: "http://" + upstreamAddress}
 
 // reply is one raw reply of a scripted upstream.
 type reply struct {
--- a/pkg/requests/current_test.go
+++ b/pkg/requests/current_test.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/memnet"
 	"github.com/shallotpin/shallotpin/pkg/memsite"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 )
 
 // TestHealedNodeForgetsItsOldChoice lets upstreams leave while an entry VM is cut
@@ -25,9 +25,9 @@
 		}
 		cut(memnet.Cut)
 		left := map[string]bool{}
-		f.VMs.Update(func(vms []platform.VM) []platform.VM {
+		f.VMs.Update(func(vms []backend.VM) []backend.VM {
 			for i := range vms {
-				if vms[i].Kind == platform.KindUpstream && i%2 == 0 {
+				if vms[i].Kind == backend.KindUpstream && i%2 == 0 {
 					vms[i].Leaving, left[vms[i].ID] = true, true
 				}
 			}
--- a/pkg/requests/dispatch.go
+++ b/pkg/requests/dispatch.go
@@ -7,8 +7,8 @@
 
 	"github.com/shallotpin/shallotpin/pkg/admission"
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/config"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/routing"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
@@ -55,7 +55,7 @@
 
 // ticket is a request's place in the queue; slot receives its upstream.
 type ticket struct {
-	slot chan platform.VM
+	slot chan backend.VM
 	// avoid is the upstream of the attempt before.
 	avoid string
 }
@@ -70,14 +70,14 @@
 }
 
 // acquire waits for a slot on an upstream, other than avoid if possible.
-func (s *Service) acquire(ctx context.Context, r *api.Request, class config.Class, avoid string) (platform.VM, *api.Error) {
+func (s *Service) acquire(ctx context.Context, r *api.Request, class config.Class, avoid string) (backend.VM, *api.Error) {
 	vms := s.openUpstreams(r.Service)
 	if len(vms) == 0 {
-		return platform.VM{}, api.Errorf(api.CodeUnavailable, "no upstream serves %s", r.Service)
+		return backend.VM{}, api.Errorf(api.CodeUnavailable, "no upstream serves %s", r.Service)
 	}
 	deadline, _ := ctx.Deadline()
 	now := time.Now()
-	t := &ticket{slot: make(chan platform.VM, 1), avoid: avoid}
+	t := &ticket{slot: make(chan backend.VM, 1), avoid: avoid}
 	it := &admission.Item{Account: r.Account, Class: r.Class, Weight: s.weight(r.Account), Deadline: deadline, Value: t}
 	s.mu.Lock()
 	p := s.pool(r.Service)
@@ -87,7 +87,7 @@
 	}
 	s.mu.Unlock()
 	if err != nil {
-		return platform.VM{}, err
+		return backend.VM{}, err
 	}
 	select {
 	case vm := <-t.slot:
@@ -105,7 +105,7 @@
 			s.release(r.Service, vm, 0)
 		}
 	}
-	return platform.VM{}, tooLate(r.Service)
+	return backend.VM{}, tooLate(r.Service)
 }
 
 func tooLate(service string) *api.Error {
@@ -123,7 +123,7 @@
 }
 
 // speed estimates what this node's slots finish. It must be called under mu.
-func (s *Service) speed(p *pool, vms []platform.VM, now time.Time) admission.Speed {
+func (s *Service) speed(p *pool, vms []backend.VM, now time.Time) admission.Speed {
 	slots := 0
 	for _, vm := range vms {
 		slots += s.upstreamState(vm.ID).health.Limit(s.roster.share(vm, now), now)
@@ -143,9 +143,9 @@
 }
 
 // openUpstreams lists the upstreams of a service that may take new work.
-func (s *Service) openUpstreams(service string) []platform.VM {
-	all, _ := s.fleet.VMs(platform.KindUpstream)
-	var open, closed []platform.VM
+func (s *Service) openUpstreams(service string) []backend.VM {
+	all, _ := s.fleet.VMs(backend.KindUpstream)
+	var open, closed []backend.VM
 	s.journal.View(func(st *state.State) {
 		for _, vm := range all {
 			switch {
@@ -166,9 +166,9 @@
 }
 
 // open reports whether an upstream may still take new work.
-func (s *Service) open(vm platform.VM) (open bool) {
-	all, _ := s.fleet.VMs(platform.KindUpstream)
-	i := slices.IndexFunc(all, func(listed platform.VM) bool { return listed.ID == vm.ID })
+func (s *Service) open(vm backend.VM) (open bool) {
+	all, _ := s.fleet.VMs(backend.KindUpstream)
+	i := slices.IndexFunc(all, func(listed backend.VM) bool { return listed.ID == vm.ID })
 	if i < 0 || all[i].Leaving {
 		return false
 	}
@@ -177,7 +177,7 @@
 }
 
 // dispatch gives free slots to waiting requests. It must be called under mu.
-func (s *Service) dispatch(service string, vms []platform.VM, now time.Time) {
+func (s *Service) dispatch(service string, vms []backend.VM, now time.Time) {
 	p := s.pool(service)
 	candidates := s.candidates(p, vms, now)
 	for p.queue.Len() > 0 {
@@ -189,7 +189,7 @@
 		t := it.Value.(*ticket)
 		if it.Deadline.Sub(now) < p.each*minTimePercent/100 {
 			// It would be cut off at the upstream: the slot is worth more to another.
-			t.slot <- platform.VM{}
+			t.slot <- backend.VM{}
 			continue
 		}
 		if candidates[i].ID == t.avoid {
@@ -211,7 +211,7 @@
 	return i
 }
 
-func (s *Service) candidates(p *pool, vms []platform.VM, now time.Time) []routing.Candidate {
+func (s *Service) candidates(p *pool, vms []backend.VM, now time.Time) []routing.Candidate {
 	out := make([]routing.Candidate, len(vms))
 	for i, vm := range vms {
 		u := s.upstreamState(vm.ID)
@@ -227,7 +227,7 @@
 }
 
 // release gives a slot back, after hold if the upstream may still be working.
-func (s *Service) release(service string, vm platform.VM, hold time.Duration) {
+func (s *Service) release(service string, vm backend.VM, hold time.Duration) {
 	if hold > 0 {
 		time.AfterFunc(hold, func() { s.release(service, vm, 0) })
 		return
@@ -272,7 +272,7 @@
 
 // forgetUpstreams drops what is known of VMs that are listed no more.
 func (s *Service) forgetUpstreams() {
-	all, ok := s.fleet.VMs(platform.KindUpstream)
+	all, ok := s.fleet.VMs(backend.KindUpstream)
 	if !ok {
 		return
 	}
@@ -293,7 +293,7 @@
 // drained reports whether this node runs no more on any upstream than its
 // share in every view that is being agreed on.
 func (s *Service) drained() bool {
-	all, _ := s.fleet.VMs(platform.KindUpstream)
+	all, _ := s.fleet.VMs(backend.KindUpstream)
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -318,7 +318,7 @@
 }
 
 // observe takes the result of an attempt into the upstream's health.
-func (s *Service) observe(service string, vm platform.VM, got attemptResult, took time.Duration) {
+func (s *Service) observe(service string, vm backend.VM, got attemptResult, took time.Duration) {
 	now := time.Now()
 	vms := s.openUpstreams(service)
 	s.mu.Lock()
@@ -367,7 +367,7 @@
 }
 
 // canEject reports whether another upstream may be ejected.
-func (s *Service) canEject(vms []platform.VM, now time.Time) bool {
+func (s *Service) canEject(vms []backend.VM, now time.Time) bool {
 	ejected := 0
 	for _, vm := range vms {
 		if s.upstreamState(vm.ID).health.Ejected(now) {
--- a/pkg/requests/inflight_test.go
+++ b/pkg/requests/inflight_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/frontdoor"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
 
@@ -19,15 +19,15 @@
 func TestRequestsInFlightOnLeavingUpstreamFinish(t *testing.T) {
 	ways := map[string]func(f *fixture, id string){
 		"listed as leaving": func(f *fixture, id string) {
-			f.VMs.Update(func(vms []platform.VM) []platform.VM {
-				i := slices.IndexFunc(vms, func(vm platform.VM) bool { return vm.ID == id })
+			f.VMs.Update(func(vms []backend.VM) []backend.VM {
+				i := slices.IndexFunc(vms, func(vm backend.VM) bool { return vm.ID == id })
 				vms[i].Leaving = true
 				return vms
 			})
 		},
 		"off the list": func(f *fixture, id string) {
-			f.VMs.Update(func(vms []platform.VM) []platform.VM {
-				return slices.DeleteFunc(vms, func(vm platform.VM) bool { return vm.ID == id })
+			f.VMs.Update(func(vms []backend.VM) []backend.VM {
+				return slices.DeleteFunc(vms, func(vm backend.VM) bool { return vm.ID == id })
 			})
 		},
 		"draining": func(f *fixture, id string) { f.Upstreams[id].SetDraining(true) },
--- a/pkg/requests/leaving_test.go
+++ b/pkg/requests/leaving_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/frontdoor"
 	"github.com/shallotpin/shallotpin/pkg/memnet"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
 
@@ -49,7 +49,7 @@
 	const leaver = "u-howrah-0"
 	ways := map[string]func(f *fixture){
 		"listed as leaving": func(f *fixture) {
-			f.VMs.Update(func(vms []platform.VM) []platform.VM {
+			f.VMs.Update(func(vms []backend.VM) []backend.VM {
 				for i := range vms {
 					vms[i].Leaving = vms[i].Leaving || vms[i].ID == leaver
 				}
--- a/pkg/requests/peers.go
+++ b/pkg/requests/peers.go
@@ -10,9 +10,9 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/claims"
 	"github.com/shallotpin/shallotpin/pkg/membership"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -195,7 +195,7 @@
 
 // readList takes the copy of the VM list into the roster.
 func (s *Service) readList() {
-	if vms, ok := s.fleet.VMs(platform.KindEntry); ok {
+	if vms, ok := s.fleet.VMs(backend.KindEntry); ok {
 		s.roster.list(vms, time.Now())
 	}
 }
--- a/pkg/requests/peers_test.go
+++ b/pkg/requests/peers_test.go
@@ -8,11 +8,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/memnet"
 	"github.com/shallotpin/shallotpin/pkg/node"
 	"github.com/shallotpin/shallotpin/pkg/peer"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/requests"
 	"github.com/shallotpin/shallotpin/pkg/standin"
 )
@@ -40,13 +40,13 @@
 		usual := requests.HelloPause(1)
 		net, hellos := memnet.New(nil), &Hellos{}
 		hellos.deaf.Store(true)
-		other := platform.VM{ID: "other", Kind: platform.KindEntry, Zone: "a", Address: "10.0.0.2:7401"}
+		other := backend.VM{ID: "other", Kind: backend.KindEntry, Zone: "a", Address: "10.0.0.2:7401"}
 		peers := peer.New(net.Host("other"), other.Address)
 		if err := errors.Join(peers.Handle("Requests", hellos), peers.Start(t.Context(), kernel.New())); err != nil {
 			t.Fatal(err)
 		}
 		set := node.Settings{ID: "n", Zone: "a", HTTP: "10.0.0.1:80", Peer: "10.0.0.1:7401", LeaseTTL: 10 * time.Second, SnapshotInterval: time.Hour, DrainTimeout: time.Second}
-		self := platform.VM{ID: "n", Kind: platform.KindEntry, Zone: "a", Address: set.Peer}
+		self := backend.VM{ID: "n", Kind: backend.KindEntry, Zone: "a", Address: set.Peer}
 		p := node.Platform{Log: standin.NewLog(0), VMs: standin.NewVMList(0, self, other), Workers: standin.LocalWorkers{}}
 		n, err := node.New(set, net.Host("n"), p, rand.New(rand.NewPCG(1, 1)))
 		if err != nil {
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/claims"
 	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/fleet"
@@ -21,7 +22,6 @@
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/membership"
 	"github.com/shallotpin/shallotpin/pkg/peer"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/relay"
 	"github.com/shallotpin/shallotpin/pkg/state"
 	"github.com/shallotpin/shallotpin/pkg/transport"
@@ -305,7 +305,7 @@
 // acquireOpen waits for a slot and for views that may be acted on. An upstream that
 // was chosen by an older view may be leaving, or its zone out, by the new one:
 // another one is chosen then.
-func (s *Service) acquireOpen(ctx context.Context, r *api.Request, class config.Class, avoid string) (platform.VM, *api.Error) {
+func (s *Service) acquireOpen(ctx context.Context, r *api.Request, class config.Class, avoid string) (backend.VM, *api.Error) {
 	for {
 		vm, refusal := s.acquire(ctx, r, class, avoid)
 		if refusal != nil {
@@ -353,7 +353,7 @@
 
 // send makes one attempt. While an idempotent request has time for another
 // attempt, this one gets only some multiple of the usual duration.
-func (s *Service) send(ctx context.Context, vm platform.VM, r *api.Request, attempt int) (attemptResult, time.Duration) {
+func (s *Service) send(ctx context.Context, vm backend.VM, r *api.Request, attempt int) (attemptResult, time.Duration) {
 	began := time.Now()
 	s.mu.Lock()
 	p := s.pool(r.Service)
--- a/pkg/requests/roster.go
+++ b/pkg/requests/roster.go
@@ -7,8 +7,8 @@
 	"syscall"
 	"time"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/membership"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/routing"
 )
 
@@ -74,7 +74,7 @@
 }
 
 // list takes in a copy of the VM list.
-func (r *roster) list(vms []platform.VM, now time.Time) {
+func (r *roster) list(vms []backend.VM, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seen := map[string]bool{}
@@ -240,7 +240,7 @@
 }
 
 // share returns how many slots of an upstream this node may use now.
-func (r *roster) share(vm platform.VM, now time.Time) int {
+func (r *roster) share(vm backend.VM, now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.lapsedLocked(now) {
@@ -255,7 +255,7 @@
 }
 
 // countShare counts the slots. There are none before the first agreement, when nothing is held.
-func (r *roster) countShare(vm platform.VM) int {
+func (r *roster) countShare(vm backend.VM) int {
 	return routing.Share(r.held, r.self.ID, vm.ID, vm.Slots)
 }
 
--- a/pkg/requests/slots_test.go
+++ b/pkg/requests/slots_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 const (
@@ -99,8 +99,8 @@
 
 // unlist takes a VM off the VM list.
 func (f *fixture) unlist(id string) {
-	f.VMs.Update(func(vms []platform.VM) []platform.VM {
-		return slices.DeleteFunc(vms, func(vm platform.VM) bool { return vm.ID == id })
+	f.VMs.Update(func(vms []backend.VM) []backend.VM {
+		return slices.DeleteFunc(vms, func(vm backend.VM) bool { return vm.ID == id })
 	})
 }
 
--- a/pkg/requests/upstream.go
+++ b/pkg/requests/upstream.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
 
@@ -103,7 +103,7 @@
 // no byte of the request was handed to the kernel, or if the upstream refused
 // this very attempt. Without an answer for patience, its connection is taken to
 // be silent: others may be so too, even if this attempt must go on waiting.
-func (c *upstreamClient) do(ctx context.Context, vm platform.VM, r *api.Request, id string, patience time.Duration) attemptResult {
+func (c *upstreamClient) do(ctx context.Context, vm backend.VM, r *api.Request, id string, patience time.Duration) attemptResult {
 	var h handover
 	suspicion := time.AfterFunc(patience, func() {
 		if h.onlyReused() {
@@ -134,7 +134,7 @@
 
 // lost ends an attempt that got no whole answer. The other idle connections to
 // the upstream may be broken or silent alike, so they are replaced.
-func (c *upstreamClient) lost(client *http.Client, r *api.Request, vm platform.VM, h *handover, err error) attemptResult {
+func (c *upstreamClient) lost(client *http.Client, r *api.Request, vm backend.VM, h *handover, err error) attemptResult {
 	verdict := api.NotRun
 	begun := h.abandon()
 	if begun {
@@ -150,7 +150,7 @@
 }
 
 // checkAnswer accepts a reply only if it is the whole reply to this attempt.
-func checkAnswer(r *api.Request, vm platform.VM, id string, resp *http.Response, body []byte) attemptResult {
+func checkAnswer(r *api.Request, vm backend.VM, id string, resp *http.Response, body []byte) attemptResult {
 	result := attemptResult{draining: resp.Header.Get(api.HeaderDraining) != ""}
 	sum := sha256.Sum256(body)
 	switch {
@@ -169,7 +169,7 @@
 	return result
 }
 
-func failed(r *api.Request, vm platform.VM, verdict api.Verdict, code api.Code, message string) api.Answer {
+func failed(r *api.Request, vm backend.VM, verdict api.Verdict, code api.Code, message string) api.Answer {
 	return api.Answer{
 		RequestID: r.ID, Verdict: verdict, Upstream: vm.ID,
 		Error: &api.Error{Code: code, Message: message, Verdict: verdict},
--- a/pkg/scheduler/scheduler_test.go
+++ b/pkg/scheduler/scheduler_test.go
@@ -10,9 +10,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/config"
 	"github.com/shallotpin/shallotpin/pkg/estimate"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -88,9 +88,9 @@
 		InitialPreset: "p",
 	}
 	x.apply(state.Record{Publish: &state.Publish{Config: c}})
-	var vms []platform.VM
+	var vms []backend.VM
 	for i := range 16 {
-		vms = append(vms, platform.VM{ID: fmt.Sprintf("w%02d", i), Kind: platform.KindWorker, Zone: fmt.Sprintf("z%d", i/8), Rack: fmt.Sprintf("r%d", i/4), Capacity: resources(8)})
+		vms = append(vms, backend.VM{ID: fmt.Sprintf("w%02d", i), Kind: backend.KindWorker, Zone: fmt.Sprintf("z%d", i/8), Rack: fmt.Sprintf("r%d", i/4), Capacity: resources(8)})
 	}
 	x.apply(state.Record{Fleet: &state.ChangeFleet{Seen: vms}})
 	return x, g
--- a/pkg/standin/fleet.go
+++ b/pkg/standin/fleet.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 // FleetShape describes a sample fleet spread evenly over the zones.
@@ -31,24 +31,24 @@
 }
 
 // VMs lists the fleet. Workers and upstreams get addresses below workerBase and upstreamBase.
-func (f FleetShape) VMs(workerBase, upstreamBase string) []platform.VM {
-	var vms []platform.VM
+func (f FleetShape) VMs(workerBase, upstreamBase string) []backend.VM {
+	var vms []backend.VM
 	inZone := map[string]int{}
 	for i := range f.Workers {
 		zone := f.Zones[i%len(f.Zones)]
 		n := inZone[zone]
 		inZone[zone]++
 		id := fmt.Sprintf("w-%s-%d", zone, n)
-		vms = append(vms, platform.VM{
-			ID: id, Kind: platform.KindWorker, Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, n/f.RackSize),
+		vms = append(vms, backend.VM{
+			ID: id, Kind: backend.KindWorker, Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, n/f.RackSize),
 			Address: workerBase + "/" + id, Capacity: f.Capacity,
 		})
 	}
 	for i := range f.Upstreams {
 		zone := f.Zones[i%len(f.Zones)]
 		id := fmt.Sprintf("u-%s-%d", zone, i/len(f.Zones))
-		vms = append(vms, platform.VM{
-			ID: id, Kind: platform.KindUpstream, Zone: zone, Address: upstreamBase + "/" + id,
+		vms = append(vms, backend.VM{
+			ID: id, Kind: backend.KindUpstream, Zone: zone, Address: upstreamBase + "/" + id,
 			Service: f.Service, Slots: f.Slots, Connections: f.Connections,
 		})
 	}
@@ -56,10 +56,10 @@
 }
 
 // WorkersHandler serves every worker among vms at /ID.
-func WorkersHandler(vms []platform.VM) http.Handler {
+func WorkersHandler(vms []backend.VM) http.Handler {
 	mux := http.NewServeMux()
 	for _, vm := range vms {
-		if vm.Kind == platform.KindWorker {
+		if vm.Kind == backend.KindWorker {
 			mux.Handle("/"+vm.ID+"/", http.StripPrefix("/"+vm.ID, NewWorker(vm, nil).Handler()))
 		}
 	}
@@ -67,10 +67,10 @@
 }
 
 // UpstreamsHandler serves every upstream among vms at /ID.
-func UpstreamsHandler(vms []platform.VM, serviceTime time.Duration) http.Handler {
+func UpstreamsHandler(vms []backend.VM, serviceTime time.Duration) http.Handler {
 	mux := http.NewServeMux()
 	for _, vm := range vms {
-		if vm.Kind == platform.KindUpstream {
+		if vm.Kind == backend.KindUpstream {
 			mux.Handle("/"+vm.ID+"/", http.StripPrefix("/"+vm.ID, NewUpstream(vm, serviceTime).Handler()))
 		}
 	}
--- a/pkg/standin/history.go
+++ b/pkg/standin/history.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 // History records what the workers saw of the tasks. Its Observe method is the
@@ -14,12 +14,12 @@
 // and not what the nodes believe.
 type History struct {
 	mu    sync.Mutex
-	tasks map[platform.TaskID]*TaskRun
+	tasks map[backend.TaskID]*TaskRun
 }
 
 // TaskRun is the course of one task on its worker.
 type TaskRun struct {
-	Task   platform.TaskID
+	Task   backend.TaskID
 	Worker string
 	// Started and Ended are zero if the task did not start or has not ended.
 	Started, Ended time.Time
@@ -28,7 +28,7 @@
 }
 
 // NewHistory returns an empty history.
-func NewHistory() *History { return &History{tasks: map[platform.TaskID]*TaskRun{}} }
+func NewHistory() *History { return &History{tasks: map[backend.TaskID]*TaskRun{}} }
 
 // Observe records one change of a task.
 func (h *History) Observe(e TaskEvent) {
@@ -40,10 +40,10 @@
 		h.tasks[e.Task] = r
 	}
 	switch e.Phase {
-	case platform.TaskRunning:
+	case backend.TaskRunning:
 		r.Started = e.At
-	case platform.TaskDone, platform.TaskFailed, platform.TaskStopped:
-		r.Ended, r.Done = e.At, e.Phase == platform.TaskDone
+	case backend.TaskDone, backend.TaskFailed, backend.TaskStopped:
+		r.Ended, r.Done = e.At, e.Phase == backend.TaskDone
 	}
 }
 
--- a/pkg/standin/history_test.go
+++ b/pkg/standin/history_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 // record gives a history two attempts of a gang of two, by seconds.
@@ -16,13 +16,13 @@
 	return h
 }
 
-func event(second int, token int64, index int, phase platform.TaskPhase) TaskEvent {
-	id := platform.TaskID{Job: "j", Token: token, Index: index}
+func event(second int, token int64, index int, phase backend.TaskPhase) TaskEvent {
+	id := backend.TaskID{Job: "j", Token: token, Index: index}
 	return TaskEvent{At: time.Unix(int64(second), 0), Worker: "w", Task: id, Phase: phase}
 }
 
 func TestHistoryFindsWhatMustNotBe(t *testing.T) {
-	const running, stopped, done = platform.TaskRunning, platform.TaskStopped, platform.TaskDone
+	const running, stopped, done = backend.TaskRunning, backend.TaskStopped, backend.TaskDone
 	whole := []TaskEvent{event(1, 1, 0, running), event(1, 1, 1, running), event(9, 1, 0, done)}
 	partial := append(whole, event(4, 1, 1, stopped))
 	doubled := append(whole, event(5, 2, 0, running), event(6, 2, 1, running))
--- a/pkg/standin/log.go
+++ b/pkg/standin/log.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 // maxEntryBytes bounds one entry of the log.
@@ -34,11 +34,11 @@
 	Delay time.Duration `json:"delay_ns,omitempty"`
 }
 
-// Log is an append-only log in memory. It implements platform.Log.
+// Log is an append-only log in memory. It implements backend.Log.
 type Log struct {
 	mu      sync.Mutex
 	first   int64
-	entries []platform.Entry
+	entries []backend.Entry
 	retain  int
 	faults  LogFaults
 	grown   chan struct{}
@@ -69,7 +69,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if cut := len(l.entries) - keep; cut > 0 {
-		l.entries = append([]platform.Entry(nil), l.entries[cut:]...)
+		l.entries = append([]backend.Entry(nil), l.entries[cut:]...)
 		l.first += int64(cut)
 	}
 }
@@ -99,7 +99,7 @@
 	}
 }
 
-// Append implements platform.Log.
+// Append implements backend.Log.
 func (l *Log) Append(ctx context.Context, data []byte) (int64, error) {
 	if err := pause(ctx, l.currentFaults().Delay); err != nil {
 		return 0, err
@@ -110,10 +110,10 @@
 		return 0, errLogDown
 	}
 	offset := l.first + int64(len(l.entries))
-	l.entries = append(l.entries, platform.Entry{Offset: offset, Data: append([]byte(nil), data...)})
+	l.entries = append(l.entries, backend.Entry{Offset: offset, Data: append([]byte(nil), data...)})
 	l.appends++
 	if cut := len(l.entries) - l.retain; l.retain > 0 && cut > 0 {
-		l.entries = append([]platform.Entry(nil), l.entries[cut:]...)
+		l.entries = append([]backend.Entry(nil), l.entries[cut:]...)
 		l.first += int64(cut)
 	}
 	l.wake()
@@ -123,10 +123,10 @@
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, from int64, wait time.Duration) (platform.Page, error) {
+// Read implements backend.Log.
+func (l *Log) Read(ctx context.Context, from int64, wait time.Duration) (backend.Page, error) {
 	if err := pause(ctx, l.currentFaults().Delay); err != nil {
-		return platform.Page{}, err
+		return backend.Page{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -140,21 +140,21 @@
 		case <-timer.C:
 			waited = true
 		case <-ctx.Done():
-			return platform.Page{}, ctx.Err()
+			return backend.Page{}, ctx.Err()
 		}
 	}
 }
 
-func (l *Log) page(from int64) (platform.Page, chan struct{}, error) {
+func (l *Log) page(from int64) (backend.Page, chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down || l.faults.ReadsDown {
-		return platform.Page{}, nil, errLogDown
+		return backend.Page{}, nil, errLogDown
 	}
-	page := platform.Page{First: l.first, Next: l.first + int64(len(l.entries))}
+	page := backend.Page{First: l.first, Next: l.first + int64(len(l.entries))}
 	if start := from - l.first; start >= 0 && start < int64(len(l.entries)) {
 		end := min(start+maxPageEntries, int64(len(l.entries)))
-		page.Entries = append([]platform.Entry(nil), l.entries[start:end]...)
+		page.Entries = append([]backend.Entry(nil), l.entries[start:end]...)
 	}
 	return page, l.grown, nil
 }
@@ -169,7 +169,7 @@
 			return
 		}
 		offset, err := l.Append(r.Context(), data)
-		reply(w, platform.AppendReply{Offset: offset}, err)
+		reply(w, backend.AppendReply{Offset: offset}, err)
 	})
 	mux.HandleFunc("GET /read", func(w http.ResponseWriter, r *http.Request) {
 		from, err1 := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
--- a/pkg/standin/renewal.go
+++ b/pkg/standin/renewal.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 // maxHandles bounds the handles that a worker remembers.
@@ -23,17 +23,17 @@
 	// next is the next handle. It starts at random, so that handles of an earlier
 	// run of the worker stand for nothing.
 	next   uint64
-	states map[string]platform.TaskStatus
+	states map[string]backend.TaskStatus
 	order  []string
 }
 
 func newRenewalHandles() *renewalHandles {
-	return &renewalHandles{next: rand.Uint64(), states: map[string]platform.TaskStatus{}}
+	return &renewalHandles{next: rand.Uint64(), states: map[string]backend.TaskStatus{}}
 }
 
 // remember returns handles for the states in an answer. A handle never changes
 // its meaning, so that an answer that was lost is given again.
-func (r *renewalHandles) remember(statuses []platform.TaskStatus) []string {
+func (r *renewalHandles) remember(statuses []backend.TaskStatus) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	handles := make([]string, len(statuses))
@@ -51,10 +51,10 @@
 }
 
 // get returns the states that handles stand for, or false if one is not known.
-func (r *renewalHandles) get(handles []string) ([]platform.TaskStatus, bool) {
+func (r *renewalHandles) get(handles []string) ([]backend.TaskStatus, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]platform.TaskStatus, len(handles))
+	out := make([]backend.TaskStatus, len(handles))
 	for i, h := range handles {
 		s, ok := r.states[h]
 		if !ok {
@@ -68,8 +68,8 @@
 // serveRenew serves renewals, by tasks or by handles.
 func (w *Worker) serveRenew(known *renewalHandles) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
-		var call platform.RenewCall
-		var told []platform.TaskStatus
+		var call backend.RenewCall
+		var told []backend.TaskStatus
 		var err error
 		if handles := r.URL.Query().Get("handles"); handles != "" {
 			var ok bool
@@ -86,7 +86,7 @@
 		} else {
 			err = decode(r, &call)
 		}
-		var statuses []platform.TaskStatus
+		var statuses []backend.TaskStatus
 		if err == nil {
 			statuses, err = w.Renew(r.Context(), call.Tasks, call.TTL)
 		}
@@ -96,9 +96,9 @@
 		case told != nil && slices.Equal(statuses, told):
 			rw.WriteHeader(http.StatusNoContent)
 		default:
-			rw.Header().Set(platform.HeaderRenewalHandles, strings.Join(known.remember(statuses), ","))
+			rw.Header().Set(backend.HeaderRenewalHandles, strings.Join(known.remember(statuses), ","))
 			if _, port, err := net.SplitHostPort(r.Host); err == nil {
-				rw.Header().Set("Alt-Svc", platform.AltSvcHTTP2+strconv.Quote(":"+port))
+				rw.Header().Set("Alt-Svc", backend.AltSvcHTTP2+strconv.Quote(":"+port))
 			}
 			reply(rw, statuses, nil)
 		}
--- a/pkg/standin/renewal_test.go
+++ b/pkg/standin/renewal_test.go
@@ -13,8 +13,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/memnet"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 )
 
@@ -25,7 +25,7 @@
 	dialer *mutingDialer
 	worker *Worker
 	server *Server
-	remote platform.Worker
+	remote backend.Worker
 	client *http.Client
 	http2  *http.Client
 }
@@ -74,11 +74,11 @@
 const renewalAddress = "10.1.0.1:80"
 
 func newRenewalSite(t *testing.T, http2 bool) *renewalSite {
-	s := &renewalSite{t: t, net: memnet.New(nil), worker: NewWorker(platform.VM{ID: "w"}, nil)}
+	s := &renewalSite{t: t, net: memnet.New(nil), worker: NewWorker(backend.VM{ID: "w"}, nil)}
 	s.serve(s.worker.Handler())
 	s.dialer = &mutingDialer{Network: s.net.Host("node")}
 	s.client, s.http2 = transport.HTTPClient(s.dialer, 0), transport.HTTP2Client(s.dialer)
-	workers := &platform.HTTPWorkers{Client: s.client}
+	workers := &backend.HTTPWorkers{Client: s.client}
 	if http2 {
 		workers.HTTP2 = s.http2
 	}
@@ -102,10 +102,10 @@
 }
 
 // run starts a task that works for the given time.
-func (s *renewalSite) run(job, payload string) platform.TaskID {
+func (s *renewalSite) run(job, payload string) backend.TaskID {
 	s.t.Helper()
-	id := platform.TaskID{Job: job, Token: 1}
-	r := platform.Reservation{Task: id, LeaseTTL: time.Second, StartWithin: time.Second, Payload: payload}
+	id := backend.TaskID{Job: job, Token: 1}
+	r := backend.Reservation{Task: id, LeaseTTL: time.Second, StartWithin: time.Second, Payload: payload}
 	if err := errors.Join(s.worker.Reserve(s.t.Context(), r), s.worker.Start(s.t.Context(), id)); err != nil {
 		s.t.Fatal(err)
 	}
@@ -114,7 +114,7 @@
 
 // renew renews by HTTP, wants what the worker itself says, and returns the bytes
 // sent and received.
-func (s *renewalSite) renew(ids []platform.TaskID, ttl time.Duration) int64 {
+func (s *renewalSite) renew(ids []backend.TaskID, ttl time.Duration) int64 {
 	s.t.Helper()
 	sent, received := s.net.Host("node").Traffic()
 	got, err := s.remote.Renew(s.t.Context(), ids, ttl)
@@ -143,7 +143,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newRenewalSite(t, http2)
 		defer s.close()
-		ids := []platform.TaskID{s.run("long", `{"work_seconds":1000}`), s.run("short", `{"work_seconds":100}`)}
+		ids := []backend.TaskID{s.run("long", `{"work_seconds":1000}`), s.run("short", `{"work_seconds":100}`)}
 		whole := s.renew(ids, 10*time.Second)
 		s.renew(ids, 10*time.Second) // The first one opens the connection.
 		for range 10 {
@@ -172,7 +172,7 @@
 		s.client.CloseIdleConnections()
 		// Handles of the new run go to others first.
 		for range 5 {
-			other := (&platform.HTTPWorkers{Client: s.client}).Worker("http://" + renewalAddress)
+			other := (&backend.HTTPWorkers{Client: s.client}).Worker("http://" + renewalAddress)
 			if _, err := other.Renew(t.Context(), ids[1:], time.Second); err != nil {
 				t.Fatal(err)
 			}
@@ -188,7 +188,7 @@
 			t.Errorf("a question by handle takes %d bytes, the whole one %d", n, whole)
 		}
 		for i := range 2 * maxHandles {
-			s.renew([]platform.TaskID{s.run(fmt.Sprint(i), `{"work_seconds":1}`)}, time.Second)
+			s.renew([]backend.TaskID{s.run(fmt.Sprint(i), `{"work_seconds":1}`)}, time.Second)
 		}
 		s.renew(ids, time.Second)
 	})
@@ -202,7 +202,7 @@
 		const lease, interval, timeout = 10 * time.Second, 2 * time.Second, time.Second
 		s := newRenewalSite(t, true)
 		defer s.close()
-		ids := []platform.TaskID{s.run("long", `{"work_seconds":1000}`)}
+		ids := []backend.TaskID{s.run("long", `{"work_seconds":1000}`)}
 		for range 3 {
 			s.renew(ids, lease)
 			time.Sleep(interval)
--- a/pkg/standin/upstream.go
+++ b/pkg/standin/upstream.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 // UpstreamFaults are the faults of an upstream. The zero value has none.
@@ -40,7 +40,7 @@
 
 // Upstream answers short requests: its answer to "x" is "answer to x".
 type Upstream struct {
-	vm          platform.VM
+	vm          backend.VM
 	serviceTime time.Duration
 
 	mu         sync.Mutex
@@ -52,7 +52,7 @@
 }
 
 // NewUpstream returns an upstream whose requests take serviceTime.
-func NewUpstream(vm platform.VM, serviceTime time.Duration) *Upstream {
+func NewUpstream(vm backend.VM, serviceTime time.Duration) *Upstream {
 	return &Upstream{vm: vm, serviceTime: serviceTime}
 }
 
--- a/pkg/standin/vmlist.go
+++ b/pkg/standin/vmlist.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 // VMList is the platform's list of VMs. It shows each change after a lag.
@@ -18,37 +18,37 @@
 	lag time.Duration
 
 	mu      sync.Mutex
-	shown   []platform.VM
+	shown   []backend.VM
 	pending []listVersion
 	down    bool
 }
 
 type listVersion struct {
 	at  time.Time
-	vms []platform.VM
+	vms []backend.VM
 }
 
 // NewVMList returns a list that shows vms at once and later changes after lag.
-func NewVMList(lag time.Duration, vms ...platform.VM) *VMList {
+func NewVMList(lag time.Duration, vms ...backend.VM) *VMList {
 	return &VMList{lag: lag, shown: vms}
 }
 
 // Set replaces the true list of VMs; callers see it after the lag.
-func (l *VMList) Set(vms []platform.VM) {
+func (l *VMList) Set(vms []backend.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pending = append(l.pending, listVersion{time.Now().Add(l.lag), append([]platform.VM(nil), vms...)})
+	l.pending = append(l.pending, listVersion{time.Now().Add(l.lag), append([]backend.VM(nil), vms...)})
 }
 
 // Update changes the true list of VMs with fn; callers see it after the lag.
-func (l *VMList) Update(fn func([]platform.VM) []platform.VM) {
+func (l *VMList) Update(fn func([]backend.VM) []backend.VM) {
 	l.mu.Lock()
 	latest := l.shown
 	if n := len(l.pending); n > 0 {
 		latest = l.pending[n-1].vms
 	}
 	l.mu.Unlock()
-	l.Set(fn(append([]platform.VM(nil), latest...)))
+	l.Set(fn(append([]backend.VM(nil), latest...)))
 }
 
 // SetDown makes the list unreachable or reachable again.
@@ -58,8 +58,8 @@
 	l.down = down
 }
 
-// List implements platform.VMList.
-func (l *VMList) List(ctx context.Context) ([]platform.VM, error) {
+// List implements backend.VMList.
+func (l *VMList) List(ctx context.Context) ([]backend.VM, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
@@ -68,7 +68,7 @@
 	for len(l.pending) > 0 && !time.Now().Before(l.pending[0].at) {
 		l.shown, l.pending = l.pending[0].vms, l.pending[1:]
 	}
-	return append([]platform.VM(nil), l.shown...), ctx.Err()
+	return append([]backend.VM(nil), l.shown...), ctx.Err()
 }
 
 // Handler serves the list over HTTP: GET /vms and PUT /vms.
@@ -76,7 +76,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /vms", l.get)
 	mux.HandleFunc("PUT /vms", func(w http.ResponseWriter, r *http.Request) {
-		var vms []platform.VM
+		var vms []backend.VM
 		if err := decode(r, &vms); err != nil {
 			reply(w, nil, err)
 			return
--- a/pkg/standin/vmlist_test.go
+++ b/pkg/standin/vmlist_test.go
@@ -5,7 +5,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 // countingWriter counts the bytes of the bodies that a handler writes.
@@ -27,8 +27,8 @@
 		list.Handler().ServeHTTP(countingWriter{w, &sent}, r)
 	}))
 	defer server.Close()
-	client := &platform.HTTPVMList{Base: server.URL, Client: server.Client()}
-	read := func() []platform.VM {
+	client := &backend.HTTPVMList{Base: server.URL, Client: server.Client()}
+	read := func() []backend.VM {
 		t.Helper()
 		vms, err := client.List(t.Context())
 		if err != nil {
@@ -46,7 +46,7 @@
 	if sent != once {
 		t.Errorf("reads of an unchanged list sent %d bytes", sent-once)
 	}
-	list.Update(func(vms []platform.VM) []platform.VM { return vms[1:] })
+	list.Update(func(vms []backend.VM) []backend.VM { return vms[1:] })
 	if got := len(read()); got != first-1 {
 		t.Errorf("a changed list of %d VMs was read as %d", first-1, got)
 	}
--- a/pkg/standin/worker.go
+++ b/pkg/standin/worker.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/platform"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 )
 
 // TaskPayload is what the stand-in understands of a job's payload.
@@ -37,18 +37,18 @@
 type TaskEvent struct {
 	At     time.Time
 	Worker string
-	Task   platform.TaskID
-	Phase  platform.TaskPhase
+	Task   backend.TaskID
+	Phase  backend.TaskPhase
 }
 
-// Worker runs tasks under leases. It implements platform.Worker.
+// Worker runs tasks under leases. It implements backend.Worker.
 type Worker struct {
-	vm platform.VM
+	vm backend.VM
 	// observe, if set, is called with each change of a task, under the lock.
 	observe func(TaskEvent)
 
 	mu     sync.Mutex
-	tasks  map[platform.TaskID]*task
+	tasks  map[backend.TaskID]*task
 	fences map[string]int64
 	faults WorkerFaults
 	dead   bool
@@ -58,8 +58,8 @@
 }
 
 type task struct {
-	reservation platform.Reservation
-	status      platform.TaskStatus
+	reservation backend.Reservation
+	status      backend.TaskStatus
 	payload     TaskPayload
 	startBy     time.Time
 	lease       time.Time
@@ -70,11 +70,11 @@
 }
 
 // NewWorker returns a worker. observe may be nil.
-func NewWorker(vm platform.VM, observe func(TaskEvent)) *Worker {
+func NewWorker(vm backend.VM, observe func(TaskEvent)) *Worker {
 	if observe == nil {
 		observe = func(TaskEvent) {}
 	}
-	return &Worker{vm: vm, observe: observe, tasks: map[platform.TaskID]*task{}, fences: map[string]int64{}, clockRate: 1}
+	return &Worker{vm: vm, observe: observe, tasks: map[backend.TaskID]*task{}, fences: map[string]int64{}, clockRate: 1}
 }
 
 // SetClockRate sets how fast the worker's clock runs against true time: at 1.01
@@ -105,8 +105,8 @@
 	now := time.Now()
 	w.settle(now)
 	for _, t := range w.tasks {
-		if t.status.Phase == platform.TaskReserved || t.status.Phase == platform.TaskRunning {
-			w.setPhase(t, platform.TaskStopped, now)
+		if t.status.Phase == backend.TaskReserved || t.status.Phase == backend.TaskRunning {
+			w.setPhase(t, backend.TaskStopped, now)
 		}
 	}
 	w.dead = true
@@ -121,13 +121,13 @@
 }
 
 // Running returns the tasks that run now.
-func (w *Worker) Running() []platform.TaskID {
+func (w *Worker) Running() []backend.TaskID {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.settle(time.Now())
-	var out []platform.TaskID
+	var out []backend.TaskID
 	for id, t := range w.tasks {
-		if t.status.Phase == platform.TaskRunning {
+		if t.status.Phase == backend.TaskRunning {
 			out = append(out, id)
 		}
 	}
@@ -165,10 +165,10 @@
 }
 
 func (w *Worker) settleTask(t *task, now time.Time) {
-	if t.status.Phase == platform.TaskReserved && now.After(t.lease) {
-		w.setPhase(t, platform.TaskStopped, t.lease)
+	if t.status.Phase == backend.TaskReserved && now.After(t.lease) {
+		w.setPhase(t, backend.TaskStopped, t.lease)
 	}
-	if t.status.Phase != platform.TaskRunning {
+	if t.status.Phase != backend.TaskRunning {
 		return
 	}
 	until := now
@@ -185,31 +185,31 @@
 	t.done += until.Sub(t.since).Seconds() * t.speed
 	t.since = until
 	if until.Equal(t.lease) && now.After(t.lease) {
-		w.setPhase(t, platform.TaskStopped, until)
+		w.setPhase(t, backend.TaskStopped, until)
 	}
 }
 
 func (w *Worker) finish(t *task, at time.Time) {
 	if t.payload.Fail || w.faults.FailTasks {
-		w.setPhase(t, platform.TaskFailed, at)
+		w.setPhase(t, backend.TaskFailed, at)
 		return
 	}
 	t.status.Result = fmt.Sprintf("task %d done on %s", t.status.Task.Index, w.vm.ID)
-	w.setPhase(t, platform.TaskDone, at)
+	w.setPhase(t, backend.TaskDone, at)
 }
 
 // setPhase changes a task's phase and gives back its resources at its end.
-func (w *Worker) setPhase(t *task, phase platform.TaskPhase, at time.Time) {
-	wasLive := t.status.Phase == platform.TaskReserved || t.status.Phase == platform.TaskRunning
-	if wasLive && phase != platform.TaskRunning {
+func (w *Worker) setPhase(t *task, phase backend.TaskPhase, at time.Time) {
+	wasLive := t.status.Phase == backend.TaskReserved || t.status.Phase == backend.TaskRunning
+	if wasLive && phase != backend.TaskRunning {
 		w.used = w.used.Sub(t.reservation.Request)
 	}
 	t.status.Phase = phase
 	w.observe(TaskEvent{at, w.vm.ID, t.status.Task, phase})
 }
 
-// Reserve implements platform.Worker.
-func (w *Worker) Reserve(ctx context.Context, r platform.Reservation) error {
+// Reserve implements backend.Worker.
+func (w *Worker) Reserve(ctx context.Context, r backend.Reservation) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now, err := w.enter(ctx)
@@ -219,7 +219,7 @@
 	if err := w.checkFence(r.Task); err != nil {
 		return err
 	}
-	if t := w.tasks[r.Task]; t != nil && t.status.Phase != platform.TaskReserved {
+	if t := w.tasks[r.Task]; t != nil && t.status.Phase != backend.TaskReserved {
 		return api.Errorf(api.CodeConflict, "task %v is %s", r.Task, t.status.Phase)
 	} else if t == nil {
 		if !w.used.Add(r.Request).Fits(w.vm.Capacity) {
@@ -232,9 +232,9 @@
 	return w.leave()
 }
 
-func (w *Worker) reserve(r platform.Reservation, now time.Time) {
+func (w *Worker) reserve(r backend.Reservation, now time.Time) {
 	t := &task{reservation: r, speed: 1}
-	t.status = platform.TaskStatus{Task: r.Task, Phase: platform.TaskReserved}
+	t.status = backend.TaskStatus{Task: r.Task, Phase: backend.TaskReserved}
 	// A payload that is no JSON object of ours is work of no length.
 	_ = json.Unmarshal([]byte(r.Payload), &t.payload)
 	if r.Resume != "" {
@@ -242,19 +242,19 @@
 	}
 	w.tasks[r.Task] = t
 	w.used = w.used.Add(r.Request)
-	w.observe(TaskEvent{now, w.vm.ID, r.Task, platform.TaskReserved})
+	w.observe(TaskEvent{now, w.vm.ID, r.Task, backend.TaskReserved})
 }
 
 // checkFence refuses a task that a stop or a newer attempt has fenced.
-func (w *Worker) checkFence(id platform.TaskID) error {
+func (w *Worker) checkFence(id backend.TaskID) error {
 	if fence := w.fences[id.Job]; id.Token <= fence {
 		return api.Errorf(api.CodeConflict, "job %s is fenced at token %d", id.Job, fence)
 	}
 	return nil
 }
 
-// Start implements platform.Worker.
-func (w *Worker) Start(ctx context.Context, id platform.TaskID) error {
+// Start implements backend.Worker.
+func (w *Worker) Start(ctx context.Context, id backend.TaskID) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now, err := w.enter(ctx)
@@ -265,37 +265,37 @@
 	switch {
 	case t == nil:
 		return api.Errorf(api.CodeNotFound, "task %v is not reserved", id)
-	case t.status.Phase == platform.TaskRunning || t.status.Phase == platform.TaskDone:
+	case t.status.Phase == backend.TaskRunning || t.status.Phase == backend.TaskDone:
 		return w.leave()
-	case t.status.Phase != platform.TaskReserved:
+	case t.status.Phase != backend.TaskReserved:
 		return api.Errorf(api.CodeConflict, "task %v is %s", id, t.status.Phase)
 	case now.After(t.startBy) && !w.faults.LateStarts:
 		return api.Errorf(api.CodeConflict, "task %v was reserved too long ago", id)
 	}
 	t.status.Ran, t.since = true, now
-	w.setPhase(t, platform.TaskRunning, now)
+	w.setPhase(t, backend.TaskRunning, now)
 	if w.faults.FailTasks {
 		w.finish(t, now)
 	}
 	return w.leave()
 }
 
-// Renew implements platform.Worker.
-func (w *Worker) Renew(ctx context.Context, ids []platform.TaskID, ttl time.Duration) ([]platform.TaskStatus, error) {
+// Renew implements backend.Worker.
+func (w *Worker) Renew(ctx context.Context, ids []backend.TaskID, ttl time.Duration) ([]backend.TaskStatus, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now, err := w.enter(ctx)
 	if err != nil {
 		return nil, err
 	}
-	out := make([]platform.TaskStatus, len(ids))
+	out := make([]backend.TaskStatus, len(ids))
 	for i, id := range ids {
 		t := w.tasks[id]
 		if t == nil {
-			out[i] = platform.TaskStatus{Task: id, Phase: platform.TaskUnknown}
+			out[i] = backend.TaskStatus{Task: id, Phase: backend.TaskUnknown}
 			continue
 		}
-		if t.status.Phase == platform.TaskReserved || t.status.Phase == platform.TaskRunning {
+		if t.status.Phase == backend.TaskReserved || t.status.Phase == backend.TaskRunning {
 			t.extend(now.Add(w.onClock(ttl)))
 		}
 		out[i] = t.status
@@ -310,30 +310,30 @@
 	}
 }
 
-// Stop implements platform.Worker.
-func (w *Worker) Stop(ctx context.Context, id platform.TaskID, checkpoint bool) (platform.TaskStatus, error) {
+// Stop implements backend.Worker.
+func (w *Worker) Stop(ctx context.Context, id backend.TaskID, checkpoint bool) (backend.TaskStatus, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now, err := w.enter(ctx)
 	if err != nil {
-		return platform.TaskStatus{}, err
+		return backend.TaskStatus{}, err
 	}
 	w.fences[id.Job] = max(w.fences[id.Job], id.Token)
 	t := w.tasks[id]
 	if t == nil {
-		return platform.TaskStatus{Task: id, Phase: platform.TaskUnknown}, w.leave()
+		return backend.TaskStatus{Task: id, Phase: backend.TaskUnknown}, w.leave()
 	}
-	if t.status.Phase == platform.TaskReserved || t.status.Phase == platform.TaskRunning {
-		w.setPhase(t, platform.TaskStopped, now)
+	if t.status.Phase == backend.TaskReserved || t.status.Phase == backend.TaskRunning {
+		w.setPhase(t, backend.TaskStopped, now)
 	}
-	if checkpoint && t.status.Checkpoint == "" && t.status.Phase == platform.TaskStopped {
+	if checkpoint && t.status.Checkpoint == "" && t.status.Phase == backend.TaskStopped {
 		t.status.Checkpoint = fmt.Sprintf("done=%g", t.done)
 	}
 	return t.status, w.leave()
 }
 
-// Throttle implements platform.Worker.
-func (w *Worker) Throttle(ctx context.Context, id platform.TaskID, percent int) error {
+// Throttle implements backend.Worker.
+func (w *Worker) Throttle(ctx context.Context, id backend.TaskID, percent int) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if _, err := w.enter(ctx); err != nil {
@@ -353,17 +353,17 @@
 // Handler serves the worker over HTTP, and POST /faults.
 func (w *Worker) Handler() http.Handler {
 	mux := http.NewServeMux()
-	handle(mux, "POST /reserve", func(ctx context.Context, r platform.Reservation) (struct{}, error) {
+	handle(mux, "POST /reserve", func(ctx context.Context, r backend.Reservation) (struct{}, error) {
 		return struct{}{}, w.Reserve(ctx, r)
 	})
-	handle(mux, "POST /start", func(ctx context.Context, id platform.TaskID) (struct{}, error) {
+	handle(mux, "POST /start", func(ctx context.Context, id backend.TaskID) (struct{}, error) {
 		return struct{}{}, w.Start(ctx, id)
 	})
 	mux.HandleFunc("POST /renew", w.serveRenew(newRenewalHandles()))
-	handle(mux, "POST /stop", func(ctx context.Context, c platform.StopCall) (platform.TaskStatus, error) {
+	handle(mux, "POST /stop", func(ctx context.Context, c backend.StopCall) (backend.TaskStatus, error) {
 		return w.Stop(ctx, c.Task, c.Checkpoint)
 	})
-	handle(mux, "POST /throttle", func(ctx context.Context, c platform.ThrottleCall) (struct{}, error) {
+	handle(mux, "POST /throttle", func(ctx context.Context, c backend.ThrottleCall) (struct{}, error) {
 		return struct{}{}, w.Throttle(ctx, c.Task, c.Percent)
 	})
 	handle(mux, "POST /faults", func(_ context.Context, f WorkerFaults) (struct{}, error) {
@@ -386,15 +386,15 @@
 	})
 }
 
-// LocalWorkers returns workers in this process by address. It implements platform.Workers.
+// LocalWorkers returns workers in this process by address. It implements backend.Workers.
 type LocalWorkers map[string]*Worker
 
-// Worker implements platform.Workers. An unknown address gives an unreachable worker.
-func (l LocalWorkers) Worker(address string) platform.Worker {
+// Worker implements backend.Workers. An unknown address gives an unreachable worker.
+func (l LocalWorkers) Worker(address string) backend.Worker {
 	if w := l[address]; w != nil {
 		return w
 	}
-	w := NewWorker(platform.VM{}, nil)
+	w := NewWorker(backend.VM{}, nil)
 	w.SetFaults(WorkerFaults{Unreachable: true})
 	return w
 }
--- a/pkg/state/attempts_test.go
+++ b/pkg/state/attempts_test.go
@@ -4,8 +4,8 @@
 	"testing"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/config"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 )
 
 // fold applies records of one writer in order and returns the last outcome.
@@ -27,7 +27,7 @@
 	f := &fold{State: New()}
 	f.Config = &config.Config{Accounts: []config.Account{{Name: "coopers"}}}
 	f.Zones["howrah"] = &ZoneState{}
-	f.apply(Record{Fleet: &ChangeFleet{Seen: []platform.VM{{ID: "w", Zone: "howrah", Capacity: one}}}})
+	f.apply(Record{Fleet: &ChangeFleet{Seen: []backend.VM{{ID: "w", Zone: "howrah", Capacity: one}}}})
 	spec := api.JobSpec{Account: "coopers", Class: "appraisal", Tasks: 1, PerTask: one, Within: api.WithinZone, MaxAttempts: maxAttempts}
 	f.apply(Record{Submit: &SubmitJob{ID: "j", Spec: spec}})
 	if out := f.plan(); out.Err != nil {
--- a/pkg/state/cells_test.go
+++ b/pkg/state/cells_test.go
@@ -10,9 +10,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/cells"
 	"github.com/shallotpin/shallotpin/pkg/config"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 )
 
 // The seed is fixed, so that every run draws the same histories.
@@ -65,9 +65,9 @@
 	return c
 }
 
-func testWorker(i int) platform.VM {
-	return platform.VM{
-		ID: fmt.Sprintf("w%02d", i), Kind: platform.KindWorker, Zone: testZones[i%2], Rack: fmt.Sprintf("r%d", i/6),
+func testWorker(i int) backend.VM {
+	return backend.VM{
+		ID: fmt.Sprintf("w%02d", i), Kind: backend.KindWorker, Zone: testZones[i%2], Rack: fmt.Sprintf("r%d", i/6),
 		Capacity: accelerators(8),
 	}
 }
@@ -100,7 +100,7 @@
 	case 8:
 		vm := testWorker(rapid.IntRange(0, 11).Draw(h.t, "worker"))
 		vm.Leaving = rapid.Bool().Draw(h.t, "leaving")
-		h.apply(Record{Fleet: &ChangeFleet{Seen: []platform.VM{vm}}})
+		h.apply(Record{Fleet: &ChangeFleet{Seen: []backend.VM{vm}}})
 	case 9:
 		h.apply(Record{Fleet: &ChangeFleet{Gone: []string{testWorker(rapid.IntRange(0, 11).Draw(h.t, "worker")).ID}}})
 	}
@@ -157,7 +157,7 @@
 func newHistory(t *rapid.T) *history {
 	h := &history{t: t, s: New()}
 	h.apply(Record{Publish: &Publish{Config: drawConfig(t)}})
-	var vms []platform.VM
+	var vms []backend.VM
 	for i := range 12 {
 		vms = append(vms, testWorker(i))
 	}
@@ -273,7 +273,7 @@
 		{Name: "p0", Guarantees: []config.Guarantee{whole}}, {Name: "p4", Guarantees: []config.Guarantee{four}}, {Name: "p5", Guarantees: []config.Guarantee{five}},
 		{Name: "none"},
 	}
-	var vms []platform.VM
+	var vms []backend.VM
 	for i := range 12 {
 		vms = append(vms, testWorker(i))
 	}
