--- a/pkg/state/record.go
+++ b/pkg/state/record.go
@@ -8,8 +8,8 @@
 	"fmt"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/config"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 )
 
 // Record is one record of the log. Exactly one of the pointers is set. Writer
@@ -130,8 +130,8 @@
 // ChangeFleet records workers as the VM list shows them. Workers that are
 // listed no more are gone for good.
 type ChangeFleet struct {
-	Seen []platform.VM `json:"seen,omitempty"`
-	Gone []string      `json:"gone,omitempty"`
+	Seen []backend.VM `json:"seen,omitempty"`
+	Gone []string     `json:"gone,omitempty"`
 }
 
 // SubmitJob accepts a job. Key, if set, makes the submission idempotent.
--- a/pkg/state/snapshot_test.go
+++ b/pkg/state/snapshot_test.go
@@ -8,8 +8,8 @@
 	"testing"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/config"
-	"github.com/shallotpin/shallotpin/pkg/platform"
 )
 
 func snapshotConfig() *config.Config {
@@ -33,7 +33,7 @@
 	case 2:
 		return Record{Zone: &SetZone{Zone: "z1", Base: uint64(rng.IntN(4)), Out: rng.IntN(2) == 0}}
 	case 3:
-		return Record{Fleet: &ChangeFleet{Seen: []platform.VM{{ID: worker, Zone: "z0", Rack: "r", Capacity: api.Resources{Accelerators: 8}}}}}
+		return Record{Fleet: &ChangeFleet{Seen: []backend.VM{{ID: worker, Zone: "z0", Rack: "r", Capacity: api.Resources{Accelerators: 8}}}}}
 	case 4:
 		return Record{Cancel: &CancelJob{Job: job}}
 	case 5:
--- /dev/null
+++ b/pkg/workload/workload.go
@@ -0,0 +1,210 @@
+// Package workload models batch jobs: steps of tasks with dependencies, gangs,
+// locality and scheduled occurrences.
+package workload
+
+import (
+	"fmt"
+	"time"
+)
+
+// Resources is what a task needs or a worker offers.
+type Resources struct {
+	// MilliCores is in thousandths of a core.
+	MilliCores int `json:"c,omitempty"`
+	// MemoryMB is in megabytes.
+	MemoryMB     int `json:"m,omitempty"`
+	Accelerators int `json:"g,omitempty"`
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.MilliCores + o.MilliCores, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r less o; the result may be negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Fits says whether r is available within free.
+func (r Resources) Fits(free Resources) bool {
+	return r.MilliCores <= free.MilliCores && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
+}
+
+// Count returns how many times r fits into free.
+func (r Resources) Count(free Resources) int {
+	most := 1 << 20
+	for _, dimension := range [...][2]int{{r.MilliCores, free.MilliCores}, {r.MemoryMB, free.MemoryMB}, {r.Accelerators, free.Accelerators}} {
+		if dimension[0] > 0 {
+			most = min(most, max(0, dimension[1])/dimension[0])
+		}
+	}
+	return most
+}
+
+// Step is a set of equal tasks of a job.
+type Step struct {
+	// Count is the number of tasks.
+	Count int       `json:"n"`
+	Need  Resources `json:"r"`
+	// EstimateMS is the caller's guess of a task's run time in milliseconds.
+	EstimateMS int `json:"e,omitempty"`
+	// DependsOn lists earlier steps whose tasks must all be done first.
+	DependsOn []int `json:"d,omitempty"`
+	// SavesProgress means that a stopped task can resume from a checkpoint.
+	SavesProgress bool `json:"s,omitempty"`
+	// Gang means that the tasks run all at once or not at all.
+	Gang bool `json:"gang,omitempty"`
+	// SameRack means that the tasks are slow unless they share a rack.
+	SameRack bool `json:"rack,omitempty"`
+	// Label is a label that the worker must have; empty means any worker.
+	Label string `json:"label,omitempty"`
+	// DataRack is the rack that holds the data; empty means no preference.
+	DataRack string `json:"data,omitempty"`
+	// MaxPerWorker bounds the tasks of the step on one worker; 0 means no bound.
+	MaxPerWorker int `json:"most,omitempty"`
+	// Speculative means that copies of a task may run in parallel.
+	Speculative bool `json:"spec,omitempty"`
+	// LongRunning means that the tasks run until the job is cancelled.
+	LongRunning bool `json:"long,omitempty"`
+	// MayMiss is how many tasks of a long-running step may be away at once
+	// because of the scheduler's own actions.
+	MayMiss int `json:"miss,omitempty"`
+	// Image names what the tasks run; tasks of one image behave alike.
+	Image string `json:"image,omitempty"`
+	// TargetMS is the tail latency, in milliseconds, that a serving task owes
+	// its own users; 0 means that it serves nobody.
+	TargetMS int `json:"target,omitempty"`
+	// FillsIdle means that the step's cores are not counted against a worker.
+	FillsIdle bool `json:"fills,omitempty"`
+}
+
+// Demand returns what a task of the step takes from a worker's capacity.
+func (s *Step) Demand() Resources {
+	need := s.Need
+	if s.FillsIdle {
+		need.MilliCores = 0
+	}
+	return need
+}
+
+// Job is a submitted job.
+type Job struct {
+	// ID is chosen by the caller, 16 hexadecimal digits.
+	ID string `json:"id"`
+	// Queue names the queue that the job was submitted to.
+	Queue string `json:"q"`
+	// Service names the pool of workers that the queue used at submission.
+	Service string `json:"svc"`
+	// Account is the client account that owns the job.
+	Account string `json:"a,omitempty"`
+	// Payload is handed to every task unchanged.
+	Payload string `json:"p"`
+	Steps   []Step `json:"steps"`
+	// Occurrences is how many times the steps run on a schedule; 0 means once,
+	// as soon as possible.
+	Occurrences int `json:"times,omitempty"`
+	// FirstDueMS is when the first occurrence is due, in Unix milliseconds.
+	FirstDueMS int64 `json:"first,omitempty"`
+	// IntervalMS is the time between two occurrences, in milliseconds.
+	IntervalMS int64 `json:"every,omitempty"`
+	// SubmittedMS is when a node took the submission, in Unix milliseconds.
+	SubmittedMS int64 `json:"at"`
+}
+
+// Rounds returns how often the steps run.
+func (j *Job) Rounds() int { return max(1, j.Occurrences) }
+
+// Due returns when a round may start, in Unix milliseconds; 0 means at once.
+func (j *Job) Due(round int) int64 {
+	if j.Occurrences == 0 {
+		return 0
+	}
+	return j.FirstDueMS + int64(round)*j.IntervalMS
+}
+
+// LongRunning says whether any step runs until the job is cancelled.
+func (j *Job) LongRunning() bool {
+	for i := range j.Steps {
+		if j.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// UnitID names one step of one round of a job.
+type UnitID struct {
+	Job   string
+	Round int
+	Step  int
+}
+
+// TaskID names one task of a unit.
+type TaskID struct {
+	UnitID
+	Index int
+}
+
+// String is the form of a unit in logs.
+func (u UnitID) String() string { return fmt.Sprintf("%s.%d.%d", u.Job, u.Round, u.Step) }
+
+// Limits on what a job may contain.
+const (
+	maxPayloadBytes = 4000
+	maxSteps        = 256
+	maxTasks        = 20_000
+	maxRounds       = 10_000
+)
+
+// Validate reports the first thing wrong with the job.
+func (j *Job) Validate() error {
+	switch {
+	case len(j.ID) != 16 || !isHex(j.ID):
+		return fmt.Errorf("the job ID %q is not 16 hexadecimal digits", j.ID)
+	case len(j.Payload) > maxPayloadBytes:
+		return fmt.Errorf("the payload has %d bytes, the limit is %d", len(j.Payload), maxPayloadBytes)
+	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
+		return fmt.Errorf("%d steps are not between 1 and %d", len(j.Steps), maxSteps)
+	case j.Occurrences < 0 || j.Occurrences > maxRounds || j.IntervalMS < 0:
+		return fmt.Errorf("the schedule of %d occurrences, %d ms apart, is out of bounds", j.Occurrences, j.IntervalMS)
+	}
+	tasks := 0
+	for i := range j.Steps {
+		if err := j.Steps[i].validate(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+		tasks += j.Steps[i].Count
+	}
+	if tasks > maxTasks {
+		return fmt.Errorf("%d tasks are more than %d", tasks, maxTasks)
+	}
+	return nil
+}
+
+func (s *Step) validate(number int) error {
+	if s.Count < 1 {
+		return fmt.Errorf("a count of %d is not positive", s.Count)
+	}
+	if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 || s.MaxPerWorker < 0 || s.MayMiss < 0 {
+		return fmt.Errorf("a negative amount")
+	}
+	for _, d := range s.DependsOn {
+		if d < 0 || d >= number {
+			return fmt.Errorf("depends on step %d, which is not an earlier one", d)
+		}
+	}
+	return nil
+}
+
+func isHex(text string) bool {
+	for _, c := range text {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// Duration of a task as the caller guesses it.
+func (s *Step) Estimate() time.Duration { return time.Duration(s.EstimateMS) * time.Millisecond }
