Do not take gang members that wait for the others for stalled

Cause: a member that is through with its own part shows 100 percent until the slowest member is done, and was stopped with its gang after 2.5 s. Members of a gang that is done are no longer stopped, and a read that ends empty confirms the view up to the end of its wait.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -242,7 +242,8 @@
 	for _, u := range j.units {
 		u.reserved = nil
 		for _, t := range u.tasks {
-			if t.run != nil {
+			// The other members of a gang that is done end by themselves.
+			if t.run != nil && !t.done {
 				e.stopRun(t.run, "the job ended")
 			}
 		}
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -329,7 +329,8 @@
 
 // stalled says whether a run shows no progress for too long.
 func (e *Engine) stalled(r *run, now time.Duration) bool {
-	if r.task.unit.step.LongRunning || now-r.worker.answered > contactBound || r.worker.answered < r.percentSince {
+	// A gang's member that is through with its part waits for the others.
+	if r.percent >= 100 || r.task.unit.step.LongRunning || now-r.worker.answered > contactBound || r.worker.answered < r.percentSince {
 		return false
 	}
 	bound := stallBound
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -161,6 +161,10 @@
 		f.sink.Apply(fresh)
 		next = fresh[len(fresh)-1].Offset + 1
 	}
+	if len(page.Records) == 0 && f.settings.Now()-sent >= wait {
+		// The log held nothing newer when it ended the wait.
+		sent += wait
+	}
 	f.advance(next, next >= page.End, sent)
 	return nil
 }
