Keep workers with unknown runs closed, and ignore overtaken listings

A worker now takes nothing new until it lists the run no more. A listing that an other one has overtaken no longer brings back a run that ended.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -355,7 +355,7 @@
 }
 
 func (e *Engine) addWorker(key string, info catalog.Worker) *worker {
-	w := &worker{key: key, info: info, runs: map[workload.TaskID]*run{}, speed: 1, answered: e.Now()}
+	w := &worker{key: key, info: info, runs: map[workload.TaskID]*run{}, strays: map[backend.RunID]bool{}, speed: 1, answered: e.Now()}
 	e.workers[key] = w
 	return w
 }
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -122,8 +122,10 @@
 	strikes           int
 	speed             float64
 	samples           int
-	// strays counts the unknown runs that are being stopped.
-	strays int
+	// strays are the runs that the worker listed last and that belong to no task.
+	strays map[backend.RunID]bool
+	// listedClock is the worker's clock in the newest listing.
+	listedClock int64
 }
 
 func (w *worker) ref() backend.WorkerRef {
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -121,7 +121,7 @@
 }
 
 // onActive takes over that a worker runs a task.
-func (e *Engine) onActive(w *worker, a backend.ActiveRun, sent time.Duration) {
+func (e *Engine) onActive(w *worker, a backend.ActiveRun) {
 	t := e.taskOf(a.Run.Task)
 	r := w.runs[a.Run.Task]
 	now := e.Now()
@@ -154,11 +154,11 @@
 	klog.InfoS("dispatch: run taken over", "job", t.id.Job, "task", t.unit.id.String(), "index", t.id.Index, "run", a.Run.Number, "worker", w.info.ID, "percent", a.Percent)
 }
 
-// stopStray stops a run that should not be there. The run is not tracked: the
-// worker counts as full until it is gone, since its resources are unknown.
+// stopStray stops a run that should not be there. Nothing starts on the worker
+// until it lists the run no more, since what the run takes is not known.
 func (e *Engine) stopStray(w *worker, id backend.RunID) {
 	klog.InfoS("dispatch: stopping an unknown run", "job", id.Task.Job, "task", id.Task.UnitID.String(), "index", id.Task.Index, "run", id.Number, "worker", w.info.ID)
-	w.strays++
+	w.strays[id] = true
 	go func() {
 		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
 		defer cancel()
@@ -272,7 +272,6 @@
 // checkRuns handles orders without answers, gangs in part and tasks that stand still.
 func (e *Engine) checkRuns(now time.Duration) {
 	for _, w := range e.workers {
-		w.strays = 0
 		for _, r := range w.runs {
 			u := r.task.unit
 			switch {
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -69,7 +69,7 @@
 
 // wantsHold says whether the engine has to stay in touch with the worker.
 func (w *worker) wantsHold() bool {
-	return len(w.runs) > 0 || w.told < w.seen || w.enrolled && !w.fenced
+	return len(w.runs) > 0 || len(w.strays) > 0 || w.told < w.seen || w.enrolled && !w.fenced
 }
 
 // scheduleHold sends a renewal if one is due and none is under way.
@@ -163,9 +163,17 @@
 	w.told = max(w.told, order.SeenUpTo)
 	w.holdDue = now
 	listed := map[backend.RunID]bool{}
+	// Listings may overtake each other; an old one tells nothing of what runs.
+	current := reply.ClockMS >= w.listedClock
+	if current {
+		w.listedClock = reply.ClockMS
+		clear(w.strays)
+	}
 	for _, a := range reply.Active {
 		listed[a.Run] = true
-		e.onActive(w, a, sent)
+		if current {
+			e.onActive(w, a)
+		}
 	}
 	for _, end := range reply.Ended {
 		listed[end.Run] = true
@@ -173,7 +181,9 @@
 			e.onEnd(w, end)
 		}
 	}
-	e.checkMissing(w, listed, sent)
+	if current {
+		e.checkMissing(w, listed, sent)
+	}
 	if !w.fenced {
 		w.fenced = true
 		klog.V(1).InfoS("dispatch: worker answered in this term", "worker", w.info.ID, "active", len(reply.Active), "ended", len(reply.Ended))
@@ -184,7 +194,7 @@
 	if w.noted < w.seen {
 		w.holdDue = now + unnotedPause
 		e.flush()
-	} else if order.Wait == 0 && len(w.runs) > 0 && w.stopsOnly() {
+	} else if order.Wait == 0 && (len(w.runs) > 0 || len(w.strays) > 0) && w.stopsOnly() {
 		w.holdDue = now + unnotedPause
 	}
 	e.dirty = true
