Stand in for the platform in tests; close workers after trouble

Cause: with no submissions, followers read the ledger once a second, which the election took for gaps in reading, so nobody followed a leader that was cut off from the log: TestRunsOutliveTheirLeader. A worker that fails all it starts took the same gang's next attempt and used all of them up: TestTasksOfWorkersInTroubleRunElsewhere/fails. Both tests failed before.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -106,7 +106,7 @@
 	return dispatch.Settings{
 		LeaseTime: platform.Millis(s.Bounds.HoldMaxMS), ClockDrift: clockDrift, GangWait: platform.Millis(s.Bounds.GangMS),
 		StopTime: platform.Millis(s.Bounds.StopMS), SaveEvery: platform.Seconds(s.Bounds.SaveS), KeepEnded: platform.Seconds(s.Bounds.StatusS),
-		Election: election.Settings{Silence: silence, Stagger: silence / 20, OrderBound: silence, RenewBound: 3 * silence, Beat: silence / 4},
+		Election: election.Settings{Silence: silence, ReadGap: entry.LongestRead, Stagger: silence / 20, OrderBound: silence, RenewBound: 3 * silence, Beat: silence / 4},
 	}
 }
 
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -118,7 +118,7 @@
 	// seen is the last end handled, noted the last one in the ledger, told the
 	// last one that the worker knows to be noted.
 	seen, noted, told int64
-	suspectUntil      time.Duration
+	closedUntil       time.Duration
 	strikes           int
 	speed             float64
 	samples           int
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -122,9 +122,7 @@
 		}
 		pw := &placement.Worker{ID: key, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity,
 			Free: w.info.Capacity.Sub(w.used).Sub(reserved[w]), Speed: w.speed, Open: e.open(w, now)}
-		if now < w.suspectUntil {
-			pw.Penalty = 1 + w.strikes
-		}
+		pw.Penalty = w.strikes
 		for id, r := range w.runs {
 			u := r.task.unit
 			if r.phase == runStopping {
@@ -146,7 +144,7 @@
 
 // open says whether new tasks may start on the worker.
 func (e *Engine) open(w *worker, now time.Duration) bool {
-	return w.listed && !w.info.Draining && !e.view.ZonesOut[w.info.Zone] && len(w.strays) == 0 &&
+	return w.listed && !w.info.Draining && !e.view.ZonesOut[w.info.Zone] && len(w.strays) == 0 && now >= w.closedUntil &&
 		(!w.enrolled || w.fenced) && (len(w.runs) == 0 || now-w.answered <= contactBound)
 }
 
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -74,15 +74,14 @@
 	if kind == backend.OrderUnanswered {
 		if r.phase == runStarting {
 			r.phase = runUnresolved
-			w.strikes++
-			w.suspectUntil = max(w.suspectUntil, now+suspectTime*time.Duration(min(w.strikes, maxStrikes)))
+			e.strike(w, now)
 			e.look(w)
 		}
 		return
 	}
 	r.task.unit.notBefore = now + retryPause
 	if kind != backend.OrderReplaced {
-		w.suspectUntil = max(w.suspectUntil, now+retryPause)
+		w.closedUntil = max(w.closedUntil, now+retryPause)
 	}
 	e.removeRun(r, "start refused: "+string(kind))
 	e.onOrderError(w, err)
@@ -211,7 +210,7 @@
 	}
 	if r != nil {
 		w := r.worker
-		w.strikes, w.suspectUntil = 0, 0
+		w.strikes = 0
 		e.learn(u, w, e.Now()-r.ordered)
 	}
 	finished := []*task{t}
@@ -247,8 +246,10 @@
 func (e *Engine) taskFailed(t *task, w *worker, number int64) {
 	u, j := t.unit, t.unit.job
 	now := e.Now()
-	w.strikes++
-	w.suspectUntil = max(w.suspectUntil, now+suspectTime*time.Duration(min(w.strikes, maxStrikes)))
+	// A unit that fails on several workers is at fault itself.
+	if !u.failedElsewhere(w) {
+		e.strike(w, now)
+	}
 	u.avoid[w.info.ID] = true
 	if u.step.LongRunning || j.progress.Phase.Ended() {
 		return
@@ -269,6 +270,24 @@
 	}
 }
 
+// strike closes a worker for a while after trouble there, longer each time until
+// a task is done there. It answers workers that fail all they start, which would
+// take the next task at once and use up its attempts.
+func (e *Engine) strike(w *worker, now time.Duration) {
+	w.strikes = min(w.strikes+1, maxStrikes)
+	w.closedUntil = max(w.closedUntil, now+suspectTime*time.Duration(w.strikes))
+	klog.InfoS("dispatch: worker closed after trouble", "worker", w.info.ID, "strikes", w.strikes, "for", w.closedUntil-now)
+}
+
+func (u *unit) failedElsewhere(w *worker) bool {
+	for id := range u.avoid {
+		if id != w.info.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // checkRuns handles orders without answers, gangs in part and tasks that stand still.
 func (e *Engine) checkRuns(now time.Duration) {
 	for _, w := range e.workers {
@@ -285,8 +304,7 @@
 					e.abortGang(u, "a member's start was not confirmed")
 				}
 			case r.phase == runActive && e.stalled(r, now):
-				w.strikes++
-				w.suspectUntil = max(w.suspectUntil, now+suspectTime*time.Duration(min(w.strikes, maxStrikes)))
+				e.strike(w, now)
 				u.avoid[w.info.ID] = true
 				e.stopRun(r, "no progress")
 				if u.step.Gang && !u.aborting {
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -52,9 +52,11 @@
 	// stallBound is how long a task may show no progress: many times what a
 	// hundredth of a task of a minute takes.
 	stallBound = 2500 * time.Millisecond
-	// suspectTime is how long a worker is used last after a failure there.
+	// suspectTime is how long a worker is closed after the first trouble there:
+	// about the run time of the shortest tasks.
 	suspectTime = 3 * time.Second
-	// maxStrikes bounds how often suspectTime is counted for failures in a row.
+	// maxStrikes bounds how many times suspectTime a worker is closed: at most 12 s,
+	// which outlasts most troubles.
 	maxStrikes = 4
 	// retryPause is the wait before a unit is tried again after a refused start.
 	retryPause = 100 * time.Millisecond
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -240,7 +240,7 @@
 	case backend.OrderReplaced:
 		e.loseWorker(w, "another incarnation answered in its place")
 	case backend.OrderUnhealthy:
-		w.suspectUntil = max(w.suspectUntil, e.Now()+suspectTime)
+		w.closedUntil = max(w.closedUntil, e.Now()+suspectTime)
 	}
 }
 
--- a/pkg/election/election.go
+++ b/pkg/election/election.go
@@ -10,6 +10,9 @@
 	// Silence is how long the log must show nothing of the leader, while it can
 	// be read, before another node takes the lead.
 	Silence time.Duration
+	// ReadGap is the longest time between two successful reads of a span in which
+	// the log counts as readable.
+	ReadGap time.Duration
 	// Stagger separates the claims of two nodes.
 	Stagger time.Duration
 	// OrderBound is how long after its last confirmed write a leader may start tasks.
@@ -38,7 +41,7 @@
 
 // Read notes a successful read of the log.
 func (w *Watch) Read(at time.Duration) {
-	if at-w.lastRead > w.settings.Silence/2 {
+	if at-w.lastRead > w.settings.ReadGap {
 		w.readable = at
 	}
 	w.lastRead = max(w.lastRead, at)
@@ -54,7 +57,7 @@
 // claims, from 0.
 func (w *Watch) Claim(now time.Duration, rank int) bool {
 	delay := time.Duration(rank) * w.settings.Stagger
-	if now-w.lastRead > w.settings.Silence/2 {
+	if now-w.lastRead > w.settings.ReadGap {
 		return false
 	}
 	if w.vacant {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -39,6 +39,9 @@
 	readyBound = 2500 * time.Millisecond
 )
 
+// LongestRead is how long a successful read of the log may take.
+const LongestRead = feedWait + feedTimeout
+
 // Platform is what the node is given by the platform.
 type Platform struct {
 	Ledger, Operators, Workers backend.KeyedLog
--- /dev/null
+++ b/pkg/entry/entry_test.go
@@ -0,0 +1,216 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/simsite"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+func TestJobsOfAllKindsComplete(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		gang := s.submit(usualQueue, usual(task(4), 3*time.Second, 4), workload.Step{Count: 4, Need: task(4), Gang: true, SameRack: true, EstimateMS: 3000})
+		chain := s.submit(bulkQueue, usual(task(1), 2*time.Second, 0), workload.Step{Count: 6, Need: task(1), EstimateMS: 2000},
+			workload.Step{Count: 3, Need: task(1), EstimateMS: 2000, DependsOn: []int{0}})
+		s.awaitPhase(gang, ledger.Completed, 5*time.Second)
+		s.awaitPhase(chain, ledger.Completed, 6*time.Second)
+		if got := s.fleet.Starts(); got != 13 {
+			t.Errorf("%d starts, want 13", got)
+		}
+	})
+}
+
+// A gang's member that is through with its part shows no progress until the
+// slowest member is.
+func TestGangWithUnevenMembersIsNotStopped(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		job := s.submit(usualQueue, func(index int) simsite.Behaviour {
+			return simsite.Behaviour{Need: task(4), Work: time.Duration(2+4*index) * time.Second, Gang: 3}
+		}, workload.Step{Count: 3, Need: task(4), Gang: true, EstimateMS: 5000})
+		s.awaitPhase(job, ledger.Completed, 12*time.Second)
+		if got := s.fleet.Starts(); got != 3 {
+			t.Errorf("%d starts, want 3", got)
+		}
+	})
+}
+
+func TestRunsOutliveTheirLeader(t *testing.T) {
+	for name, stop := range map[string]func(s *site, n *testNode){
+		"killed":                   func(s *site, n *testNode) { n.kill() },
+		"retired":                  func(s *site, n *testNode) { n.Retire() },
+		"cut off from the log":     func(s *site, n *testNode) { n.setFault(simsite.LogSilent) },
+		"refused by the log":       func(s *site, n *testNode) { n.setFault(simsite.LogRefuses) },
+		"hears nothing of its log": func(s *site, n *testNode) { n.setFault(simsite.LogLosesAnswers) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runSite(t, 3, 8, func(s *site) {
+				leader := s.leader()
+				job := s.submit(usualQueue, usual(task(4), 8*time.Second, 4), workload.Step{Count: 4, Need: task(4), Gang: true, EstimateMS: 8000})
+				singles := s.submit(bulkQueue, usual(task(1), 8*time.Second, 0), workload.Step{Count: 6, Need: task(1), EstimateMS: 8000})
+				time.Sleep(time.Second)
+				stop(s, leader)
+				time.Sleep(4 * time.Second)
+				for i, n := range s.nodes {
+					if n == leader {
+						s.nodes = append(s.nodes[:i:i], s.nodes[i+1:]...)
+						defer func() { n.kill(); n.Wait() }()
+						break
+					}
+				}
+				s.awaitPhase(job, ledger.Completed, 6*time.Second)
+				s.awaitPhase(singles, ledger.Completed, 6*time.Second)
+				if got := s.fleet.Starts(); got != 10 {
+					t.Errorf("%d starts, want 10: the running tasks must go on", got)
+				}
+			})
+		})
+	}
+}
+
+// Runs of a job that ended before a leader took over hold their room until they
+// are gone.
+func TestRoomOfUnknownRunsIsNotUsed(t *testing.T) {
+	runSite(t, 3, 1, func(s *site) {
+		job := s.submit(usualQueue, usual(task(8), time.Minute, 0), workload.Step{Count: 1, Need: task(8), EstimateMS: 60000})
+		time.Sleep(time.Second)
+		leader := s.leader()
+		leader.setFault(simsite.LogSilent)
+		next := s.submit(usualQueue, usual(task(8), time.Second, 0), workload.Step{Count: 1, Need: task(8), EstimateMS: 1000})
+		// The ledger holds the end of the job; its run goes on.
+		s.ledger.Put(ledger.ProgressRecord(job, &ledger.Progress{Phase: ledger.Cancelled, EndedMS: time.Now().UnixMilli()}))
+		time.Sleep(2 * time.Second)
+		leader.kill()
+		leader.Wait()
+		s.nodes = remove(s.nodes, leader)
+		s.awaitPhase(next, ledger.Completed, 8*time.Second)
+	})
+}
+
+func remove(nodes []*testNode, gone *testNode) []*testNode {
+	var left []*testNode
+	for _, n := range nodes {
+		if n != gone {
+			left = append(left, n)
+		}
+	}
+	return left
+}
+
+func TestTasksOfWorkersInTroubleRunElsewhere(t *testing.T) {
+	for name, trouble := range map[string]func(w *simsite.Worker){
+		"silent": func(w *simsite.Worker) { w.Silent = true },
+		"hangs":  func(w *simsite.Worker) { w.Hangs = true },
+		"fails":  func(w *simsite.Worker) { w.Fails = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runSite(t, 3, 8, func(s *site) {
+				s.fleet.Update(func() { trouble(s.workers[0]) })
+				var jobs []string
+				for range 4 {
+					jobs = append(jobs, s.submit(usualQueue, usual(task(4), 2*time.Second, 4), workload.Step{Count: 4, Need: task(4), Gang: true, EstimateMS: 2000}))
+				}
+				for _, job := range jobs {
+					s.awaitPhase(job, ledger.Completed, 20*time.Second)
+				}
+			})
+		})
+	}
+}
+
+// A start that happened although its answer was lost is found and kept.
+func TestStartsWithLostAnswersAreKept(t *testing.T) {
+	runSite(t, 3, 4, func(s *site) {
+		s.fleet.Update(func() { s.workers[0].LoseStarts = true })
+		job := s.submit(usualQueue, usual(task(4), 4*time.Second, 8), workload.Step{Count: 8, Need: task(4), Gang: true, EstimateMS: 4000})
+		s.awaitPhase(job, ledger.Completed, 8*time.Second)
+		if got := s.fleet.Starts(); got != 8 {
+			t.Errorf("%d starts, want 8", got)
+		}
+	})
+}
+
+func TestGuaranteeIsReclaimed(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		for range 2 {
+			s.submit(bulkQueue, usual(task(1), time.Minute, 0), workload.Step{Count: 32, Need: task(1), EstimateMS: 60000})
+		}
+		time.Sleep(2 * time.Second)
+		job := s.submit(urgentQueue, usual(task(8), time.Second, 3), workload.Step{Count: 3, Need: task(8), Gang: true, SameRack: true, EstimateMS: 1000})
+		s.awaitPhase(job, ledger.Completed, 3400*time.Millisecond+time.Second)
+	})
+}
+
+func TestCancelledJobStops(t *testing.T) {
+	runSite(t, 3, 4, func(s *site) {
+		job := s.submit(bulkQueue, usual(task(1), time.Minute, 0), workload.Step{Count: 8, Need: task(1), EstimateMS: 60000})
+		time.Sleep(time.Second)
+		if known, err := s.follower().Intake.Cancel(s.ctx, job); err != nil || !known {
+			t.Fatalf("cancel: known %v, error %v", known, err)
+		}
+		s.awaitPhase(job, ledger.Cancelled, 100*time.Millisecond)
+		time.Sleep(3*time.Second + 900*time.Millisecond)
+		for _, w := range s.workers {
+			if n := w.Running(); n != 0 {
+				t.Errorf("%d runs on %s", n, w.Info.ID)
+			}
+		}
+	})
+}
+
+// A job that was cancelled before its submission arrived never runs.
+func TestCancelledBeforeItsSubmission(t *testing.T) {
+	runSite(t, 3, 4, func(s *site) {
+		id := "00000000000000ff"
+		if known, err := s.follower().Intake.Cancel(s.ctx, id); err != nil || known {
+			t.Fatalf("cancel: known %v, error %v", known, err)
+		}
+		job := &workload.Job{ID: id, Queue: usualQueue, Service: "desk", Steps: []workload.Step{{Count: 1, Need: task(1)}}}
+		if err := s.follower().Intake.Submit(s.ctx, job); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if s.fleet.Starts() != 0 {
+			t.Error("the job ran")
+		}
+	})
+}
+
+// All nodes die at once; new ones find every accepted job.
+func TestAllNodesReplaced(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		job := s.submit(usualQueue, usual(task(4), 9*time.Second, 4), workload.Step{Count: 4, Need: task(4), Gang: true, EstimateMS: 9000})
+		waiting := s.submit(bulkQueue, usual(task(1), time.Second, 0), workload.Step{Count: 80, Need: task(1), EstimateMS: 1000})
+		for _, n := range s.nodes {
+			n.kill()
+			n.Wait()
+		}
+		s.nodes = nil
+		s.ledger.Trim()
+		time.Sleep(time.Second)
+		for _, name := range []string{"new-0", "new-1"} {
+			s.addNode(name)
+		}
+		s.awaitPhase(job, ledger.Completed, 14*time.Second)
+		s.awaitPhase(waiting, ledger.Completed, 14*time.Second)
+	})
+}
+
+func TestZoneThatIsOutGetsNothing(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		s.operators.Put(recordOf("zone-rack-0", "{}"))
+		time.Sleep(time.Second)
+		job := s.submit(bulkQueue, usual(task(1), time.Second, 0), workload.Step{Count: 40, Need: task(1), EstimateMS: 1000})
+		for range 20 {
+			for _, w := range s.workers[:testRackSize] {
+				if w.Running() > 0 {
+					t.Fatalf("a task runs on %s", w.Info.ID)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.operators.Put(recordOf("zone-rack-0", ""))
+		s.awaitPhase(job, ledger.Completed, 5*time.Second)
+	})
+}
--- /dev/null
+++ b/pkg/entry/site_test.go
@@ -0,0 +1,229 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/catalog"
+	"github.com/shallotpin/shallotpin/pkg/dispatch"
+	"github.com/shallotpin/shallotpin/pkg/election"
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/simsite"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+// site is a set of nodes, a log and workers in one bubble of virtual time.
+type site struct {
+	t         *testing.T
+	ctx       context.Context
+	cancel    context.CancelFunc
+	ledger    *simsite.Log
+	operators *simsite.Log
+	entries   *simsite.Log
+	fleet     *simsite.Fleet
+	workers   []*simsite.Worker
+	nodes     []*testNode
+	version   int64
+	behave    map[workload.UnitID]func(index int) simsite.Behaviour
+}
+
+type testNode struct {
+	*Node
+	kill    context.CancelFunc
+	clients []*simsite.Client
+}
+
+func (n *testNode) setFault(f simsite.LogFault) {
+	for _, c := range n.clients {
+		c.SetFault(f)
+	}
+}
+
+const (
+	testRackSize = 4
+	urgentQueue  = "urgent"
+	usualQueue   = "usual"
+	bulkQueue    = "bulk"
+)
+
+var wholeWorker = workload.Resources{MilliCores: 64000, MemoryMB: 262144, Accelerators: 8}
+
+// testSettings are those of the users' sites.
+func testSettings() dispatch.Settings {
+	silence := 2 * time.Second
+	return dispatch.Settings{LeaseTime: 6 * time.Second, ClockDrift: 0.02, GangWait: 3 * time.Second, StopTime: 900 * time.Millisecond, SaveEvery: 2 * time.Second,
+		KeepEnded: 2 * time.Minute, Election: election.Settings{Silence: silence, ReadGap: LongestRead, Stagger: silence / 20, OrderBound: silence, RenewBound: 3 * silence, Beat: silence / 4}}
+}
+
+// runSite runs a test with a site of so many nodes and workers, and checks at its
+// end that the scheduler has kept its promises.
+func runSite(t *testing.T, nodes, workers int, test func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := &site{t: t, ctx: ctx, cancel: cancel, ledger: simsite.NewLog(), operators: simsite.NewLog(), entries: simsite.NewLog(), behave: map[workload.UnitID]func(int) simsite.Behaviour{}}
+		s.fleet = simsite.NewFleet(ctx, func(id workload.TaskID) simsite.Behaviour { return s.behave[id.UnitID](id.Index) })
+		for i := range workers {
+			rack := fmt.Sprintf("rack-%d", i/testRackSize)
+			s.workers = append(s.workers, s.fleet.Add(catalog.Worker{ID: fmt.Sprintf("w%02d", i), Born: 1, Service: "desk", Address: "a", Zone: "zone-" + rack, Rack: rack,
+				Labels: []string{rack}, Capacity: wholeWorker}))
+		}
+		s.publish()
+		go s.beat()
+		for i := range nodes {
+			s.addNode(fmt.Sprintf("node-%d", i))
+		}
+		time.Sleep(time.Second)
+		defer s.close()
+		test(s)
+		for _, broken := range s.fleet.Broken() {
+			t.Error(broken)
+		}
+	})
+}
+
+// close ends the site, also after a failure.
+func (s *site) close() {
+	s.cancel()
+	// The goroutines end with their next step.
+	time.Sleep(5 * time.Second)
+}
+
+// beat writes what the workers say of themselves.
+func (s *site) beat() {
+	for s.ctx.Err() == nil {
+		var records []backend.KeyedRecord
+		s.fleet.Update(func() {
+			for _, w := range s.workers {
+				if !w.Silent {
+					records = append(records, w.EntryRecord())
+				}
+			}
+		})
+		s.entries.Put(records...)
+		time.Sleep(1500 * time.Millisecond)
+	}
+}
+
+// publish writes the next version of the configuration.
+func (s *site) publish() {
+	s.version++
+	c := catalog.Config{Version: s.version, Accounts: []catalog.Account{{Name: "coopers", Keys: []string{"key"}, GuaranteedAccelerators: 32}}}
+	for priority, name := range []string{urgentQueue, usualQueue, bulkQueue} {
+		c.Queues = append(c.Queues, catalog.Queue{Name: name, Host: "host", PathPrefix: "/" + name + "/", Service: "desk", Priority: priority, MaxAttempts: 3, Stretch: 3, Slack: time.Second})
+	}
+	data, err := json.Marshal(c)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.operators.Put(backend.KeyedRecord{Key: "config", Value: data})
+}
+
+func decodeOperator(r backend.KeyedRecord) (catalog.Change, error) {
+	switch {
+	case r.Key == "config":
+		var c catalog.Config
+		err := json.Unmarshal(r.Value, &c)
+		c.Index()
+		return catalog.Change{Config: &c}, err
+	case len(r.Value) == 0:
+		return catalog.Change{ZoneIn: r.Key}, nil
+	default:
+		return catalog.Change{ZoneOut: r.Key}, nil
+	}
+}
+
+func (s *site) addNode(name string) *testNode {
+	ctx, kill := context.WithCancel(s.ctx)
+	n := &testNode{kill: kill, clients: []*simsite.Client{s.ledger.Client(), s.operators.Client(), s.entries.Client()}}
+	began := time.Now()
+	n.Node = New(Settings{Node: name, Dispatch: testSettings(), MaxBatchBytes: 1 << 20, Now: func() time.Duration { return time.Hour + time.Since(began) }, UnixMS: func() int64 { return time.Now().UnixMilli() }},
+		Platform{Ledger: n.clients[0], Operators: n.clients[1], Workers: n.clients[2], Orders: s.fleet, DecodeOperator: decodeOperator, DecodeWorker: simsite.DecodeWorker})
+	n.Start(ctx)
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
+// leader returns the node that leads.
+func (s *site) leader() *testNode {
+	s.t.Helper()
+	for range 100 {
+		for _, n := range s.nodes {
+			if n.Leading() {
+				return n
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.t.Fatal("nobody leads")
+	return nil
+}
+
+// follower returns a node that does not lead.
+func (s *site) follower() *testNode {
+	leader := s.leader()
+	for _, n := range s.nodes {
+		if n != leader {
+			return n
+		}
+	}
+	return leader
+}
+
+var jobCount int
+
+// submit hands a job in through a node that does not lead.
+func (s *site) submit(queue string, behave func(index int) simsite.Behaviour, steps ...workload.Step) string {
+	s.t.Helper()
+	jobCount++
+	job := &workload.Job{ID: fmt.Sprintf("%016x", jobCount), Queue: queue, Service: "desk", Account: "coopers", Payload: "{}", Steps: steps, SubmittedMS: time.Now().UnixMilli()}
+	for step := range steps {
+		s.fleet.Update(func() { s.behave[workload.UnitID{Job: job.ID, Step: step}] = behave })
+	}
+	if err := s.follower().Intake.Submit(s.ctx, job); err != nil {
+		s.t.Fatalf("submission: %v", err)
+	}
+	return job.ID
+}
+
+// phase asks a node for the phase of a job.
+func (s *site) phase(id string) ledger.Phase {
+	s.t.Helper()
+	phase, err := s.follower().Intake.Phase(s.ctx, id)
+	if err != nil {
+		s.t.Fatalf("phase of %s: %v", id, err)
+	}
+	return phase
+}
+
+// awaitPhase waits until a job has a phase, for so long at the most.
+func (s *site) awaitPhase(id string, want ledger.Phase, within time.Duration) {
+	s.t.Helper()
+	deadline := time.Now().Add(within)
+	for time.Now().Before(deadline) {
+		if s.phase(id) == want {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	s.t.Errorf("job %s is %q after %s, want %q", id, s.phase(id), within, want)
+}
+
+// task returns the need of a task that takes so many of a worker's accelerators.
+func task(accelerators int) workload.Resources {
+	return workload.Resources{MilliCores: 8000 * accelerators, MemoryMB: 32768 * accelerators, Accelerators: accelerators}
+}
+
+// usual returns the behaviour of tasks that all work for the same time.
+func usual(need workload.Resources, work time.Duration, gang int) func(int) simsite.Behaviour {
+	return func(int) simsite.Behaviour { return simsite.Behaviour{Need: need, Work: work, Gang: gang} }
+}
+
+func recordOf(key, value string) backend.KeyedRecord {
+	return backend.KeyedRecord{Key: key, Value: []byte(value)}
+}
--- /dev/null
+++ b/pkg/simsite/workers.go
@@ -0,0 +1,360 @@
+package simsite
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/catalog"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+// Behaviour is how a task runs.
+type Behaviour struct {
+	Need workload.Resources
+	Work time.Duration
+	// Gang is the number of members, 0 for a task that runs by itself.
+	Gang int
+	// Fails makes the task end as failed.
+	Fails bool
+}
+
+// Fleet is a set of workers in memory. It implements backend.Orders and keeps
+// what breaks the promises of the scheduler.
+type Fleet struct {
+	// Behave says how a task runs.
+	Behave   func(id workload.TaskID) Behaviour
+	StopTime time.Duration
+	GangWait time.Duration
+
+	mu      sync.Mutex
+	workers map[string]*Worker
+	gangs   map[gangKey][]*active
+	done    map[workload.TaskID]bool
+	// Broken lists the promises that were broken.
+	broken []string
+	// Starts counts the tasks begun.
+	starts int
+}
+
+type gangKey struct {
+	unit workload.UnitID
+	run  int64
+}
+
+// Worker is one worker of a fleet.
+type Worker struct {
+	Info catalog.Worker
+	// Silent workers get no orders and give no answers.
+	Silent bool
+	// Hangs makes what runs stand still, Fails makes it fail.
+	Hangs, Fails bool
+	// LoseStarts makes starts happen without an answer.
+	LoseStarts bool
+
+	fleet *Fleet
+	epoch time.Time
+	fence int64
+	runs  map[workload.TaskID]*active
+	over  map[workload.TaskID]int64
+	ended []backend.EndedRun
+	ends  int64
+	until int64
+	woken chan struct{}
+}
+
+type active struct {
+	id      backend.RunID
+	worker  *Worker
+	b       Behaviour
+	begun   time.Time
+	working bool
+	ready   bool
+	stopAt  time.Time
+	percent int
+}
+
+// step is how often the workers' state moves on.
+const step = 10 * time.Millisecond
+
+// NewFleet returns a fleet without workers. Its clockwork ends with ctx.
+func NewFleet(ctx context.Context, behave func(workload.TaskID) Behaviour) *Fleet {
+	f := &Fleet{Behave: behave, StopTime: 900 * time.Millisecond, GangWait: 3 * time.Second, workers: map[string]*Worker{},
+		gangs: map[gangKey][]*active{}, done: map[workload.TaskID]bool{}}
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(step)
+			f.move()
+		}
+	}()
+	return f
+}
+
+// Add adds a worker.
+func (f *Fleet) Add(info catalog.Worker) *Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := &Worker{Info: info, fleet: f, epoch: time.Now().Add(-time.Hour), runs: map[workload.TaskID]*active{}, over: map[workload.TaskID]int64{}, woken: make(chan struct{})}
+	f.workers[info.ID] = w
+	return w
+}
+
+// Update changes workers between their steps.
+func (f *Fleet) Update(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// Broken returns the promises that were broken.
+func (f *Fleet) Broken() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.broken)
+}
+
+// Starts returns how many tasks have begun.
+func (f *Fleet) Starts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts
+}
+
+// Running returns how many runs there are on a worker.
+func (w *Worker) Running() int {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return len(w.runs)
+}
+
+// EntryRecord returns what the worker says of itself.
+func (w *Worker) EntryRecord() backend.KeyedRecord {
+	info := w.Info
+	info.ClockMS = w.clock()
+	data, err := json.Marshal(info)
+	if err != nil {
+		panic(err)
+	}
+	return backend.KeyedRecord{Key: info.ID, Value: data}
+}
+
+// DecodeWorker decodes what EntryRecord encodes.
+func DecodeWorker(r backend.KeyedRecord) (catalog.Worker, error) {
+	var w catalog.Worker
+	err := json.Unmarshal(r.Value, &w)
+	return w, err
+}
+
+func (w *Worker) clock() int64 { return time.Since(w.epoch).Milliseconds() }
+
+func (f *Fleet) breach(format string, args ...any) {
+	f.broken = append(f.broken, fmt.Sprintf(format, args...))
+}
+
+// orderTime is how long an order takes.
+const orderTime = 2 * time.Millisecond
+
+var errSilence = errors.New("no answer")
+
+// enter finds the worker of an order, and checks the term.
+func (f *Fleet) enter(ctx context.Context, ref backend.WorkerRef, term int64) (*Worker, error) {
+	time.Sleep(orderTime)
+	f.mu.Lock()
+	w := f.workers[ref.ID]
+	if w == nil || w.Silent {
+		f.mu.Unlock()
+		<-ctx.Done()
+		return nil, &backend.OrderError{Kind: backend.OrderUnanswered, Cause: errSilence}
+	}
+	if term < w.fence {
+		f.mu.Unlock()
+		return nil, &backend.OrderError{Kind: backend.OrderFenced}
+	}
+	w.fence = term
+	return w, nil
+}
+
+// Start implements backend.Orders.
+func (f *Fleet) Start(ctx context.Context, ref backend.WorkerRef, o backend.StartOrder) (int64, error) {
+	w, err := f.enter(ctx, ref, o.Term)
+	if err != nil {
+		return 0, err
+	}
+	err = w.start(o)
+	lost := w.LoseStarts
+	clock := w.clock()
+	f.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return 0, &backend.OrderError{Kind: backend.OrderUnanswered, Cause: errSilence}
+	}
+	return clock, err
+}
+
+func (w *Worker) start(o backend.StartOrder) error {
+	f, id := w.fleet, o.Run.Task
+	if o.LeaseUntilMS <= w.clock() {
+		return &backend.OrderError{Kind: backend.OrderLate}
+	}
+	w.until = max(w.until, o.LeaseUntilMS)
+	if r := w.runs[id]; r != nil && r.id == o.Run {
+		return nil
+	}
+	if o.Run.Number <= w.over[id] {
+		return &backend.OrderError{Kind: backend.OrderStale}
+	}
+	b := f.Behave(id)
+	used := b.Need
+	for _, r := range w.runs {
+		used = used.Add(r.b.Need)
+	}
+	if !used.Fits(w.Info.Capacity) {
+		f.breach("worker %s is over its capacity with task %v", w.Info.ID, id)
+	}
+	for _, other := range f.workers {
+		if r := other.runs[id]; r != nil {
+			f.breach("task %v runs on %s and %s", id, other.Info.ID, w.Info.ID)
+		}
+	}
+	if f.done[id] {
+		f.breach("task %v starts again after it was done", id)
+	}
+	f.starts++
+	r := &active{id: o.Run, worker: w, b: b, begun: time.Now(), working: b.Gang == 0}
+	w.runs[id] = r
+	if b.Gang > 0 {
+		key := gangKey{id.UnitID, o.Run.Number}
+		f.gangs[key] = append(f.gangs[key], r)
+		if len(f.gangs[key]) == b.Gang {
+			for _, m := range f.gangs[key] {
+				m.working, m.begun = true, time.Now()
+			}
+		}
+	}
+	return nil
+}
+
+// Stop implements backend.Orders.
+func (f *Fleet) Stop(ctx context.Context, ref backend.WorkerRef, run backend.RunID, term int64) (int64, error) {
+	w, err := f.enter(ctx, ref, term)
+	if err != nil {
+		return 0, err
+	}
+	defer f.mu.Unlock()
+	w.over[run.Task] = max(w.over[run.Task], run.Number)
+	if r := w.runs[run.Task]; r != nil && r.id.Number <= run.Number && r.stopAt.IsZero() {
+		r.stopAt = time.Now().Add(f.StopTime)
+	}
+	return w.clock(), nil
+}
+
+// Hold implements backend.Orders.
+func (f *Fleet) Hold(ctx context.Context, ref backend.WorkerRef, o backend.HoldOrder) (backend.HoldReply, error) {
+	w, err := f.enter(ctx, ref, o.Term)
+	if err != nil {
+		return backend.HoldReply{}, err
+	}
+	w.until = max(w.until, o.LeaseUntilMS)
+	w.ended = slices.DeleteFunc(w.ended, func(e backend.EndedRun) bool { return e.Number <= o.SeenUpTo })
+	if len(w.ended) == 0 && o.Wait > 0 {
+		woken := w.woken
+		f.mu.Unlock()
+		select {
+		case <-woken:
+		case <-time.After(o.Wait):
+		case <-ctx.Done():
+		}
+		f.mu.Lock()
+	}
+	if w.Silent {
+		f.mu.Unlock()
+		<-ctx.Done()
+		return backend.HoldReply{}, &backend.OrderError{Kind: backend.OrderUnanswered, Cause: errSilence}
+	}
+	defer f.mu.Unlock()
+	reply := backend.HoldReply{ClockMS: w.clock(), Born: w.Info.Born, Ended: slices.Clone(w.ended)}
+	for _, r := range w.runs {
+		reply.Active = append(reply.Active, backend.ActiveRun{Run: r.id, Percent: r.percent})
+	}
+	return reply, nil
+}
+
+// move lets time pass on all workers.
+func (f *Fleet) move() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, w := range f.workers {
+		for _, r := range w.runs {
+			if r.working && !w.Hangs && r.b.Work > 0 {
+				r.percent = min(100, int(100*now.Sub(r.begun)/r.b.Work))
+			}
+			switch {
+			case w.clock() > w.until:
+				w.end(r, backend.OutcomeLapsed)
+			case !r.stopAt.IsZero() && !now.Before(r.stopAt):
+				w.end(r, backend.OutcomeStopped)
+			case r.working && w.Fails, r.working && r.b.Fails && r.percent >= 100:
+				w.end(r, backend.OutcomeFailed)
+			case !r.working && now.Sub(r.begun) > f.GangWait:
+				w.end(r, backend.OutcomeAlone)
+				f.breach("task %v waited for its gang for too long", r.id.Task)
+			case r.working && r.percent >= 100 && r.b.Gang == 0:
+				w.end(r, backend.OutcomeDone)
+			case r.working && r.percent >= 100 && !r.ready:
+				r.ready = true
+				f.finishGang(r)
+			}
+		}
+	}
+}
+
+func (f *Fleet) finishGang(r *active) {
+	members := f.gangs[gangKey{r.id.Task.UnitID, r.id.Number}]
+	for _, m := range members {
+		if !m.ready {
+			return
+		}
+	}
+	for _, m := range members {
+		m.worker.end(m, backend.OutcomeDone)
+	}
+}
+
+// end ends a run, and with it its gang.
+func (w *Worker) end(r *active, outcome backend.Outcome) {
+	id := r.id.Task
+	if w.runs[id] != r {
+		return
+	}
+	delete(w.runs, id)
+	w.over[id] = max(w.over[id], r.id.Number)
+	w.ends++
+	w.ended = append(w.ended, backend.EndedRun{Number: w.ends, Run: r.id, Outcome: outcome})
+	if outcome == backend.OutcomeDone {
+		w.fleet.done[id] = true
+	}
+	close(w.woken)
+	w.woken = make(chan struct{})
+	if r.b.Gang > 0 && outcome != backend.OutcomeDone {
+		for _, m := range w.fleet.gangs[gangKey{id.UnitID, r.id.Number}] {
+			if m != r {
+				m.worker.end(m, backend.OutcomeBroken)
+			}
+		}
+	}
+}
+
+// Restart makes a worker a new incarnation under its ID, which knows nothing.
+func (w *Worker) Restart() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.runs, w.over, w.ended, w.ends, w.until, w.fence = map[workload.TaskID]*active{}, map[workload.TaskID]int64{}, nil, 0, 0, 0
+	w.epoch = time.Now()
+	w.Info.Born++
+}
