Record on which workers a job's tasks may run before they start there

The ledger now names the workers of each job before the orders are sent, as a plan that is checked again when it is applied; a takeover holds back only the jobs whose own workers do not answer.

A worker now is silent only while it leaves calls unanswered.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -54,9 +54,7 @@
 	jobs    map[string]*job
 	workers map[string]*worker
 	view    View
-	// settled says that every worker that an earlier leader used has answered
-	// in this term, or that its leases have ended.
-	settled   bool
+	// settledBy is when every lease that an earlier leader gave has ended.
 	settledBy time.Duration
 	runs      int64
 	dirty     bool
@@ -79,12 +77,7 @@
 func (e *Engine) Load(state *ledger.State) {
 	now := e.Now()
 	e.view = e.View()
-	for key, a := range state.Workers {
-		w := e.addWorker(key, catalog.Worker{ID: workerID(key), Address: a.Address, Zone: a.Zone, Service: a.Service})
-		w.enrolled, w.leaseEnd = true, now
-	}
 	e.settledBy = now + e.Settings.Election.RenewBound + e.leaseSpan()
-	e.settled = len(state.Workers) == 0
 	for id, entry := range state.Jobs {
 		e.update(id, entry, true)
 	}
@@ -148,7 +141,7 @@
 // ViewChanged tells the engine to look at the view again.
 func (e *Engine) ViewChanged() {
 	select {
-	case e.events <- func() { e.view = e.View(); e.syncWorkers(); e.enroll(); e.dirty = true }:
+	case e.events <- func() { e.view = e.View(); e.syncWorkers(); e.dirty = true }:
 	default:
 	}
 }
@@ -156,7 +149,6 @@
 func (e *Engine) onTick() {
 	now := e.Now()
 	e.view = e.View()
-	e.enroll()
 	e.checkWorkers(now)
 	e.checkRuns(now)
 	e.dirty = true
@@ -175,7 +167,7 @@
 		}
 		j = e.addJob(entry, inherited)
 		e.jobs[id] = j
-		klog.InfoS("dispatch: job taken", "job", id, "queue", j.spec.Queue, "account", j.spec.Account, "steps", len(j.spec.Steps), "inherited", inherited, "term", e.Term.Number)
+		klog.InfoS("dispatch: job taken", "job", id, "queue", j.spec.Queue, "account", j.spec.Account, "steps", len(j.spec.Steps), "inherited_from", j.inherited, "term", e.Term.Number)
 	}
 	if entry.Progress.Phase.Ended() {
 		j.recorded = true
@@ -190,7 +182,10 @@
 
 func (e *Engine) addJob(entry *ledger.Entry, inherited bool) *job {
 	spec := entry.Job
-	j := &job{spec: spec, inherited: inherited, progress: entry.Progress, service: spec.Service, maxAttempts: 1, priority: lowestPriority}
+	j := &job{spec: spec, progress: entry.Progress, service: spec.Service, maxAttempts: 1, priority: lowestPriority}
+	if inherited {
+		j.inherited = entry.Progress.Workers
+	}
 	// The engine's copy goes ahead of the ledger's.
 	j.progress.Done = slices.Clone(j.progress.Done)
 	j.progress.Checkpoints = map[int]string{}
@@ -257,11 +252,13 @@
 		return
 	}
 	var records []backend.KeyedRecord
+	var planned []*run
 	for id, j := range e.jobs {
 		if j.unsaved {
 			j.unsaved = false
 			p := j.progress
 			p.Term = e.Term.Number
+			p.Workers, planned = j.holders(planned)
 			records = append(records, ledger.ProgressRecord(id, &p))
 		} else if j.recorded && !j.hasRuns() {
 			delete(e.jobs, id)
@@ -294,12 +291,32 @@
 				w.noted = max(w.noted, n)
 				e.scheduleHold(w, 0)
 			}
+			e.order(planned)
 			e.dirty = true
 			e.flush()
 		})
 	}()
 }
 
+// holders returns the workers that hold runs of the job or are about to, and
+// adds the planned runs to a list.
+func (j *job) holders(planned []*run) ([]string, []*run) {
+	var keys []string
+	for _, u := range j.units {
+		for _, t := range u.tasks {
+			if t.run == nil {
+				continue
+			}
+			keys = append(keys, t.run.worker.key)
+			if t.run.phase == runPlanned {
+				planned = append(planned, t.run)
+			}
+		}
+	}
+	slices.Sort(keys)
+	return slices.Compact(keys), planned
+}
+
 func (j *job) hasRuns() bool {
 	for _, u := range j.units {
 		for _, t := range u.tasks {
@@ -338,6 +355,9 @@
 		if !w.clockKnown && info.ClockMS != 0 {
 			w.clock, w.clockKnown = info.ClockMS-info.Heard.Milliseconds(), true
 		}
+		if e.ctx != nil && !w.fenced {
+			e.scheduleHold(w, e.Now())
+		}
 	}
 	for key, w := range e.workers {
 		if listed[key] || !w.listed {
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -12,10 +12,12 @@
 // job is a job that has not ended.
 type job struct {
 	spec *workload.Job
-	// inherited jobs were submitted before this leader's term.
-	inherited bool
+	// inherited are the workers on which an earlier leader may have started tasks.
+	inherited []string
 	cancelled bool
 	progress  ledger.Progress
+	// complained says that the wait for inherited was logged.
+	complained bool
 	// recorded says that the ledger is known to hold the job's end.
 	recorded bool
 	// unsaved says that progress differs from the ledger.
@@ -66,6 +68,8 @@
 type runPhase string
 
 const (
+	// runPlanned runs hold room until the ledger names their workers.
+	runPlanned runPhase = "planned"
 	// runStarting runs have an order under way.
 	runStarting runPhase = "starting"
 	// runActive runs are known to have started.
@@ -99,17 +103,18 @@
 	info catalog.Worker
 	// listed says that the platform's list has the worker.
 	listed bool
-	// enrolled says that the ledger names the worker.
-	enrolled, enrolling bool
-	// fenced says that the worker has answered in this term.
+	// fenced says that the worker has answered in this term: orders of earlier
+	// leaders have no effect there any more, and what runs there is known.
 	fenced bool
 	runs   map[workload.TaskID]*run
 	used   workload.Resources
 	// clock is the worker's clock less the engine's, in milliseconds, a lower bound.
 	clock      int64
 	clockKnown bool
-	// answered is the send time of the last call that was answered.
+	// answered is when the worker last answered a call.
 	answered time.Duration
+	// asked is when the first call was sent that is unanswered, 0 if there is none.
+	asked time.Duration
 	// leaseEnd is when everything that was ordered has ended unless it was renewed.
 	leaseEnd time.Duration
 	holding  bool
@@ -128,6 +133,22 @@
 	listedClock int64
 }
 
+// current says whether the run is the present one of its task.
+func (r *run) current() bool { return r.worker.runs[r.task.id] == r }
+
+// ask notes that a call is sent.
+func (w *worker) ask(now time.Duration) {
+	if w.asked == 0 {
+		w.asked = now
+	}
+}
+
+// answer notes that the worker has answered a call.
+func (w *worker) answer(now time.Duration) { w.answered, w.asked = now, 0 }
+
+// silent says whether the worker leaves calls unanswered.
+func (w *worker) silent(now time.Duration) bool { return w.asked != 0 && now-w.asked > contactBound }
+
 func (w *worker) ref() backend.WorkerRef {
 	return backend.WorkerRef{ID: w.info.ID, Address: w.info.Address}
 }
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -145,7 +144,7 @@
 // open says whether new tasks may start on the worker.
 func (e *Engine) open(w *worker, now time.Duration) bool {
 	return w.listed && !w.info.Draining && !e.view.ZonesOut[w.info.Zone] && len(w.strays) == 0 && now >= w.closedUntil &&
-		(!w.enrolled || w.fenced) && (len(w.runs) == 0 || now-w.answered <= contactBound)
+		w.fenced && !w.silent(now)
 }
 
 // accelerator counts as so many cores in lost work.
@@ -197,7 +196,14 @@
 	unixMS := e.UnixMS()
 	var units []*placement.Unit
 	for _, j := range e.jobs {
-		if j.progress.Phase.Ended() || j.cancelled || j.inherited && !e.settled {
+		if j.progress.Phase.Ended() || j.cancelled {
+			continue
+		}
+		if key, blocked := e.unaccounted(j, now); blocked {
+			if !j.complained {
+				j.complained = true
+				klog.InfoS("dispatch: tasks of an earlier leader may run unseen", "job", j.spec.ID, "worker", key, "at_most", e.settledBy-now)
+			}
 			continue
 		}
 		objective := e.objective(j)
@@ -330,44 +336,50 @@
 	}
 }
 
-// startUnit starts tasks of a unit. The ledger must name all their workers, so
-// that a later leader knows where to look for them.
+// startUnit plans the starts of tasks of a unit. The orders follow once the
+// ledger names their workers, so that a later leader knows where to look.
 func (e *Engine) startUnit(u *unit, targets map[int]*worker, now time.Duration) {
 	number := e.nextRun()
 	u.aborting, u.gangSince = false, now
 	for _, i := range slices.Sorted(maps.Keys(targets)) {
-		e.startRun(u.tasks[i], targets[i], number)
+		t, w := u.tasks[i], targets[i]
+		r := &run{id: backend.RunID{Task: t.id, Number: number}, task: t, worker: w, need: u.step.Demand(), phase: runPlanned, ordered: now}
+		t.run = r
+		w.runs[t.id] = r
+		w.used = w.used.Add(r.need)
 	}
+	if j := u.job; j.progress.Phase == "" || j.progress.Phase == ledger.Queued {
+		j.progress.Phase = ledger.Running
+		e.histogram.Update(float64(e.UnixMS()-j.spec.SubmittedMS) / 1000)
+	}
+	u.job.unsaved = true
 }
 
-// enroll records the listed workers that the ledger does not name yet. Nothing
-// starts on them before.
-func (e *Engine) enroll() {
-	var records []backend.KeyedRecord
-	var enrolled []*worker
-	for _, w := range e.workers {
-		if w.listed && !w.enrolled && !w.enrolling && !w.info.Draining {
-			w.enrolling = true
-			enrolled = append(enrolled, w)
-			records = append(records, ledger.WorkerRecord(w.key, ledger.Assignment{Term: e.Term.Number, Address: w.info.Address, Zone: w.info.Zone, Service: w.info.Service}))
+// order gives the orders for planned runs, if what was known when they were
+// planned still holds.
+func (e *Engine) order(planned []*run) {
+	now := e.Now()
+	e.view = e.View()
+	lost := map[*unit]bool{}
+	for _, r := range planned {
+		if r.current() && r.phase == runPlanned && !e.mayOrder(r, now) && r.task.unit.step.Gang {
+			lost[r.task.unit] = true
 		}
 	}
-	if len(records) == 0 {
-		return
+	for _, r := range planned {
+		switch {
+		case !r.current() || r.phase != runPlanned:
+		case lost[r.task.unit] || !e.mayOrder(r, now):
+			e.removeRun(r, "the plan is out of date")
+		default:
+			e.startRun(r, now)
+		}
 	}
-	go func() {
-		sent, err := e.Writer.Write(e.ctx, records...)
-		e.post(func() {
-			if err != nil {
-				e.fail(fmt.Errorf("the ledger refused the record of a worker: %w", err))
-				return
-			}
-			e.tenure.Confirm(sent)
-			for _, w := range enrolled {
-				// No earlier leader can have used the worker.
-				w.enrolled, w.enrolling, w.fenced = true, false, true
-			}
-			e.dirty = true
-		})
-	}()
+}
+
+// mayOrder checks a planned run against what is known now.
+func (e *Engine) mayOrder(r *run, now time.Duration) bool {
+	j := r.task.unit.job
+	return !j.progress.Phase.Ended() && !r.task.done && !r.task.unit.aborting && e.tenure.MayStart(now) &&
+		now-e.view.Confirmed <= freshBound && e.workers[r.worker.key] == r.worker && e.open(r.worker, now)
 }
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -23,42 +23,37 @@
 const runsPerTerm = 1_000_000
 
 // startRun orders a worker to start a task.
-func (e *Engine) startRun(t *task, w *worker, number int64) {
-	now := e.Now()
+func (e *Engine) startRun(r *run, now time.Duration) {
+	t, w := r.task, r.worker
 	u := t.unit
-	r := &run{id: backend.RunID{Task: t.id, Number: number}, task: t, worker: w, need: u.step.Demand(), phase: runStarting, ordered: now}
-	t.run = r
-	w.runs[t.id] = r
-	w.used = w.used.Add(r.need)
+	r.phase, r.ordered = runStarting, now
+	w.ask(now)
+	u.gangSince = now
 	order := backend.StartOrder{Run: r.id, Payload: u.job.spec.Payload, LeaseUntilMS: e.leaseUntil(w, now), Term: e.Term.Number, Checkpoint: t.checkpoint}
 	if u.step.Gang {
 		order.Checkpoint = u.checkpoint
 	}
-	klog.InfoS("dispatch: start", "job", t.id.Job, "task", u.id.String(), "index", t.id.Index, "run", number, "worker", w.info.ID, "zone", w.info.Zone, "rack", w.info.Rack,
+	klog.InfoS("dispatch: start", "job", t.id.Job, "task", u.id.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "zone", w.info.Zone, "rack", w.info.Rack,
 		"view_age", now-e.view.Confirmed, "worker_age", now-w.answered, "resumes", order.Checkpoint != "")
-	if j := u.job; j.progress.Phase == "" || j.progress.Phase == ledger.Queued {
-		j.progress.Phase, j.unsaved = ledger.Running, true
-		e.histogram.Update(float64(e.UnixMS()-j.spec.SubmittedMS) / 1000)
-	}
 	go func() {
 		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
 		defer cancel()
 		clock, err := e.Orders.Start(ctx, w.ref(), order)
-		e.post(func() { e.onStarted(r, now, clock, err) })
+		e.post(func() { e.onStarted(r, clock, err) })
 	}()
 }
 
 // onStarted handles the answer to a start.
-func (e *Engine) onStarted(r *run, sent time.Duration, clock int64, err error) {
+func (e *Engine) onStarted(r *run, clock int64, err error) {
 	w, now := r.worker, e.Now()
 	e.dirty = true
-	if w.runs[r.task.id] != r {
+	if !r.current() {
 		return
 	}
 	if err == nil {
-		w.answered = max(w.answered, sent)
+		w.answer(now)
 		w.fenced = true
-		e.noteClock(w, clock, sent)
+		e.noteClock(w, clock)
 		if r.phase == runStarting {
 			r.phase, r.active, r.percentSince = runActive, now, now
 		}
@@ -89,6 +84,10 @@
 
 // stopRun orders a worker to stop a run, repeatedly until its end is known.
 func (e *Engine) stopRun(r *run, why string) {
+	if r.phase == runPlanned {
+		e.removeRun(r, why)
+		return
+	}
 	if r.phase != runStopping {
 		klog.InfoS("dispatch: stop", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", r.worker.info.ID, "why", why)
 	}
@@ -107,7 +106,7 @@
 
 func (e *Engine) onStopped(r *run, err error) {
 	r.stopCalling = false
-	if r.worker.runs[r.task.id] != r {
+	if !r.current() {
 		return
 	}
 	var orderErr *backend.OrderError
@@ -146,7 +145,6 @@
 	t.run = r
 	w.runs[t.id] = r
 	w.used = w.used.Add(r.need)
-	w.enrolled = true
 	w.leaseEnd = max(w.leaseEnd, now+e.leaseSpan())
 	t.unit.gangSince = now
 	e.noteCheckpoint(t, a.Checkpoint)
@@ -322,7 +320,7 @@
 
 // checkGang gives up a gang of which only some members run.
 func (e *Engine) checkGang(u *unit, now time.Duration) {
-	if !u.step.Gang || u.idle() || !e.settled {
+	if !u.step.Gang || u.idle() || len(u.job.inherited) > 0 {
 		return
 	}
 	if u.aborting {
@@ -347,7 +345,7 @@
 // stalled says whether a run shows no progress for too long.
 func (e *Engine) stalled(r *run, now time.Duration) bool {
 	// A gang's member that is through with its part waits for the others.
-	if r.percent >= 100 || r.task.unit.step.LongRunning || now-r.worker.answered > contactBound || r.worker.answered < r.percentSince {
+	if r.percent >= 100 || r.task.unit.step.LongRunning || r.worker.silent(now) || r.worker.answered < r.percentSince {
 		return false
 	}
 	bound := stallBound
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -12,7 +12,6 @@
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/catalog"
-	"github.com/shallotpin/shallotpin/pkg/ledger"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
@@ -31,45 +30,44 @@
 	return n
 }
 
-// checkWorkers renews leases that are due and gives up workers whose leases have
-// ended unheard.
+// checkWorkers renews leases that are due, gives up workers whose leases have
+// ended unheard, and forgets those that are gone.
 func (e *Engine) checkWorkers(now time.Duration) {
-	unsettled := 0
-	for _, w := range e.workers {
-		if w.enrolled && !w.fenced {
-			unsettled++
-		}
-		if len(w.runs) > 0 && now > w.leaseEnd && now-w.answered > contactBound {
+	for key, w := range e.workers {
+		if len(w.runs) > 0 && now > w.leaseEnd && w.silent(now) {
 			e.loseWorker(w, "its leases have ended and it does not answer")
 		}
 		e.scheduleHold(w, now)
-		if !w.listed && w.fenced && len(w.runs) == 0 && w.noted >= w.seen || !w.listed && now > e.settledBy && len(w.runs) == 0 {
-			e.dropWorker(w)
+		if !w.listed && len(w.runs) == 0 && w.told >= w.seen {
+			delete(e.workers, key)
 		}
 	}
-	if !e.settled && (unsettled == 0 || now > e.settledBy) {
-		e.settled = true
-		klog.InfoS("dispatch: runs of earlier leaders are accounted for", "term", e.Term.Number, "silent_workers", unsettled)
-	}
 }
 
-// dropWorker forgets a worker that is gone and holds nothing.
-func (e *Engine) dropWorker(w *worker) {
-	delete(e.workers, w.key)
-	if !w.enrolled {
-		return
-	}
-	record := ledger.ForgetWorker(w.key)
-	go func() {
-		if _, err := e.Writer.Write(e.ctx, record); err != nil {
-			klog.InfoS("dispatch: could not record that a worker is gone", "worker", w.info.ID, "err", err)
+// unaccounted returns a worker on which tasks of the job, started by an earlier
+// leader, may still run unseen.
+func (e *Engine) unaccounted(j *job, now time.Duration) (string, bool) {
+	if now > e.settledBy {
+		j.inherited = nil
+	}
+	for _, key := range j.inherited {
+		if w := e.workers[key]; w != nil && w.fenced {
+			continue
 		}
-	}()
+		if listed, known := e.view.Workers[workerID(key)]; known && listed.Born > bornOf(key) {
+			continue
+		}
+		return key, true
+	}
+	if len(j.inherited) > 0 {
+		j.inherited = nil
+	}
+	return "", false
 }
 
 // wantsHold says whether the engine has to stay in touch with the worker.
 func (w *worker) wantsHold() bool {
-	return len(w.runs) > 0 || len(w.strays) > 0 || w.told < w.seen || w.enrolled && !w.fenced
+	return len(w.runs) > 0 || len(w.strays) > 0 || w.told < w.seen || w.listed && !w.fenced
 }
 
 // scheduleHold sends a renewal if one is due and none is under way.
@@ -82,7 +80,8 @@
 		return
 	}
 	order := backend.HoldOrder{Term: e.Term.Number, SeenUpTo: w.noted, Wait: holdWait}
-	silent := now-w.answered > contactBound
+	silent := w.silent(now)
+	w.ask(now)
 	if !w.clockKnown || silent || len(w.runs) == 0 || w.stopsOnly() {
 		order.Wait = 0
 	}
@@ -129,6 +128,7 @@
 	w.looking = true
 	order := backend.HoldOrder{Term: e.Term.Number, SeenUpTo: w.noted}
 	sent := e.Now()
+	w.ask(sent)
 	go func() {
 		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
 		defer cancel()
@@ -155,11 +155,11 @@
 		e.loseWorker(w, "another incarnation of the worker answered")
 		return
 	}
-	if now-w.answered > contactBound && len(w.runs) > 0 {
+	if w.silent(now) {
 		klog.InfoS("dispatch: worker answers again", "worker", w.info.ID, "silent", now-w.answered)
 	}
-	w.answered = max(w.answered, sent)
-	e.noteClock(w, reply.ClockMS, sent)
+	w.answer(now)
+	e.noteClock(w, reply.ClockMS)
 	w.told = max(w.told, order.SeenUpTo)
 	w.holdDue = now
 	listed := map[backend.RunID]bool{}
@@ -217,11 +217,11 @@
 }
 
 // noteClock derives a lower bound of the worker's clock from a reply.
-func (e *Engine) noteClock(w *worker, clockMS int64, sent time.Duration) {
+func (e *Engine) noteClock(w *worker, clockMS int64) {
 	if clockMS == 0 {
 		return
 	}
-	// The clock was read after the call was sent and before now.
+	// The clock was read before now.
 	w.clock = clockMS - e.Now().Milliseconds()
 	w.clockKnown = true
 }
@@ -232,6 +232,9 @@
 	if !errors.As(err, &orderErr) {
 		return
 	}
+	if orderErr.Kind != backend.OrderUnanswered {
+		w.answer(e.Now())
+	}
 	metrics.GetOrCreateCounter(`shallotpin_order_errors_total{kind="` + string(orderErr.Kind) + `"}`).Inc()
 	switch orderErr.Kind {
 	case backend.OrderFenced:
@@ -256,7 +259,6 @@
 	w.noted, w.told = w.seen, w.seen
 	if current, known := e.view.Workers[w.info.ID]; !known || workerKey(current) != w.key {
 		w.listed = false
-		e.dropWorker(w)
 	}
 	e.dirty = true
 }
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -1,5 +1,5 @@
 // Package ledger keeps what must outlast every node: the jobs, how far each of
-// them is, who leads, and which workers may hold tasks. The records of a keyed
+// them is, on which workers its tasks may run, and who leads. The records of a keyed
 // topic fold into a State; the fold is pure.
 package ledger
 
@@ -17,7 +17,6 @@
 	jobPrefix      = "j/"
 	cancelPrefix   = "c/"
 	progressPrefix = "p/"
-	workerPrefix   = "w/"
 	termKey        = "term"
 )
 
@@ -51,6 +50,9 @@
 	Failures map[int][]int64 `json:"f,omitempty"`
 	// Checkpoints holds the newest checkpoint of tasks that do not run.
 	Checkpoints map[int]string `json:"c,omitempty"`
+	// Workers are the workers on which tasks of the job may run. They are written
+	// before the tasks are started there.
+	Workers []string `json:"w,omitempty"`
 	// EndedMS is when the job ended, in Unix milliseconds.
 	EndedMS int64 `json:"e,omitempty"`
 }
@@ -64,14 +66,6 @@
 	Resigned bool `json:"r,omitempty"`
 }
 
-// Assignment names a worker incarnation that may hold tasks.
-type Assignment struct {
-	Term    int64  `json:"t"`
-	Address string `json:"a"`
-	Zone    string `json:"z"`
-	Service string `json:"s"`
-}
-
 // JobRecord stores a submission.
 func JobRecord(job *workload.Job) backend.KeyedRecord { return record(jobPrefix+job.ID, job) }
 
@@ -84,17 +78,11 @@
 // TermRecord stores who leads.
 func TermRecord(t Term) backend.KeyedRecord { return record(termKey, t) }
 
-// WorkerRecord stores that a worker may hold tasks.
-func WorkerRecord(id string, a Assignment) backend.KeyedRecord { return record(workerPrefix+id, a) }
-
 // ForgetJob returns the records that drop a job.
 func ForgetJob(id string) []backend.KeyedRecord {
 	return []backend.KeyedRecord{{Key: jobPrefix + id}, {Key: cancelPrefix + id}, {Key: progressPrefix + id}}
 }
 
-// ForgetWorker returns the record that drops a worker.
-func ForgetWorker(id string) backend.KeyedRecord { return backend.KeyedRecord{Key: workerPrefix + id} }
-
 // record encodes a value, whose types above all can be encoded.
 func record(key string, value any) backend.KeyedRecord {
 	data, err := json.Marshal(value)
@@ -130,14 +118,13 @@
 
 // State is the fold of the topic up to an offset.
 type State struct {
-	Jobs    map[string]*Entry
-	Term    Term
-	Workers map[string]Assignment
+	Jobs map[string]*Entry
+	Term Term
 }
 
 // NewState returns the state of an empty topic.
 func NewState() *State {
-	return &State{Jobs: map[string]*Entry{}, Workers: map[string]Assignment{}}
+	return &State{Jobs: map[string]*Entry{}}
 }
 
 // Change says what a record meant.
@@ -170,13 +157,6 @@
 		}
 		s.entry(id).Progress = p
 		return Change{Job: id, FromLeader: p.Term == s.Term.Number}, nil
-	case workerPrefix:
-		var a Assignment
-		if err := json.Unmarshal(r.Value, &a); err != nil {
-			return Change{}, fmt.Errorf("ledger: record %q at offset %d: %w", r.Key, r.Offset, err)
-		}
-		s.Workers[id] = a
-		return Change{FromLeader: a.Term == s.Term.Number}, nil
 	case termKey:
 		var t Term
 		if err := json.Unmarshal(r.Value, &t); err != nil {
@@ -205,14 +185,11 @@
 }
 
 func (s *State) forget(kind, id string) Change {
-	switch kind {
-	case progressPrefix:
-		delete(s.Jobs, id)
-		return Change{Job: id}
-	case workerPrefix:
-		delete(s.Workers, id)
+	if kind != progressPrefix {
+		return Change{}
 	}
-	return Change{}
+	delete(s.Jobs, id)
+	return Change{Job: id}
 }
 
 func (s *State) entry(id string) *Entry {
--- a/pkg/ledger/replica.go
+++ b/pkg/ledger/replica.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -116,7 +115,7 @@
 func (r *Replica) State() *State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := &State{Jobs: map[string]*Entry{}, Term: r.state.Term, Workers: maps.Clone(r.state.Workers)}
+	s := &State{Jobs: map[string]*Entry{}, Term: r.state.Term}
 	for id, e := range r.state.Jobs {
 		c := *e
 		s.Jobs[id] = &c
