Call a silent leader, and pass requests on while the log is out of reach

A node in doubt now asks the leader's VM over net/rpc: one that answers as another run leads no more. Nodes that the log turned away answered 503 or 504 although others reached it; they now pass records and questions on. Ruled out: a shorter silence for all, which would take the lead from nodes that are only slow.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -24,7 +25,9 @@
 	"github.com/shallotpin/shallotpin/pkg/election"
 	"github.com/shallotpin/shallotpin/pkg/entry"
 	"github.com/shallotpin/shallotpin/pkg/logsink"
+	"github.com/shallotpin/shallotpin/pkg/peer"
 	"github.com/shallotpin/shallotpin/pkg/steady"
+	"github.com/shallotpin/shallotpin/pkg/transport"
 	"github.com/shallotpin/shallotpin/platform"
 )
 
@@ -58,6 +61,7 @@
 type options struct {
 	SettingsFile string `long:"settings" env:"SHALLOTPIN_NODE_FILE" required:"true" description:"path of the platform's settings file (YAML)"`
 	Metrics      string `long:"metrics" env:"SHALLOTPIN_METRICS" default:":7001" description:"address that serves /metrics"`
+	PeerPort     int    `long:"peer-port" env:"SHALLOTPIN_PEER_PORT" default:"7002" description:"port for calls between the nodes, one of the platform's range"`
 	Verbosity    int    `long:"verbosity" env:"SHALLOTPIN_VERBOSITY" default:"0" description:"log verbosity, 0 to 5"`
 }
 
@@ -106,7 +110,7 @@
 	return dispatch.Settings{
 		LeaseTime: platform.Millis(s.Bounds.HoldMaxMS), ClockDrift: clockDrift, GangWait: platform.Millis(s.Bounds.GangMS),
 		StopTime: platform.Millis(s.Bounds.StopMS), SaveEvery: platform.Seconds(s.Bounds.SaveS), KeepEnded: platform.Seconds(s.Bounds.StatusS),
-		Election: election.Settings{Silence: silence, ReadGap: entry.LongestRead, Stagger: silence / 20, OrderBound: silence, RenewBound: 3 * silence, Beat: silence / 4},
+		Election: election.Settings{Silence: silence, ReadGap: entry.LongestRead, Stagger: silence / 50, Doubt: silence * 2 / 5, OrderBound: silence, RenewBound: 3 * silence, Beat: silence / 4},
 	}
 }
 
@@ -116,11 +120,23 @@
 		return &platform.Topic{Base: "http://" + s.Store.Addr, Name: name, Client: store}
 	}
 	unixMS := func() int64 { return time.Now().UnixMilli() }
-	node := entry.New(entry.Settings{Node: s.NodeName + "/" + uuid.NewString(), Dispatch: dispatchSettings(s), MaxBatchBytes: s.Store.CallBytes / 2, Now: steady.Now, UnixMS: unixMS},
+	host, _, err := net.SplitHostPort(s.Listen.Front)
+	if err != nil {
+		return fmt.Errorf("settings: Listen.Front: %w", err)
+	}
+	peerAddress := net.JoinHostPort(host, strconv.Itoa(opts.PeerPort))
+	peers := peer.New(transport.TCP{}, peerAddress)
+	node, err := entry.New(entry.Settings{Name: s.NodeName, Node: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s), MaxBatchBytes: s.Store.CallBytes / 2, Now: steady.Now, UnixMS: unixMS},
 		entry.Platform{Ledger: topic(platform.LedgerTopic), Operators: topic(platform.OperatorTopic), Workers: topic(platform.WorkerTopic),
-			Orders: &platform.Orders{Client: &http.Client{Transport: newTransport()}}, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker})
+			Orders: &platform.Orders{Client: &http.Client{Transport: newTransport()}}, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker, Peers: peers})
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if err := peers.Start(ctx, nil); err != nil {
+		return err
+	}
 	node.Start(ctx)
 	klog.InfoS("shallotpin-entry: started", "node", s.NodeName, "zone", s.Zone, "front", s.Listen.Front, "settings", opts.SettingsFile)
 
@@ -162,6 +178,9 @@
 	if err := front.Shutdown(stopCtx); err != nil {
 		klog.InfoS("shallotpin-entry: requests were still open at the end of the grace time", "err", err)
 	}
+	if err := peers.Stop(stopCtx); err != nil {
+		klog.InfoS("shallotpin-entry: the port for other nodes was not closed well", "err", err)
+	}
 	cancel()
 	node.Wait()
 	klog.InfoS("shallotpin-entry: stopped", "node", s.NodeName)
--- a/pkg/election/election.go
+++ b/pkg/election/election.go
@@ -13,6 +13,9 @@
 	// ReadGap is the longest time between two successful reads of a span in which
 	// the log counts as readable.
 	ReadGap time.Duration
+	// Doubt is how long the log must show nothing of the leader before it is
+	// called. It is a little more than Beat.
+	Doubt time.Duration
 	// Stagger separates the claims of two nodes.
 	Stagger time.Duration
 	// OrderBound is how long after its last confirmed write a leader may start tasks.
@@ -32,11 +35,15 @@
 	lastRead time.Duration
 	heard    time.Duration
 	vacant   bool
+	// vacated is when the lead was found vacant.
+	vacated time.Duration
+	// unreached counts the calls to the leader in a row that found nobody.
+	unreached int
 }
 
-// NewWatch returns a Watch that begins at now.
+// NewWatch returns a Watch that begins at now, in doubt of the leader.
 func NewWatch(s Settings, now time.Duration) *Watch {
-	return &Watch{settings: s, readable: now, lastRead: now, heard: now}
+	return &Watch{settings: s, readable: now, lastRead: now, heard: now - s.Doubt}
 }
 
 // Read notes a successful read of the log.
@@ -48,10 +55,37 @@
 }
 
 // Heard notes a record of the leader.
-func (w *Watch) Heard(now time.Duration) { w.heard, w.vacant = now, false }
+func (w *Watch) Heard(now time.Duration) { w.heard, w.vacant, w.unreached = now, false, 0 }
 
 // Vacated notes that nobody leads.
-func (w *Watch) Vacated() { w.vacant = true }
+func (w *Watch) Vacated(now time.Duration) {
+	if !w.vacant {
+		w.vacant, w.vacated = true, now
+	}
+}
+
+// Doubtful says whether the leader has been silent for long enough to call it.
+func (w *Watch) Doubtful(now time.Duration) bool {
+	return !w.vacant && now-w.heard >= w.settings.Doubt && now-w.lastRead <= w.settings.ReadGap
+}
+
+// maxUnreached is how many calls in a row must find nobody: one may be lost.
+const maxUnreached = 2
+
+// Called notes what came of a call to the silent leader: it leads, it does not,
+// or nobody answered.
+func (w *Watch) Called(now time.Duration, answered, leads bool) {
+	switch {
+	case !answered:
+		if w.unreached++; w.unreached >= maxUnreached {
+			w.Vacated(now)
+		}
+	case leads:
+		w.unreached = 0
+	default:
+		w.Vacated(now)
+	}
+}
 
 // Claim says whether to take the lead. rank is the node's place in the order of
 // claims, from 0.
@@ -61,7 +95,7 @@
 		return false
 	}
 	if w.vacant {
-		return now-w.heard >= delay
+		return now-w.vacated >= delay
 	}
 	return now-max(w.heard, w.readable) >= w.settings.Silence+delay
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -48,13 +48,16 @@
 	Orders                     backend.Orders
 	DecodeOperator             func(backend.KeyedRecord) (catalog.Change, error)
 	DecodeWorker               func(backend.KeyedRecord) (catalog.Worker, error)
+	// Peers carries calls between the nodes; it is started after New.
+	Peers Peers
 }
 
 // Settings are a node's settings.
 type Settings struct {
-	// Node is the name of this run of the node; no other run may have it.
-	Node     string
-	Dispatch dispatch.Settings
+	// Name is the name of the VM, Node that of this run of it, which no other run
+	// may have, and Address where other nodes reach it.
+	Name, Node, Address string
+	Dispatch            dispatch.Settings
 	// MaxBatchBytes bounds a call to the log.
 	MaxBatchBytes int
 	// Now is a steady clock that goes on while the process is suspended.
@@ -76,9 +79,9 @@
 }
 
 // New assembles a node; Start starts it.
-func New(s Settings, p Platform) *Node {
+func New(s Settings, p Platform) (*Node, error) {
 	n := &Node{settings: s}
-	n.leader = leader.New(leader.Settings{Node: s.Node, Dispatch: s.Dispatch, MaxBatchBytes: s.MaxBatchBytes, Now: s.Now, UnixMS: s.UnixMS}, p.Ledger, p.Orders)
+	n.leader = leader.New(leader.Settings{Node: s.Node, Address: s.Address, Call: p.Peers.Call, Dispatch: s.Dispatch, MaxBatchBytes: s.MaxBatchBytes, Now: s.Now, UnixMS: s.UnixMS}, p.Ledger, p.Orders)
 	replica := ledger.NewReplica(n.leader.Listener())
 	settings := func(name string, gap func() time.Duration) feed.Settings {
 		return feed.Settings{Name: name, Wait: feedWait, CallTimeout: feedTimeout, RetryDelay: feedRetry, Gap: gap, Now: s.Now}
@@ -97,14 +100,14 @@
 	})
 	n.writer = ledger.NewAppender(p.Ledger, ledger.AppenderSettings{Producer: s.Node, Epoch: 1, NextSequence: 1, CallTimeout: writeTimeout, RetryDelay: writeRetry,
 		BatchDelay: batchDelay, MaxBatchBytes: s.MaxBatchBytes, Now: s.Now})
-	n.Intake = intake.New(replica, n.ledger, n.writer, s.Now)
-	return n
+	n.Intake = intake.New(replica, n.ledger, n.writer, &others{p.Peers, replica, s.Name}, s.Now)
+	return n, p.Peers.Handle(receiverName, &receiver{n, n.leader})
 }
 
 // Start starts the node's work, which ends with ctx.
 func (n *Node) Start(ctx context.Context) {
 	for _, run := range []func(context.Context){
-		n.ledger.Run, n.config.Run, n.leader.Run,
+		n.ledger.Run, n.config.Run, n.leader.Run, n.announce,
 		func(ctx context.Context) {
 			if err := n.writer.Run(ctx); err != nil && ctx.Err() == nil {
 				klog.InfoS("entry: writing to the ledger ended", "err", err)
@@ -119,6 +122,13 @@
 	}
 }
 
+// announce tells the other nodes where to reach this one.
+func (n *Node) announce(ctx context.Context) {
+	if _, err := n.writer.Write(ctx, ledger.NodeRecord(n.settings.Name, n.settings.Address)); err != nil && ctx.Err() == nil {
+		klog.InfoS("entry: could not tell the other nodes where to reach this one", "err", err)
+	}
+}
+
 // Wait returns when all work has ended.
 func (n *Node) Wait() { n.stopped.Wait() }
 
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -13,6 +13,8 @@
 	"github.com/shallotpin/shallotpin/pkg/dispatch"
 	"github.com/shallotpin/shallotpin/pkg/election"
 	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/memnet"
+	"github.com/shallotpin/shallotpin/pkg/peer"
 	"github.com/shallotpin/shallotpin/pkg/simsite"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
@@ -26,6 +28,7 @@
 	operators *simsite.Log
 	entries   *simsite.Log
 	fleet     *simsite.Fleet
+	network   *memnet.Network
 	workers   []*simsite.Worker
 	nodes     []*testNode
 	version   int64
@@ -35,6 +38,7 @@
 type testNode struct {
 	*Node
 	kill    context.CancelFunc
+	peers   *peer.Service
 	clients []*simsite.Client
 }
 
@@ -57,7 +61,7 @@
 func testSettings() dispatch.Settings {
 	silence := 2 * time.Second
 	return dispatch.Settings{LeaseTime: 6 * time.Second, ClockDrift: 0.02, GangWait: 3 * time.Second, StopTime: 900 * time.Millisecond, SaveEvery: 2 * time.Second,
-		KeepEnded: 2 * time.Minute, Election: election.Settings{Silence: silence, ReadGap: LongestRead, Stagger: silence / 20, OrderBound: silence, RenewBound: 3 * silence, Beat: silence / 4}}
+		KeepEnded: 2 * time.Minute, Election: election.Settings{Silence: silence, ReadGap: LongestRead, Stagger: silence / 50, Doubt: silence * 2 / 5, OrderBound: silence, RenewBound: 3 * silence, Beat: silence / 4}}
 }
 
 // runSite runs a test with a site of so many nodes and workers, and checks at its
@@ -66,7 +70,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		s := &site{t: t, ctx: ctx, cancel: cancel, ledger: simsite.NewLog(), operators: simsite.NewLog(), entries: simsite.NewLog(), behave: map[workload.UnitID]func(int) simsite.Behaviour{}}
+		s := &site{t: t, ctx: ctx, cancel: cancel, network: memnet.New(nil), ledger: simsite.NewLog(), operators: simsite.NewLog(), entries: simsite.NewLog(), behave: map[workload.UnitID]func(int) simsite.Behaviour{}}
 		s.fleet = simsite.NewFleet(ctx, func(id workload.TaskID) simsite.Behaviour { return s.behave[id.UnitID](id.Index) })
 		for i := range workers {
 			rack := fmt.Sprintf("rack-%d", i/testRackSize)
@@ -140,11 +144,25 @@
 
 func (s *site) addNode(name string) *testNode {
 	ctx, kill := context.WithCancel(s.ctx)
-	n := &testNode{kill: kill, clients: []*simsite.Client{s.ledger.Client(), s.operators.Client(), s.entries.Client()}}
+	address := name + ":7002"
+	peers := peer.New(s.network.Host(name), address)
+	n := &testNode{kill: kill, peers: peers, clients: []*simsite.Client{s.ledger.Client(), s.operators.Client(), s.entries.Client()}}
 	began := time.Now()
-	n.Node = New(Settings{Node: name, Dispatch: testSettings(), MaxBatchBytes: 1 << 20, Now: func() time.Duration { return time.Hour + time.Since(began) }, UnixMS: func() int64 { return time.Now().UnixMilli() }},
-		Platform{Ledger: n.clients[0], Operators: n.clients[1], Workers: n.clients[2], Orders: s.fleet, DecodeOperator: decodeOperator, DecodeWorker: simsite.DecodeWorker})
+	var err error
+	n.Node, err = New(Settings{Name: name, Node: name + "/" + began.String(), Address: address, Dispatch: testSettings(), MaxBatchBytes: 1 << 20, Now: func() time.Duration { return time.Hour + time.Since(began) }, UnixMS: func() int64 { return time.Now().UnixMilli() }},
+		Platform{Ledger: n.clients[0], Operators: n.clients[1], Workers: n.clients[2], Orders: s.fleet, DecodeOperator: decodeOperator, DecodeWorker: simsite.DecodeWorker, Peers: peers})
+	if err == nil {
+		err = peers.Start(ctx, nil)
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
 	n.Start(ctx)
+	context.AfterFunc(ctx, func() {
+		stopCtx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = peers.Stop(stopCtx)
+	})
 	s.nodes = append(s.nodes, n)
 	return n
 }
@@ -179,13 +197,19 @@
 
 // submit hands a job in through a node that does not lead.
 func (s *site) submit(queue string, behave func(index int) simsite.Behaviour, steps ...workload.Step) string {
+	s.t.Helper()
+	return s.submitTo(s.follower(), queue, behave, steps...)
+}
+
+// submitTo hands a job in through a node.
+func (s *site) submitTo(n *testNode, queue string, behave func(index int) simsite.Behaviour, steps ...workload.Step) string {
 	s.t.Helper()
 	jobCount++
 	job := &workload.Job{ID: fmt.Sprintf("%016x", jobCount), Queue: queue, Service: "desk", Account: "coopers", Payload: "{}", Steps: steps, SubmittedMS: time.Now().UnixMilli()}
 	for step := range steps {
 		s.fleet.Update(func() { s.behave[workload.UnitID{Job: job.ID, Step: step}] = behave })
 	}
-	if err := s.follower().Intake.Submit(s.ctx, job); err != nil {
+	if err := n.Intake.Submit(s.ctx, job); err != nil {
 		s.t.Fatalf("submission: %v", err)
 	}
 	return job.ID
--- /dev/null
+++ b/pkg/entry/takeover_test.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/simsite"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+// An urgent job that arrives as all nodes come back must not wait until the log
+// has been silent for long: the former leader's VM says that it leads no more.
+func TestLeadIsTakenAtOnceAfterAllNodesRestart(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		for _, n := range s.nodes {
+			n.kill()
+			n.Wait()
+		}
+		s.nodes = nil
+		time.Sleep(1500 * time.Millisecond)
+		for _, name := range []string{"node-0", "node-1", "node-2"} {
+			s.addNode(name)
+		}
+		time.Sleep(100 * time.Millisecond)
+		job := s.submitTo(s.nodes[0], urgentQueue, usual(task(4), time.Second, 2), workload.Step{Count: 2, Need: task(4), Gang: true, EstimateMS: 1000})
+		time.Sleep(1300 * time.Millisecond)
+		for _, n := range s.nodes {
+			if n.Leading() {
+				s.awaitPhase(job, ledger.Completed, 500*time.Millisecond)
+				return
+			}
+		}
+		t.Error("nobody leads")
+	})
+}
+
+func TestLeadOfDeadVMIsTakenSoon(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		leader := s.leader()
+		leader.kill()
+		leader.Wait()
+		s.nodes = remove(s.nodes, leader)
+		began := time.Now()
+		s.leader()
+		if took := time.Since(began); took > 1500*time.Millisecond {
+			t.Errorf("the lead was taken after %s", took)
+		}
+	})
+}
+
+// A node that the log turns away passes submissions and questions on.
+func TestNodeWithoutLogPassesRequestsOn(t *testing.T) {
+	for name, fault := range map[string]simsite.LogFault{"refused": simsite.LogRefuses, "silent": simsite.LogSilent} {
+		t.Run(name, func(t *testing.T) {
+			runSite(t, 3, 8, func(s *site) {
+				time.Sleep(time.Second)
+				n := s.follower()
+				n.setFault(fault)
+				time.Sleep(3 * time.Second)
+				job := s.submitTo(n, usualQueue, usual(task(1), time.Second, 0), workload.Step{Count: 1, Need: task(1), EstimateMS: 1000})
+				time.Sleep(1500 * time.Millisecond)
+				if phase, err := n.Intake.Phase(s.ctx, job); err != nil || phase != ledger.Completed {
+					t.Errorf("phase %q, error %v", phase, err)
+				}
+			})
+		})
+	}
+}
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -21,8 +21,11 @@
 	// writeBound is how long a caller waits for its submission to be stored: well
 	// within the time that callers wait for an answer.
 	writeBound = 1800 * time.Millisecond
+	// ownBound is how long this node tries before it passes a record on: many times
+	// the log's usual answer.
+	ownBound = 700 * time.Millisecond
 	// readBound is how long a caller waits for a fresh view.
-	readBound = time.Second
+	readBound = 500 * time.Millisecond
 	// freshEnough is the age up to which a view may say that a job is unknown.
 	freshEnough = 100 * time.Millisecond
 	// retryAfter is when a caller whose job was not stored may come again: the
@@ -32,8 +35,15 @@
 	followBound = 2 * time.Second
 )
 
+// Others passes requests on to other nodes while this one cannot reach the log.
+type Others interface {
+	Store(ctx context.Context, r backend.KeyedRecord) error
+	Phase(ctx context.Context, id string) (ledger.Phase, error)
+}
+
 // Service is the intake of a node.
 type Service struct {
+	others  Others
 	replica *ledger.Replica
 	feed    *feed.Feed
 	writer  *ledger.Appender
@@ -42,8 +52,8 @@
 }
 
 // New returns the intake of a node.
-func New(replica *ledger.Replica, f *feed.Feed, writer *ledger.Appender, now func() time.Duration) *Service {
-	return &Service{replica: replica, feed: f, writer: writer, now: now, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
+func New(replica *ledger.Replica, f *feed.Feed, writer *ledger.Appender, others Others, now func() time.Duration) *Service {
+	return &Service{others: others, replica: replica, feed: f, writer: writer, now: now, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
 }
 
 // Submit stores a job. An *api.Error tells whether the job may be stored later.
@@ -77,6 +87,20 @@
 
 // Phase returns a job's phase, or an empty one if no such job exists.
 func (s *Service) Phase(ctx context.Context, id string) (ledger.Phase, error) {
+	phase, err := s.PhaseHere(ctx, id)
+	if err == nil {
+		return phase, nil
+	}
+	phase, otherErr := s.others.Phase(ctx, id)
+	klog.InfoS("intake: asked another node for a job's phase", "job", id, "phase", phase, "cause", err, "err", otherErr)
+	if otherErr == nil {
+		return phase, nil
+	}
+	return "", &api.Error{Code: api.CodeUnavailable, Message: "the log cannot be read", RetryAfter: retryAfter}
+}
+
+// PhaseHere is Phase by this node's own view.
+func (s *Service) PhaseHere(ctx context.Context, id string) (ledger.Phase, error) {
 	e, known := s.replica.Job(id)
 	known = known && e.Job != nil
 	confirmed, ready := s.feed.Confirmed()
@@ -85,8 +109,7 @@
 		ctx, cancel := context.WithTimeout(ctx, readBound)
 		defer cancel()
 		if err := s.feed.Refresh(ctx); err != nil {
-			klog.InfoS("intake: cannot tell a job's phase", "job", id, "known", known, "age", age, "err", err)
-			return "", &api.Error{Code: api.CodeUnavailable, Message: "the log cannot be read", RetryAfter: retryAfter}
+			return "", err
 		}
 		e, known = s.replica.Job(id)
 		known = known && e.Job != nil
@@ -107,16 +130,46 @@
 	ctx, cancel := context.WithTimeout(ctx, writeBound)
 	defer cancel()
 	began := s.now()
-	_, err := s.writer.Write(ctx, r)
+	err := s.writeHere(ctx, r)
+	if err != nil {
+		// A record that both nodes add counts once.
+		otherErr := s.others.Store(ctx, r)
+		klog.InfoS("intake: passed a record to another node", "key", r.Key, "cause", err, "err", otherErr)
+		// Only if neither may add it, it is certain not to be added.
+		if otherErr == nil || api.AsError(otherErr, api.MayHaveRun).Verdict != api.NotRun {
+			err = otherErr
+		}
+	}
 	if err == nil {
 		s.latency.Update((s.now() - began).Seconds())
 		return nil
 	}
+	if e := api.AsError(err, api.MayHaveRun); e.Verdict != api.NotRun {
+		return &api.Error{Code: api.CodeTimeout, Message: "it is not known whether the log took the record", Verdict: api.MayHaveRun, RetryAfter: retryAfter}
+	}
+	return &api.Error{Code: api.CodeUnavailable, Message: "the log does not take the record", Verdict: api.NotRun, RetryAfter: retryAfter}
+}
+
+// StoreHere adds a record that another node passes on.
+func (s *Service) StoreHere(ctx context.Context, r backend.KeyedRecord) error {
+	ctx, cancel := context.WithTimeout(ctx, ownBound)
+	defer cancel()
+	return s.writeHere(ctx, r)
+}
+
+// writeHere adds a record from this node.
+func (s *Service) writeHere(ctx context.Context, r backend.KeyedRecord) error {
+	ctx, cancel := context.WithTimeout(ctx, ownBound)
+	defer cancel()
+	_, err := s.writer.Write(ctx, r)
+	if err == nil {
+		return nil
+	}
 	var logErr *backend.LogError
 	if errors.As(err, &logErr) && logErr.Verdict == api.NotRun {
-		return &api.Error{Code: api.CodeUnavailable, Message: "the log does not take the record", Verdict: api.NotRun, RetryAfter: retryAfter}
+		return &api.Error{Code: api.CodeUnavailable, Message: logErr.Error(), Verdict: api.NotRun}
 	}
-	return &api.Error{Code: api.CodeTimeout, Message: "it is not known whether the log took the record", Verdict: api.MayHaveRun, RetryAfter: retryAfter}
+	return &api.Error{Code: api.CodeTimeout, Message: err.Error(), Verdict: api.MayHaveRun}
 }
 
 func (s *Service) logOutcome(what, id string, err error) {
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -22,6 +22,10 @@
 )
 
 const (
+	// LeadsMethod is the method by which a node is asked whether it leads.
+	LeadsMethod = "Entry.Leads"
+	// callTimeout bounds a call to a silent leader: some ten round trips.
+	callTimeout = 250 * time.Millisecond
 	// producer names the leader's writes; its epoch is the term.
 	producer = "leader"
 	// tick is how often a follower looks whether to claim the lead.
@@ -40,8 +44,10 @@
 
 // Settings are a node's part in the lead.
 type Settings struct {
-	// Node is the name of this run of the node.
-	Node     string
+	// Node is the name of this run of the node, Address where others reach it.
+	Node, Address string
+	// Call calls another node.
+	Call     func(ctx context.Context, address, method string, args, reply any) error
 	Dispatch dispatch.Settings
 	// MaxBatchBytes bounds a call to the log.
 	MaxBatchBytes int
@@ -66,6 +72,7 @@
 	engine   *dispatch.Engine
 	lead     context.Context
 	retiring bool
+	calling  bool
 	read     time.Duration
 }
 
@@ -143,6 +150,7 @@
 			return
 		case <-ticker.C:
 		}
+		s.callLeader(ctx)
 		if s.isRetiring() || !s.shouldClaim() {
 			continue
 		}
@@ -160,11 +168,41 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if term.Number == 0 || term.Resigned {
-		s.watch.Vacated()
+		s.watch.Vacated(s.settings.Now())
 	}
 	return s.read > 0 && s.watch.Claim(s.settings.Now(), s.rank(term.Number))
 }
 
+// callLeader asks a leader that the log shows nothing of whether it still leads.
+func (s *Service) callLeader(ctx context.Context) {
+	term := s.replica.Term()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calling || s.read == 0 || term.Number == 0 || term.Address == "" || !s.watch.Doubtful(s.settings.Now()) {
+		return
+	}
+	s.calling = true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		var leads bool
+		err := s.settings.Call(ctx, term.Address, LeadsMethod, term, &leads)
+		if s.replica.Term() != term {
+			err, leads = nil, true
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.calling = false
+		s.watch.Called(s.settings.Now(), err == nil, leads)
+		klog.InfoS("leader: called a silent leader", "term", term.Number, "leader", term.Leader, "leads", leads, "err", err)
+	}()
+}
+
+// Leads says whether the node leads a term.
+func (s *Service) Leads(term ledger.Term) bool {
+	return term.Leader == s.settings.Node && s.Leading()
+}
+
 // rank spreads the claims of the nodes.
 func (s *Service) rank(term int64) int {
 	h := fnv.New32a()
@@ -183,7 +221,7 @@
 		return ledger.Term{}, 0, errors.New("the lead was taken meanwhile")
 	}
 	end := s.ledger.End()
-	term := ledger.Term{Number: s.replica.Term().Number + 1, Leader: s.settings.Node}
+	term := ledger.Term{Number: s.replica.Term().Number + 1, Leader: s.settings.Node, Address: s.settings.Address}
 	sent := s.settings.Now()
 	callCtx, cancelCall := context.WithTimeout(ctx, writeTimeout)
 	_, err := s.log.Append(callCtx, backend.KeyedAppend{Records: []backend.KeyedRecord{ledger.TermRecord(term)}, Producer: producer, Epoch: term.Number, Sequence: 1, At: end})
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -17,6 +17,7 @@
 	jobPrefix      = "j/"
 	cancelPrefix   = "c/"
 	progressPrefix = "p/"
+	nodePrefix     = "n/"
 	termKey        = "term"
 )
 
@@ -62,6 +63,8 @@
 	// Number rises by one with each leader; workers refuse orders of a lower one.
 	Number int64  `json:"n"`
 	Leader string `json:"l"`
+	// Address is where other nodes reach the leader.
+	Address string `json:"a,omitempty"`
 	// Resigned says that the leader has stopped giving orders.
 	Resigned bool `json:"r,omitempty"`
 }
@@ -83,6 +86,11 @@
 	return []backend.KeyedRecord{{Key: jobPrefix + id}, {Key: cancelPrefix + id}, {Key: progressPrefix + id}}
 }
 
+// NodeRecord stores where other nodes reach a node; an empty address drops it.
+func NodeRecord(name, address string) backend.KeyedRecord {
+	return backend.KeyedRecord{Key: nodePrefix + name, Value: []byte(address)}
+}
+
 // record encodes a value, whose types above all can be encoded.
 func record(key string, value any) backend.KeyedRecord {
 	data, err := json.Marshal(value)
@@ -120,11 +128,13 @@
 type State struct {
 	Jobs map[string]*Entry
 	Term Term
+	// Nodes maps the names of the entry VMs to the addresses for other nodes.
+	Nodes map[string]string
 }
 
 // NewState returns the state of an empty topic.
 func NewState() *State {
-	return &State{Jobs: map[string]*Entry{}}
+	return &State{Jobs: map[string]*Entry{}, Nodes: map[string]string{}}
 }
 
 // Change says what a record meant.
@@ -157,6 +167,9 @@
 		}
 		s.entry(id).Progress = p
 		return Change{Job: id, FromLeader: p.Term == s.Term.Number}, nil
+	case nodePrefix:
+		s.Nodes[id] = string(r.Value)
+		return Change{}, nil
 	case termKey:
 		var t Term
 		if err := json.Unmarshal(r.Value, &t); err != nil {
@@ -185,11 +198,14 @@
 }
 
 func (s *State) forget(kind, id string) Change {
-	if kind != progressPrefix {
-		return Change{}
+	switch kind {
+	case progressPrefix:
+		delete(s.Jobs, id)
+		return Change{Job: id}
+	case nodePrefix:
+		delete(s.Nodes, id)
 	}
-	delete(s.Jobs, id)
-	return Change{Job: id}
+	return Change{}
 }
 
 func (s *State) entry(id string) *Entry {
--- a/pkg/ledger/replica.go
+++ b/pkg/ledger/replica.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -34,11 +35,19 @@
 	r.mu.Lock()
 	r.state = NewState()
 	r.mu.Unlock()
-	r.Apply(records)
+	// A listing does not tell how old the leader's last record is.
+	r.take(records)
 }
 
 // Apply implements feed.Sink.
 func (r *Replica) Apply(records []backend.KeyedRecord) {
+	if r.take(records) {
+		r.listener.Leader()
+	}
+}
+
+// take folds records and reports whether any is the current leader's.
+func (r *Replica) take(records []backend.KeyedRecord) bool {
 	r.mu.Lock()
 	jobs := map[string]Entry{}
 	fromLeader := false
@@ -54,12 +63,10 @@
 		}
 	}
 	r.mu.Unlock()
-	if fromLeader {
-		r.listener.Leader()
-	}
 	for id, e := range jobs {
 		r.listener.Job(id, e)
 	}
+	return fromLeader
 }
 
 // Confirmed implements feed.Sink.
@@ -83,6 +90,20 @@
 	return r.state.Term
 }
 
+// Nodes returns the addresses of the other entry VMs.
+func (r *Replica) Nodes(self string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var addresses []string
+	for name, address := range r.state.Nodes {
+		if name != self {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
 // Pending counts a queue's jobs of which no task has started, but for those on
 // a schedule.
 func (r *Replica) Pending(queue string) int {
