Replace gang members that were not started, and let urgent work stop cheap work

Cause: workers that leave orders unanswered cost a gang 1.2 s and the stop of all its members. A member whose worker says that it does not run, and has been told not to start it, is now placed anew under the same run.

--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -49,7 +49,9 @@
 	// aborting says that the gang's present run is being given up.
 	aborting  bool
 	abortedAt time.Duration
-	// gangSince is when the starts of the gang's present run were sent.
+	// gangRun is the number of the gang's present run, and gangSince when its
+	// starts were sent.
+	gangRun   int64
 	gangSince time.Duration
 	// waitingSince is when the unit could first have started.
 	waitingSince time.Duration
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -224,12 +224,26 @@
 					pu.PerWorker[t.run.worker.key]++
 				}
 			}
+			if u.partial() {
+				pu.Guaranteed = false
+				pu.Within = u.rack()
+			}
 			units = append(units, pu)
 		}
 	}
 	return units
 }
 
+// rack returns the rack of the members that run, if all must share one.
+func (u *unit) rack() string {
+	for _, t := range u.tasks {
+		if t.run != nil && u.step.SameRack {
+			return t.run.worker.info.Rack
+		}
+	}
+	return ""
+}
+
 func (u *unit) avoidKeys(e *Engine) map[string]bool {
 	if len(u.avoid) == 0 {
 		return nil
@@ -254,13 +268,18 @@
 	return true
 }
 
-// waiting returns the tasks to place; a gang waits until none of it runs.
+// partial says whether some members of the gang's present run are ordered and
+// wait for others that were not started.
+func (u *unit) partial() bool { return u.step.Gang && !u.aborting && !u.idle() }
+
+// waiting returns the tasks to place. A gang is placed when none of it runs, or
+// to replace members that were not started.
 func (u *unit) waiting() []int {
 	var indices []int
+	if u.step.Gang && u.aborting && !u.idle() {
+		return nil
+	}
 	for i, t := range u.tasks {
-		if t.run != nil && u.step.Gang {
-			return nil
-		}
 		if t.run == nil && !t.done {
 			indices = append(indices, i)
 		}
@@ -339,8 +358,12 @@
 // startUnit plans the starts of tasks of a unit. The orders follow once the
 // ledger names their workers, so that a later leader knows where to look.
 func (e *Engine) startUnit(u *unit, targets map[int]*worker, now time.Duration) {
-	number := e.nextRun()
-	u.aborting, u.gangSince = false, now
+	number := u.gangRun
+	if !u.partial() {
+		number = e.nextRun()
+		u.aborting = false
+		u.gangRun, u.gangSince = number, now
+	}
 	for _, i := range slices.Sorted(maps.Keys(targets)) {
 		t, w := u.tasks[i], targets[i]
 		r := &run{id: backend.RunID{Task: t.id, Number: number}, task: t, worker: w, need: u.step.Demand(), phase: runPlanned, ordered: now}
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -28,7 +28,9 @@
 	u := t.unit
 	r.phase, r.ordered = runStarting, now
 	w.ask(now)
-	u.gangSince = now
+	if !u.step.Gang || u.onlyPlanned(r) {
+		u.gangSince = now
+	}
 	order := backend.StartOrder{Run: r.id, Payload: u.job.spec.Payload, LeaseUntilMS: e.leaseUntil(w, now), Term: e.Term.Number, Checkpoint: t.checkpoint}
 	if u.step.Gang {
 		order.Checkpoint = u.checkpoint
@@ -36,13 +38,23 @@
 	klog.InfoS("dispatch: start", "job", t.id.Job, "task", u.id.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "zone", w.info.Zone, "rack", w.info.Rack,
 		"view_age", now-e.view.Confirmed, "worker_age", now-w.answered, "resumes", order.Checkpoint != "")
 	go func() {
-		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(e.ctx, startTimeout)
 		defer cancel()
 		clock, err := e.Orders.Start(ctx, w.ref(), order)
 		e.post(func() { e.onStarted(r, clock, err) })
 	}()
 }
 
+// onlyPlanned says whether no member but r has been ordered to start.
+func (u *unit) onlyPlanned(r *run) bool {
+	for _, t := range u.tasks {
+		if t.run != nil && t.run != r && t.run.phase != runPlanned {
+			return false
+		}
+	}
+	return true
+}
+
 // onStarted handles the answer to a start.
 func (e *Engine) onStarted(r *run, clock int64, err error) {
 	w, now := r.worker, e.Now()
@@ -146,7 +158,7 @@
 	w.runs[t.id] = r
 	w.used = w.used.Add(r.need)
 	w.leaseEnd = max(w.leaseEnd, now+e.leaseSpan())
-	t.unit.gangSince = now
+	t.unit.gangRun, t.unit.gangSince = a.Run.Number, now
 	e.noteCheckpoint(t, a.Checkpoint)
 	klog.InfoS("dispatch: run taken over", "job", t.id.Job, "task", t.unit.id.String(), "index", t.id.Index, "run", a.Run.Number, "worker", w.info.ID, "percent", a.Percent)
 }
@@ -298,9 +310,6 @@
 				e.look(w)
 			case r.phase == runUnresolved && now-r.ordered > 2*orderTimeout:
 				e.stopRun(r, "the start was not confirmed")
-				if u.step.Gang && !u.aborting {
-					e.abortGang(u, "a member's start was not confirmed")
-				}
 			case r.phase == runActive && e.stalled(r, now):
 				e.strike(w, now)
 				u.avoid[w.info.ID] = true
@@ -329,12 +338,12 @@
 		}
 		return
 	}
-	if u.tasks[0].done || now-u.gangSince < 2*orderTimeout {
+	if u.tasks[0].done || now-u.gangSince < gangBound {
 		return
 	}
 	number := int64(0)
 	for _, t := range u.tasks {
-		if t.run == nil || number != 0 && t.run.id.Number != number {
+		if t.run == nil || t.run.phase != runActive && t.run.phase != runPlanned || number != 0 && t.run.id.Number != number {
 			e.abortGang(u, "not all members run")
 			return
 		}
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -33,6 +33,12 @@
 	// orderTimeout is how long an order may go unanswered: some hundred round
 	// trips within a region, and a fifth of the time that a gang waits.
 	orderTimeout = 600 * time.Millisecond
+	// startTimeout is how long a start may go unanswered before the worker is asked
+	// whether it runs: it outlasts one lost packet.
+	startTimeout = 300 * time.Millisecond
+	// gangBound is how long a gang may miss a member before it is given up: half of
+	// the time that members wait, which leaves time for the stops.
+	gangBound = 1500 * time.Millisecond
 	// holdWait is how long a worker may delay its answer to a renewal: a sixth of
 	// the lease, so that several may be lost.
 	holdWait = time.Second
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -210,6 +210,8 @@
 		switch {
 		case r.stopConfirmed != 0 && r.stopConfirmed < sent:
 			e.removeRun(r, "never started or ended unseen")
+		case r.phase == runUnresolved && sent > r.ordered+startTimeout:
+			e.stopRun(r, "the start was not carried out")
 		case r.phase == runActive && r.active < sent:
 			e.removeRun(r, "the worker does not list it any more")
 		}
@@ -276,7 +278,7 @@
 	}
 	klog.InfoS("dispatch: run ended", "job", t.id.Job, "task", t.id.UnitID.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "why", why, "ran", e.Now()-r.ordered)
 	u := t.unit
-	if u.step.Gang && !t.done && !u.aborting {
+	if u.step.Gang && !t.done && !u.aborting && (r.active != 0 || e.Now()-u.gangSince > gangBound) {
 		// The other members end by themselves; checkGang sees to those that do not.
 		u.aborting, u.abortedAt = true, e.Now()
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -60,10 +60,17 @@
 	Expired bool
 	// PerWorker counts the tasks of the step that run on each worker.
 	PerWorker map[string]int
+	// Within is the rack that the tasks must use; empty means any.
+	Within string
 	// Avoid are workers on which the unit's tasks failed.
 	Avoid map[string]bool
 }
 
+// mayPreempt says whether others may be stopped for the unit.
+func (u *Unit) mayPreempt() bool {
+	return u.Guaranteed || u.Priority == 0 && !u.Expired && u.Within == ""
+}
+
 // Assignment puts a task on a worker.
 type Assignment struct {
 	Task   workload.TaskID
@@ -173,7 +180,7 @@
 		w := best(u, pool)
 		if w == nil {
 			p.plan.Blocked++
-			if u.Guaranteed {
+			if u.mayPreempt() {
 				p.makeRoom(u, u.Waiting[i:], [][]*Worker{pool})
 			}
 			return
@@ -227,7 +234,7 @@
 	}
 	if chosen == nil {
 		p.plan.Blocked++
-		if u.Guaranteed {
+		if u.mayPreempt() {
 			p.makeRoom(u, u.Waiting, pools)
 		}
 		return
@@ -239,6 +246,9 @@
 
 // gangPools returns the sets of workers among which a gang may be placed.
 func (p *planner) gangPools(u *Unit) [][]*Worker {
+	if u.Within != "" {
+		return [][]*Worker{p.byRack[u.Within]}
+	}
 	if rack := p.localRack(u); rack != "" && p.everFits(u, p.byRack[rack]) {
 		return [][]*Worker{p.byRack[rack]}
 	}
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -26,7 +26,7 @@
 			cheapest = r
 		}
 	}
-	if cheapest == nil {
+	if cheapest == nil || !u.Guaranteed && cheapest.cost > MaxUrgentCost {
 		return
 	}
 	for _, id := range slices.SortedFunc(maps.Keys(cheapest.victims), compareTask) {
@@ -126,12 +126,12 @@
 		if _, taken := chosen[id]; taken || p.stopped[id] || !mayStop(u, run) || run.Gang && seen[run.Unit] {
 			continue
 		}
-		o := option{members: []member{{run, w}}, cost: run.Cost, frees: run.Need}
+		o := option{members: []member{{run, w}}, cost: stopCost(u, run), frees: run.Need}
 		if run.Gang {
 			seen[run.Unit] = true
 			o = option{members: gangs[run.Unit]}
 			for _, m := range o.members {
-				o.cost += m.Cost
+				o.cost += stopCost(u, m.Running)
 				if m.worker == w {
 					o.frees = o.frees.Add(m.Need)
 				}
@@ -158,5 +158,24 @@
 
 // mayStop says whether a running task may be stopped for the unit.
 func mayStop(u *Unit, run Running) bool {
-	return run.Unit.Job != u.ID.Job && !run.Guaranteed && run.Priority >= u.Priority
+	if run.Unit.Job == u.ID.Job || run.Guaranteed {
+		return false
+	}
+	return run.Priority > u.Priority || u.Guaranteed && run.Priority == u.Priority
+}
+
+// peerCost is what a stop of a task of the unit's own priority costs beyond its
+// lost work, in core-seconds: it is as urgent as the unit itself, so that others
+// go first.
+const peerCost = 100_000
+
+// MaxUrgentCost is the lost work, in core-seconds, up to which an urgent unit
+// beyond its account's guarantee may stop others.
+const MaxUrgentCost = 600
+
+func stopCost(u *Unit, run Running) float64 {
+	if run.Priority == u.Priority {
+		return run.Cost + peerCost
+	}
+	return run.Cost
 }
