--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -62,6 +62,9 @@
 	writing   bool
 	written   time.Duration
 	runTimes  map[string]*runTime
+	// urgent is the demand of urgent jobs as of urgentAt, in accelerators.
+	urgent    float64
+	urgentAt  time.Duration
 	stop      error
 	histogram *metrics.Histogram
 }
@@ -167,6 +170,9 @@
 		}
 		j = e.addJob(entry, inherited)
 		e.jobs[id] = j
+		if e.refreshQueue(j); j.priority == 0 && !inherited {
+			e.noteUrgent(j, e.Now())
+		}
 		klog.InfoS("dispatch: job taken", "job", id, "queue", j.spec.Queue, "account", j.spec.Account, "steps", len(j.spec.Steps), "inherited_from", j.inherited, "term", e.Term.Number)
 	}
 	if entry.Progress.Phase.Ended() {
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -87,10 +88,48 @@
 				waiting = append(waiting, u)
 			}
 		}
-		e.apply(placement.Decide(pool, waiting), byID, now)
+		e.apply(placement.Decide(pool, waiting, e.headroom(pool, now)), byID, now)
 	}
 }
 
+// noteUrgent notes the accelerators that an urgent job asks for.
+func (e *Engine) noteUrgent(j *job, now time.Duration) {
+	need := 0
+	for i := range j.spec.Steps {
+		need += j.spec.Steps[i].Count * j.spec.Steps[i].Need.Accelerators
+	}
+	e.urgent = e.urgentNow(now) + float64(need)
+	e.urgentAt = now
+}
+
+// urgentNow returns the accelerators that urgent jobs asked for of late, where
+// those of urgentMemory ago count a third.
+func (e *Engine) urgentNow(now time.Duration) float64 {
+	return e.urgent * math.Exp(-(now-e.urgentAt).Seconds()/urgentMemory.Seconds())
+}
+
+// headroom returns how many accelerators of each rack to keep free: what urgent
+// jobs ask for in the time that a stop takes.
+func (e *Engine) headroom(pool []*placement.Worker, now time.Duration) int {
+	racks := map[string]bool{}
+	total := 0
+	for _, w := range pool {
+		racks[w.Rack] = true
+		total += w.Capacity.Accelerators
+	}
+	if len(racks) == 0 {
+		return 0
+	}
+	rate := e.urgentNow(now) / urgentMemory.Seconds()
+	return int(min(rate*e.Settings.StopTime.Seconds()*headroomFactor, maxHeadroom*float64(total)) / float64(len(racks)))
+}
+
+// tooWide says whether a gang needs so much of a rack that it would never start
+// beside the headroom.
+func (e *Engine) tooWide(u *unit) bool {
+	return u.step.Gang && u.step.Count*u.step.Need.Accelerators > wideGang
+}
+
 // servicesOf lists the services that the units need.
 func (e *Engine) servicesOf(units []*placement.Unit) []string {
 	var services []string
@@ -224,6 +263,7 @@
 					pu.PerWorker[t.run.worker.key]++
 				}
 			}
+			pu.Pressing = unixMS > begin+objective.Milliseconds()/2 || e.tooWide(u)
 			if u.partial() {
 				pu.Guaranteed = false
 				pu.Within = u.rack()
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -64,6 +64,16 @@
 	// maxStrikes bounds how many times suspectTime a worker is closed: at most 12 s,
 	// which outlasts most troubles.
 	maxStrikes = 4
+	// urgentMemory is the time over which the rate of urgent jobs is averaged.
+	urgentMemory = 6 * time.Second
+	// headroomFactor is how many times the mean demand of urgent jobs during a stop
+	// is kept free, for bursts.
+	headroomFactor = 1.5
+	// maxHeadroom bounds the headroom, as a share of all accelerators.
+	maxHeadroom = 0.2
+	// wideGang is the number of accelerators from which a gang may use the headroom:
+	// half of a rack.
+	wideGang = 32
 	// retryPause is the wait before a unit is tried again after a refused start.
 	retryPause = 100 * time.Millisecond
 	// reservationTime is how long room is held for a unit beyond the stop time.
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -56,6 +56,8 @@
 	Guaranteed bool
 	// Deadline orders units of one priority, in Unix milliseconds.
 	Deadline int64
+	// Pressing units may use the room that is kept for urgent ones.
+	Pressing bool
 	// Expired units can earn nothing more and come last.
 	Expired bool
 	// PerWorker counts the tasks of the step that run on each worker.
@@ -95,16 +97,24 @@
 	racks   []string
 	plan    Plan
 	stopped map[workload.TaskID]bool
+	// idle counts the free accelerators of each rack; less urgent units leave
+	// headroom of them.
+	headroom int
+	idle     map[string]int
 }
 
-// Decide places units in order. It changes the workers' Free.
-func Decide(workers []*Worker, units []*Unit) Plan {
-	p := &planner{workers: workers, byRack: map[string][]*Worker{}, stopped: map[workload.TaskID]bool{}}
+// Decide places units in order. It changes the workers' Free. headroom is how
+// many accelerators of each rack are kept free for urgent units.
+func Decide(workers []*Worker, units []*Unit, headroom int) Plan {
+	p := &planner{workers: workers, byRack: map[string][]*Worker{}, stopped: map[workload.TaskID]bool{}, headroom: headroom, idle: map[string]int{}}
 	for _, w := range workers {
 		if _, known := p.byRack[w.Rack]; !known {
 			p.racks = append(p.racks, w.Rack)
 		}
 		p.byRack[w.Rack] = append(p.byRack[w.Rack], w)
+		if w.Open {
+			p.idle[w.Rack] += max(0, w.Free.Accelerators)
+		}
 	}
 	slices.Sort(p.racks)
 	slices.SortStableFunc(units, Order)
@@ -147,6 +157,20 @@
 	return w.Open && (u.Step.Label == "" || w.hasLabel(u.Step.Label)) && u.Step.Demand().Fits(w.Capacity)
 }
 
+// reach returns how many tasks of the unit may start in a rack so that headroom
+// stays for urgent units. It answers bursts of urgent jobs that come while other
+// work would fill the racks: room that is free at once beats room that has to be
+// made by stops.
+func (p *planner) reach(u *Unit, rack string) int {
+	if u.Priority == 0 || u.Pressing || u.Step.Need.Accelerators == 0 || u.Within != "" {
+		return noBound
+	}
+	return max(0, p.idle[rack]-p.headroom) / u.Step.Need.Accelerators
+}
+
+// noBound is more tasks than a step may have.
+const noBound = 1 << 20
+
 // slots returns how many tasks of the unit the worker could take within free.
 func slots(u *Unit, w *Worker, free workload.Resources) int {
 	n := u.Step.Demand().Count(free)
@@ -177,7 +201,7 @@
 		pool = p.byRack[rack]
 	}
 	for i, index := range u.Waiting {
-		w := best(u, pool)
+		w := p.best(u, pool)
 		if w == nil {
 			p.plan.Blocked++
 			if u.mayPreempt() {
@@ -190,10 +214,10 @@
 }
 
 // best returns the worker with room that is left with the least after a task.
-func best(u *Unit, pool []*Worker) *Worker {
+func (p *planner) best(u *Unit, pool []*Worker) *Worker {
 	var chosen *Worker
 	for _, w := range pool {
-		if !eligible(u, w) || slots(u, w, w.Free) == 0 {
+		if !eligible(u, w) || slots(u, w, w.Free) == 0 || p.reach(u, w.Rack) == 0 {
 			continue
 		}
 		if chosen == nil || compareFit(u, w, chosen) < 0 {
@@ -217,6 +241,7 @@
 
 func (p *planner) start(u *Unit, index int, w *Worker) {
 	w.Free = w.Free.Sub(u.Step.Demand())
+	p.idle[w.Rack] -= u.Step.Need.Accelerators
 	u.PerWorker[w.ID]++
 	p.plan.Start = append(p.plan.Start, Assignment{Task: workload.TaskID{UnitID: u.ID, Index: index}, Worker: w.ID})
 }
@@ -227,7 +252,7 @@
 	var chosen []*Worker
 	bestScore := 0.0
 	for _, pool := range pools {
-		picks, score := fill(u, pool)
+		picks, score := p.fill(u, pool)
 		if picks != nil && (chosen == nil || score < bestScore) {
 			chosen, bestScore = picks, score
 		}
@@ -284,7 +309,8 @@
 
 // fill finds workers of the pool for all waiting tasks. The score ranks pools:
 // lower is better.
-func fill(u *Unit, pool []*Worker) (picks []*Worker, score float64) {
+func (p *planner) fill(u *Unit, pool []*Worker) (picks []*Worker, score float64) {
+	reach := map[string]int{}
 	var order []*Worker
 	for _, w := range pool {
 		if eligible(u, w) && slots(u, w, w.Free) > 0 {
@@ -294,7 +320,11 @@
 	slices.SortFunc(order, func(a, b *Worker) int { return compareFit(u, a, b) })
 	slowest := 0.0
 	for _, w := range order {
-		n := min(slots(u, w, w.Free), len(u.Waiting)-len(picks))
+		if _, known := reach[w.Rack]; !known {
+			reach[w.Rack] = p.reach(u, w.Rack)
+		}
+		n := min(slots(u, w, w.Free), len(u.Waiting)-len(picks), reach[w.Rack])
+		reach[w.Rack] -= n
 		for range n {
 			picks = append(picks, w)
 		}
