Count only idle workers as headroom for urgent jobs

Cause: single accelerators left over on many workers counted as headroom, but gangs need whole workers.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -82,6 +82,9 @@
 	e.view = e.View()
 	e.settledBy = now + e.Settings.Election.RenewBound + e.leaseSpan()
 	for id, entry := range state.Jobs {
+		if entry.Job != nil {
+			e.noteUrgent(entry.Job, now)
+		}
 		e.update(id, entry, true)
 	}
 	e.syncWorkers()
@@ -170,8 +173,8 @@
 		}
 		j = e.addJob(entry, inherited)
 		e.jobs[id] = j
-		if e.refreshQueue(j); j.priority == 0 && !inherited {
-			e.noteUrgent(j, e.Now())
+		if !inherited {
+			e.noteUrgent(j.spec, e.Now())
 		}
 		klog.InfoS("dispatch: job taken", "job", id, "queue", j.spec.Queue, "account", j.spec.Account, "steps", len(j.spec.Steps), "inherited_from", j.inherited, "term", e.Term.Number)
 	}
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -93,12 +93,19 @@
 }
 
 // noteUrgent notes the accelerators that an urgent job asks for.
-func (e *Engine) noteUrgent(j *job, now time.Duration) {
+func (e *Engine) noteUrgent(spec *workload.Job, now time.Duration) {
+	if e.view.Config == nil {
+		return
+	}
+	if q := e.view.Config.Queue(spec.Queue); q == nil || q.Priority != 0 {
+		return
+	}
 	need := 0
-	for i := range j.spec.Steps {
-		need += j.spec.Steps[i].Count * j.spec.Steps[i].Need.Accelerators
+	for i := range spec.Steps {
+		need += spec.Steps[i].Count * spec.Steps[i].Need.Accelerators
 	}
-	e.urgent = e.urgentNow(now) + float64(need)
+	age := time.Duration(max(0, e.UnixMS()-spec.SubmittedMS)) * time.Millisecond
+	e.urgent = e.urgentNow(now) + float64(need)*math.Exp(-age.Seconds()/urgentMemory.Seconds())
 	e.urgentAt = now
 }
 
@@ -114,6 +121,9 @@
 	racks := map[string]bool{}
 	total := 0
 	for _, w := range pool {
+		if !w.Open {
+			continue
+		}
 		racks[w.Rack] = true
 		total += w.Capacity.Accelerators
 	}
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -70,7 +70,7 @@
 	// is kept free, for bursts.
 	headroomFactor = 1.5
 	// maxHeadroom bounds the headroom, as a share of all accelerators.
-	maxHeadroom = 0.2
+	maxHeadroom = 0.25
 	// wideGang is the number of accelerators from which a gang may use the headroom:
 	// half of a rack.
 	wideGang = 32
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -97,14 +97,14 @@
 	racks   []string
 	plan    Plan
 	stopped map[workload.TaskID]bool
-	// idle counts the free accelerators of each rack; less urgent units leave
-	// headroom of them.
+	// idle counts the accelerators of each rack's idle workers; less urgent units
+	// leave headroom of them.
 	headroom int
 	idle     map[string]int
 }
 
 // Decide places units in order. It changes the workers' Free. headroom is how
-// many accelerators of each rack are kept free for urgent units.
+// many accelerators of idle workers are kept in each rack for urgent units.
 func Decide(workers []*Worker, units []*Unit, headroom int) Plan {
 	p := &planner{workers: workers, byRack: map[string][]*Worker{}, stopped: map[workload.TaskID]bool{}, headroom: headroom, idle: map[string]int{}}
 	for _, w := range workers {
@@ -112,8 +112,8 @@
 			p.racks = append(p.racks, w.Rack)
 		}
 		p.byRack[w.Rack] = append(p.byRack[w.Rack], w)
-		if w.Open {
-			p.idle[w.Rack] += max(0, w.Free.Accelerators)
+		if w.Open && w.idle() {
+			p.idle[w.Rack] += w.Capacity.Accelerators
 		}
 	}
 	slices.Sort(p.racks)
@@ -157,20 +157,21 @@
 	return w.Open && (u.Step.Label == "" || w.hasLabel(u.Step.Label)) && u.Step.Demand().Fits(w.Capacity)
 }
 
-// reach returns how many tasks of the unit may start in a rack so that headroom
-// stays for urgent units. It answers bursts of urgent jobs that come while other
-// work would fill the racks: room that is free at once beats room that has to be
-// made by stops.
-func (p *planner) reach(u *Unit, rack string) int {
-	if u.Priority == 0 || u.Pressing || u.Step.Need.Accelerators == 0 || u.Within != "" {
-		return noBound
+// idle says whether nothing runs on the worker.
+func (w *Worker) idle() bool { return w.Free == w.Capacity }
+
+// mayOpen says whether the unit may start on an idle worker of a rack of which
+// others, with so many accelerators, are taken already. Less urgent units leave
+// headroom. It answers bursts of urgent jobs that come while other work would
+// fill the racks: room that is free at once beats room that has to be made by
+// stops, and gangs need whole workers.
+func (p *planner) mayOpen(u *Unit, w *Worker, taken int) bool {
+	if u.Priority == 0 || u.Pressing || u.Within != "" || !w.idle() {
+		return true
 	}
-	return max(0, p.idle[rack]-p.headroom) / u.Step.Need.Accelerators
+	return p.idle[w.Rack]-taken-w.Capacity.Accelerators >= p.headroom
 }
 
-// noBound is more tasks than a step may have.
-const noBound = 1 << 20
-
 // slots returns how many tasks of the unit the worker could take within free.
 func slots(u *Unit, w *Worker, free workload.Resources) int {
 	n := u.Step.Demand().Count(free)
@@ -217,7 +218,7 @@
 func (p *planner) best(u *Unit, pool []*Worker) *Worker {
 	var chosen *Worker
 	for _, w := range pool {
-		if !eligible(u, w) || slots(u, w, w.Free) == 0 || p.reach(u, w.Rack) == 0 {
+		if !eligible(u, w) || slots(u, w, w.Free) == 0 || !p.mayOpen(u, w, 0) {
 			continue
 		}
 		if chosen == nil || compareFit(u, w, chosen) < 0 {
@@ -240,8 +241,10 @@
 }
 
 func (p *planner) start(u *Unit, index int, w *Worker) {
+	if w.idle() {
+		p.idle[w.Rack] -= w.Capacity.Accelerators
+	}
 	w.Free = w.Free.Sub(u.Step.Demand())
-	p.idle[w.Rack] -= u.Step.Need.Accelerators
 	u.PerWorker[w.ID]++
 	p.plan.Start = append(p.plan.Start, Assignment{Task: workload.TaskID{UnitID: u.ID, Index: index}, Worker: w.ID})
 }
@@ -310,7 +313,7 @@
 // fill finds workers of the pool for all waiting tasks. The score ranks pools:
 // lower is better.
 func (p *planner) fill(u *Unit, pool []*Worker) (picks []*Worker, score float64) {
-	reach := map[string]int{}
+	taken := map[string]int{}
 	var order []*Worker
 	for _, w := range pool {
 		if eligible(u, w) && slots(u, w, w.Free) > 0 {
@@ -320,11 +323,13 @@
 	slices.SortFunc(order, func(a, b *Worker) int { return compareFit(u, a, b) })
 	slowest := 0.0
 	for _, w := range order {
-		if _, known := reach[w.Rack]; !known {
-			reach[w.Rack] = p.reach(u, w.Rack)
+		if !p.mayOpen(u, w, taken[w.Rack]) {
+			continue
+		}
+		if w.idle() {
+			taken[w.Rack] += w.Capacity.Accelerators
 		}
-		n := min(slots(u, w, w.Free), len(u.Waiting)-len(picks), reach[w.Rack])
-		reach[w.Rack] -= n
+		n := min(slots(u, w, w.Free), len(u.Waiting)-len(picks))
 		for range n {
 			picks = append(picks, w)
 		}
