--- /dev/null
+++ b/pkg/placement/placement_test.go
@@ -0,0 +1,248 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+var whole = workload.Resources{MilliCores: 64000, MemoryMB: 262144, Accelerators: 8}
+
+// need returns the need of a task that takes so many of a worker's accelerators.
+func need(accelerators int) workload.Resources {
+	return workload.Resources{MilliCores: 8000 * accelerators, MemoryMB: 32768 * accelerators, Accelerators: accelerators}
+}
+
+// racks returns idle workers in racks of four.
+func racks(count int) []*Worker {
+	var workers []*Worker
+	for i := range 4 * count {
+		workers = append(workers, &Worker{ID: fmt.Sprintf("w%02d", i), Rack: fmt.Sprintf("r%d", i/4), Labels: []string{"a"}, Free: whole, Capacity: whole, Open: true, Speed: 1})
+	}
+	return workers
+}
+
+// occupy puts a running task on a worker.
+func occupy(w *Worker, job string, index int, r workload.Resources, priority int, cost float64, gang bool) {
+	w.Free = w.Free.Sub(r)
+	w.Running = append(w.Running, Running{Unit: workload.UnitID{Job: job}, Index: index, Need: r, Priority: priority, Cost: cost, Gang: gang})
+}
+
+// unit returns a unit with so many waiting tasks.
+func unit(job string, count int, step workload.Step, priority int) *Unit {
+	step.Count = count
+	u := &Unit{ID: workload.UnitID{Job: job}, Step: &step, Priority: priority, PerWorker: map[string]int{}}
+	for i := range count {
+		u.Waiting = append(u.Waiting, i)
+	}
+	return u
+}
+
+func gang(accelerators int) workload.Step {
+	return workload.Step{Need: need(accelerators), Gang: true, SameRack: true}
+}
+
+// rackOf returns the rack of each start and fails unless they share one.
+func rackOf(t *testing.T, workers []*Worker, starts []Assignment) string {
+	t.Helper()
+	byID := map[string]*Worker{}
+	for _, w := range workers {
+		byID[w.ID] = w
+	}
+	rack := ""
+	for _, a := range starts {
+		if r := byID[a.Worker].Rack; rack != "" && r != rack {
+			t.Fatalf("starts on racks %s and %s", rack, r)
+		} else {
+			rack = r
+		}
+	}
+	return rack
+}
+
+func TestGangSharesRackOrWaits(t *testing.T) {
+	workers := racks(2)
+	occupy(workers[0], "a", 0, need(8), 1, 1, false)
+	occupy(workers[5], "b", 0, need(8), 1, 1, false)
+	if plan := Decide(workers, []*Unit{unit("j", 4, gang(8), 1)}, 0); len(plan.Start) != 0 {
+		t.Errorf("%d starts although no rack has room for four", len(plan.Start))
+	}
+	plan := Decide(workers, []*Unit{unit("j", 3, gang(8), 1)}, 0)
+	if len(plan.Start) != 3 {
+		t.Fatalf("%d starts, want 3", len(plan.Start))
+	}
+	rackOf(t, workers, plan.Start)
+}
+
+// A gang that is wider than any rack may span racks.
+func TestGangWiderThanAnyRackSpansRacks(t *testing.T) {
+	if plan := Decide(racks(2), []*Unit{unit("j", 6, gang(8), 1)}, 0); len(plan.Start) != 6 {
+		t.Errorf("%d starts, want 6", len(plan.Start))
+	}
+}
+
+func TestPlacementHonoursTheStep(t *testing.T) {
+	for name, c := range map[string]struct {
+		step  workload.Step
+		count int
+		want  int
+		check func(w *Worker) bool
+	}{
+		"label":            {workload.Step{Need: need(1), Label: "b"}, 3, 3, func(w *Worker) bool { return w.hasLabel("b") }},
+		"data rack":        {workload.Step{Need: need(1), DataRack: "r1"}, 3, 3, func(w *Worker) bool { return w.Rack == "r1" }},
+		"bound per worker": {workload.Step{Need: need(1), MaxPerWorker: 1, DataRack: "r1"}, 6, 4, func(w *Worker) bool { return w.Free.Accelerators == 7 }},
+		"unknown label":    {workload.Step{Need: need(1), Label: "c"}, 3, 0, nil},
+		"larger than any":  {workload.Step{Need: need(9)}, 1, 0, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			workers := racks(2)
+			workers[6].Labels = []string{"b"}
+			plan := Decide(workers, []*Unit{unit("j", c.count, c.step, 1)}, 0)
+			if len(plan.Start) != c.want {
+				t.Fatalf("%d starts, want %d", len(plan.Start), c.want)
+			}
+			for _, a := range plan.Start {
+				for _, w := range workers {
+					if w.ID == a.Worker && !c.check(w) {
+						t.Errorf("a start on %s in %s", w.ID, w.Rack)
+					}
+				}
+			}
+		})
+	}
+}
+
+func TestClosedWorkersGetNothing(t *testing.T) {
+	workers := racks(1)
+	for _, w := range workers[1:] {
+		w.Open = false
+	}
+	plan := Decide(workers, []*Unit{unit("j", 20, workload.Step{Need: need(1)}, 1)}, 0)
+	if len(plan.Start) != 8 {
+		t.Errorf("%d starts, want the 8 of the open worker", len(plan.Start))
+	}
+}
+
+// A guaranteed gang stops the least work, whole gangs at a time, and starts only
+// once the room is there.
+func TestGuaranteedGangStopsWhatCostsLeast(t *testing.T) {
+	workers := racks(2)
+	for i, w := range workers {
+		if i < 4 {
+			occupy(w, "gang", i, need(8), 1, 1000, true)
+			continue
+		}
+		for index := range 8 {
+			occupy(w, fmt.Sprintf("bulk%d", i), index, need(1), 2, 10, false)
+		}
+	}
+	u := unit("j", 2, gang(8), 0)
+	u.Guaranteed = true
+	plan := Decide(workers, []*Unit{u}, 0)
+	if len(plan.Start) != 0 || len(plan.Reserve) != 2 || len(plan.Stop) != 16 {
+		t.Fatalf("%d starts, %d reservations, %d stops; want 0, 2 and 16", len(plan.Start), len(plan.Reserve), len(plan.Stop))
+	}
+	for _, id := range plan.Stop {
+		if id.Job == "gang" {
+			t.Error("a member of the gang is stopped")
+		}
+	}
+}
+
+// The work of guaranteed jobs is never stopped, nor that of the job itself.
+func TestGuaranteedWorkIsNotStopped(t *testing.T) {
+	workers := racks(1)
+	for i, w := range workers {
+		occupy(w, "other", i, need(8), 0, 1, false)
+		w.Running[0].Guaranteed = true
+	}
+	u := unit("j", 1, gang(8), 0)
+	u.Guaranteed = true
+	if plan := Decide(workers, []*Unit{u}, 0); len(plan.Stop)+len(plan.Reserve)+len(plan.Start) != 0 {
+		t.Errorf("plan %+v, want none", plan)
+	}
+}
+
+// Load: accounts ask for more urgent work than their guarantees. Urgent gangs
+// were stopped for others just after their start, again and again.
+func TestUrgentWorkIsStoppedLast(t *testing.T) {
+	workers := racks(1)
+	for i, w := range workers {
+		if i < 2 {
+			occupy(w, "urgent", i, need(8), 0, 1, true)
+		} else {
+			occupy(w, "usual", i, need(8), 1, 500, false)
+		}
+	}
+	u := unit("j", 2, gang(8), 0)
+	u.Guaranteed = true
+	plan := Decide(workers, []*Unit{u}, 0)
+	for _, id := range plan.Stop {
+		if id.Job == "urgent" {
+			t.Error("urgent work is stopped although other work could be")
+		}
+	}
+	if len(plan.Stop) != 2 {
+		t.Errorf("%d stops, want 2", len(plan.Stop))
+	}
+}
+
+// Urgent work beyond the guarantee stops cheap work only.
+func TestUrgentWorkBeyondItsGuaranteeStopsCheapWork(t *testing.T) {
+	for cost, want := range map[float64]int{MaxUrgentCost / 8: 8, MaxUrgentCost: 0} {
+		workers := racks(1)[:1]
+		for index := range 8 {
+			occupy(workers[0], "bulk", index, need(1), 2, cost, false)
+		}
+		if plan := Decide(workers, []*Unit{unit("j", 1, gang(8), 0)}, 0); len(plan.Stop) != want {
+			t.Errorf("at %g core-seconds each: %d stops, want %d", cost, len(plan.Stop), want)
+		}
+	}
+}
+
+// Load: bulk work would fill the racks while urgent jobs come every second.
+func TestHeadroomIsLeftForUrgentWork(t *testing.T) {
+	workers := racks(1)
+	bulk := unit("bulk", 40, workload.Step{Need: need(1)}, 2)
+	plan := Decide(workers, []*Unit{bulk}, 8)
+	if len(plan.Start) != 24 {
+		t.Errorf("%d bulk starts, want 24: one worker stays idle", len(plan.Start))
+	}
+	if plan := Decide(workers, []*Unit{unit("urgent", 1, gang(8), 0)}, 8); len(plan.Start) != 1 || len(plan.Stop) != 0 {
+		t.Errorf("%d urgent starts and %d stops, want 1 and 0", len(plan.Start), len(plan.Stop))
+	}
+	pressing := unit("late", 8, workload.Step{Need: need(1)}, 2)
+	pressing.Pressing = true
+	if plan := Decide(racks(1)[:1], []*Unit{pressing}, 8); len(plan.Start) != 8 {
+		t.Errorf("%d starts of pressing work, want 8", len(plan.Start))
+	}
+}
+
+// A member that was not started is replaced beside the others.
+func TestMissingMemberIsPlacedInTheGangsRack(t *testing.T) {
+	workers := racks(2)
+	u := unit("j", 1, gang(2), 1)
+	u.Within = "r1"
+	plan := Decide(workers, []*Unit{u}, 0)
+	if len(plan.Start) != 1 || rackOf(t, workers, plan.Start) != "r1" {
+		t.Errorf("starts %v, want one in r1", plan.Start)
+	}
+}
+
+func TestOrder(t *testing.T) {
+	guaranteed := &Unit{ID: workload.UnitID{Job: "g"}, Guaranteed: true, Deadline: 9}
+	expired := &Unit{ID: workload.UnitID{Job: "e"}, Priority: 0, Expired: true}
+	urgent := &Unit{ID: workload.UnitID{Job: "u"}, Priority: 0, Deadline: 9}
+	early := &Unit{ID: workload.UnitID{Job: "x"}, Priority: 1, Deadline: 1}
+	late := &Unit{ID: workload.UnitID{Job: "y"}, Priority: 1, Deadline: 2}
+	order := []*Unit{guaranteed, urgent, early, late, expired}
+	for i := range order {
+		for j := range order {
+			got := Order(order[i], order[j])
+			if i < j && got >= 0 || i > j && got <= 0 || i == j && got != 0 {
+				t.Errorf("Order(%s, %s) = %d", order[i].ID.Job, order[j].ID.Job, got)
+			}
+		}
+	}
+}
