--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -24,8 +24,10 @@
 	receiverName = "Entry"
 	storeMethod  = receiverName + ".Store"
 	phaseMethod  = receiverName + ".Phase"
-	// otherTimeout bounds a call to one other node, which may write to the log.
-	otherTimeout = 500 * time.Millisecond
+	// otherTimeout bounds a call to one other node, which may write to the log, and
+	// serveTimeout the time that the other node takes for it.
+	otherTimeout = 300 * time.Millisecond
+	serveTimeout = 250 * time.Millisecond
 	// maxOthers is how many other nodes are tried.
 	maxOthers = 2
 )
@@ -51,7 +53,7 @@
 
 // Store adds a record to the log.
 func (r *receiver) Store(record backend.KeyedRecord, stored *Stored) error {
-	ctx, cancel := context.WithTimeout(context.Background(), otherTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
 	defer cancel()
 	err := r.node.Intake.StoreHere(ctx, record)
 	*stored = Stored{Done: err == nil}
@@ -63,7 +65,7 @@
 
 // Phase tells a job's phase, if the node's view is fresh.
 func (r *receiver) Phase(id string, phase *ledger.Phase) error {
-	ctx, cancel := context.WithTimeout(context.Background(), otherTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
 	defer cancel()
 	p, err := r.node.Intake.PhaseHere(ctx, id)
 	*phase = p
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -204,15 +204,21 @@
 // submitTo hands a job in through a node.
 func (s *site) submitTo(n *testNode, queue string, behave func(index int) simsite.Behaviour, steps ...workload.Step) string {
 	s.t.Helper()
+	job := s.newJob(queue, behave, steps...)
+	if err := n.Intake.Submit(s.ctx, job); err != nil {
+		s.t.Fatalf("submission: %v", err)
+	}
+	return job.ID
+}
+
+// newJob returns a job that has not been handed in.
+func (s *site) newJob(queue string, behave func(index int) simsite.Behaviour, steps ...workload.Step) *workload.Job {
 	jobCount++
 	job := &workload.Job{ID: fmt.Sprintf("%016x", jobCount), Queue: queue, Service: "desk", Account: "coopers", Payload: "{}", Steps: steps, SubmittedMS: time.Now().UnixMilli()}
 	for step := range steps {
 		s.fleet.Update(func() { s.behave[workload.UnitID{Job: job.ID, Step: step}] = behave })
 	}
-	if err := n.Intake.Submit(s.ctx, job); err != nil {
-		s.t.Fatalf("submission: %v", err)
-	}
-	return job.ID
+	return job
 }
 
 // phase asks a node for the phase of a job.
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -105,6 +105,13 @@
 	return f.confirmed, f.ready
 }
 
+// Lost says whether the last read failed.
+func (f *Feed) Lost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
 // End returns the offset after the last record applied.
 func (f *Feed) End() int64 {
 	f.mu.Lock()
@@ -125,12 +132,16 @@
 
 func (f *Feed) step(ctx context.Context) error {
 	f.mu.Lock()
-	ready, from := f.ready, f.next
+	ready, from, wait := f.ready, f.next, f.settings.Wait
+	if f.lost {
+		// An answer at once tells soonest that the topic is back.
+		wait = 0
+	}
 	f.mu.Unlock()
 	if !ready {
 		return f.list(ctx)
 	}
-	err := f.read(ctx, from, f.settings.Wait)
+	err := f.read(ctx, from, wait)
 	var logErr *backend.LogError
 	if errors.As(err, &logErr) && logErr.Kind == backend.LogTrimmed {
 		klog.InfoS("feed: records were trimmed before they were read, listing anew", "topic", f.settings.Name, "offset", from)
@@ -218,12 +229,15 @@
 	if err != nil {
 		f.failures.Inc()
 	}
-	if (err != nil) == f.lost {
+	f.mu.Lock()
+	same := (err != nil) == f.lost
+	f.lost = err != nil
+	f.mu.Unlock()
+	if same {
 		return
 	}
-	f.lost = err != nil
 	at, _ := f.Confirmed()
-	if f.lost {
+	if err != nil {
 		klog.InfoS("feed: lost the topic", "topic", f.settings.Name, "err", err, "age", f.settings.Now()-at, "offset", f.End())
 		return
 	}
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,16 +24,18 @@
 	writeBound = 1800 * time.Millisecond
 	// ownBound is how long this node tries before it passes a record on: many times
 	// the log's usual answer.
-	ownBound = 700 * time.Millisecond
+	ownBound = 500 * time.Millisecond
 	// readBound is how long a caller waits for a fresh view.
 	readBound = 500 * time.Millisecond
 	// freshEnough is the age up to which a view may say that a job is unknown.
 	freshEnough = 100 * time.Millisecond
-	// retryAfter is when a caller whose job was not stored may come again: the
-	// log's outages last seconds, and other nodes may reach it.
+	// retryAfter is the least time after which a refused caller may come again.
 	retryAfter = time.Second
-	// followBound is the age up to which a view may answer for a known job.
-	followBound = 2 * time.Second
+	// patience is how long the log may take for a write until it counts as out of
+	// reach: some fifty times its usual answer.
+	patience = 250 * time.Millisecond
+	// maxRetryAfter bounds the time that refused callers are told to wait.
+	maxRetryAfter = 4 * time.Second
 )
 
 // Others passes requests on to other nodes while this one cannot reach the log.
@@ -105,7 +108,8 @@
 	known = known && e.Job != nil
 	confirmed, ready := s.feed.Confirmed()
 	age := s.now() - confirmed
-	if !ready || known && !e.Phase().Ended() && age > followBound || !known && age > freshEnough {
+	// A job that is known needs no fresh view: its phases only move on.
+	if !ready || !known && age > freshEnough {
 		ctx, cancel := context.WithTimeout(ctx, readBound)
 		defer cancel()
 		if err := s.feed.Refresh(ctx); err != nil {
@@ -147,7 +151,14 @@
 	if e := api.AsError(err, api.MayHaveRun); e.Verdict != api.NotRun {
 		return &api.Error{Code: api.CodeTimeout, Message: "it is not known whether the log took the record", Verdict: api.MayHaveRun, RetryAfter: retryAfter}
 	}
-	return &api.Error{Code: api.CodeUnavailable, Message: "the log does not take the record", Verdict: api.NotRun, RetryAfter: retryAfter}
+	return &api.Error{Code: api.CodeUnavailable, Message: "the log does not take the record", Verdict: api.NotRun, RetryAfter: s.comeBack()}
+}
+
+// comeBack returns when refused callers may come again. It answers outages of
+// the log, of which one that has lasted for a while is likely to last as long
+// again; callers have few tries, which would be used up before its end.
+func (s *Service) comeBack() time.Duration {
+	return min(max(retryAfter, s.writer.Trouble(patience)), maxRetryAfter)
 }
 
 // StoreHere adds a record that another node passes on.
@@ -159,6 +170,10 @@
 
 // writeHere adds a record from this node.
 func (s *Service) writeHere(ctx context.Context, r backend.KeyedRecord) error {
+	if lasted := s.writer.Trouble(patience); lasted > 0 || s.feed.Lost() {
+		// A write would only wait. Nothing of it is sent.
+		return &api.Error{Code: api.CodeUnavailable, Message: fmt.Sprintf("the log is out of reach, for writes since %s", lasted), Verdict: api.NotRun}
+	}
 	ctx, cancel := context.WithTimeout(ctx, ownBound)
 	defer cancel()
 	_, err := s.writer.Write(ctx, r)
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -26,6 +26,8 @@
 	LeadsMethod = "Entry.Leads"
 	// callTimeout bounds a call to a silent leader: some ten round trips.
 	callTimeout = 250 * time.Millisecond
+	// callInterval is the least time between two calls to a silent leader.
+	callInterval = callTimeout
 	// producer names the leader's writes; its epoch is the term.
 	producer = "leader"
 	// tick is how often a follower looks whether to claim the lead.
@@ -73,7 +75,10 @@
 	lead     context.Context
 	retiring bool
 	calling  bool
-	read     time.Duration
+	nextCall time.Duration
+	// answer is what came of the last call to a silent leader.
+	answer string
+	read   time.Duration
 }
 
 // New returns a Service; Bind completes it and Run does its work.
@@ -178,10 +183,11 @@
 	term := s.replica.Term()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.calling || s.read == 0 || term.Number == 0 || term.Address == "" || !s.watch.Doubtful(s.settings.Now()) {
+	now := s.settings.Now()
+	if s.calling || now < s.nextCall || s.read == 0 || term.Number == 0 || term.Address == "" || !s.watch.Doubtful(now) {
 		return
 	}
-	s.calling = true
+	s.calling, s.nextCall = true, now+callInterval
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
@@ -194,7 +200,10 @@
 		defer s.mu.Unlock()
 		s.calling = false
 		s.watch.Called(s.settings.Now(), err == nil, leads)
-		klog.InfoS("leader: called a silent leader", "term", term.Number, "leader", term.Leader, "leads", leads, "err", err)
+		if answer := fmt.Sprint(term, leads, err != nil); answer != s.answer {
+			s.answer = answer
+			klog.InfoS("leader: called a silent leader", "term", term.Number, "leader", term.Leader, "leads", leads, "err", err)
+		}
 	}()
 }
 
--- a/pkg/ledger/appender.go
+++ b/pkg/ledger/appender.go
@@ -39,6 +39,11 @@
 	mu     sync.Mutex
 	queue  []*proposal
 	failed error
+	// troubled is when the log last began to leave a call undone, 0 if it did the
+	// last one; calling is when the call under way was sent, 0 if there is none.
+	troubled, calling time.Duration
+	// undone is when the last call was left undone.
+	undone time.Duration
 }
 
 type proposal struct {
@@ -99,6 +104,22 @@
 	return &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.NotRun, Cause: cause}
 }
 
+// Trouble returns for how long the log has left calls undone or unanswered; 0
+// means that a write is worth a try. patience is how long a call may take, and
+// the time after which a log in trouble is tried again.
+func (a *Appender) Trouble(patience time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.settings.Now()
+	switch {
+	case a.troubled != 0 && (a.calling != 0 || len(a.queue) > 0 || now-a.undone < patience):
+		return now - a.troubled
+	case a.calling != 0 && now-a.calling > patience:
+		return now - a.calling
+	}
+	return 0
+}
+
 // Run writes until ctx ends or the log refuses the producer for good; what was
 // not written then fails.
 func (a *Appender) Run(ctx context.Context) error {
@@ -167,13 +188,15 @@
 		write.Records = append(write.Records, p.records...)
 		p.uncertain = true
 	}
-	a.mu.Unlock()
 	sent := a.settings.Now()
+	a.calling = sent
+	a.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, a.settings.CallTimeout)
 	defer cancel()
 	_, err = a.log.Append(callCtx, write)
 	var logErr *backend.LogError
 	errors.As(err, &logErr)
+	a.noteCall(sent, err == nil)
 	switch {
 	case err == nil:
 		a.settings.NextSequence++
@@ -196,6 +219,19 @@
 	return true, nil
 }
 
+func (a *Appender) noteCall(sent time.Duration, done bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calling = 0
+	switch {
+	case done:
+		a.troubled = 0
+	case a.troubled == 0:
+		a.troubled = sent
+	}
+	a.undone = a.settings.Now()
+}
+
 func (a *Appender) finish(batch []*proposal, sent time.Duration, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
