--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -273,7 +273,7 @@
 					pu.PerWorker[t.run.worker.key]++
 				}
 			}
-			pu.Pressing = unixMS > begin+objective.Milliseconds()/2 || e.tooWide(u)
+			pu.Pressing = unixMS > begin+objective.Milliseconds() || e.tooWide(u)
 			if u.partial() {
 				pu.Guaranteed = false
 				pu.Within = u.rack()
