Wait for tasks that end soon, and search for room once a plan

What can be stopped on a worker is now worked out once a plan, a search ends when it is dearer than the best, and plans take at most a quarter of the processor.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -58,10 +58,13 @@
 	settledBy time.Duration
 	runs      int64
 	dirty     bool
-	planned   time.Duration
-	writing   bool
-	written   time.Duration
-	runTimes  map[string]*runTime
+	// planned is when the last plan was made, planTook how long it took.
+	planned  time.Duration
+	planTook time.Duration
+	planTime *metrics.Histogram
+	writing  bool
+	written  time.Duration
+	runTimes map[string]*runTime
 	// urgent is the demand of urgent jobs as of urgentAt, in accelerators.
 	urgent    float64
 	urgentAt  time.Duration
@@ -73,6 +76,7 @@
 func New(in Inputs) *Engine {
 	return &Engine{Inputs: in, events: make(chan func(), 1024), jobs: map[string]*job{}, workers: map[string]*worker{},
 		tenure: election.NewTenure(in.Settings.Election, in.Claimed), written: in.Claimed, runTimes: map[string]*runTime{},
+		planTime:  metrics.GetOrCreateHistogram("shallotpin_plan_seconds"),
 		histogram: metrics.GetOrCreateHistogram("shallotpin_start_wait_seconds")}
 }
 
@@ -106,7 +110,7 @@
 	e.onTick()
 	for e.stop == nil {
 		if e.dirty && planTimer == nil {
-			wait := e.planned + planPause - e.Now()
+			wait := e.planned + max(planPause, planShare*e.planTook) - e.Now()
 			planTimer = time.After(max(0, wait))
 		}
 		select {
@@ -119,8 +123,11 @@
 		case <-planTimer:
 			planTimer = nil
 			e.dirty = false
-			e.planned = e.Now()
+			began := e.Now()
 			e.plan()
+			e.planned = e.Now()
+			e.planTook = e.planned - began
+			e.planTime.Update(e.planTook.Seconds())
 			e.flush()
 		}
 	}
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -178,7 +178,7 @@
 				continue
 			}
 			pw.Running = append(pw.Running, placement.Running{Unit: id.UnitID, Index: id.Index, Need: r.need,
-				Priority: u.job.priority, Guaranteed: u.job.guaranteed, Gang: u.step.Gang, Cost: e.lossOf(r, now)})
+				Priority: u.job.priority, Guaranteed: u.job.guaranteed, Gang: u.step.Gang, Cost: e.lossOf(r, now), Ending: e.ending(r, now)})
 		}
 		slices.SortFunc(pw.Running, func(a, b placement.Running) int {
 			return cmp.Or(cmp.Compare(a.Unit.Job, b.Unit.Job), cmp.Compare(a.Unit.Step, b.Unit.Step), cmp.Compare(a.Index, b.Index))
@@ -196,6 +196,48 @@
 		w.fenced && !w.silent(now)
 }
 
+// ending says whether a run is likely to end as soon as a stop would take. A
+// gang ends with its slowest member.
+func (e *Engine) ending(r *run, now time.Duration) bool {
+	if !r.task.unit.step.Gang {
+		return r.remaining(now) <= e.Settings.StopTime
+	}
+	for _, t := range r.task.unit.tasks {
+		if t.run == nil || t.run.remaining(now) > e.Settings.StopTime {
+			return false
+		}
+	}
+	return true
+}
+
+// remaining estimates how long the run goes on, by its progress so far.
+func (r *run) remaining(now time.Duration) time.Duration {
+	if r.phase != runActive || r.percent < minPercent || r.task.unit.step.LongRunning {
+		return unknownTime
+	}
+	if r.percent >= 100 {
+		return 0
+	}
+	worked := r.percentSince - r.active
+	total := worked * 100 / time.Duration(r.percent)
+	left := total - worked - (now - r.percentSince)
+	if left < -overdue {
+		// The estimate was wrong, or the task stands still.
+		return unknownTime
+	}
+	return left
+}
+
+const (
+	// minPercent is the progress from which a run's end can be estimated.
+	minPercent = 20
+	// overdue is how far an estimated end may have passed: two hundredths of a task
+	// of half a minute.
+	overdue = 500 * time.Millisecond
+	// unknownTime is longer than any run whose end matters.
+	unknownTime = 24 * time.Hour
+)
+
 // accelerator counts as so many cores in lost work.
 const acceleratorCores = 8
 
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -50,6 +50,9 @@
 	unnotedPause = 300 * time.Millisecond
 	// planPause is the least time between two plans, which batches events.
 	planPause = 15 * time.Millisecond
+	// planShare is how many times the duration of a plan passes until the next one,
+	// so that plans take at most a quarter of the processor.
+	planShare = 3
 	// tick is how often time bounds are checked.
 	tick = 100 * time.Millisecond
 	// freshBound is the greatest age of what the engine knows of workers and
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -43,6 +43,8 @@
 	Cost float64
 	// Gang members are stopped together.
 	Gang bool
+	// Ending tasks are about to end by themselves, as soon as a stop would take.
+	Ending bool
 }
 
 // Unit is a step of a job with tasks that wait.
@@ -101,12 +103,16 @@
 	// leave headroom of them.
 	headroom int
 	idle     map[string]int
+	// options and gangs are worked out when a search for room needs them.
+	options  map[optionsKey][]option
+	gangs    map[workload.UnitID][]member
+	searches int
 }
 
 // Decide places units in order. It changes the workers' Free. headroom is how
 // many accelerators of idle workers are kept in each rack for urgent units.
 func Decide(workers []*Worker, units []*Unit, headroom int) Plan {
-	p := &planner{workers: workers, byRack: map[string][]*Worker{}, stopped: map[workload.TaskID]bool{}, headroom: headroom, idle: map[string]int{}}
+	p := &planner{workers: workers, byRack: map[string][]*Worker{}, stopped: map[workload.TaskID]bool{}, headroom: headroom, idle: map[string]int{}, options: map[optionsKey][]option{}}
 	for _, w := range workers {
 		if _, known := p.byRack[w.Rack]; !known {
 			p.racks = append(p.racks, w.Rack)
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -230,6 +230,20 @@
 	}
 }
 
+// Tasks that end as soon as a stop would take are waited for.
+func TestEndingTasksAreWaitedFor(t *testing.T) {
+	workers := racks(1)[:2]
+	occupy(workers[0], "ending", 0, need(8), 0, 5000, false)
+	workers[0].Running[0].Ending, workers[0].Running[0].Guaranteed = true, true
+	occupy(workers[1], "begun", 0, need(8), 2, 100, false)
+	u := unit("j", 1, gang(8), 0)
+	u.Guaranteed = true
+	plan := Decide(workers, []*Unit{u}, 0)
+	if len(plan.Stop) != 0 || len(plan.Reserve) != 1 || plan.Reserve[0].Worker != workers[0].ID {
+		t.Errorf("plan %+v, want a reservation on %s and no stop", plan, workers[0].ID)
+	}
+}
+
 func TestOrder(t *testing.T) {
 	guaranteed := &Unit{ID: workload.UnitID{Job: "g"}, Guaranteed: true, Deadline: 9}
 	expired := &Unit{ID: workload.UnitID{Job: "e"}, Priority: 0, Expired: true}
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -2,128 +2,195 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
+// maxSearches bounds the searches for room of one plan; units that it leaves out
+// have their turn in the next one.
+const maxSearches = 8
+
+// MaxUrgentCost is the lost work, in core-seconds, up to which an urgent unit
+// beyond its account's guarantee may stop others.
+const MaxUrgentCost = 600
+
+// peerCost is what a stop of a task of the unit's own priority costs beyond its
+// lost work, in core-seconds: it is as urgent as the unit itself, so that others
+// go first.
+const peerCost = 100_000
+
+// member is a running task with its worker.
+type member struct {
+	Running
+	worker *Worker
+}
+
+func (m *member) id() workload.TaskID { return workload.TaskID{UnitID: m.Unit, Index: m.Index} }
+
+// option is something on a worker that can be stopped: a task, or a gang.
+type option struct {
+	members []member
+	cost    float64
+	// frees is what becomes free on the worker itself.
+	frees workload.Resources
+}
+
 // room is a way to make room for a unit.
 type room struct {
 	cost    float64
 	targets []*Worker
-	victims map[workload.TaskID]float64
+	victims []member
 }
 
-// makeRoom stops what costs least so that a guaranteed unit can start, and
-// reserves the workers. It answers the load in which other work fills the racks
-// when an account asks for its guaranteed shape.
+// makeRoom stops what costs least so that an urgent unit can start, and reserves
+// the workers. It answers the load in which other work fills the racks when an
+// account asks for its guaranteed shape.
 func (p *planner) makeRoom(u *Unit, waiting []int, pools [][]*Worker) {
+	if p.searches++; p.searches > maxSearches {
+		return
+	}
+	limit := float64(MaxUrgentCost)
+	if u.Guaranteed {
+		limit = float64(len(waiting)) * 1000 * peerCost
+	}
 	var cheapest *room
 	for _, pool := range pools {
-		r := p.clear(u, len(waiting), pool)
-		if r != nil && (cheapest == nil || r.cost < cheapest.cost) {
-			cheapest = r
+		if r := p.clear(u, len(waiting), pool, limit); r != nil {
+			cheapest, limit = r, r.cost
 		}
 	}
-	if cheapest == nil || !u.Guaranteed && cheapest.cost > MaxUrgentCost {
+	if cheapest == nil {
 		return
 	}
-	for _, id := range slices.SortedFunc(maps.Keys(cheapest.victims), compareTask) {
+	for _, m := range cheapest.victims {
+		id := m.id()
+		if p.stopped[id] {
+			continue
+		}
 		p.stopped[id] = true
-		p.plan.Stop = append(p.plan.Stop, id)
+		m.worker.Leaving = m.worker.Leaving.Add(m.Need)
+		if !m.Ending {
+			p.plan.Stop = append(p.plan.Stop, id)
+		}
 	}
 	for i, w := range cheapest.targets {
 		w.Free = w.Free.Sub(u.Step.Demand())
 		u.PerWorker[w.ID]++
 		p.plan.Reserve = append(p.plan.Reserve, Assignment{Task: workload.TaskID{UnitID: u.ID, Index: waiting[i]}, Worker: w.ID})
 	}
-	for _, w := range p.workers {
-		for _, r := range w.Running {
-			if _, chosen := cheapest.victims[workload.TaskID{UnitID: r.Unit, Index: r.Index}]; chosen {
-				w.Leaving = w.Leaving.Add(r.Need)
-			}
-		}
-	}
 }
 
-func compareTask(a, b workload.TaskID) int {
-	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Round, b.Round), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+// site is a worker in a search for room.
+type site struct {
+	worker *Worker
+	free   workload.Resources
+	used   int
+	// stops make room for one more task at a cost, if ok.
+	stops []member
+	cost  float64
+	ok    bool
 }
 
-// clear finds the cheapest stops in one pool that make room for count tasks, or nil.
-func (p *planner) clear(u *Unit, count int, pool []*Worker) *room {
-	gangs := p.gangMembers(u)
-	free := map[*Worker]workload.Resources{}
-	for _, w := range p.workers {
-		free[w] = w.Free.Add(w.Leaving)
+// clear finds cheap stops in one pool that make room for count tasks for no more
+// than limit, or returns nil.
+func (p *planner) clear(u *Unit, count int, pool []*Worker, limit float64) *room {
+	var sites []*site
+	byWorker := map[*Worker]*site{}
+	for _, w := range pool {
+		if eligible(u, w) {
+			s := &site{worker: w, free: w.Free.Add(w.Leaving)}
+			sites = append(sites, s)
+			byWorker[w] = s
+		}
+	}
+	r := &room{}
+	chosen := map[workload.TaskID]bool{}
+	for _, s := range sites {
+		p.evaluate(u, s, chosen)
 	}
-	r := &room{victims: map[workload.TaskID]float64{}}
-	used := map[*Worker]int{}
 	for len(r.targets) < count {
-		var target *Worker
-		var stops []member
-		cost := 0.0
-		for _, w := range pool {
-			if !eligible(u, w) || u.Step.MaxPerWorker > 0 && u.PerWorker[w.ID]+used[w] >= u.Step.MaxPerWorker {
-				continue
-			}
-			s, c, ok := p.cheapestStops(u, w, free[w], gangs, r.victims)
-			if ok && (target == nil || c < cost || c == cost && w.Penalty < target.Penalty) {
-				target, stops, cost = w, s, c
+		var target *site
+		for _, s := range sites {
+			if s.ok && (target == nil || s.cost < target.cost || s.cost == target.cost && s.worker.Penalty < target.worker.Penalty) {
+				target = s
 			}
 		}
-		if target == nil {
+		if target == nil || r.cost+target.cost > limit {
 			return nil
 		}
-		for _, m := range stops {
-			id := workload.TaskID{UnitID: m.Unit, Index: m.Index}
-			r.victims[id] = m.Cost
-			free[m.worker] = free[m.worker].Add(m.Need)
+		r.cost += target.cost
+		r.targets = append(r.targets, target.worker)
+		r.victims = append(r.victims, target.stops...)
+		changed := []*site{target}
+		for _, m := range target.stops {
+			chosen[m.id()] = true
+			if s := byWorker[m.worker]; s != nil {
+				s.free = s.free.Add(m.Need)
+				changed = append(changed, s)
+			}
+		}
+		target.free = target.free.Sub(u.Step.Demand())
+		target.used++
+		for _, s := range changed {
+			p.evaluate(u, s, chosen)
 		}
-		free[target] = free[target].Sub(u.Step.Demand())
-		used[target]++
-		r.cost += cost
-		r.targets = append(r.targets, target)
 	}
 	return r
 }
 
-// member is a running task with its worker.
-type member struct {
-	Running
-	worker *Worker
-}
-
-// gangMembers lists the members of each running gang.
-func (p *planner) gangMembers(u *Unit) map[workload.UnitID][]member {
-	gangs := map[workload.UnitID][]member{}
-	for _, w := range p.workers {
-		for _, run := range w.Running {
-			if run.Gang {
-				gangs[run.Unit] = append(gangs[run.Unit], member{run, w})
-			}
+// evaluate finds the stops that free a worker for one more task.
+func (p *planner) evaluate(u *Unit, s *site, chosen map[workload.TaskID]bool) {
+	s.stops, s.cost, s.ok = nil, 0, false
+	w, need := s.worker, u.Step.Demand()
+	if u.Step.MaxPerWorker > 0 && u.PerWorker[w.ID]+s.used >= u.Step.MaxPerWorker {
+		return
+	}
+	if need.Fits(s.free) {
+		s.ok = true
+		return
+	}
+	free := s.free
+	options := p.optionsOf(u, w)
+	usable := func(o option) bool {
+		first := o.members[0].id()
+		return o.members[0].Unit.Job != u.ID.Job && !chosen[first] && !p.stopped[first]
+	}
+	for _, o := range options {
+		if usable(o) && need.Fits(s.free.Add(o.frees)) {
+			s.stops, s.cost, s.ok = o.members, o.cost, true
+			break
+		}
+	}
+	var stops []member
+	total := 0.0
+	for _, o := range options {
+		if !usable(o) {
+			continue
+		}
+		if total += o.cost; s.ok && total >= s.cost {
+			return
+		}
+		stops, free = append(stops, o.members...), free.Add(o.frees)
+		if need.Fits(free) {
+			s.stops, s.cost, s.ok = stops, total, true
+			return
 		}
 	}
-	return gangs
 }
 
-// cheapestStops returns the stops that free a worker for one more task.
-func (p *planner) cheapestStops(u *Unit, w *Worker, free workload.Resources, gangs map[workload.UnitID][]member, chosen map[workload.TaskID]float64) ([]member, float64, bool) {
-	need := u.Step.Demand()
-	if need.Fits(free) {
-		return nil, 0, true
-	}
-	type option struct {
-		members []member
-		cost    float64
-		frees   workload.Resources
+// optionsOf returns what may be stopped on a worker for the unit, the cheapest
+// first. It is the same for all units of one priority and guarantee.
+func (p *planner) optionsOf(u *Unit, w *Worker) []option {
+	key := optionsKey{w, u.Priority, u.Guaranteed}
+	if options, known := p.options[key]; known {
+		return options
 	}
+	gangs := p.gangMembers()
 	var options []option
 	seen := map[workload.UnitID]bool{}
 	for _, run := range w.Running {
-		id := workload.TaskID{UnitID: run.Unit, Index: run.Index}
-		if _, taken := chosen[id]; taken || p.stopped[id] || !mayStop(u, run) || run.Gang && seen[run.Unit] {
+		if !mayStop(u, run) || run.Gang && seen[run.Unit] {
 			continue
 		}
 		o := option{members: []member{{run, w}}, cost: stopCost(u, run), frees: run.Need}
@@ -140,40 +207,48 @@
 		options = append(options, o)
 	}
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
-	for _, o := range options {
-		if need.Fits(free.Add(o.frees)) {
-			return o.members, o.cost, true
-		}
-	}
-	var stops []member
-	total := 0.0
-	for _, o := range options {
-		stops, total, free = append(stops, o.members...), total+o.cost, free.Add(o.frees)
-		if need.Fits(free) {
-			return stops, total, true
+	p.options[key] = options
+	return options
+}
+
+// optionsKey selects the options that units of a kind have on a worker.
+type optionsKey struct {
+	worker     *Worker
+	priority   int
+	guaranteed bool
+}
+
+// gangMembers lists the members of each running gang.
+func (p *planner) gangMembers() map[workload.UnitID][]member {
+	if p.gangs == nil {
+		p.gangs = map[workload.UnitID][]member{}
+		for _, w := range p.workers {
+			for _, run := range w.Running {
+				if run.Gang {
+					p.gangs[run.Unit] = append(p.gangs[run.Unit], member{run, w})
+				}
+			}
 		}
 	}
-	return nil, 0, false
+	return p.gangs
 }
 
 // mayStop says whether a running task may be stopped for the unit.
 func mayStop(u *Unit, run Running) bool {
-	if run.Unit.Job == u.ID.Job || run.Guaranteed {
+	if run.Ending {
+		return true
+	}
+	if run.Guaranteed {
 		return false
 	}
 	return run.Priority > u.Priority || u.Guaranteed && run.Priority == u.Priority
 }
 
-// peerCost is what a stop of a task of the unit's own priority costs beyond its
-// lost work, in core-seconds: it is as urgent as the unit itself, so that others
-// go first.
-const peerCost = 100_000
-
-// MaxUrgentCost is the lost work, in core-seconds, up to which an urgent unit
-// beyond its account's guarantee may stop others.
-const MaxUrgentCost = 600
-
+// stopCost returns what it costs to have a running task gone soon.
 func stopCost(u *Unit, run Running) float64 {
+	if run.Ending {
+		return 0
+	}
 	if run.Priority == u.Priority {
 		return run.Cost + peerCost
 	}
