--- a/cmd/shallotpin/main.go
+++ b/cmd/shallotpin/main.go
@@ -95,6 +95,8 @@
 		"Prints the answer. Example:\n\n  shallotpin request stave-desk --account yard-agents --idempotent 'price of 40 staves'\n\n"+
 			"Exit code 4 means that the request may have run: repeat it only if it is idempotent, or with the same --key.", &requestCommand{g: g})
 	add(root, "status", "show accounts, zones, workers, queue and log freshness", "", &statusCommand{g: g})
+	add(root, "explain", "print what the nodes' logs say of a job",
+		"Reads the logs of any number of nodes and prints the decisions that touched the job, in order. Example:\n\n  shallotpin explain 5c0e7a21d94b36f8 node-*.log", &explainCommand{g: g})
 	add(root, "bench", "run a scenario and print its figures",
 		"Prints one JSON object with --json: {\"scenario\":…,\"seed\":…,\"figures\":{name:number}}. Example:\n\n  shallotpin bench --scenario reclaim --seed 3 --json", &benchCommand{g: g})
 }
--- a/pkg/logsink/logsink.go
+++ b/pkg/logsink/logsink.go
@@ -15,6 +15,8 @@
 const (
 	// maxBuffered bounds the lines that wait, in bytes: a second of the busiest node.
 	maxBuffered = 1 << 20
+	// maxWrite is how many bytes a pipe takes at once: PIPE_BUF on Linux.
+	maxWrite = 4096
 	// flushInterval batches lines into one write.
 	flushInterval = 100 * time.Millisecond
 )
@@ -89,10 +91,26 @@
 		if dropped > 0 {
 			fmt.Fprintf(&batch, "logsink: dropped %d lines\n", dropped)
 		}
-		// There is nowhere left to report a failed write to.
-		_, _ = s.out.Write(batch.Bytes())
+		s.writeLines(batch.Bytes())
 		if closed {
 			return
 		}
 	}
 }
+
+// writeLines writes whole lines in pieces that a pipe takes at once, so that
+// readers of several processes see no line cut.
+func (s *Sink) writeLines(data []byte) {
+	for len(data) > 0 {
+		end := len(data)
+		if end > maxWrite {
+			end = maxWrite
+			if last := bytes.LastIndexByte(data[:end], '\n'); last >= 0 {
+				end = last + 1
+			}
+		}
+		// There is nowhere left to report a failed write to.
+		_, _ = s.out.Write(data[:end])
+		data = data[end:]
+	}
+}
