--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -170,10 +170,10 @@
 
 // update takes over what the ledger says of a job.
 func (e *Engine) update(id string, entry *ledger.Entry, inherited bool) {
-	if entry.Job == nil {
+	j := e.jobs[id]
+	if entry.Job == nil && j == nil {
 		return
 	}
-	j := e.jobs[id]
 	if j == nil {
 		if entry.Progress.Phase.Ended() {
 			return
@@ -275,7 +275,11 @@
 			p := j.progress
 			p.Term = e.Term.Number
 			p.Workers, planned = j.holders(planned)
-			records = append(records, ledger.ProgressRecord(id, &p))
+			if p.Phase.Ended() {
+				records = append(records, ledger.EndJob(id, &p)...)
+			} else {
+				records = append(records, ledger.ProgressRecord(id, &p))
+			}
 		} else if j.recorded && !j.hasRuns() {
 			delete(e.jobs, id)
 		}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -25,6 +25,9 @@
 	// feedTimeout is how long a read may take beyond its wait: many times the
 	// log's usual answer, and short enough to notice a silent connection in time.
 	feedTimeout = 700 * time.Millisecond
+	// listTimeout is how long a page of a listing may take: 1 MB, the largest, over
+	// the slowest link of a node, 2 Mbit/s.
+	listTimeout = 5 * time.Second
 	// feedRetry is the wait after a failed read.
 	feedRetry = 100 * time.Millisecond
 	// workerGap batches what workers say of themselves.
@@ -86,7 +89,7 @@
 	n.leader = leader.New(leader.Settings{Node: s.Node, Address: s.Address, Call: p.Peers.Call, Dispatch: s.Dispatch, MaxBatchBytes: s.MaxBatchBytes, Power: s.Power, Now: s.Now, UnixMS: s.UnixMS}, p.Ledger, p.Orders)
 	replica := ledger.NewReplica(n.leader.Listener())
 	settings := func(name string, gap func() time.Duration) feed.Settings {
-		return feed.Settings{Name: name, Wait: feedWait, CallTimeout: feedTimeout, RetryDelay: feedRetry, Gap: gap, Now: s.Now}
+		return feed.Settings{Name: name, Wait: feedWait, CallTimeout: feedTimeout, ListTimeout: listTimeout, RetryDelay: feedRetry, Gap: gap, Now: s.Now}
 	}
 	n.ledger = feed.New(p.Ledger, settings("ledger", func() time.Duration {
 		if n.leader.Leading() {
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -23,6 +23,8 @@
 	Wait time.Duration
 	// CallTimeout bounds a call beyond its wait.
 	CallTimeout time.Duration
+	// ListTimeout bounds a call that lists the topic, whose answer may be large.
+	ListTimeout time.Duration
 	// RetryDelay is the wait after a failed call.
 	RetryDelay time.Duration
 	// Gap is the pause between two reads, which batches records.
@@ -201,7 +203,7 @@
 	var records []backend.KeyedRecord
 	sent, end, after := f.settings.Now(), int64(-1), ""
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, f.settings.CallTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, f.settings.ListTimeout)
 		page, err := f.log.Newest(callCtx, after)
 		cancel()
 		if err != nil {
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -64,7 +64,7 @@
 	if err := job.Validate(); err != nil {
 		return api.Errorf(api.CodeInvalid, "%v", err)
 	}
-	if e, known := s.replica.Job(job.ID); known && e.Job != nil {
+	if e, known := s.replica.Job(job.ID); known && e.Known() {
 		klog.InfoS("intake: submission repeated", "job", job.ID, "phase", e.Phase())
 		return nil
 	}
@@ -105,7 +105,7 @@
 // PhaseHere is Phase by this node's own view.
 func (s *Service) PhaseHere(ctx context.Context, id string) (ledger.Phase, error) {
 	e, known := s.replica.Job(id)
-	known = known && e.Job != nil
+	known = known && e.Known()
 	confirmed, ready := s.feed.Confirmed()
 	age := s.now() - confirmed
 	// A job that is known needs no fresh view: its phases only move on.
@@ -116,7 +116,7 @@
 			return "", err
 		}
 		e, known = s.replica.Job(id)
-		known = known && e.Job != nil
+		known = known && e.Known()
 	}
 	if !known {
 		return "", nil
--- /dev/null
+++ b/pkg/ledger/ledger_test.go
@@ -0,0 +1,94 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+func fold(t *testing.T, records ...backend.KeyedRecord) *State {
+	t.Helper()
+	s := NewState()
+	for i, r := range records {
+		r.Offset = int64(i)
+		if _, err := s.Apply(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+var job = &workload.Job{ID: "5c0e7a21d94b36f8", Queue: "q", Payload: "text", Steps: []workload.Step{{Count: 3}}}
+
+func TestPhases(t *testing.T) {
+	running := ProgressRecord(job.ID, &Progress{Phase: Running})
+	for name, c := range map[string]struct {
+		records []backend.KeyedRecord
+		want    Phase
+		known   bool
+	}{
+		"submitted":                     {[]backend.KeyedRecord{JobRecord(job)}, Queued, true},
+		"running":                       {[]backend.KeyedRecord{JobRecord(job), running}, Running, true},
+		"progress before submission":    {[]backend.KeyedRecord{running, JobRecord(job)}, Running, true},
+		"cancelled":                     {[]backend.KeyedRecord{JobRecord(job), running, CancelRecord(job.ID)}, Cancelled, true},
+		"cancelled before submission":   {[]backend.KeyedRecord{CancelRecord(job.ID)}, Cancelled, false},
+		"cancelled after its end":       {append(append([]backend.KeyedRecord{JobRecord(job)}, EndJob(job.ID, &Progress{Phase: Completed})...), CancelRecord(job.ID)), Completed, true},
+		"submitted again after its end": {append(append([]backend.KeyedRecord{JobRecord(job)}, EndJob(job.ID, &Progress{Phase: Failed})...), JobRecord(job)), Failed, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := fold(t, c.records...).Jobs[job.ID]
+			if e.Phase() != c.want || e.Known() != c.known {
+				t.Errorf("phase %q, known %v; want %q, %v", e.Phase(), e.Known(), c.want, c.known)
+			}
+		})
+	}
+}
+
+// Nodes that start must not have to read what callers sent long ago.
+func TestEndDropsTheSubmission(t *testing.T) {
+	s := fold(t, append([]backend.KeyedRecord{JobRecord(job), CancelRecord(job.ID)}, EndJob(job.ID, &Progress{Phase: Cancelled, Done: Bitmap{1}, Workers: []string{"w"}})...)...)
+	e := s.Jobs[job.ID]
+	if e.Job != nil || e.Progress.Done != nil || e.Progress.Workers != nil {
+		t.Errorf("the entry still holds %+v", e)
+	}
+	if s = fold(t, append(EndJob(job.ID, &Progress{Phase: Failed}), ForgetJob(job.ID)...)...); len(s.Jobs) != 0 {
+		t.Errorf("%d jobs are left", len(s.Jobs))
+	}
+}
+
+func TestTermsOnlyRise(t *testing.T) {
+	s := fold(t, TermRecord(Term{Number: 2, Leader: "b"}), TermRecord(Term{Number: 1, Leader: "a"}))
+	if s.Term.Leader != "b" {
+		t.Errorf("leader %q", s.Term.Leader)
+	}
+}
+
+func TestBrokenRecordsAreRefused(t *testing.T) {
+	for _, r := range []backend.KeyedRecord{{Key: "j/x", Value: []byte("{")}, {Key: "p/x", Value: []byte("[]")}, {Key: "term", Value: []byte("1")}, {Key: "other", Value: []byte("1")}} {
+		if _, err := NewState().Apply(r); err == nil {
+			t.Errorf("record %q is taken", r.Key)
+		}
+	}
+}
+
+func TestTaskNumbersDiffer(t *testing.T) {
+	j := &workload.Job{Occurrences: 3, Steps: []workload.Step{{Count: 2}, {Count: 5}}}
+	seen := map[int]bool{}
+	var done Bitmap
+	for round := range j.Rounds() {
+		for step := range j.Steps {
+			for index := range j.Steps[step].Count {
+				n := TaskNumber(j, workload.TaskID{UnitID: workload.UnitID{Round: round, Step: step}, Index: index})
+				if seen[n] || done.Has(n) {
+					t.Fatalf("number %d is taken", n)
+				}
+				seen[n] = true
+				done = done.With(n)
+			}
+		}
+	}
+	if len(seen) != 21 {
+		t.Errorf("%d numbers", len(seen))
+	}
+}
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -81,7 +81,14 @@
 // TermRecord stores who leads.
 func TermRecord(t Term) backend.KeyedRecord { return record(termKey, t) }
 
-// ForgetJob returns the records that drop a job.
+// EndJob returns the records that store a job's end and drop what is not needed
+// any more, so that nodes that start have little to read.
+func EndJob(id string, p *Progress) []backend.KeyedRecord {
+	end := &Progress{Term: p.Term, Phase: p.Phase, EndedMS: p.EndedMS}
+	return []backend.KeyedRecord{ProgressRecord(id, end), {Key: jobPrefix + id}, {Key: cancelPrefix + id}}
+}
+
+// ForgetJob returns the records that drop a job that has ended.
 func ForgetJob(id string) []backend.KeyedRecord {
 	return []backend.KeyedRecord{{Key: jobPrefix + id}, {Key: cancelPrefix + id}, {Key: progressPrefix + id}}
 }
@@ -102,7 +109,7 @@
 
 // Entry is what the ledger holds of one job. A part may arrive before another.
 type Entry struct {
-	// Job is nil until the submission is known.
+	// Job is nil until the submission is known, and once the job has ended.
 	Job *workload.Job
 	// SubmittedAt is the offset of the first submission seen.
 	SubmittedAt int64
@@ -110,6 +117,9 @@
 	Progress    Progress
 }
 
+// Known says whether the job was ever submitted.
+func (e *Entry) Known() bool { return e.Job != nil || e.Progress.Phase != "" }
+
 // Phase returns the job's phase as callers are told it.
 func (e *Entry) Phase() Phase {
 	switch {
@@ -202,6 +212,10 @@
 	case progressPrefix:
 		delete(s.Jobs, id)
 		return Change{Job: id}
+	case jobPrefix:
+		if e := s.Jobs[id]; e != nil {
+			e.Job = nil
+		}
 	case nodePrefix:
 		delete(s.Nodes, id)
 	}
