Stop dear work only when the guarantee is due

Work that costs more than that is now stopped only when the bound of the guarantee leaves just the time for it; till then its end is waited for.

--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -316,6 +316,7 @@
 				}
 			}
 			pu.Pressing = unixMS > begin+objective.Milliseconds() || e.tooWide(u)
+			pu.MustStart = unixMS-begin >= e.patience().Milliseconds()
 			if u.partial() {
 				pu.Guaranteed = false
 				pu.Within = u.rack()
@@ -349,6 +350,11 @@
 	return keys
 }
 
+// patience is how long a guaranteed unit may wait for room to come free by itself.
+func (e *Engine) patience() time.Duration {
+	return max(0, e.Settings.ReclaimTime-e.Settings.StopTime-reclaimMargin)
+}
+
 // ready says whether all tasks that the unit depends on are done.
 func (e *Engine) ready(u *unit) bool {
 	first := u.id.Round * len(u.job.spec.Steps)
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -21,6 +21,8 @@
 	GangWait time.Duration
 	// StopTime is how long a stop may take: the platform's bound.
 	StopTime time.Duration
+	// ReclaimTime is how soon a guaranteed job must have begun: the platform's bound.
+	ReclaimTime time.Duration
 	// SaveEvery is how much work lies between two checkpoints: the platform's bound.
 	SaveEvery time.Duration
 	// KeepEnded is how long callers can ask for an ended job: the platform's bound.
@@ -77,6 +79,8 @@
 	// wideGang is the number of accelerators from which a gang may use the headroom:
 	// half of a rack.
 	wideGang = 32
+	// reclaimMargin is left of ReclaimTime for the plan, its record and the starts.
+	reclaimMargin = 700 * time.Millisecond
 	// retryPause is the wait before a unit is tried again after a refused start.
 	retryPause = 100 * time.Millisecond
 	// reservationTime is how long room is held for a unit beyond the stop time.
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -56,6 +56,8 @@
 	Priority int
 	// Guaranteed units may stop whatever is not guaranteed itself.
 	Guaranteed bool
+	// MustStart guaranteed units have waited for as long as their bound allows.
+	MustStart bool
 	// Deadline orders units of one priority, in Unix milliseconds.
 	Deadline int64
 	// Pressing units may use the room that is kept for urgent ones.
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -11,9 +11,19 @@
 // have their turn in the next one.
 const maxSearches = 8
 
-// MaxUrgentCost is the lost work, in core-seconds, up to which an urgent unit
-// beyond its account's guarantee may stop others.
-const MaxUrgentCost = 600
+// An urgent unit that need not start yet stops others only while their lost work,
+// in core-seconds, is worth less than its being late: minUrgentCost, or
+// urgentCostPerAccelerator for each accelerator that it needs.
+const (
+	minUrgentCost            = 600
+	urgentCostPerAccelerator = 60
+)
+
+// UrgentCost returns the lost work up to which others are stopped for the unit
+// before it must start.
+func (u *Unit) UrgentCost() float64 {
+	return max(minUrgentCost, float64(urgentCostPerAccelerator*len(u.Waiting)*u.Step.Need.Accelerators))
+}
 
 // peerCost is what a stop of a task of the unit's own priority costs beyond its
 // lost work, in core-seconds: it is as urgent as the unit itself, so that others
@@ -45,13 +55,14 @@
 
 // makeRoom stops what costs least so that an urgent unit can start, and reserves
 // the workers. It answers the load in which other work fills the racks when an
-// account asks for its guaranteed shape.
+// account asks for its guaranteed shape. Dear work is given time to end by itself,
+// as long as the bound of the guarantee allows.
 func (p *planner) makeRoom(u *Unit, waiting []int, pools [][]*Worker) {
 	if p.searches++; p.searches > maxSearches {
 		return
 	}
-	limit := float64(MaxUrgentCost)
-	if u.Guaranteed {
+	limit := u.UrgentCost()
+	if u.Guaranteed && u.MustStart {
 		limit = float64(len(waiting)) * 1000 * peerCost
 	}
 	var cheapest *room
