Find stalled and slow tasks sooner

A task counts as stalled after 1.1 s between listings, or 8 hundredths of its expected time; one whose pace falls below 0.4 of its own best is started again elsewhere if that is sooner.

--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -97,6 +97,12 @@
 	stopReason    string
 	percent       int
 	percentSince  time.Duration
+	// pace is the best progress seen, slowPace the last one, in hundredths a second;
+	// slow says that the last one was much lower.
+	pace, slowPace float64
+	slow           bool
+	// resumed says that the run began at a checkpoint.
+	resumed bool
 }
 
 // worker is one incarnation of a worker.
@@ -133,6 +139,8 @@
 	strays map[backend.RunID]bool
 	// listedClock is the worker's clock in the newest listing.
 	listedClock int64
+	// listedAt is when the newest listing arrived.
+	listedAt time.Duration
 }
 
 // current says whether the run is the present one of its task.
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -35,6 +35,7 @@
 	if u.step.Gang {
 		order.Checkpoint = u.checkpoint
 	}
+	r.resumed = order.Checkpoint != ""
 	klog.InfoS("dispatch: start", "job", t.id.Job, "task", u.id.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "zone", w.info.Zone, "rack", w.info.Rack,
 		"view_age", now-e.view.Confirmed, "worker_age", now-w.answered, "resumes", order.Checkpoint != "")
 	go func() {
@@ -101,7 +102,7 @@
 		return
 	}
 	if r.phase != runStopping {
-		klog.InfoS("dispatch: stop", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", r.worker.info.ID, "why", why)
+		klog.InfoS("dispatch: stop", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", r.worker.info.ID, "why", why, "percent", r.percent, "percent_age", e.Now()-r.percentSince, "listing_age", e.Now()-r.worker.listedAt)
 	}
 	r.phase, r.stopReason = runStopping, why
 	if r.stopCalling || r.stopConfirmed != 0 {
@@ -139,9 +140,7 @@
 		if r.phase == runUnresolved || r.phase == runStarting {
 			r.phase, r.active, r.percentSince = runActive, now, now
 		}
-		if a.Percent != r.percent {
-			r.percent, r.percentSince = a.Percent, now
-		}
+		e.noteProgress(r, a.Percent, now)
 		e.noteCheckpoint(r.task, a.Checkpoint)
 		return
 	}
@@ -310,7 +309,7 @@
 				e.look(w)
 			case r.phase == runUnresolved && now-r.ordered > 2*orderTimeout:
 				e.stopRun(r, "the start was not confirmed")
-			case r.phase == runActive && e.stalled(r, now):
+			case r.phase == runActive && (e.stalled(r, now) || e.crawls(r)):
 				e.strike(w, now)
 				u.avoid[w.info.ID] = true
 				e.stopRun(r, "no progress")
@@ -354,12 +353,42 @@
 // stalled says whether a run shows no progress for too long.
 func (e *Engine) stalled(r *run, now time.Duration) bool {
 	// A gang's member that is through with its part waits for the others.
-	if r.percent >= 100 || r.task.unit.step.LongRunning || r.worker.silent(now) || r.worker.answered < r.percentSince {
+	if r.percent >= 100 || r.task.unit.step.LongRunning || r.worker.silent(now) {
 		return false
 	}
-	bound := stallBound
-	if expected := e.expected(r.task.unit); expected > time.Minute {
-		bound = expected / 20
+	bound := max(stallBound, stallHundredths*e.expected(r.task.unit)/100)
+	if r.percent == 0 || r.resumed {
+		// The task may still wait for its gang or read its checkpoint.
+		bound += beginBound
+	}
+	return now-r.percentSince > bound && r.worker.listedAt-r.percentSince > bound*3/4
+}
+
+// noteProgress notes how much of its work a run has done, and how fast it goes.
+func (e *Engine) noteProgress(r *run, percent int, now time.Duration) {
+	if percent == r.percent {
+		return
+	}
+	if span := now - r.percentSince; r.percent > 0 && span >= paceSpan {
+		pace := float64(percent-r.percent) / span.Seconds()
+		switch {
+		case r.pace > 0 && pace < slowShare*r.pace:
+			r.slow = true
+		case pace > r.pace:
+			r.pace, r.slow = pace, false
+		}
+		r.slowPace = pace
+	}
+	r.percent, r.percentSince = percent, now
+}
+
+// crawls says whether the run has become so slow that a new start elsewhere would
+// be done sooner. It answers workers that turn slow under what they run.
+func (e *Engine) crawls(r *run) bool {
+	if !r.slow || r.slowPace <= 0 || r.pace <= 0 || r.task.unit.step.LongRunning {
+		return false
 	}
-	return now-r.percentSince > bound
+	left := float64(100-r.percent) / r.slowPace
+	again := 100/r.pace + e.Settings.StopTime.Seconds()
+	return left > moveGain*again
 }
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -60,9 +60,23 @@
 	// freshBound is the greatest age of what the engine knows of workers and
 	// configuration for a start: less than the shortest bound of a change.
 	freshBound = 1500 * time.Millisecond
-	// stallBound is how long a task may show no progress: many times what a
-	// hundredth of a task of a minute takes.
-	stallBound = 2500 * time.Millisecond
+	// stallBound is how long a task may show no progress: a little more than the time
+	// between two renewals.
+	stallBound = 1100 * time.Millisecond
+	// stallHundredths is how many hundredths of its expected time a longer task may
+	// show no progress; tasks away from their data take three times as long.
+	stallHundredths = 8
+	// beginBound is added while a task may not work yet: the wait for a gang or a
+	// checkpoint.
+	beginBound = 1500 * time.Millisecond
+	// paceSpan is the least time over which progress is measured.
+	paceSpan = 700 * time.Millisecond
+	// slowShare is the share of its best pace below which a run counts as slow;
+	// ordinary disturbance costs less.
+	slowShare = 0.4
+	// moveGain is how many times longer than a new start a slow run must take to be
+	// started again.
+	moveGain = 1.3
 	// suspectTime is how long a worker is closed after the first trouble there:
 	// about the run time of the shortest tasks.
 	suspectTime = 3 * time.Second
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -166,7 +166,7 @@
 	// Listings may overtake each other; an old one tells nothing of what runs.
 	current := reply.ClockMS >= w.listedClock
 	if current {
-		w.listedClock = reply.ClockMS
+		w.listedClock, w.listedAt = reply.ClockMS, now
 		clear(w.strays)
 	}
 	for _, a := range reply.Active {
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -119,6 +119,42 @@
 	}
 }
 
+// Load: workers turn slow under what they run. What would be done sooner by a new
+// start elsewhere is moved.
+func TestWorkIsMovedFromWorkersThatTurnSlow(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		gang := s.submit(usualQueue, usual(task(8), 6*time.Second, 3), workload.Step{Count: 3, Need: task(8), Gang: true, SameRack: true, EstimateMS: 6000})
+		time.Sleep(2500 * time.Millisecond)
+		s.fleet.Update(func() {
+			for _, w := range s.workers {
+				if w.Holds(workload.TaskID{UnitID: workload.UnitID{Job: gang}, Index: 0}) {
+					w.Slowdown = 10
+				}
+			}
+		})
+		// It would be done after 37.5 s; a new start takes 6 s.
+		s.awaitPhase(gang, ledger.Completed, 14*time.Second)
+	})
+}
+
+// Load: starts follow each other on a worker. Their answers tell nothing of how
+// the others get on, which the next listing does.
+func TestTasksBesideNewStartsAreNotTakenForStalled(t *testing.T) {
+	runSite(t, 3, 1, func(s *site) {
+		var jobs []string
+		for range 8 {
+			jobs = append(jobs, s.submit(usualQueue, usual(task(1), 5*time.Second, 0), workload.Step{Count: 1, Need: task(1), EstimateMS: 5000}))
+			time.Sleep(230 * time.Millisecond)
+		}
+		for _, job := range jobs {
+			s.awaitPhase(job, ledger.Completed, 8*time.Second)
+		}
+		if got := s.fleet.Starts(); got != 8 {
+			t.Errorf("%d starts, want 8", got)
+		}
+	})
+}
+
 // A start that happened although its answer was lost is found and kept.
 func TestStartsWithLostAnswersAreKept(t *testing.T) {
 	runSite(t, 3, 4, func(s *site) {
--- a/pkg/simsite/workers.go
+++ b/pkg/simsite/workers.go
@@ -54,6 +54,8 @@
 	Silent bool
 	// Hangs makes what runs stand still, Fails makes it fail.
 	Hangs, Fails bool
+	// Slowdown is how many times as long the work takes; 0 means once.
+	Slowdown float64
 	// LoseStarts makes starts happen without an answer.
 	LoseStarts bool
 
@@ -76,6 +78,8 @@
 	working bool
 	ready   bool
 	stopAt  time.Time
+	// worked is the work done so far.
+	worked  time.Duration
 	percent int
 }
 
@@ -292,7 +296,8 @@
 	for _, w := range f.workers {
 		for _, r := range w.runs {
 			if r.working && !w.Hangs && r.b.Work > 0 {
-				r.percent = min(100, int(100*now.Sub(r.begun)/r.b.Work))
+				r.worked += time.Duration(float64(step) / max(1, w.Slowdown))
+				r.percent = min(100, int(100*r.worked/r.b.Work))
 			}
 			switch {
 			case w.clock() > w.until:
