--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -81,8 +81,10 @@
 	engine   *dispatch.Engine
 	lead     context.Context
 	retiring bool
-	calling  bool
-	nextCall time.Duration
+	// endedTerm is the last term that the node led or claimed in vain.
+	endedTerm int64
+	calling   bool
+	nextCall  time.Duration
 	// answer is what came of the last call to a silent leader.
 	answer string
 	read   time.Duration
@@ -168,6 +170,7 @@
 		}
 		term, sent, err := s.claim(ctx)
 		if err != nil {
+			s.end(term)
 			klog.InfoS("leader: claim failed", "term", term.Number, "err", err)
 			continue
 		}
@@ -214,9 +217,20 @@
 	}()
 }
 
-// Leads says whether the node leads a term.
+// Leads says whether the node leads a term, or is about to.
 func (s *Service) Leads(term ledger.Term) bool {
-	return term.Leader == s.settings.Node && s.Leading()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return term.Leader == s.settings.Node && term.Number > s.endedTerm
+}
+
+// end notes that the node does not lead a term any more, or never will.
+func (s *Service) end(term ledger.Term) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endedTerm = max(s.endedTerm, term.Number)
+	s.engine, s.lead = nil, nil
+	s.watch.Heard(s.settings.Now())
 }
 
 // rank spreads the claims of the nodes, and lets strong ones claim first.
@@ -285,10 +299,7 @@
 	s.ledger.Hurry()
 	err := engine.Run(ctx)
 	cancel()
-	s.mu.Lock()
-	s.engine, s.lead = nil, nil
-	s.watch.Heard(s.settings.Now())
-	s.mu.Unlock()
+	s.end(term)
 	klog.InfoS("leader: lead ended", "term", term.Number, "err", err)
 	if s.isRetiring() {
 		s.resign(writerCtx, writer, term)
--- a/pkg/ledger/appender.go
+++ b/pkg/ledger/appender.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/backend"
 )
@@ -28,6 +30,8 @@
 	Now func() time.Duration
 }
 
+var repeats = metrics.GetOrCreateCounter("shallotpin_log_repeats_total")
+
 // Appender writes records to a keyed log in order, several in one call. A call
 // whose outcome is unknown is repeated under its sequence number until the
 // outcome is known, so that its records are added exactly once.
@@ -44,6 +48,10 @@
 	troubled, calling time.Duration
 	// undone is when the last call was left undone.
 	undone time.Duration
+	// usual is a moving average of how long answers take; unanswered counts the
+	// calls in a row without one.
+	usual      time.Duration
+	unanswered int
 }
 
 type proposal struct {
@@ -191,12 +199,19 @@
 	sent := a.settings.Now()
 	a.calling = sent
 	a.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, a.settings.CallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, a.patience())
 	defer cancel()
 	_, err = a.log.Append(callCtx, write)
 	var logErr *backend.LogError
 	errors.As(err, &logErr)
 	a.noteCall(sent, err == nil)
+	if err == nil {
+		a.unanswered = 0
+		a.usual += (a.settings.Now() - sent - a.usual) / usualWeight
+	} else {
+		a.unanswered++
+		repeats.Inc()
+	}
 	switch {
 	case err == nil:
 		a.settings.NextSequence++
@@ -219,6 +234,25 @@
 	return true, nil
 }
 
+const (
+	// leastPatience is the shortest time that a call may take: some ten times the
+	// log's usual answer.
+	leastPatience = 100 * time.Millisecond
+	// patienceFactor is how many times the usual answer a call may take at first.
+	patienceFactor = 4
+	// usualWeight is the share of a new answer in the moving average, inverted.
+	usualWeight = 8
+	// maxDoublings bounds how often the patience is doubled.
+	maxDoublings = 6
+)
+
+// patience returns how long to wait for an answer before the call is repeated. It
+// answers logs that lose answers, and doubles for those that are slow.
+func (a *Appender) patience() time.Duration {
+	d := max(leastPatience, patienceFactor*a.usual) << min(a.unanswered, maxDoublings)
+	return min(d, a.settings.CallTimeout)
+}
+
 func (a *Appender) noteCall(sent time.Duration, done bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- /dev/null
+++ b/pkg/ledger/appender_test.go
@@ -0,0 +1,96 @@
+package ledger
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/backend"
+)
+
+// script is a log that answers appends as told.
+type script struct {
+	backend.KeyedLog
+	answer func(call int) (delay time.Duration, err error)
+	calls  []backend.KeyedAppend
+}
+
+func (s *script) Append(ctx context.Context, a backend.KeyedAppend) (int64, error) {
+	delay, err := s.answer(len(s.calls))
+	s.calls = append(s.calls, a)
+	select {
+	case <-time.After(delay):
+		return 0, err
+	case <-ctx.Done():
+		return 0, &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.MayHaveRun, Cause: ctx.Err()}
+	}
+}
+
+const never = time.Hour
+
+// write runs an appender over a script and writes one record.
+func write(t *testing.T, s *script, bound time.Duration) (took time.Duration, err error) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		now := func() time.Duration { return time.Since(began) }
+		a := NewAppender(s, AppenderSettings{Producer: "p", Epoch: 1, NextSequence: 1, CallTimeout: time.Second, RetryDelay: 10 * time.Millisecond, MaxBatchBytes: 1000, Now: now})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go a.Run(ctx)
+		writeCtx, cancelWrite := context.WithTimeout(ctx, bound)
+		defer cancelWrite()
+		_, err = a.Write(writeCtx, CancelRecord("x"))
+		took = time.Since(began)
+	})
+	return took, err
+}
+
+// Load: the log loses answers of calls that it has done. Each loss cost a second.
+func TestLostAnswerIsAskedForAgainSoon(t *testing.T) {
+	s := &script{answer: func(call int) (time.Duration, error) {
+		if call < 2 {
+			return never, nil
+		}
+		return 10 * time.Millisecond, nil
+	}}
+	took, err := write(t, s, 5*time.Second)
+	if err != nil || took > 500*time.Millisecond {
+		t.Errorf("took %s, error %v", took, err)
+	}
+	for _, c := range s.calls {
+		if c.Sequence != 1 || len(c.Records) != 1 {
+			t.Errorf("call %+v, want the first one repeated", c)
+		}
+	}
+}
+
+// A log that is slow is given the time that it takes.
+func TestSlowLogIsWaitedFor(t *testing.T) {
+	s := &script{answer: func(int) (time.Duration, error) { return 700 * time.Millisecond, nil }}
+	if took, err := write(t, s, 10*time.Second); err != nil || took > 4*time.Second {
+		t.Errorf("took %s, error %v", took, err)
+	}
+}
+
+func TestVerdictOfAnAbandonedWrite(t *testing.T) {
+	refused := &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.NotRun}
+	for name, c := range map[string]struct {
+		answer func(int) (time.Duration, error)
+		want   api.Verdict
+	}{
+		"refused":           {func(int) (time.Duration, error) { return time.Millisecond, refused }, api.NotRun},
+		"silent":            {func(int) (time.Duration, error) { return never, nil }, api.MayHaveRun},
+		"silent, refused":   {func(n int) (time.Duration, error) { return never * time.Duration(1-min(n, 1)), refused }, api.MayHaveRun},
+		"fenced by another": {func(int) (time.Duration, error) { return 0, &backend.LogError{Kind: backend.LogFenced} }, api.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := write(t, &script{answer: c.answer}, 995*time.Millisecond)
+			logErr, ok := err.(*backend.LogError)
+			if !ok || logErr.Verdict != c.want {
+				t.Errorf("error %v, want verdict %s", err, c.want)
+			}
+		})
+	}
+}
