Learn how fast workers are, and give urgent work fast ones

A worker's speed is learned from the pace of its tasks against that of the same unit's others. TestUrgentWorkTakesFastWorkers.

--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -53,8 +53,9 @@
 	// starts were sent.
 	gangRun   int64
 	gangSince time.Duration
-	// waitingSince is when the unit could first have started.
-	waitingSince time.Duration
+	// paceSum and paces are the paces of the unit's runs, in hundredths a second.
+	paceSum float64
+	paces   int
 }
 
 // task is one task of a unit.
@@ -101,6 +102,8 @@
 	// slow says that the last one was much lower.
 	pace, slowPace float64
 	slow           bool
+	// sampled says that the run has told of its worker's speed.
+	sampled bool
 	// resumed says that the run began at a checkpoint.
 	resumed bool
 }
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -380,6 +380,28 @@
 		r.slowPace = pace
 	}
 	r.percent, r.percentSince = percent, now
+	if percent >= samplePercent && !r.sampled && !r.slow {
+		r.sampled = true
+		e.rateWorker(r)
+	}
+}
+
+// rateWorker compares the pace of a run with that of its unit's other tasks, which
+// are alike, and learns how fast the worker is.
+func (e *Engine) rateWorker(r *run) {
+	worked := r.percentSince - r.active
+	if worked <= 0 || r.resumed {
+		return
+	}
+	u, w := r.task.unit, r.worker
+	pace := float64(r.percent) / worked.Seconds()
+	if u.paces >= minPaces {
+		ratio := pace / (u.paceSum / float64(u.paces))
+		w.samples++
+		w.speed += max(speedWeight, 1/float64(w.samples+1)) * (ratio - w.speed)
+	}
+	u.paceSum += pace
+	u.paces++
 }
 
 // crawls says whether the run has become so slow that a new start elsewhere would
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -71,6 +71,12 @@
 	beginBound = 1500 * time.Millisecond
 	// paceSpan is the least time over which progress is measured.
 	paceSpan = 700 * time.Millisecond
+	// samplePercent is the progress at which a run tells of its worker's speed.
+	samplePercent = 40
+	// minPaces is how many of a unit's runs make a mean to compare with.
+	minPaces = 2
+	// speedWeight is the least weight of a new sample of a worker's speed.
+	speedWeight = 0.15
 	// slowShare is the share of its best pace below which a run counts as slow;
 	// ordinary disturbance costs less.
 	slowShare = 0.4
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -241,6 +241,7 @@
 	return cmp.Or(
 		compareBool(u.Avoid[a.ID], u.Avoid[b.ID]),
 		cmp.Compare(a.Penalty, b.Penalty),
+		compareSpeed(u, a, b),
 		cmp.Compare(a.Free.Accelerators, b.Free.Accelerators),
 		cmp.Compare(b.Speed, a.Speed),
 		cmp.Compare(a.Free.MemoryMB, b.Free.MemoryMB),
@@ -248,6 +249,27 @@
 	)
 }
 
+// speedWorth is how many idle accelerators left over weigh as much as a unit's
+// taking twice its time.
+func speedWorth(u *Unit) float64 {
+	if u.Priority == 0 {
+		return 32
+	}
+	return 8
+}
+
+// speedStep is a difference in speed that matters.
+const speedStep = 0.15
+
+// compareSpeed prefers fast workers for urgent units, whose objective leaves the
+// least time. It answers sites whose workers differ in speed.
+func compareSpeed(u *Unit, a, b *Worker) int {
+	if u.Priority != 0 {
+		return 0
+	}
+	return cmp.Compare(int(b.Speed/speedStep), int(a.Speed/speedStep))
+}
+
 func (p *planner) start(u *Unit, index int, w *Worker) {
 	if w.idle() {
 		p.idle[w.Rack] -= w.Capacity.Accelerators
@@ -352,7 +374,7 @@
 			}
 		}
 		if len(picks) == len(u.Waiting) {
-			return picks, score + 8*slowest
+			return picks, score + speedWorth(u)*slowest
 		}
 	}
 	return nil, 0
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -261,6 +261,19 @@
 	}
 }
 
+// Load: workers differ in speed by half, and an urgent job may take half as long
+// again as on a usual one.
+func TestUrgentWorkTakesFastWorkers(t *testing.T) {
+	workers := racks(2)
+	for _, w := range workers[4:] {
+		w.Speed = 1.25
+	}
+	plan := Decide(workers, []*Unit{unit("urgent", 3, gang(8), 0)}, 0)
+	if rack := rackOf(t, workers, plan.Start); rack != "r1" {
+		t.Errorf("urgent work starts in %s, want the fast r1", rack)
+	}
+}
+
 func TestOrder(t *testing.T) {
 	guaranteed := &Unit{ID: workload.UnitID{Job: "g"}, Guaranteed: true, Deadline: 9}
 	expired := &Unit{ID: workload.UnitID{Job: "e"}, Priority: 0, Expired: true}
