Read the ledger less often on followers, and freshly for questions

Followers now pause 0.25 s; a question about a job that has not ended refreshes a view older than 0.1 s. Wide gangs leave headroom unless one rack would never hold them beside it.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -66,8 +66,10 @@
 	written  time.Duration
 	runTimes map[string]*runTime
 	// urgent is the demand of urgent jobs as of urgentAt, in accelerators.
-	urgent    float64
-	urgentAt  time.Duration
+	urgent   float64
+	urgentAt time.Duration
+	// rackRoom is how many accelerators of a rack the headroom leaves.
+	rackRoom  int
 	stop      error
 	histogram *metrics.Histogram
 }
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -131,13 +131,15 @@
 		return 0
 	}
 	rate := e.urgentNow(now) / urgentMemory.Seconds()
-	return int(min(rate*e.Settings.StopTime.Seconds()*headroomFactor, maxHeadroom*float64(total)) / float64(len(racks)))
+	headroom := int(min(rate*e.Settings.StopTime.Seconds()*headroomFactor, maxHeadroom*float64(total)) / float64(len(racks)))
+	e.rackRoom = total/len(racks) - headroom
+	return headroom
 }
 
-// tooWide says whether a gang needs so much of a rack that it would never start
-// beside the headroom.
+// tooWide says whether a gang needs so much of one rack that it would never start
+// beside the headroom, by the last plan's.
 func (e *Engine) tooWide(u *unit) bool {
-	return u.step.Gang && u.step.Count*u.step.Need.Accelerators > wideGang
+	return u.step.Gang && u.step.SameRack && u.step.Count*u.step.Need.Accelerators > e.rackRoom
 }
 
 // servicesOf lists the services that the units need.
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -96,9 +96,6 @@
 	headroomFactor = 1.5
 	// maxHeadroom bounds the headroom, as a share of all accelerators.
 	maxHeadroom = 0.25
-	// wideGang is the number of accelerators from which a gang may use the headroom:
-	// half of a rack.
-	wideGang = 32
 	// reclaimMargin is left of ReclaimTime for the plan, its record and the starts.
 	reclaimMargin = 700 * time.Millisecond
 	// retryPause is the wait before a unit is tried again after a refused start.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -33,7 +33,7 @@
 	// workerGap batches what workers say of themselves.
 	workerGap = 300 * time.Millisecond
 	// followerGap batches the ledger's records on nodes that do not lead.
-	followerGap = 100 * time.Millisecond
+	followerGap = 250 * time.Millisecond
 	// writeTimeout, writeRetry and batchDelay are as for the leader's writes.
 	writeTimeout = time.Second
 	writeRetry   = 50 * time.Millisecond
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -108,11 +108,15 @@
 	known = known && e.Known()
 	confirmed, ready := s.feed.Confirmed()
 	age := s.now() - confirmed
-	// A job that is known needs no fresh view: its phases only move on.
-	if !ready || !known && age > freshEnough {
+	fresh := age <= freshEnough || known && e.Phase().Ended()
+	if ready && known && !fresh && s.feed.Lost() {
+		// A job that is known needs no fresh view: its phases only move on.
+		fresh = true
+	}
+	if !ready || !fresh {
 		ctx, cancel := context.WithTimeout(ctx, readBound)
 		defer cancel()
-		if err := s.feed.Refresh(ctx); err != nil {
+		if err := s.feed.Refresh(ctx); err != nil && !known {
 			return "", err
 		}
 		e, known = s.replica.Job(id)
@@ -121,9 +125,6 @@
 	if !known {
 		return "", nil
 	}
-	if !e.Phase().Ended() {
-		s.feed.Hurry()
-	}
 	return e.Phase(), nil
 }
 
