Do not take the lead from a node that is only busy

The leader was short of processor, first by calls to 350 workers at once, then by plans, and left two calls of 250 ms unanswered.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -56,8 +56,10 @@
 	view    View
 	// settledBy is when every lease that an earlier leader gave has ended.
 	settledBy time.Duration
-	runs      int64
-	dirty     bool
+	// firstCalls counts the calls under way to workers that have not answered yet.
+	firstCalls int
+	runs       int64
+	dirty      bool
 	// planned is when the last plan was made, planTook how long it took.
 	planned  time.Duration
 	planTook time.Duration
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -73,8 +73,11 @@
 	}
 	e.startReserved(now)
 	e.rateGuarantees()
-	workers, byID := e.snapshotWorkers(now)
 	units := e.waitingUnits(now)
+	if len(units) == 0 {
+		return
+	}
+	workers, byID := e.snapshotWorkers(now)
 	for _, service := range e.servicesOf(units) {
 		var pool []*placement.Worker
 		for _, w := range workers {
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -44,6 +44,8 @@
 	// holdWait is how long a worker may delay its answer to a renewal: a sixth of
 	// the lease, so that several may be lost.
 	holdWait = time.Second
+	// maxFirstCalls bounds the calls at once to workers that have not answered yet.
+	maxFirstCalls = 24
 	// contactBound is the silence after which a worker's lease is not renewed any
 	// more and nothing new starts there: two renewals.
 	contactBound = 2 * time.Second
@@ -93,7 +95,7 @@
 	urgentMemory = 6 * time.Second
 	// headroomFactor is how many times the mean demand of urgent jobs during a stop
 	// is kept free, for bursts.
-	headroomFactor = 1.5
+	headroomFactor = 2.5
 	// maxHeadroom bounds the headroom, as a share of all accelerators.
 	maxHeadroom = 0.25
 	// reclaimMargin is left of ReclaimTime for the plan, its record and the starts.
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -79,6 +79,12 @@
 	if w.holding || now < w.holdDue || !w.wantsHold() || !e.tenure.MayRenew(now) {
 		return
 	}
+	if !w.fenced && len(w.runs) == 0 {
+		if e.firstCalls >= maxFirstCalls {
+			return
+		}
+		e.firstCalls++
+	}
 	order := backend.HoldOrder{Term: e.Term.Number, SeenUpTo: w.noted, Wait: holdWait}
 	silent := w.silent(now)
 	w.ask(now)
@@ -89,7 +95,8 @@
 		order.LeaseUntilMS = e.leaseUntil(w, now)
 	}
 	w.holding = true
-	go e.hold(w, order, now)
+	first := !w.fenced && len(w.runs) == 0
+	go e.hold(w, order, now, first)
 }
 
 // stopsOnly says whether all that is left on the worker awaits the proof that it
@@ -110,16 +117,36 @@
 	return w.clock + now.Milliseconds() + e.Settings.LeaseTime.Milliseconds()
 }
 
-func (e *Engine) hold(w *worker, order backend.HoldOrder, sent time.Duration) {
+func (e *Engine) hold(w *worker, order backend.HoldOrder, sent time.Duration, first bool) {
 	ctx, cancel := context.WithTimeout(e.ctx, order.Wait+orderTimeout)
 	defer cancel()
 	reply, err := e.Orders.Hold(ctx, w.ref(), order)
 	e.post(func() {
 		w.holding = false
+		if first {
+			e.firstCalls--
+		}
 		e.onHold(w, order, sent, reply, err)
+		if first {
+			e.callNext()
+		}
 	})
 }
 
+// callNext makes the first call to another worker. It answers the first second of
+// a term, in which calls to all workers at once would take the processor.
+func (e *Engine) callNext() {
+	now := e.Now()
+	for _, w := range e.workers {
+		if e.firstCalls >= maxFirstCalls {
+			return
+		}
+		if !w.fenced && !w.holding {
+			e.scheduleHold(w, now)
+		}
+	}
+}
+
 // look asks a worker at once what it runs.
 func (e *Engine) look(w *worker) {
 	if w.looking || !e.tenure.MayRenew(e.Now()) {
--- a/pkg/election/election.go
+++ b/pkg/election/election.go
@@ -37,7 +37,7 @@
 	vacant   bool
 	// vacated is when the lead was found vacant.
 	vacated time.Duration
-	// unreached counts the calls to the leader in a row that found nobody.
+	// unreached weighs the calls to the leader in a row that found nobody.
 	unreached int
 }
 
@@ -69,20 +69,43 @@
 	return !w.vacant && now-w.heard >= w.settings.Doubt && now-w.lastRead <= w.settings.ReadGap
 }
 
-// maxUnreached is how many calls in a row must find nobody: one may be lost.
-const maxUnreached = 2
-
-// Called notes what came of a call to the silent leader: it leads, it does not,
-// or nobody answered.
-func (w *Watch) Called(now time.Duration, answered, leads bool) {
-	switch {
-	case !answered:
-		if w.unreached++; w.unreached >= maxUnreached {
-			w.Vacated(now)
-		}
-	case leads:
+// Answer is what came of a call to a silent leader.
+type Answer int
+
+const (
+	// Leads means that it still leads.
+	Leads Answer = iota
+	// LeadsNot means that another run answered, or one that leads no more.
+	LeadsNot
+	// Refused means that no process listens there.
+	Refused
+	// Unanswered means that nothing came back in time.
+	Unanswered
+)
+
+// The calls that found nobody count by these weights; a leader that is short of
+// processor leaves calls unanswered, too, so three of them are needed, or two that
+// were refused.
+const (
+	refusedWeight    = 3
+	unansweredWeight = 2
+	maxUnreached     = 6
+)
+
+// Called notes what came of a call to the silent leader.
+func (w *Watch) Called(now time.Duration, a Answer) {
+	switch a {
+	case Leads:
 		w.unreached = 0
-	default:
+		return
+	case LeadsNot:
+		w.unreached = maxUnreached
+	case Refused:
+		w.unreached += refusedWeight
+	case Unanswered:
+		w.unreached += unansweredWeight
+	}
+	if w.unreached >= maxUnreached {
 		w.Vacated(now)
 	}
 }
--- /dev/null
+++ b/pkg/election/election_test.go
@@ -0,0 +1,88 @@
+package election
+
+import (
+	"testing"
+	"time"
+)
+
+var settings = Settings{Silence: 2 * time.Second, ReadGap: 1700 * time.Millisecond, Doubt: 800 * time.Millisecond, Stagger: 40 * time.Millisecond,
+	OrderBound: 2 * time.Second, RenewBound: 6 * time.Second, Beat: 500 * time.Millisecond}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// claimAt returns when a node with a rank claims, which reads the log every 300 ms
+// until the log is dark and calls the leader as told; 0 if it never does.
+func claimAt(rank int, heardUntil, readUntil time.Duration, call func(at time.Duration) (Answer, bool)) time.Duration {
+	w := NewWatch(settings, 0)
+	w.Heard(0)
+	for at := time.Duration(0); at < 10*time.Second; at += ms(50) {
+		if at <= readUntil && at%ms(300) == 0 {
+			w.Read(at)
+		}
+		if at <= heardUntil && at%ms(500) == 0 {
+			w.Heard(at)
+		}
+		if w.Doubtful(at) && at%ms(250) == 0 {
+			if a, called := call(at); called {
+				w.Called(at, a)
+			}
+		}
+		if w.Claim(at, rank) {
+			return at
+		}
+	}
+	return 0
+}
+
+func TestClaims(t *testing.T) {
+	always := func(a Answer) func(time.Duration) (Answer, bool) {
+		return func(time.Duration) (Answer, bool) { return a, true }
+	}
+	no := func(time.Duration) (Answer, bool) { return Leads, false }
+	forever := time.Hour
+	for name, c := range map[string]struct {
+		rank                  int
+		heardUntil, readUntil time.Duration
+		call                  func(time.Duration) (Answer, bool)
+		earliest, latest      time.Duration
+	}{
+		"leader writes":                        {0, forever, forever, always(LeadsNot), 0, 0},
+		"leader is silent and cannot be asked": {0, 0, forever, no, ms(2000), ms(2100)},
+		"another run answers":                  {0, 0, forever, always(LeadsNot), ms(800), ms(1100)},
+		"nobody listens":                       {0, 0, forever, always(Refused), ms(1000), ms(1400)},
+		"nobody answers":                       {0, 0, forever, always(Unanswered), ms(1300), ms(1600)},
+		"leader says that it leads":            {0, 0, forever, always(Leads), ms(2000), ms(2100)},
+		"later rank":                           {5, 0, forever, always(LeadsNot), ms(1000), ms(1300)},
+		"log cannot be read":                   {0, 0, ms(300), always(LeadsNot), 0, ms(2000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if at := claimAt(c.rank, c.heardUntil, c.readUntil, c.call); at < c.earliest || at > c.latest {
+				t.Errorf("claims at %s, want %s to %s", at, c.earliest, c.latest)
+			}
+		})
+	}
+}
+
+// A leader that is short of processor answers late now and then.
+func TestOneUnansweredCallIsNotEnough(t *testing.T) {
+	call := func(at time.Duration) (Answer, bool) {
+		if at%ms(500) == 0 {
+			return Unanswered, true
+		}
+		return Leads, true
+	}
+	if at := claimAt(0, 0, time.Hour, call); at < ms(2000) {
+		t.Errorf("claims at %s", at)
+	}
+}
+
+func TestTenureEnds(t *testing.T) {
+	tenure := NewTenure(settings, 0)
+	tenure.Confirm(ms(1000))
+	tenure.Confirm(ms(500))
+	for at, want := range map[time.Duration][2]bool{ms(2900): {true, true}, ms(3100): {false, true}, ms(7100): {false, false}} {
+		if got := [2]bool{tenure.MayStart(at), tenure.MayRenew(at)}; got != want {
+			t.Errorf("at %s: may start and renew %v, want %v", at, got, want)
+		}
+	}
+}
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/fnv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -209,7 +210,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.calling = false
-		s.watch.Called(s.settings.Now(), err == nil, leads)
+		s.watch.Called(s.settings.Now(), answerOf(leads, err))
 		if answer := fmt.Sprint(term, leads, err != nil); answer != s.answer {
 			s.answer = answer
 			klog.InfoS("leader: called a silent leader", "term", term.Number, "leader", term.Leader, "leads", leads, "err", err)
@@ -217,6 +218,19 @@
 	}()
 }
 
+func answerOf(leads bool, err error) election.Answer {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return election.Refused
+	case err != nil:
+		return election.Unanswered
+	case leads:
+		return election.Leads
+	default:
+		return election.LeadsNot
+	}
+}
+
 // Leads says whether the node leads a term, or is about to.
 func (s *Service) Leads(term ledger.Term) bool {
 	s.mu.Lock()
