--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -21,6 +21,7 @@
 	"github.com/jessevdk/go-flags"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/dispatch"
 	"github.com/shallotpin/shallotpin/pkg/election"
 	"github.com/shallotpin/shallotpin/pkg/entry"
@@ -126,9 +127,14 @@
 	}
 	peerAddress := net.JoinHostPort(host, strconv.Itoa(opts.PeerPort))
 	peers := peer.New(transport.TCP{}, peerAddress)
+	orders := &http.Client{Transport: newTransport()}
+	var adviser backend.Adviser
+	if s.Advice != "" {
+		adviser = &platform.Adviser{Base: "http://" + s.Advice, Client: orders}
+	}
 	node, err := entry.New(entry.Settings{Name: s.NodeName, Node: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s), MaxBatchBytes: s.Store.CallBytes / 2, Power: s.Limits.CPUShare * max(1, s.Limits.Cores), Now: steady.Now, UnixMS: unixMS},
 		entry.Platform{Ledger: topic(platform.LedgerTopic), Operators: topic(platform.OperatorTopic), Workers: topic(platform.WorkerTopic),
-			Orders: &platform.Orders{Client: &http.Client{Transport: newTransport()}}, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker, Peers: peers})
+			Orders: &platform.Orders{Client: orders}, Adviser: adviser, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker, Peers: peers})
 	if err != nil {
 		return err
 	}
--- a/pkg/backend/orders.go
+++ b/pkg/backend/orders.go
@@ -31,6 +31,8 @@
 	Term int64
 	// Checkpoint is where the task resumes; empty means from the beginning.
 	Checkpoint string
+	// Ticket is the adviser's leave to use the worker; empty if none is needed.
+	Ticket string
 }
 
 // HoldOrder renews the leases on a worker and asks what runs there.
@@ -102,6 +104,8 @@
 	OrderLate OrderErrorKind = "late"
 	// OrderNoRoom means that the worker lacks room.
 	OrderNoRoom OrderErrorKind = "no-room"
+	// OrderNoTicket means that the worker wants a ticket, or another one.
+	OrderNoTicket OrderErrorKind = "no-ticket"
 	// OrderReplaced means that another incarnation answered.
 	OrderReplaced OrderErrorKind = "replaced"
 	// OrderUnhealthy means that the worker refuses work for now.
@@ -128,6 +132,20 @@
 // Unwrap returns the cause.
 func (e *OrderError) Unwrap() error { return e.Cause }
 
+// Advice names the workers that may run a unit.
+type Advice struct {
+	// Tickets maps the IDs of the workers to the tickets for them.
+	Tickets map[string]string
+	// Valid is how long the tickets hold.
+	Valid time.Duration
+}
+
+// Adviser knows which workers may run the units of an advised queue. It takes one
+// call at a time.
+type Adviser interface {
+	Advise(ctx context.Context, unit workload.UnitID, workers []string) (Advice, error)
+}
+
 // Orders gives orders to workers. Errors are of type *OrderError.
 type Orders interface {
 	Start(ctx context.Context, w WorkerRef, o StartOrder) (clockMS int64, err error)
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -25,6 +25,8 @@
 	// completion, and Slack comes on top.
 	Stretch float64
 	Slack   time.Duration
+	// Advised queues may use only the workers that the adviser names for a step.
+	Advised bool
 	// Public queues need no key.
 	Public bool
 }
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -33,7 +33,9 @@
 type Inputs struct {
 	Settings Settings
 	Orders   backend.Orders
-	Writer   *ledger.Appender
+	// Adviser is nil where no queue is advised.
+	Adviser backend.Adviser
+	Writer  *ledger.Appender
 	// Now is a steady clock, UnixMS the time of day.
 	Now    func() time.Duration
 	UnixMS func() int64
@@ -67,6 +69,8 @@
 	writing  bool
 	written  time.Duration
 	runTimes map[string]*runTime
+	// advising says that a call to the adviser is under way.
+	advising bool
 	// urgent is the demand of urgent jobs as of urgentAt, in accelerators.
 	urgent   float64
 	urgentAt time.Duration
@@ -241,7 +245,7 @@
 		return
 	}
 	if q := e.view.Config.Queue(j.spec.Queue); q != nil {
-		j.service, j.priority, j.maxAttempts, j.stretch, j.slack = q.Service, q.Priority, max(1, q.MaxAttempts), q.Stretch, q.Slack
+		j.service, j.priority, j.maxAttempts, j.stretch, j.slack, j.advised = q.Service, q.Priority, max(1, q.MaxAttempts), q.Stretch, q.Slack, q.Advised
 	}
 }
 
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -27,6 +27,7 @@
 	service     string
 	priority    int
 	maxAttempts int
+	advised     bool
 	stretch     float64
 	slack       time.Duration
 	// guaranteed jobs lie within their account's guarantee.
@@ -53,6 +54,11 @@
 	// starts were sent.
 	gangRun   int64
 	gangSince time.Duration
+	// tickets are the adviser's, by worker ID, and hold until ticketsUntil; asked are
+	// the workers that it was asked about since.
+	tickets      map[string]string
+	ticketsUntil time.Duration
+	asked        map[string]bool
 	// paceSum and paces are the paces of the unit's runs, in hundredths a second.
 	paceSum float64
 	paces   int
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -91,7 +91,9 @@
 				waiting = append(waiting, u)
 			}
 		}
-		e.apply(placement.Decide(pool, waiting, e.headroom(pool, now)), byID, now)
+		plan := placement.Decide(pool, waiting, e.headroom(pool, now))
+		e.askForMore(plan.Unplaced)
+		e.apply(plan, byID, now)
 	}
 }
 
@@ -183,7 +185,7 @@
 				continue
 			}
 			pw.Running = append(pw.Running, placement.Running{Unit: id.UnitID, Index: id.Index, Need: r.need,
-				Priority: u.job.priority, Guaranteed: u.job.guaranteed, Gang: u.step.Gang, Cost: e.lossOf(r, now), Ending: e.ending(r, now)})
+				Priority: u.job.priority, Guaranteed: u.job.guaranteed || u.step.MayMiss > 0, Gang: u.step.Gang, Cost: e.lossOf(r, now), Ending: e.ending(r, now)})
 		}
 		slices.SortFunc(pw.Running, func(a, b placement.Running) int {
 			return cmp.Or(cmp.Compare(a.Unit.Job, b.Unit.Job), cmp.Compare(a.Unit.Step, b.Unit.Step), cmp.Compare(a.Index, b.Index))
@@ -308,7 +310,7 @@
 				continue
 			}
 			waiting := u.waiting()
-			if len(waiting) == 0 {
+			if len(waiting) == 0 || j.advised && !e.haveTickets(u, now) {
 				continue
 			}
 			begin := max(j.spec.SubmittedMS, j.spec.Due(u.id.Round))
@@ -321,6 +323,9 @@
 				}
 			}
 			pu.Pressing = unixMS > begin+objective.Milliseconds() || e.tooWide(u)
+			if j.advised {
+				pu.Only = e.ticketKeys(u)
+			}
 			pu.MustStart = unixMS-begin >= e.patience().Milliseconds()
 			if u.partial() {
 				pu.Guaranteed = false
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -35,6 +35,9 @@
 	if u.step.Gang {
 		order.Checkpoint = u.checkpoint
 	}
+	if u.job.advised {
+		order.Ticket = u.tickets[w.info.ID]
+	}
 	r.resumed = order.Checkpoint != ""
 	klog.InfoS("dispatch: start", "job", t.id.Job, "task", u.id.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "zone", w.info.Zone, "rack", w.info.Rack,
 		"view_age", now-e.view.Confirmed, "worker_age", now-w.answered, "resumes", order.Checkpoint != "")
@@ -88,6 +91,9 @@
 		return
 	}
 	r.task.unit.notBefore = now + retryPause
+	if kind == backend.OrderNoTicket {
+		delete(r.task.unit.tickets, w.info.ID)
+	}
 	if kind != backend.OrderReplaced {
 		w.closedUntil = max(w.closedUntil, now+retryPause)
 	}
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -250,3 +250,17 @@
 		s.awaitPhase(job, ledger.Completed, 5*time.Second)
 	})
 }
+
+// The queue's policy allows two of forty workers, which the adviser names.
+func TestAdvisedJobRunsWhereItMay(t *testing.T) {
+	runSite(t, 3, 40, func(s *site) {
+		job := s.newJob(advisedQueue, usual(task(8), 6*time.Second, 0), workload.Step{Count: 4, Need: task(8), EstimateMS: 6000})
+		s.fleet.Update(func() {
+			s.fleet.Tickets = map[workload.UnitID]map[string]string{{Job: job.ID}: {"w07": "t7", "w39": "t39"}}
+		})
+		if err := s.follower().Intake.Submit(s.ctx, job); err != nil {
+			t.Fatal(err)
+		}
+		s.awaitPhase(job.ID, ledger.Completed, 20*time.Second)
+	})
+}
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -53,6 +53,7 @@
 	urgentQueue  = "urgent"
 	usualQueue   = "usual"
 	bulkQueue    = "bulk"
+	advisedQueue = "advised"
 )
 
 var wholeWorker = workload.Resources{MilliCores: 64000, MemoryMB: 262144, Accelerators: 8}
@@ -121,6 +122,7 @@
 	for priority, name := range []string{urgentQueue, usualQueue, bulkQueue} {
 		c.Queues = append(c.Queues, catalog.Queue{Name: name, Host: "host", PathPrefix: "/" + name + "/", Service: "desk", Priority: priority, MaxAttempts: 3, Stretch: 3, Slack: time.Second})
 	}
+	c.Queues = append(c.Queues, catalog.Queue{Name: advisedQueue, Host: "host", PathPrefix: "/advised/", Service: "desk", Priority: 1, MaxAttempts: 3, Stretch: 3, Advised: true})
 	data, err := json.Marshal(c)
 	if err != nil {
 		s.t.Fatal(err)
@@ -150,7 +152,7 @@
 	began := time.Now()
 	var err error
 	n.Node, err = New(Settings{Name: name, Node: name + "/" + began.String(), Address: address, Dispatch: testSettings(), MaxBatchBytes: 1 << 20, Now: func() time.Duration { return time.Hour + time.Since(began) }, UnixMS: func() int64 { return time.Now().UnixMilli() }},
-		Platform{Ledger: n.clients[0], Operators: n.clients[1], Workers: n.clients[2], Orders: s.fleet, DecodeOperator: decodeOperator, DecodeWorker: simsite.DecodeWorker, Peers: peers})
+		Platform{Ledger: n.clients[0], Operators: n.clients[1], Workers: n.clients[2], Orders: s.fleet, Adviser: s.fleet, DecodeOperator: decodeOperator, DecodeWorker: simsite.DecodeWorker, Peers: peers})
 	if err == nil {
 		err = peers.Start(ctx, nil)
 	}
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -70,6 +70,7 @@
 	settings  Settings
 	log       backend.KeyedLog
 	orders    backend.Orders
+	adviser   backend.Adviser
 	operators *catalog.Operators
 	workers   *catalog.Workers
 	replica   *ledger.Replica
@@ -92,8 +93,8 @@
 }
 
 // New returns a Service; Bind completes it and Run does its work.
-func New(s Settings, log backend.KeyedLog, orders backend.Orders) *Service {
-	return &Service{settings: s, log: log, orders: orders, watch: election.NewWatch(s.Dispatch.Election, s.Now())}
+func New(s Settings, log backend.KeyedLog, orders backend.Orders, adviser backend.Adviser) *Service {
+	return &Service{settings: s, log: log, orders: orders, adviser: adviser, watch: election.NewWatch(s.Dispatch.Election, s.Now())}
 }
 
 // Bind gives the service the parts of the node that it uses and that call it.
@@ -300,7 +301,7 @@
 			klog.InfoS("leader: writing ended", "term", term.Number, "err", err)
 		}
 	}()
-	engine := dispatch.New(dispatch.Inputs{Settings: s.settings.Dispatch, Orders: s.orders, Writer: writer, Now: s.settings.Now, UnixMS: s.settings.UnixMS,
+	engine := dispatch.New(dispatch.Inputs{Settings: s.settings.Dispatch, Orders: s.orders, Adviser: s.adviser, Writer: writer, Now: s.settings.Now, UnixMS: s.settings.UnixMS,
 		View: s.view, Term: term, Claimed: claimed})
 	s.mu.Lock()
 	s.engine, s.lead = engine, ctx
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -36,7 +36,8 @@
 	Unit  workload.UnitID
 	Need  workload.Resources
 	Index int
-	// Priority and Guaranteed say what may be stopped for whom.
+	// Priority and Guaranteed say what may be stopped for whom; tasks with a
+	// disruption budget count as guaranteed.
 	Priority   int
 	Guaranteed bool
 	// Cost is the work lost by a stop, in core-seconds.
@@ -68,6 +69,8 @@
 	PerWorker map[string]int
 	// Within is the rack that the tasks must use; empty means any.
 	Within string
+	// Only are the workers that may be used; nil means all.
+	Only map[string]bool
 	// Avoid are workers on which the unit's tasks failed.
 	Avoid map[string]bool
 }
@@ -90,8 +93,8 @@
 	Reserve []Assignment
 	// Stop are the tasks to stop, gangs as a whole.
 	Stop []workload.TaskID
-	// Blocked counts the units that found no room.
-	Blocked int
+	// Unplaced are the units that found no room for all of their tasks.
+	Unplaced []workload.UnitID
 }
 
 // planner is one decision in progress.
@@ -162,7 +165,7 @@
 
 // eligible says whether the unit's tasks may run on the worker at all.
 func eligible(u *Unit, w *Worker) bool {
-	return w.Open && (u.Step.Label == "" || w.hasLabel(u.Step.Label)) && u.Step.Demand().Fits(w.Capacity)
+	return w.Open && (u.Only == nil || u.Only[w.ID]) && (u.Step.Label == "" || w.hasLabel(u.Step.Label)) && u.Step.Demand().Fits(w.Capacity)
 }
 
 // idle says whether nothing runs on the worker.
@@ -212,7 +215,7 @@
 	for i, index := range u.Waiting {
 		w := p.best(u, pool)
 		if w == nil {
-			p.plan.Blocked++
+			p.plan.Unplaced = append(p.plan.Unplaced, u.ID)
 			if u.mayPreempt() {
 				p.makeRoom(u, u.Waiting[i:], [][]*Worker{pool})
 			}
@@ -291,7 +294,7 @@
 		}
 	}
 	if chosen == nil {
-		p.plan.Blocked++
+		p.plan.Unplaced = append(p.plan.Unplaced, u.ID)
 		if u.mayPreempt() {
 			p.makeRoom(u, u.Waiting, pools)
 		}
--- a/pkg/simsite/workers.go
+++ b/pkg/simsite/workers.go
@@ -31,6 +31,9 @@
 	Behave   func(id workload.TaskID) Behaviour
 	StopTime time.Duration
 	GangWait time.Duration
+	// Tickets are the tickets that starts need, by unit and worker; units that are
+	// not named need none.
+	Tickets map[workload.UnitID]map[string]string
 
 	mu      sync.Mutex
 	workers map[string]*Worker
@@ -209,6 +212,10 @@
 	if r := w.runs[id]; r != nil && r.id == o.Run {
 		return nil
 	}
+	if tickets := f.Tickets[id.UnitID]; tickets != nil && (tickets[w.Info.ID] == "" || tickets[w.Info.ID] != o.Ticket) {
+		f.breach("task %v starts on %s with the ticket %q", id, w.Info.ID, o.Ticket)
+		return &backend.OrderError{Kind: backend.OrderNoTicket}
+	}
 	if o.Run.Number <= w.over[id] {
 		return &backend.OrderError{Kind: backend.OrderStale}
 	}
@@ -243,6 +250,20 @@
 	return nil
 }
 
+// Advise implements backend.Adviser.
+func (f *Fleet) Advise(_ context.Context, unit workload.UnitID, workers []string) (backend.Advice, error) {
+	time.Sleep(100 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	advice := backend.Advice{Tickets: map[string]string{}, Valid: 3 * time.Second}
+	for _, id := range workers {
+		if ticket := f.Tickets[unit][id]; ticket != "" {
+			advice.Tickets[id] = ticket
+		}
+	}
+	return advice, nil
+}
+
 // Stop implements backend.Orders.
 func (f *Fleet) Stop(ctx context.Context, ref backend.WorkerRef, run backend.RunID, term int64) (int64, error) {
 	w, err := f.enter(ctx, ref, term)
