--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -76,7 +76,7 @@
 	}
 	slices.SortFunc(candidates, func(a, b *worker) int {
 		return cmp.Or(
-			-boolCompare(a.info.Rack == u.step.DataRack, b.info.Rack == u.step.DataRack),
+			cmp.Compare(u.distance(a), u.distance(b)),
 			cmp.Compare(b.info.Capacity.Sub(b.used).Accelerators, a.info.Capacity.Sub(a.used).Accelerators),
 			cmp.Compare(a.key, b.key))
 	})
@@ -93,15 +93,12 @@
 	}()
 }
 
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
+// distance is 0 for workers beside the unit's data and 1 for others.
+func (u *unit) distance(w *worker) int {
+	if u.step.DataRack == "" || w.info.Rack == u.step.DataRack {
 		return 0
-	case a:
-		return 1
-	default:
-		return -1
 	}
+	return 1
 }
 
 // onAdvice takes over the adviser's answer.
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -363,7 +363,7 @@
 	}
 }
 
-// fencedError is returned by Run when a worker has seen a later leader.
+// errFenced ends a term when a worker has seen a later leader.
 var errFenced = errors.New("a worker has seen a higher term")
 
 // syncWorkers takes over the platform's list of workers.
--- /dev/null
+++ b/pkg/dispatch/headroom.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/placement"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+func (e *Engine) noteUrgent(spec *workload.Job, now time.Duration) {
+	if e.view.Config == nil {
+		return
+	}
+	if q := e.view.Config.Queue(spec.Queue); q == nil || q.Priority != 0 {
+		return
+	}
+	need := 0
+	for i := range spec.Steps {
+		need += spec.Steps[i].Count * spec.Steps[i].Need.Accelerators
+	}
+	age := time.Duration(max(0, e.UnixMS()-spec.SubmittedMS)) * time.Millisecond
+	e.urgent = e.urgentNow(now) + float64(need)*math.Exp(-age.Seconds()/urgentMemory.Seconds())
+	e.urgentAt = now
+}
+
+func (e *Engine) urgentNow(now time.Duration) float64 {
+	return e.urgent * math.Exp(-(now-e.urgentAt).Seconds()/urgentMemory.Seconds())
+}
+
+func (e *Engine) headroom(pool []*placement.Worker, now time.Duration) int {
+	racks := map[string]bool{}
+	total := 0
+	for _, w := range pool {
+		if !w.Open {
+			continue
+		}
+		racks[w.Rack] = true
+		total += w.Capacity.Accelerators
+	}
+	if len(racks) == 0 {
+		return 0
+	}
+	rate := e.urgentNow(now) / urgentMemory.Seconds()
+	headroom := int(min(rate*e.Settings.StopTime.Seconds()*headroomFactor, maxHeadroom*float64(total)) / float64(len(racks)))
+	e.rackRoom = total/len(racks) - headroom
+	return headroom
+}
+
+func (e *Engine) tooWide(u *unit) bool {
+	return u.step.Gang && u.step.SameRack && u.step.Count*u.step.Need.Accelerators > e.rackRoom
+}
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -2,15 +2,11 @@
 
 import (
 	"cmp"
-	"maps"
-	"math"
 	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
-	"github.com/shallotpin/shallotpin/pkg/backend"
-	"github.com/shallotpin/shallotpin/pkg/ledger"
 	"github.com/shallotpin/shallotpin/pkg/placement"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
@@ -98,55 +94,12 @@
 }
 
 // noteUrgent notes the accelerators that an urgent job asks for.
-func (e *Engine) noteUrgent(spec *workload.Job, now time.Duration) {
-	if e.view.Config == nil {
-		return
-	}
-	if q := e.view.Config.Queue(spec.Queue); q == nil || q.Priority != 0 {
-		return
-	}
-	need := 0
-	for i := range spec.Steps {
-		need += spec.Steps[i].Count * spec.Steps[i].Need.Accelerators
-	}
-	age := time.Duration(max(0, e.UnixMS()-spec.SubmittedMS)) * time.Millisecond
-	e.urgent = e.urgentNow(now) + float64(need)*math.Exp(-age.Seconds()/urgentMemory.Seconds())
-	e.urgentAt = now
-}
-
 // urgentNow returns the accelerators that urgent jobs asked for of late, where
 // those of urgentMemory ago count a third.
-func (e *Engine) urgentNow(now time.Duration) float64 {
-	return e.urgent * math.Exp(-(now-e.urgentAt).Seconds()/urgentMemory.Seconds())
-}
-
 // headroom returns how many accelerators of each rack to keep free: what urgent
 // jobs ask for in the time that a stop takes.
-func (e *Engine) headroom(pool []*placement.Worker, now time.Duration) int {
-	racks := map[string]bool{}
-	total := 0
-	for _, w := range pool {
-		if !w.Open {
-			continue
-		}
-		racks[w.Rack] = true
-		total += w.Capacity.Accelerators
-	}
-	if len(racks) == 0 {
-		return 0
-	}
-	rate := e.urgentNow(now) / urgentMemory.Seconds()
-	headroom := int(min(rate*e.Settings.StopTime.Seconds()*headroomFactor, maxHeadroom*float64(total)) / float64(len(racks)))
-	e.rackRoom = total/len(racks) - headroom
-	return headroom
-}
-
 // tooWide says whether a gang needs so much of one rack that it would never start
 // beside the headroom, by the last plan's.
-func (e *Engine) tooWide(u *unit) bool {
-	return u.step.Gang && u.step.SameRack && u.step.Count*u.step.Need.Accelerators > e.rackRoom
-}
-
 // servicesOf lists the services that the units need.
 func (e *Engine) servicesOf(units []*placement.Unit) []string {
 	var services []string
@@ -396,121 +349,11 @@
 }
 
 // unitOf returns the unit of a job that has not ended.
-func (e *Engine) unitOf(id workload.UnitID) *unit {
-	j := e.jobs[id.Job]
-	return j.units[id.Round*len(j.spec.Steps)+id.Step]
-}
-
 // apply gives the orders of a plan. The plan was made from the engine's own
 // state in the same turn, so it still holds.
-func (e *Engine) apply(p placement.Plan, byID map[string]*worker, now time.Duration) {
-	for _, id := range p.Stop {
-		if t := e.taskOf(id); t != nil && t.run != nil {
-			if t.unit.step.Gang {
-				t.unit.aborting = true
-			}
-			e.stopRun(t.run, "room for a guaranteed job")
-		}
-	}
-	for _, a := range p.Reserve {
-		u := e.unitOf(a.Task.UnitID)
-		if u.reserved == nil {
-			u.reserved = map[int]*worker{}
-		}
-		u.reserved[a.Task.Index] = byID[a.Worker]
-		u.reservedUntil = now + e.Settings.StopTime + reservationTime
-		klog.InfoS("dispatch: room awaited", "job", a.Task.Job, "task", a.Task.UnitID.String(), "index", a.Task.Index, "worker", byID[a.Worker].info.ID)
-	}
-	starts := map[*unit]map[int]*worker{}
-	for _, a := range p.Start {
-		u := e.unitOf(a.Task.UnitID)
-		if starts[u] == nil {
-			starts[u] = map[int]*worker{}
-		}
-		starts[u][a.Task.Index] = byID[a.Worker]
-	}
-	for u, targets := range starts {
-		e.startUnit(u, targets, now)
-	}
-}
-
 // startReserved starts the units for which room has been made.
-func (e *Engine) startReserved(now time.Duration) {
-	for _, j := range e.jobs {
-		for _, u := range j.units {
-			if u.reserved == nil {
-				continue
-			}
-			fits := true
-			need := map[*worker]workload.Resources{}
-			for _, w := range u.reserved {
-				need[w] = need[w].Add(u.step.Demand())
-				fits = fits && need[w].Fits(w.info.Capacity.Sub(w.used))
-				if e.workers[w.key] != w || !e.open(w, now) {
-					fits = false
-					u.reservedUntil = 0
-				}
-			}
-			if fits {
-				targets := u.reserved
-				u.reserved = nil
-				e.startUnit(u, targets, now)
-			} else if now > u.reservedUntil {
-				klog.InfoS("dispatch: room given up", "job", j.spec.ID, "task", u.id.String())
-				u.reserved = nil
-			}
-		}
-	}
-}
-
 // startUnit plans the starts of tasks of a unit. The orders follow once the
 // ledger names their workers, so that a later leader knows where to look.
-func (e *Engine) startUnit(u *unit, targets map[int]*worker, now time.Duration) {
-	number := u.gangRun
-	if !u.partial() {
-		number = e.nextRun()
-		u.aborting = false
-		u.gangRun, u.gangSince = number, now
-	}
-	for _, i := range slices.Sorted(maps.Keys(targets)) {
-		t, w := u.tasks[i], targets[i]
-		r := &run{id: backend.RunID{Task: t.id, Number: number}, task: t, worker: w, need: u.step.Demand(), phase: runPlanned, ordered: now}
-		t.run = r
-		w.runs[t.id] = r
-		w.used = w.used.Add(r.need)
-	}
-	if j := u.job; j.progress.Phase == "" || j.progress.Phase == ledger.Queued {
-		j.progress.Phase = ledger.Running
-		e.histogram.Update(float64(e.UnixMS()-j.spec.SubmittedMS) / 1000)
-	}
-	u.job.unsaved = true
-}
-
 // order gives the orders for planned runs, if what was known when they were
 // planned still holds.
-func (e *Engine) order(planned []*run) {
-	now := e.Now()
-	e.view = e.View()
-	lost := map[*unit]bool{}
-	for _, r := range planned {
-		if r.current() && r.phase == runPlanned && !e.mayOrder(r, now) && r.task.unit.step.Gang {
-			lost[r.task.unit] = true
-		}
-	}
-	for _, r := range planned {
-		switch {
-		case !r.current() || r.phase != runPlanned:
-		case lost[r.task.unit] || !e.mayOrder(r, now):
-			e.removeRun(r, "the plan is out of date")
-		default:
-			e.startRun(r, now)
-		}
-	}
-}
-
 // mayOrder checks a planned run against what is known now.
-func (e *Engine) mayOrder(r *run, now time.Duration) bool {
-	j := r.task.unit.job
-	return !j.progress.Phase.Ended() && !r.task.done && !r.task.unit.aborting && e.tenure.MayStart(now) &&
-		now-e.view.Confirmed <= freshBound && e.workers[r.worker.key] == r.worker && e.open(r.worker, now)
-}
