--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -264,3 +265,55 @@
 		s.awaitPhase(job.ID, ledger.Completed, 20*time.Second)
 	})
 }
+
+func TestLeavingWorkerGetsNothingNew(t *testing.T) {
+	runSite(t, 3, 2, func(s *site) {
+		s.fleet.Update(func() { s.workers[0].Info.Draining = true })
+		time.Sleep(2 * time.Second)
+		job := s.submit(bulkQueue, usual(task(1), time.Second, 0), workload.Step{Count: 16, Need: task(1), EstimateMS: 1000})
+		for range 20 {
+			if s.workers[0].Running() > 0 {
+				t.Fatal("a task runs on the leaving worker")
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.awaitPhase(job, ledger.Completed, 2*time.Second)
+	})
+}
+
+// A worker that falls silent goes on until its lease ends; its tasks run elsewhere
+// only then.
+func TestTaskOfSilentWorkerWaitsForItsLease(t *testing.T) {
+	runSite(t, 3, 4, func(s *site) {
+		job := s.submit(usualQueue, usual(task(8), 9*time.Second, 0), workload.Step{Count: 1, Need: task(8), EstimateMS: 9000})
+		time.Sleep(time.Second)
+		s.fleet.Update(func() {
+			for _, w := range s.workers {
+				w.Silent = w.Holds(workload.TaskID{UnitID: workload.UnitID{Job: job}})
+			}
+		})
+		s.awaitPhase(job, ledger.Completed, 20*time.Second)
+		if got := s.fleet.Starts(); got != 2 {
+			t.Errorf("%d starts, want 2", got)
+		}
+	})
+}
+
+// A failed run whose end the next leader is told of again counts once.
+func TestFailureCountsOnceAcrossLeaders(t *testing.T) {
+	runSite(t, 3, 4, func(s *site) {
+		starts := 0
+		job := s.submit(usualQueue, func(int) simsite.Behaviour {
+			starts++
+			return simsite.Behaviour{Need: task(8), Work: 500 * time.Millisecond, Fails: starts <= 2}
+		}, workload.Step{Count: 1, Need: task(8), EstimateMS: 500})
+		leader := s.leader()
+		for !strings.Contains(string(s.ledger.Newest("p/"+job)), `"f":{"0":[1]}`) {
+			time.Sleep(time.Millisecond)
+		}
+		leader.kill()
+		leader.Wait()
+		s.nodes = remove(s.nodes, leader)
+		s.awaitPhase(job, ledger.Completed, 20*time.Second)
+	})
+}
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -218,7 +218,15 @@
 	jobCount++
 	job := &workload.Job{ID: fmt.Sprintf("%016x", jobCount), Queue: queue, Service: "desk", Account: "coopers", Payload: "{}", Steps: steps, SubmittedMS: time.Now().UnixMilli()}
 	for step := range steps {
-		s.fleet.Update(func() { s.behave[workload.UnitID{Job: job.ID, Step: step}] = behave })
+		unit := workload.UnitID{Job: job.ID, Step: step}
+		s.fleet.Update(func() {
+			s.behave[unit] = behave
+			for _, d := range steps[step].DependsOn {
+				for index := range steps[d].Count {
+					s.fleet.After[unit] = append(s.fleet.After[unit], workload.TaskID{UnitID: workload.UnitID{Job: job.ID, Step: d}, Index: index})
+				}
+			}
+		})
 	}
 	return job
 }
--- a/pkg/simsite/workers.go
+++ b/pkg/simsite/workers.go
@@ -31,6 +31,8 @@
 	Behave   func(id workload.TaskID) Behaviour
 	StopTime time.Duration
 	GangWait time.Duration
+	// After lists the tasks that must be done before a unit may start.
+	After map[workload.UnitID][]workload.TaskID
 	// Tickets are the tickets that starts need, by unit and worker; units that are
 	// not named need none.
 	Tickets map[workload.UnitID]map[string]string
@@ -92,7 +94,7 @@
 // NewFleet returns a fleet without workers. Its clockwork ends with ctx.
 func NewFleet(ctx context.Context, behave func(workload.TaskID) Behaviour) *Fleet {
 	f := &Fleet{Behave: behave, StopTime: 900 * time.Millisecond, GangWait: 3 * time.Second, workers: map[string]*Worker{},
-		gangs: map[gangKey][]*active{}, done: map[workload.TaskID]bool{}}
+		After: map[workload.UnitID][]workload.TaskID{}, gangs: map[gangKey][]*active{}, done: map[workload.TaskID]bool{}}
 	go func() {
 		for ctx.Err() == nil {
 			time.Sleep(step)
@@ -235,6 +237,11 @@
 	if f.done[id] {
 		f.breach("task %v starts again after it was done", id)
 	}
+	for _, before := range f.After[id.UnitID] {
+		if !f.done[before] {
+			f.breach("task %v starts before %v is done", id, before)
+		}
+	}
 	f.starts++
 	r := &active{id: o.Run, worker: w, b: b, begun: time.Now(), working: b.Gang == 0}
 	w.runs[id] = r
