--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -95,9 +95,9 @@
 	urgentMemory = 6 * time.Second
 	// headroomFactor is how many times the mean demand of urgent jobs during a stop
 	// is kept free, for bursts.
-	headroomFactor = 2.5
+	headroomFactor = 4.0
 	// maxHeadroom bounds the headroom, as a share of all accelerators.
-	maxHeadroom = 0.25
+	maxHeadroom = 0.35
 	// reclaimMargin is left of ReclaimTime for the plan, its record and the starts.
 	reclaimMargin = 700 * time.Millisecond
 	// retryPause is the wait before a unit is tried again after a refused start.
