--- a/pkg/dispatch/apply.go
+++ b/pkg/dispatch/apply.go
@@ -13,11 +13,14 @@
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
+// unitOf returns the unit of a job that has not ended.
 func (e *Engine) unitOf(id workload.UnitID) *unit {
 	j := e.jobs[id.Job]
 	return j.units[id.Round*len(j.spec.Steps)+id.Step]
 }
 
+// apply gives the orders of a plan. The plan was made from the engine's own
+// state in the same turn, so it still holds.
 func (e *Engine) apply(p placement.Plan, byID map[string]*worker, now time.Duration) {
 	for _, id := range p.Stop {
 		if t := e.taskOf(id); t != nil && t.run != nil {
@@ -49,6 +52,7 @@
 	}
 }
 
+// startReserved starts the units for which room has been made.
 func (e *Engine) startReserved(now time.Duration) {
 	for _, j := range e.jobs {
 		for _, u := range j.units {
@@ -77,6 +81,8 @@
 	}
 }
 
+// startUnit plans the starts of tasks of a unit. The orders follow once the
+// ledger names their workers, so that a later leader knows where to look.
 func (e *Engine) startUnit(u *unit, targets map[int]*worker, now time.Duration) {
 	number := u.gangRun
 	if !u.partial() {
@@ -98,6 +104,8 @@
 	u.job.unsaved = true
 }
 
+// order gives the orders for planned runs, if what was known when they were
+// planned still holds.
 func (e *Engine) order(planned []*run) {
 	now := e.Now()
 	e.view = e.View()
@@ -118,6 +126,7 @@
 	}
 }
 
+// mayOrder checks a planned run against what is known now.
 func (e *Engine) mayOrder(r *run, now time.Duration) bool {
 	j := r.task.unit.job
 	return !j.progress.Phase.Ended() && !r.task.done && !r.task.unit.aborting && e.tenure.MayStart(now) &&
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -82,7 +82,7 @@
 
 // New returns the engine of a term.
 func New(in Inputs) *Engine {
-	return &Engine{Inputs: in, events: make(chan func(), 1024), jobs: map[string]*job{}, workers: map[string]*worker{},
+	return &Engine{Inputs: in, events: make(chan func(), maxEvents), jobs: map[string]*job{}, workers: map[string]*worker{},
 		tenure: election.NewTenure(in.Settings.Election, in.Claimed), written: in.Claimed, runTimes: map[string]*runTime{},
 		planTime:  metrics.GetOrCreateHistogram("shallotpin_plan_seconds"),
 		histogram: metrics.GetOrCreateHistogram("shallotpin_start_wait_seconds")}
@@ -167,6 +167,7 @@
 	}
 }
 
+// onTick checks the time bounds.
 func (e *Engine) onTick() {
 	now := e.Now()
 	e.view = e.View()
@@ -204,6 +205,7 @@
 	e.dirty = true
 }
 
+// addJob makes the engine's view of a job that has not ended.
 func (e *Engine) addJob(entry *ledger.Entry, inherited bool) *job {
 	spec := entry.Job
 	j := &job{spec: spec, progress: entry.Progress, service: spec.Service, maxAttempts: 1, priority: lowestPriority}
@@ -317,7 +319,7 @@
 			e.tenure.Confirm(sent)
 			for w, n := range seen {
 				w.noted = max(w.noted, n)
-				e.scheduleHold(w, 0)
+				e.holdNow(w)
 			}
 			e.order(planned)
 			e.dirty = true
--- a/pkg/dispatch/headroom.go
+++ b/pkg/dispatch/headroom.go
@@ -8,6 +8,7 @@
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
+// noteUrgent notes the accelerators that an urgent job asks for.
 func (e *Engine) noteUrgent(spec *workload.Job, now time.Duration) {
 	if e.view.Config == nil {
 		return
@@ -24,10 +25,14 @@
 	e.urgentAt = now
 }
 
+// urgentNow returns the accelerators that urgent jobs asked for of late, where
+// those of urgentMemory ago count a third.
 func (e *Engine) urgentNow(now time.Duration) float64 {
 	return e.urgent * math.Exp(-(now-e.urgentAt).Seconds()/urgentMemory.Seconds())
 }
 
+// headroom returns how many accelerators of each rack to keep free: what urgent
+// jobs ask for in the time that a stop takes.
 func (e *Engine) headroom(pool []*placement.Worker, now time.Duration) int {
 	racks := map[string]bool{}
 	total := 0
@@ -47,6 +52,8 @@
 	return headroom
 }
 
+// tooWide says whether a gang needs so much of one rack that it would never start
+// beside the headroom, by the last plan's.
 func (e *Engine) tooWide(u *unit) bool {
 	return u.step.Gang && u.step.SameRack && u.step.Count*u.step.Need.Accelerators > e.rackRoom
 }
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -21,7 +21,7 @@
 const learnWeight = 0.15
 
 // learn notes how long a task took.
-func (e *Engine) learn(u *unit, w *worker, took time.Duration) {
+func (e *Engine) learn(u *unit, took time.Duration) {
 	rt := e.runTimes[u.job.spec.Queue]
 	if rt == nil {
 		rt = &runTime{}
@@ -93,13 +93,6 @@
 	}
 }
 
-// noteUrgent notes the accelerators that an urgent job asks for.
-// urgentNow returns the accelerators that urgent jobs asked for of late, where
-// those of urgentMemory ago count a third.
-// headroom returns how many accelerators of each rack to keep free: what urgent
-// jobs ask for in the time that a stop takes.
-// tooWide says whether a gang needs so much of one rack that it would never start
-// beside the headroom, by the last plan's.
 // servicesOf lists the services that the units need.
 func (e *Engine) servicesOf(units []*placement.Unit) []string {
 	var services []string
@@ -347,13 +340,3 @@
 	}
 	return indices
 }
-
-// unitOf returns the unit of a job that has not ended.
-// apply gives the orders of a plan. The plan was made from the engine's own
-// state in the same turn, so it still holds.
-// startReserved starts the units for which room has been made.
-// startUnit plans the starts of tasks of a unit. The orders follow once the
-// ledger names their workers, so that a later leader knows where to look.
-// order gives the orders for planned runs, if what was known when they were
-// planned still holds.
-// mayOrder checks a planned run against what is known now.
--- a/pkg/dispatch/progress.go
+++ b/pkg/dispatch/progress.go
@@ -6,6 +6,9 @@
 	"k8s.io/klog/v2"
 )
 
+// strike closes a worker for a while after trouble there, longer each time until
+// a task is done there. It answers workers that fail all they start, which would
+// take the next task at once and use up its attempts.
 func (e *Engine) strike(w *worker, now time.Duration) {
 	w.strikes = min(w.strikes+1, maxStrikes)
 	w.closedUntil = max(w.closedUntil, now+suspectTime*time.Duration(w.strikes))
@@ -21,6 +24,7 @@
 	return false
 }
 
+// stalled says whether a run shows no progress for too long.
 func (e *Engine) stalled(r *run, now time.Duration) bool {
 	// A gang's member that is through with its part waits for the others.
 	if r.percent >= 100 || r.task.unit.step.LongRunning || r.worker.silent(now) {
@@ -34,6 +38,7 @@
 	return now-r.percentSince > bound && r.worker.listedAt-r.percentSince > bound*3/4
 }
 
+// noteProgress notes how much of its work a run has done, and how fast it goes.
 func (e *Engine) noteProgress(r *run, percent int, now time.Duration) {
 	if percent == r.percent {
 		return
@@ -55,6 +60,8 @@
 	}
 }
 
+// rateWorker compares the pace of a run with that of its unit's other tasks, which
+// are alike, and learns how fast the worker is.
 func (e *Engine) rateWorker(r *run) {
 	worked := r.percentSince - r.active
 	if worked <= 0 || r.resumed {
@@ -71,6 +78,8 @@
 	u.paces++
 }
 
+// crawls says whether the run has become so slow that a new start elsewhere would
+// be done sooner. It answers workers that turn slow under what they run.
 func (e *Engine) crawls(r *run) bool {
 	if !r.slow || r.slowPace <= 0 || r.pace <= 0 || r.task.unit.step.LongRunning {
 		return false
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -73,7 +73,7 @@
 		if r.phase == runStarting {
 			r.phase, r.active, r.percentSince = runActive, now, now
 		}
-		e.scheduleHold(w, 0)
+		e.holdNow(w)
 		return
 	}
 	kind := backend.OrderUnanswered
@@ -224,9 +224,8 @@
 		return
 	}
 	if r != nil {
-		w := r.worker
-		w.strikes = 0
-		e.learn(u, w, e.Now()-r.ordered)
+		r.worker.strikes = 0
+		e.learn(u, e.Now()-r.ordered)
 	}
 	finished := []*task{t}
 	if u.step.Gang {
@@ -285,9 +284,6 @@
 	}
 }
 
-// strike closes a worker for a while after trouble there, longer each time until
-// a task is done there. It answers workers that fail all they start, which would
-// take the next task at once and use up its attempts.
 // checkRuns handles orders without answers, gangs in part and tasks that stand still.
 func (e *Engine) checkRuns(now time.Duration) {
 	for _, w := range e.workers {
@@ -340,10 +336,3 @@
 		number = t.run.id.Number
 	}
 }
-
-// stalled says whether a run shows no progress for too long.
-// noteProgress notes how much of its work a run has done, and how fast it goes.
-// rateWorker compares the pace of a run with that of its unit's other tasks, which
-// are alike, and learns how fast the worker is.
-// crawls says whether the run has become so slow that a new start elsewhere would
-// be done sooner. It answers workers that turn slow under what they run.
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -57,6 +57,9 @@
 	// planShare is how many times the duration of a plan passes until the next one,
 	// so that plans take at most a quarter of the processor.
 	planShare = 3
+	// maxEvents is how many events may wait for the engine: the answers of all workers
+	// of a large site.
+	maxEvents = 1024
 	// tick is how often time bounds are checked.
 	tick = 100 * time.Millisecond
 	// freshBound is the greatest age of what the engine knows of workers and
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -59,9 +59,7 @@
 		}
 		return key, true
 	}
-	if len(j.inherited) > 0 {
-		j.inherited = nil
-	}
+	j.inherited = nil
 	return "", false
 }
 
@@ -70,19 +68,23 @@
 	return len(w.runs) > 0 || len(w.strays) > 0 || w.told < w.seen || w.listed && !w.fenced
 }
 
+// holdNow sends a renewal if none is under way, due or not.
+func (e *Engine) holdNow(w *worker) {
+	now := e.Now()
+	w.holdDue = min(w.holdDue, now)
+	e.scheduleHold(w, now)
+}
+
 // scheduleHold sends a renewal if one is due and none is under way.
 func (e *Engine) scheduleHold(w *worker, now time.Duration) {
-	if now == 0 {
-		now = e.Now()
-		w.holdDue = min(w.holdDue, now)
-	}
 	if w.holding || now < w.holdDue || !w.wantsHold() || !e.tenure.MayRenew(now) {
 		return
 	}
-	if !w.fenced && len(w.runs) == 0 {
-		if e.firstCalls >= maxFirstCalls {
-			return
-		}
+	first := !w.fenced && len(w.runs) == 0
+	if first && e.firstCalls >= maxFirstCalls {
+		return
+	}
+	if first {
 		e.firstCalls++
 	}
 	order := backend.HoldOrder{Term: e.Term.Number, SeenUpTo: w.noted, Wait: holdWait}
@@ -95,7 +97,6 @@
 		order.LeaseUntilMS = e.leaseUntil(w, now)
 	}
 	w.holding = true
-	first := !w.fenced && len(w.runs) == 0
 	go e.hold(w, order, now, first)
 }
 
@@ -117,6 +118,7 @@
 	return w.clock + now.Milliseconds() + e.Settings.LeaseTime.Milliseconds()
 }
 
+// hold makes a renewal call. first says that the worker has not answered before.
 func (e *Engine) hold(w *worker, order backend.HoldOrder, sent time.Duration, first bool) {
 	ctx, cancel := context.WithTimeout(e.ctx, order.Wait+orderTimeout)
 	defer cancel()
