Do not try workers again that another incarnation has replaced

Crashed workers stay listed for seconds; a gang's missing member was placed on one, refused, and placed there again, ten times a second, and a check that saw the member planned took the gang for whole, so that the others waited for 3 s. A worker whose place another incarnation has taken is not used again, and a planned member does not count after the gang's bound. Ruled out: a stop that was not followed (none was sent). TestReplacedWorkerIsNotTriedAgain failed before.

--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -123,8 +123,11 @@
 	// fenced says that the worker has answered in this term: orders of earlier
 	// leaders have no effect there any more, and what runs there is known.
 	fenced bool
-	runs   map[workload.TaskID]*run
-	used   workload.Resources
+	// replaced says that another incarnation has answered in the worker's place,
+	// though the platform may list the old one for a while.
+	replaced bool
+	runs     map[workload.TaskID]*run
+	used     workload.Resources
 	// clock is the worker's clock less the engine's, in milliseconds, a lower bound.
 	clock      int64
 	clockKnown bool
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -145,7 +145,7 @@
 
 // open says whether new tasks may start on the worker.
 func (e *Engine) open(w *worker, now time.Duration) bool {
-	return w.listed && !w.info.Draining && !e.view.ZonesOut[w.info.Zone] && len(w.strays) == 0 && now >= w.closedUntil &&
+	return w.listed && !w.replaced && !w.info.Draining && !e.view.ZonesOut[w.info.Zone] && len(w.strays) == 0 && now >= w.closedUntil &&
 		w.fenced && !w.silent(now)
 }
 
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -327,12 +327,17 @@
 	if u.tasks[0].done || now-u.gangSince < gangBound {
 		return
 	}
-	number := int64(0)
+	ordered, active := 0, 0
 	for _, t := range u.tasks {
-		if t.run == nil || t.run.phase != runActive && t.run.phase != runPlanned || number != 0 && t.run.id.Number != number {
-			e.abortGang(u, "not all members run")
-			return
+		if t.run == nil || t.run.phase == runPlanned {
+			continue
+		}
+		ordered++
+		if t.run.phase == runActive && t.run.id.Number == u.gangRun {
+			active++
 		}
-		number = t.run.id.Number
+	}
+	if ordered > 0 && active < len(u.tasks) {
+		e.abortGang(u, "not all members run")
 	}
 }
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -65,7 +65,7 @@
 
 // wantsHold says whether the engine has to stay in touch with the worker.
 func (w *worker) wantsHold() bool {
-	return len(w.runs) > 0 || len(w.strays) > 0 || w.told < w.seen || w.listed && !w.fenced
+	return len(w.runs) > 0 || len(w.strays) > 0 || w.told < w.seen || w.listed && !w.fenced && !w.replaced
 }
 
 // holdNow sends a renewal if none is under way, due or not.
@@ -181,7 +181,7 @@
 		return
 	}
 	if born := bornOf(w.key); reply.Born != 0 && born != 0 && reply.Born != born {
-		e.loseWorker(w, "another incarnation of the worker answered")
+		e.replaceWorker(w)
 		return
 	}
 	if w.silent(now) {
@@ -272,12 +272,18 @@
 		klog.InfoS("dispatch: a worker has seen a later leader", "worker", w.info.ID, "term", e.Term.Number)
 		e.fail(errFenced)
 	case backend.OrderReplaced:
-		e.loseWorker(w, "another incarnation answered in its place")
+		e.replaceWorker(w)
 	case backend.OrderUnhealthy:
 		w.closedUntil = max(w.closedUntil, e.Now()+suspectTime)
 	}
 }
 
+// replaceWorker takes a worker for gone in whose place another incarnation answers.
+func (e *Engine) replaceWorker(w *worker) {
+	w.replaced = true
+	e.loseWorker(w, "another incarnation answered in its place")
+}
+
 // loseWorker takes all runs of a worker for ended.
 func (e *Engine) loseWorker(w *worker, why string) {
 	if len(w.runs) > 0 || w.listed {
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -266,6 +266,20 @@
 	})
 }
 
+// Load: workers crash and start again, and are listed as before for seconds. A gang
+// that loses a member to one was placed there again until it was given up.
+func TestReplacedWorkerIsNotTriedAgain(t *testing.T) {
+	runSite(t, 3, 4, func(s *site) {
+		s.fleet.Update(func() { s.workers[0].Replaced = true })
+		began := time.Now()
+		job := s.submit(usualQueue, usual(task(8), time.Second, 3), workload.Step{Count: 3, Need: task(8), Gang: true, SameRack: true, EstimateMS: 1000})
+		s.awaitPhase(job, ledger.Completed, 2*time.Second)
+		if got := s.fleet.Starts(); got != 3 {
+			t.Errorf("%d starts in %s, want 3", got, time.Since(began))
+		}
+	})
+}
+
 func TestLeavingWorkerGetsNothingNew(t *testing.T) {
 	runSite(t, 3, 2, func(s *site) {
 		s.fleet.Update(func() { s.workers[0].Info.Draining = true })
--- a/pkg/simsite/workers.go
+++ b/pkg/simsite/workers.go
@@ -61,6 +61,8 @@
 	Hangs, Fails bool
 	// Slowdown is how many times as long the work takes; 0 means once.
 	Slowdown float64
+	// Replaced workers are still listed, but another incarnation answers.
+	Replaced bool
 	// LoseStarts makes starts happen without an answer.
 	LoseStarts bool
 
@@ -180,6 +182,10 @@
 		<-ctx.Done()
 		return nil, &backend.OrderError{Kind: backend.OrderUnanswered, Cause: errSilence}
 	}
+	if w.Replaced {
+		f.mu.Unlock()
+		return nil, &backend.OrderError{Kind: backend.OrderReplaced}
+	}
 	if term < w.fence {
 		f.mu.Unlock()
 		return nil, &backend.OrderError{Kind: backend.OrderFenced}
