Claim again at once after a claim that was overtaken

Cause: found by reading: a claim that another record overtook made the node take the leader for heard of, and wait 0.8 s and its calls again. Submissions overtake claims now and then (12 a second, about 10 ms each). TestLeadIsTakenAmongSubmissions holds the bound; it passed before, too: its records did not overtake a claim in time.

--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -90,3 +91,27 @@
 		s.awaitPhase(job, ledger.Completed, 40*time.Second)
 	})
 }
+
+// Load: submissions go on while nobody leads. Each makes a claim that it overtakes
+// fail; the next one must not wait for the log to be silent again.
+func TestLeadIsTakenAmongSubmissions(t *testing.T) {
+	runSite(t, 4, 8, func(s *site) {
+		leader := s.leader()
+		leader.kill()
+		leader.Wait()
+		s.nodes = remove(s.nodes, leader)
+		began := time.Now()
+		for i := range 400 {
+			for _, n := range s.nodes {
+				if n.Leading() {
+					return
+				}
+			}
+			if took := time.Since(began); took > 2200*time.Millisecond {
+				t.Fatalf("nobody leads after %s", took)
+			}
+			s.ledger.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<40+i)))
+			time.Sleep(7 * time.Millisecond)
+		}
+	})
+}
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -172,7 +172,7 @@
 		}
 		term, sent, err := s.claim(ctx)
 		if err != nil {
-			s.end(term)
+			s.abandon(term)
 			klog.InfoS("leader: claim failed", "term", term.Number, "err", err)
 			continue
 		}
@@ -180,6 +180,7 @@
 	}
 }
 
+// shouldClaim says whether to take the lead now.
 func (s *Service) shouldClaim() bool {
 	term := s.replica.Term()
 	s.mu.Lock()
@@ -219,6 +220,7 @@
 	}()
 }
 
+// answerOf tells what a call to a leader has shown.
 func answerOf(leads bool, err error) election.Answer {
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -239,11 +241,19 @@
 	return term.Leader == s.settings.Node && term.Number > s.endedTerm
 }
 
-// end notes that the node does not lead a term any more, or never will.
-func (s *Service) end(term ledger.Term) {
+// abandon notes that the node will not lead a term, even if its claim comes
+// through late.
+func (s *Service) abandon(term ledger.Term) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endedTerm = max(s.endedTerm, term.Number)
+}
+
+// end notes that the node does not lead a term any more.
+func (s *Service) end(term ledger.Term) {
+	s.abandon(term)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.engine, s.lead = nil, nil
 	s.watch.Heard(s.settings.Now())
 }
