Make a check able to fail, and mend what a last reading found

Cause and change: - TestLeadIsTakenAmongSubmissions could not fail: its claims were not overtaken, and its loop ended without a word. TestLeadIsTakenAfterBurstOfSubmissions takes its place, with a bound of 0.3 s after the burst; it fails with the claim handling before ("nobody leads") and passes now. - The bound for a gang in part was a constant; it is at most half of the platform's time now.

--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -17,7 +17,8 @@
 	samples int
 }
 
-// learnWeight is the weight of a new sample in a moving average.
+// learnWeight is the weight of a new sample in a moving average, a share: some
+// seven tasks are remembered.
 const learnWeight = 0.15
 
 // learn notes how long a task took.
@@ -58,7 +59,8 @@
 	return time.Duration(j.stretch*float64(chain)) + j.slack
 }
 
-// lateFactor times the objective is when a job can earn nothing more.
+// lateFactor times the objective is when a job can earn nothing more: the
+// platform's bound.
 const lateFactor = 3
 
 // plan decides what to start and stop, and gives the orders.
@@ -191,7 +193,8 @@
 	unknownTime = 24 * time.Hour
 )
 
-// accelerator counts as so many cores in lost work.
+// acceleratorCores is how many cores an accelerator counts as in lost work: the
+// platform's price.
 const acceleratorCores = 8
 
 // lossOf returns the work that a stop of the run would throw away, in core-seconds.
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -313,6 +313,10 @@
 	}
 }
 
+// gangBound is how long a gang may miss a member: at most half of the time that
+// the platform lets members wait.
+func (e *Engine) gangBound() time.Duration { return min(maxGangBound, e.Settings.GangWait/2) }
+
 // checkGang gives up a gang of which only some members run.
 func (e *Engine) checkGang(u *unit, now time.Duration) {
 	if !u.step.Gang || u.idle() || len(u.job.inherited) > 0 {
@@ -324,7 +328,7 @@
 		}
 		return
 	}
-	if u.tasks[0].done || now-u.gangSince < gangBound {
+	if u.tasks[0].done || now-u.gangSince < e.gangBound() {
 		return
 	}
 	ordered, active := 0, 0
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -38,9 +38,9 @@
 	// startTimeout is how long a start may go unanswered before the worker is asked
 	// whether it runs: it outlasts one lost packet.
 	startTimeout = 300 * time.Millisecond
-	// gangBound is how long a gang may miss a member before it is given up: half of
-	// the time that members wait, which leaves time for the stops.
-	gangBound = 1500 * time.Millisecond
+	// maxGangBound bounds how long a gang may miss a member before it is given up:
+	// half of the usual time that members wait, which leaves time for the stops.
+	maxGangBound = 1500 * time.Millisecond
 	// holdWait is how long a worker may delay its answer to a renewal: a sixth of
 	// the lease, so that several may be lost.
 	holdWait = time.Second
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -313,7 +313,7 @@
 	}
 	klog.InfoS("dispatch: run ended", "job", t.id.Job, "task", t.id.UnitID.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "why", why, "ran", e.Now()-r.ordered)
 	u := t.unit
-	if u.step.Gang && !t.done && !u.aborting && (r.active != 0 || e.Now()-u.gangSince > gangBound) {
+	if u.step.Gang && !t.done && !u.aborting && (r.active != 0 || e.Now()-u.gangSince > e.gangBound()) {
 		// The other members end by themselves; checkGang sees to those that do not.
 		u.aborting, u.abortedAt = true, e.Now()
 	}
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/leader"
@@ -119,7 +121,11 @@
 func (o *others) call(ctx context.Context, address, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, otherTimeout)
 	defer cancel()
-	return o.peers.Call(ctx, address, method, args, reply)
+	err := o.peers.Call(ctx, address, method, args, reply)
+	if err != nil {
+		klog.InfoS("entry: another node could not be asked", "address", address, "method", method, "err", err)
+	}
+	return err
 }
 
 // undialed says whether a call certainly was not sent.
--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -92,26 +92,30 @@
 	})
 }
 
-// Load: submissions go on while nobody leads. Each makes a claim that it overtakes
-// fail; the next one must not wait for the log to be silent again.
-func TestLeadIsTakenAmongSubmissions(t *testing.T) {
+// Load: a burst of submissions while nobody leads. Each makes the claims that it
+// overtakes fail; the lead must be taken as soon as the burst ends, not only after
+// the log has been silent again.
+func TestLeadIsTakenAfterBurstOfSubmissions(t *testing.T) {
+	const (
+		burst = 1600 * time.Millisecond
+		bound = 300 * time.Millisecond
+	)
 	runSite(t, 4, 8, func(s *site) {
 		leader := s.leader()
 		leader.kill()
 		leader.Wait()
 		s.nodes = remove(s.nodes, leader)
 		began := time.Now()
-		for i := range 400 {
-			for _, n := range s.nodes {
-				if n.Leading() {
-					return
-				}
-			}
-			if took := time.Since(began); took > 2200*time.Millisecond {
-				t.Fatalf("nobody leads after %s", took)
-			}
+		for i := 0; time.Since(began) < burst; i++ {
 			s.ledger.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<40+i)))
-			time.Sleep(7 * time.Millisecond)
+			time.Sleep(2 * time.Millisecond)
 		}
+		time.Sleep(bound)
+		for _, n := range s.nodes {
+			if n.Leading() {
+				return
+			}
+		}
+		t.Error("nobody leads")
 	})
 }
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -13,7 +13,8 @@
 
 // An urgent unit that need not start yet stops others only while their lost work,
 // in core-seconds, is worth less than its being late: minUrgentCost, or
-// urgentCostPerAccelerator for each accelerator that it needs.
+// urgentCostPerAccelerator for each accelerator that it needs. They follow from the
+// users' worth of an urgent job and their price of lost work.
 const (
 	minUrgentCost            = 600
 	urgentCostPerAccelerator = 60
