Estimate the end of inherited and resumed runs by the pace within sight

Cause: after a change of the lead, and for runs that began at a checkpoint, the progress was taken to have been made since the run came into sight. The speeds of workers, the run times of queues and the work lost by a stop were learned from the same figures. A reservation was kept to its end although what it waited for did not leave.

Ruled out: a slow stop (none was ordered), the guarantee (not all waited for it).

Change: a run's pace is measured from the first progress seen; inherited and resumed runs teach nothing; reserved room is given up as soon as it is not coming. TestRunsOfAnEarlierLeaderAreNotWaitedFor fails without it.

--- a/pkg/dispatch/apply.go
+++ b/pkg/dispatch/apply.go
@@ -52,35 +52,57 @@
 	}
 }
 
-// startReserved starts the units for which room has been made.
+// startReserved starts the units for which room has been made, and gives up room
+// that will not come.
 func (e *Engine) startReserved(now time.Duration) {
 	for _, j := range e.jobs {
 		for _, u := range j.units {
 			if u.reserved == nil {
 				continue
 			}
-			fits := true
-			need := map[*worker]workload.Resources{}
-			for _, w := range u.reserved {
-				need[w] = need[w].Add(u.step.Demand())
-				fits = fits && need[w].Fits(w.info.Capacity.Sub(w.used))
-				if e.workers[w.key] != w || !e.open(w, now) {
-					fits = false
-					u.reservedUntil = 0
-				}
-			}
+			fits, coming := e.reservation(u, now)
 			if fits {
 				targets := u.reserved
 				u.reserved = nil
 				e.startUnit(u, targets, now)
-			} else if now > u.reservedUntil {
-				klog.InfoS("dispatch: room given up", "job", j.spec.ID, "task", u.id.String())
+			} else if !coming || now > u.reservedUntil {
+				klog.InfoS("dispatch: room given up", "job", j.spec.ID, "task", u.id.String(), "in_time", coming)
 				u.reserved = nil
 			}
 		}
 	}
 }
 
+// reservation says whether the workers that are reserved for a unit have room for
+// it now, and whether they will once what leaves them has left.
+func (e *Engine) reservation(u *unit, now time.Duration) (fits, coming bool) {
+	need := map[*worker]workload.Resources{}
+	for _, w := range u.reserved {
+		need[w] = need[w].Add(u.step.Demand())
+	}
+	fits, coming = true, true
+	for w, need := range need {
+		if e.workers[w.key] != w || !e.open(w, now) {
+			return false, false
+		}
+		free := w.info.Capacity.Sub(w.used)
+		fits = fits && need.Fits(free)
+		coming = coming && need.Fits(free.Add(e.leaving(w, now)))
+	}
+	return fits, coming
+}
+
+// leaving returns what the runs take that are being stopped or about to end.
+func (e *Engine) leaving(w *worker, now time.Duration) workload.Resources {
+	var sum workload.Resources
+	for _, r := range w.runs {
+		if r.phase == runStopping || e.ending(r, now) {
+			sum = sum.Add(r.need)
+		}
+	}
+	return sum
+}
+
 // startUnit plans the starts of tasks of a unit. The orders follow once the
 // ledger names their workers, so that a later leader knows where to look.
 func (e *Engine) startUnit(u *unit, targets map[int]*worker, now time.Duration) {
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -98,20 +98,38 @@
 	phase  runPhase
 	// ordered is when the start was sent, active when it was known to run.
 	ordered, active time.Duration
+	// began is when the work began, estimated for runs of an earlier leader.
+	began time.Duration
 	// stopConfirmed is when the worker answered a stop; 0 means not yet.
 	stopConfirmed time.Duration
 	stopCalling   bool
 	stopReason    string
 	percent       int
 	percentSince  time.Duration
+	// basePercent and baseSince are the progress from which the run's pace is
+	// measured: its start, or the first one seen of a run that was taken over or
+	// resumed at a checkpoint.
+	basePercent int
+	baseSince   time.Duration
 	// pace is the best progress seen, slowPace the last one, in hundredths a second;
 	// slow says that the last one was much lower.
 	pace, slowPace float64
 	slow           bool
 	// sampled says that the run has told of its worker's speed.
 	sampled bool
-	// resumed says that the run began at a checkpoint.
-	resumed bool
+	// resumed says that the run began at a checkpoint, inherited that an earlier
+	// leader started it.
+	resumed, inherited bool
+}
+
+// whole says whether the run was seen from the start of its task's work.
+func (r *run) whole() bool { return !r.resumed && !r.inherited }
+
+// activate notes that the run works, with a part of it done already.
+func (r *run) activate(percent int, now time.Duration) {
+	r.phase, r.active = runActive, now
+	r.percent, r.percentSince = percent, now
+	r.basePercent, r.baseSince = percent, now
 }
 
 // worker is one incarnation of a worker.
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -165,17 +165,19 @@
 	return true
 }
 
-// remaining estimates how long the run goes on, by its progress so far.
+// remaining estimates how long the run goes on, by its pace so far.
 func (r *run) remaining(now time.Duration) time.Duration {
-	if r.phase != runActive || r.percent < minPercent || r.task.unit.step.LongRunning {
+	if r.phase != runActive || r.task.unit.step.LongRunning {
 		return unknownTime
 	}
 	if r.percent >= 100 {
 		return 0
 	}
-	worked := r.percentSince - r.active
-	total := worked * 100 / time.Duration(r.percent)
-	left := total - worked - (now - r.percentSince)
+	gained := r.percent - r.basePercent
+	if gained < minPercent {
+		return unknownTime
+	}
+	left := (r.percentSince-r.baseSince)*time.Duration(100-r.percent)/time.Duration(gained) - (now - r.percentSince)
 	if left < -overdue {
 		// The estimate was wrong, or the task stands still.
 		return unknownTime
@@ -184,7 +186,8 @@
 }
 
 const (
-	// minPercent is the progress from which a run's end can be estimated.
+	// minPercent is the progress within sight from which a run's end can be
+	// estimated.
 	minPercent = 20
 	// overdue is how far an estimated end may have passed: two hundredths of a task
 	// of half a minute.
@@ -200,7 +203,7 @@
 // lossOf returns the work that a stop of the run would throw away, in core-seconds.
 func (e *Engine) lossOf(r *run, now time.Duration) float64 {
 	u := r.task.unit
-	lost := (now - r.ordered).Seconds()
+	lost := (now - r.began).Seconds()
 	if u.step.SavesProgress {
 		lost = min(lost, e.Settings.SaveEvery.Seconds()/2)
 	}
--- a/pkg/dispatch/progress.go
+++ b/pkg/dispatch/progress.go
@@ -43,6 +43,9 @@
 	if percent == r.percent {
 		return
 	}
+	if r.resumed && r.percent == 0 {
+		r.basePercent, r.baseSince = percent, now
+	}
 	if span := now - r.percentSince; r.percent > 0 && span >= paceSpan {
 		pace := float64(percent-r.percent) / span.Seconds()
 		switch {
@@ -64,7 +67,7 @@
 // are alike, and learns how fast the worker is.
 func (e *Engine) rateWorker(r *run) {
 	worked := r.percentSince - r.active
-	if worked <= 0 || r.resumed {
+	if worked <= 0 || !r.whole() {
 		return
 	}
 	u, w := r.task.unit, r.worker
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -26,7 +26,7 @@
 func (e *Engine) startRun(r *run, now time.Duration) {
 	t, w := r.task, r.worker
 	u := t.unit
-	r.phase, r.ordered = runStarting, now
+	r.phase, r.ordered, r.began = runStarting, now, now
 	w.ask(now)
 	if !u.step.Gang || u.onlyPlanned(r) {
 		u.gangSince = now
@@ -71,7 +71,7 @@
 		w.fenced = true
 		e.noteClock(w, clock)
 		if r.phase == runStarting {
-			r.phase, r.active, r.percentSince = runActive, now, now
+			r.activate(0, now)
 		}
 		e.holdNow(w)
 		return
@@ -144,7 +144,7 @@
 	now := e.Now()
 	if r != nil && r.id == a.Run {
 		if r.phase == runUnresolved || r.phase == runStarting {
-			r.phase, r.active, r.percentSince = runActive, now, now
+			r.activate(0, now)
 		}
 		e.noteProgress(r, a.Percent, now)
 		e.noteCheckpoint(r.task, a.Checkpoint)
@@ -158,7 +158,9 @@
 		e.stopStray(w, a.Run)
 		return
 	}
-	r = &run{id: a.Run, task: t, worker: w, need: t.unit.step.Demand(), phase: runActive, ordered: now, active: now, percent: a.Percent, percentSince: now}
+	r = &run{id: a.Run, task: t, worker: w, need: t.unit.step.Demand(), ordered: now, inherited: true}
+	r.began = now - e.expected(t.unit)*time.Duration(a.Percent)/100
+	r.activate(a.Percent, now)
 	t.run = r
 	w.runs[t.id] = r
 	w.used = w.used.Add(r.need)
@@ -225,7 +227,9 @@
 	}
 	if r != nil {
 		r.worker.strikes = 0
-		e.learn(u, e.Now()-r.ordered)
+		if r.whole() {
+			e.learn(u, e.Now()-r.ordered)
+		}
 	}
 	finished := []*task{t}
 	if u.step.Gang {
--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -119,3 +119,22 @@
 		t.Error("nobody leads")
 	})
 }
+
+// Load: the racks are full of tasks whose start the leader has not seen. How far
+// they are tells nothing of their pace, so that room for an urgent job has to be
+// made by stops; it must not wait for tasks that seem about to end.
+func TestRunsOfAnEarlierLeaderAreNotWaitedFor(t *testing.T) {
+	const bound = 2500 * time.Millisecond // 1 s of work, 0.9 s for a stop, 0.6 s for records and orders
+	runSite(t, 3, 8, func(s *site) {
+		s.submit(bulkQueue, usual(task(8), 30*time.Second, 0), workload.Step{Count: 8, Need: task(8), EstimateMS: 30000, SavesProgress: true})
+		time.Sleep(12 * time.Second)
+		leader := s.leader()
+		leader.kill()
+		leader.Wait()
+		s.nodes = remove(s.nodes, leader)
+		s.leader()
+		time.Sleep(1500 * time.Millisecond)
+		job := s.submit(urgentQueue, usual(task(8), time.Second, 2), workload.Step{Count: 2, Need: task(8), Gang: true, SameRack: true, EstimateMS: 1000})
+		s.awaitPhase(job, ledger.Completed, bound)
+	})
+}
