Do not wait for a rack once no more jobs come; runs of a finished gang are leaving

Ruled out: closed or draining workers, a headroom, labels (a trial printed the open workers with room, by rack).

Change: a job of which nothing runs, that would fit twice over elsewhere while less than half of some resource is taken, may span racks after 2 s if no job has come for 4 s. TestGangStartsWhileMostOfTheSiteIsIdle and two tests in pkg/placement fail without it. Runs of a gang that is done count as leaving, so that awaited room is not given up for them.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -56,6 +56,8 @@
 	jobs    map[string]*job
 	workers map[string]*worker
 	view    View
+	// lastJob is when the last new job came, or the term began.
+	lastJob time.Duration
 	// settledBy is when every lease that an earlier leader gave has ended.
 	settledBy time.Duration
 	// firstCalls counts the calls under way to workers that have not answered yet.
@@ -92,6 +94,7 @@
 func (e *Engine) Load(state *ledger.State) {
 	now := e.Now()
 	e.view = e.View()
+	e.lastJob = now
 	e.settledBy = now + e.Settings.Election.RenewBound + e.leaseSpan()
 	for id, entry := range state.Jobs {
 		if entry.Job != nil {
@@ -190,7 +193,8 @@
 		j = e.addJob(entry, inherited)
 		e.jobs[id] = j
 		if !inherited {
-			e.noteUrgent(j.spec, e.Now())
+			e.lastJob = e.Now()
+			e.noteUrgent(j.spec, e.lastJob)
 		}
 		klog.InfoS("dispatch: job taken", "job", id, "queue", j.spec.Queue, "account", j.spec.Account, "steps", len(j.spec.Steps), "inherited_from", j.inherited, "term", e.Term.Number)
 	}
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -44,6 +44,8 @@
 	checkpoint string
 	notBefore  time.Duration
 	avoid      map[string]bool
+	// ampleSince is since when the unit waits beside ample room, 0 if it does not.
+	ampleSince time.Duration
 	// reserved maps task indices to the workers on which room is awaited.
 	reserved      map[int]*worker
 	reservedUntil time.Duration
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -90,11 +90,27 @@
 			}
 		}
 		plan := placement.Decide(pool, waiting, e.headroom(pool, now))
+		e.noteAmple(pool, waiting, plan.Unplaced, now)
 		e.askForMore(plan.Unplaced)
 		e.apply(plan, byID, now)
 	}
 }
 
+// noteAmple notes since when jobs of which nothing runs wait beside ample room.
+// While jobs keep coming, a rack is likely to come free sooner than a gang that spans
+// racks would be done.
+func (e *Engine) noteAmple(pool []*placement.Worker, waiting []*placement.Unit, unplaced []workload.UnitID, now time.Duration) {
+	for _, pu := range waiting {
+		u := e.unitOf(pu.ID)
+		switch {
+		case now-e.lastJob < lullTime || !slices.Contains(unplaced, pu.ID) || u.job.hasRuns() || !placement.Ample(pool, pu):
+			u.ampleSince = 0
+		case u.ampleSince == 0:
+			u.ampleSince = now
+		}
+	}
+}
+
 // servicesOf lists the services that the units need.
 func (e *Engine) servicesOf(units []*placement.Unit) []string {
 	var services []string
@@ -154,6 +170,9 @@
 // ending says whether a run is likely to end as soon as a stop would take. A
 // gang ends with its slowest member.
 func (e *Engine) ending(r *run, now time.Duration) bool {
+	if r.task.done {
+		return true
+	}
 	if !r.task.unit.step.Gang {
 		return r.remaining(now) <= e.Settings.StopTime
 	}
@@ -274,7 +293,8 @@
 					pu.PerWorker[t.run.worker.key]++
 				}
 			}
-			pu.Pressing = unixMS > begin+objective.Milliseconds() || e.tooWide(u)
+			pu.Anywhere = u.ampleSince != 0 && now-u.ampleSince > rackPatience
+			pu.Pressing = unixMS > begin+objective.Milliseconds() || pu.Anywhere || e.tooWide(u)
 			if j.advised {
 				pu.Only = e.ticketKeys(u)
 			}
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -103,6 +103,12 @@
 	maxHeadroom = 0.35
 	// reclaimMargin is left of ReclaimTime for the plan, its record and the starts.
 	reclaimMargin = 700 * time.Millisecond
+	// lullTime is how long no job must have come until room elsewhere is preferred to
+	// waiting for a rack: many times the time between two jobs of a site in use.
+	lullTime = 4 * time.Second
+	// rackPatience is how long a job waits for room in one rack, or beside its data,
+	// while most of the site is idle: less than the 3 s that the platform allows.
+	rackPatience = 2 * time.Second
 	// retryPause is the wait before a unit is tried again after a refused start.
 	retryPause = 100 * time.Millisecond
 	// reservationTime is how long room is held for a unit beyond the stop time.
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -331,3 +332,18 @@
 		s.awaitPhase(job, ledger.Completed, 20*time.Second)
 	})
 }
+
+// Load: every rack is filled a little, by work that lasts. A gang that wants a rack
+// of its own must not wait for longer than the platform allows once no more jobs come
+// and most of the site is idle.
+func TestGangStartsWhileMostOfTheSiteIsIdle(t *testing.T) {
+	const bound = 7 * time.Second // half of the time after the last job in which all must have run
+	runSite(t, 3, 12, func(s *site) {
+		for rack := range 3 {
+			s.submit(bulkQueue, usual(task(8), time.Minute, 0), workload.Step{Count: 1, Need: task(8), EstimateMS: 60000, Label: fmt.Sprintf("rack-%d", rack)})
+		}
+		time.Sleep(time.Second)
+		job := s.submit(usualQueue, usual(task(8), time.Second, 4), workload.Step{Count: 4, Need: task(8), Gang: true, SameRack: true, EstimateMS: 1000})
+		s.awaitPhase(job, ledger.Running, bound)
+	})
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -69,6 +69,8 @@
 	PerWorker map[string]int
 	// Within is the rack that the tasks must use; empty means any.
 	Within string
+	// Anywhere units may leave the rack with their data and span racks.
+	Anywhere bool
 	// Only are the workers that may be used; nil means all.
 	Only map[string]bool
 	// Avoid are workers on which the unit's tasks failed.
@@ -195,7 +197,7 @@
 // localRack returns the rack that the unit's tasks should use: the one with its
 // data, if a worker there could ever take one.
 func (p *planner) localRack(u *Unit) string {
-	if u.Step.DataRack == "" {
+	if u.Step.DataRack == "" || u.Anywhere {
 		return ""
 	}
 	for _, w := range p.byRack[u.Step.DataRack] {
@@ -293,6 +295,9 @@
 			chosen, bestScore = picks, score
 		}
 	}
+	if chosen == nil && u.Anywhere {
+		chosen, _ = p.fill(u, p.workers)
+	}
 	if chosen == nil {
 		p.plan.Unplaced = append(p.plan.Unplaced, u.ID)
 		if u.mayPreempt() {
@@ -343,6 +348,23 @@
 	return room >= len(u.Waiting)
 }
 
+// Ample says whether a unit waits although its tasks would fit on the workers
+// twice over, wherever they are, and less than half of some resource is taken. It
+// answers racks that are each filled a little, in which a gang that wants a rack, or
+// tasks beside their data, would wait while most of the site is idle.
+func Ample(workers []*Worker, u *Unit) bool {
+	room := 0
+	var free, capacity workload.Resources
+	for _, w := range workers {
+		free, capacity = free.Add(w.Free), capacity.Add(w.Capacity)
+		if eligible(u, w) {
+			room += slots(u, w, w.Free)
+		}
+	}
+	return room >= 2*len(u.Waiting) &&
+		(2*free.MilliCores > capacity.MilliCores || 2*free.MemoryMB > capacity.MemoryMB || 2*free.Accelerators > capacity.Accelerators)
+}
+
 // fill finds workers of the pool for all waiting tasks. The score ranks pools:
 // lower is better.
 func (p *planner) fill(u *Unit, pool []*Worker) (picks []*Worker, score float64) {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -290,3 +290,54 @@
 		}
 	}
 }
+
+// Load: each rack is filled a little, so that no rack holds the gang although most
+// workers are idle.
+func TestGangSpansRacksOnlyIfItMayRunAnywhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		taken    int
+		anywhere bool
+		ample    bool
+		starts   int
+	}{
+		"waits for a rack at first":  {taken: 1, ample: true},
+		"spans racks in the end":     {taken: 1, anywhere: true, ample: true, starts: 4},
+		"stays in a rack with room":  {anywhere: true, ample: true, starts: 4},
+		"waits while little is idle": {taken: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			workers := racks(3)
+			for rack := range 3 {
+				for i := range c.taken {
+					occupy(workers[4*rack+i], "other", i, need(8), 1, 0, false)
+				}
+			}
+			u := unit("wide", 4, gang(8), 1)
+			u.Anywhere = c.anywhere
+			if got := Ample(workers, u); got != c.ample {
+				t.Errorf("ample room: %v, want %v", got, c.ample)
+			}
+			plan := Decide(workers, []*Unit{u}, 0)
+			if len(plan.Start) != c.starts {
+				t.Errorf("%d starts, want %d", len(plan.Start), c.starts)
+			}
+			if c.taken == 0 {
+				rackOf(t, workers, plan.Start)
+			}
+		})
+	}
+}
+
+func TestTasksLeaveTheirDataOnlyIfTheyMayRunAnywhere(t *testing.T) {
+	for _, anywhere := range []bool{false, true} {
+		workers := racks(2)
+		for i := range 4 {
+			occupy(workers[i], "other", i, need(8), 1, 0, false)
+		}
+		u := unit("local", 2, workload.Step{Need: need(1), DataRack: "r0"}, 1)
+		u.Anywhere = anywhere
+		if plan := Decide(workers, []*Unit{u}, 0); (len(plan.Start) == 2) != anywhere {
+			t.Errorf("anywhere %v: %d starts", anywhere, len(plan.Start))
+		}
+	}
+}
