Hand the lead over when the leader alone cannot write; call silent leaders sooner

Leaders that lost power were called only after 0.8 s.

Change: a leader whose writes were left undone for 0.6 s says that it is stuck, which counts if the follower has read the log all the while, so that an outage for all nodes does not change the lead. The first node in the order of claims calls after 0.4 s, the others later, and a claim that a call has led to is not staggered again. What calls showed before an outage does not count after it.

--- a/pkg/election/election.go
+++ b/pkg/election/election.go
@@ -13,10 +13,13 @@
 	// ReadGap is the longest time between two successful reads of a span in which
 	// the log counts as readable.
 	ReadGap time.Duration
-	// Doubt is how long the log must show nothing of the leader before it is
-	// called. It is a little more than Beat.
+	// Doubt is how long the log must show nothing of the leader before the first
+	// node calls it.
 	Doubt time.Duration
-	// Stagger separates the claims of two nodes.
+	// Settle is how long the log must have been readable until a leader that cannot
+	// write is taken to be alone in that. It outlasts a call to the log.
+	Settle time.Duration
+	// Stagger separates the calls and the claims of two nodes.
 	Stagger time.Duration
 	// OrderBound is how long after its last confirmed write a leader may start tasks.
 	OrderBound time.Duration
@@ -35,8 +38,9 @@
 	lastRead time.Duration
 	heard    time.Duration
 	vacant   bool
-	// vacated is when the lead was found vacant.
+	// vacated is when the lead was found vacant, called says that a call has shown it.
 	vacated time.Duration
+	called  bool
 	// unreached weighs the calls to the leader in a row that found nobody.
 	unreached int
 }
@@ -49,13 +53,16 @@
 // Read notes a successful read of the log.
 func (w *Watch) Read(at time.Duration) {
 	if at-w.lastRead > w.settings.ReadGap {
-		w.readable = at
+		// What calls showed while the log was dark tells nothing of the leader now.
+		w.readable, w.vacant, w.called, w.unreached = at, false, false, 0
 	}
 	w.lastRead = max(w.lastRead, at)
 }
 
 // Heard notes a record of the leader.
-func (w *Watch) Heard(now time.Duration) { w.heard, w.vacant, w.unreached = now, false, 0 }
+func (w *Watch) Heard(now time.Duration) {
+	w.heard, w.vacant, w.called, w.unreached = now, false, false, 0
+}
 
 // Vacated notes that nobody leads.
 func (w *Watch) Vacated(now time.Duration) {
@@ -64,9 +71,11 @@
 	}
 }
 
-// Doubtful says whether the leader has been silent for long enough to call it.
-func (w *Watch) Doubtful(now time.Duration) bool {
-	return !w.vacant && now-w.heard >= w.settings.Doubt && now-w.lastRead <= w.settings.ReadGap
+// Doubtful says whether the leader has been silent for long enough to call it. rank
+// is the node's place in the order of claims, so that few nodes call a leader that
+// has nothing to write.
+func (w *Watch) Doubtful(now time.Duration, rank int) bool {
+	return !w.vacant && now-w.heard >= w.settings.Doubt+time.Duration(rank)*w.settings.Stagger && now-w.lastRead <= w.settings.ReadGap
 }
 
 // Answer is what came of a call to a silent leader.
@@ -75,6 +84,8 @@
 const (
 	// Leads means that it still leads.
 	Leads Answer = iota
+	// Stuck means that it leads but cannot write to the log.
+	Stuck
 	// LeadsNot means that another run answered, or one that leads no more.
 	LeadsNot
 	// Refused means that no process listens there.
@@ -83,6 +94,11 @@
 	Unanswered
 )
 
+// String is the answer's name in logs.
+func (a Answer) String() string {
+	return [...]string{"leads", "stuck", "leads not", "refused", "unanswered"}[a]
+}
+
 // The calls that found nobody count by these weights; a leader that is short of
 // processor leaves calls unanswered, too, so three of them are needed, or two that
 // were refused.
@@ -98,6 +114,12 @@
 	case Leads:
 		w.unreached = 0
 		return
+	case Stuck:
+		if now-w.readable < w.settings.Settle {
+			// After an outage for all nodes, its writes may be on their way.
+			return
+		}
+		w.unreached = maxUnreached
 	case LeadsNot:
 		w.unreached = maxUnreached
 	case Refused:
@@ -106,6 +128,7 @@
 		w.unreached += unansweredWeight
 	}
 	if w.unreached >= maxUnreached {
+		w.called = true
 		w.Vacated(now)
 	}
 }
@@ -118,7 +141,8 @@
 		return false
 	}
 	if w.vacant {
-		return now-w.vacated >= delay
+		// The calls of the nodes are in the order of their ranks already.
+		return w.called || now-w.vacated >= delay
 	}
 	return now-max(w.heard, w.readable) >= w.settings.Silence+delay
 }
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/election"
 	"github.com/shallotpin/shallotpin/pkg/leader"
 	"github.com/shallotpin/shallotpin/pkg/ledger"
 )
@@ -41,8 +42,8 @@
 }
 
 // Leads says whether the node leads a term.
-func (r *receiver) Leads(term ledger.Term, leads *bool) error {
-	*leads = r.leader.Leads(term)
+func (r *receiver) Leads(term ledger.Term, answer *election.Answer) error {
+	*answer = r.leader.Leads(term)
 	return nil
 }
 
--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -138,3 +138,46 @@
 		s.awaitPhase(job, ledger.Completed, bound)
 	})
 }
+
+// A leader that alone cannot write hands the lead over before its silence is noticed.
+func TestLeaderWithoutLogIsReplacedSoon(t *testing.T) {
+	const bound = 1600 * time.Millisecond // less than the 2 s of silence after which the lead is taken unasked
+	for name, fault := range map[string]simsite.LogFault{"refused": simsite.LogRefuses, "silent": simsite.LogSilent} {
+		t.Run(name, func(t *testing.T) {
+			runSite(t, 3, 8, func(s *site) {
+				leader := s.leader()
+				leader.setFault(fault)
+				s.nodes = remove(s.nodes, leader)
+				defer func() { leader.kill(); leader.Wait() }()
+				began := time.Now()
+				s.leader()
+				if took := time.Since(began); took > bound {
+					t.Errorf("the lead was taken after %s", took)
+				}
+			})
+		})
+	}
+}
+
+// Load: the log is out of reach for all nodes. The leader is not at fault, and keeps
+// the lead when the log is back.
+func TestOutageOfTheLogDoesNotChangeTheLead(t *testing.T) {
+	for name, fault := range map[string]simsite.LogFault{"refused": simsite.LogRefuses, "silent": simsite.LogSilent} {
+		t.Run(name, func(t *testing.T) {
+			runSite(t, 4, 8, func(s *site) {
+				leader := s.leader()
+				for _, n := range s.nodes {
+					n.setFault(fault)
+				}
+				time.Sleep(4 * time.Second)
+				for _, n := range s.nodes {
+					n.setFault(simsite.LogHealthy)
+				}
+				time.Sleep(3 * time.Second)
+				if got := s.leader(); got != leader {
+					t.Error("another node leads")
+				}
+			})
+		})
+	}
+}
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -44,6 +44,10 @@
 	writeTimeout = time.Second
 	// writeRetry is the wait after a failed call.
 	writeRetry = 50 * time.Millisecond
+	// stuckWrite is how long a leader's writes may be left undone until another node
+	// may take the lead: over a hundred times the log's usual answer, and twice that
+	// of a slow one.
+	stuckWrite = 600 * time.Millisecond
 	// batchDelay is the wait for further records of the leader.
 	batchDelay = 4 * time.Millisecond
 	// forgetInterval is how often ended jobs are dropped.
@@ -81,6 +85,7 @@
 	mu       sync.Mutex
 	watch    *election.Watch
 	engine   *dispatch.Engine
+	writer   *ledger.Appender
 	lead     context.Context
 	retiring bool
 	// endedTerm is the last term that the node led or claimed in vain.
@@ -197,48 +202,47 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.settings.Now()
-	if s.calling || now < s.nextCall || s.read == 0 || term.Number == 0 || term.Address == "" || !s.watch.Doubtful(now) {
+	if s.calling || now < s.nextCall || s.read == 0 || term.Number == 0 || term.Address == "" || !s.watch.Doubtful(now, s.rank(term.Number)) {
 		return
 	}
 	s.calling, s.nextCall = true, now+callInterval
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		var leads bool
-		err := s.settings.Call(ctx, term.Address, LeadsMethod, term, &leads)
-		if s.replica.Term() != term {
-			err, leads = nil, true
+		var answer election.Answer
+		err := s.settings.Call(ctx, term.Address, LeadsMethod, term, &answer)
+		switch {
+		case s.replica.Term() != term:
+			// The answer is of no use any more.
+			answer, err = election.Leads, nil
+		case errors.Is(err, syscall.ECONNREFUSED):
+			answer = election.Refused
+		case err != nil:
+			answer = election.Unanswered
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.calling = false
-		s.watch.Called(s.settings.Now(), answerOf(leads, err))
-		if answer := fmt.Sprint(term, leads, err != nil); answer != s.answer {
-			s.answer = answer
-			klog.InfoS("leader: called a silent leader", "term", term.Number, "leader", term.Leader, "leads", leads, "err", err)
+		s.watch.Called(s.settings.Now(), answer)
+		if told := fmt.Sprint(term, answer); told != s.answer {
+			s.answer = told
+			klog.InfoS("leader: called a silent leader", "term", term.Number, "leader", term.Leader, "answer", answer, "err", err)
 		}
 	}()
 }
 
-// answerOf tells what a call to a leader has shown.
-func answerOf(leads bool, err error) election.Answer {
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return election.Refused
-	case err != nil:
-		return election.Unanswered
-	case leads:
-		return election.Leads
-	default:
-		return election.LeadsNot
-	}
-}
-
 // Leads says whether the node leads a term, or is about to.
-func (s *Service) Leads(term ledger.Term) bool {
+func (s *Service) Leads(term ledger.Term) election.Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return term.Leader == s.settings.Node && term.Number > s.endedTerm
+	switch {
+	case term.Leader != s.settings.Node || term.Number <= s.endedTerm:
+		return election.LeadsNot
+	case s.writer != nil && s.writer.Trouble(stuckWrite) >= stuckWrite:
+		return election.Stuck
+	default:
+		return election.Leads
+	}
 }
 
 // abandon notes that the node will not lead a term, even if its claim comes
@@ -254,7 +258,7 @@
 	s.abandon(term)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.engine, s.lead = nil, nil
+	s.engine, s.writer, s.lead = nil, nil, nil
 	s.watch.Heard(s.settings.Now())
 }
 
@@ -314,7 +318,7 @@
 	engine := dispatch.New(dispatch.Inputs{Settings: s.settings.Dispatch, Orders: s.orders, Adviser: s.adviser, Writer: writer, Now: s.settings.Now, UnixMS: s.settings.UnixMS,
 		View: s.view, Term: term, Claimed: claimed})
 	s.mu.Lock()
-	s.engine, s.lead = engine, ctx
+	s.engine, s.writer, s.lead = engine, writer, ctx
 	s.mu.Unlock()
 	// From here on the engine hears of every change, so none is missed.
 	engine.Load(s.replica.State())
