Move work from leaving workers; do not renew the leases of workers that do not answer

The notice was not used: the runs went on until the workers were gone, and then their leases had to end. Renewals were sent for 2 s more to workers that left calls unanswered, and each put off that end.

Change: a run that its worker, by its announcement, will not be there to finish is stopped at once, with its gang, and starts elsewhere; one with checkpoints goes on until the stop is due. A lease is renewed only if the worker has answered within a renewal (1.1 s). TestWorkOfLeavingWorkersIsMoved fails without it. Tasks that last are left alone.

--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -291,6 +291,7 @@
 // checkRuns handles orders without answers, gangs in part and tasks that stand still.
 func (e *Engine) checkRuns(now time.Duration) {
 	for _, w := range e.workers {
+		e.moveFromLeaving(w, now)
 		for _, r := range w.runs {
 			u := r.task.unit
 			switch {
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -46,9 +46,13 @@
 	holdWait = time.Second
 	// maxFirstCalls bounds the calls at once to workers that have not answered yet.
 	maxFirstCalls = 24
-	// contactBound is the silence after which a worker's lease is not renewed any
-	// more and nothing new starts there: two renewals.
+	// contactBound is the silence after which nothing new starts on a worker: two
+	// renewals.
 	contactBound = 2 * time.Second
+	// renewBound is the silence after which a worker's lease is not renewed until it
+	// answers again: one renewal. Renewals that may have arrived put off the time at
+	// which the worker's tasks may start elsewhere.
+	renewBound = holdWait + 100*time.Millisecond
 	// unnotedPause is the wait before a renewal while ends are not in the ledger
 	// yet, which the worker would repeat at once.
 	unnotedPause = 300 * time.Millisecond
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -88,12 +88,12 @@
 		e.firstCalls++
 	}
 	order := backend.HoldOrder{Term: e.Term.Number, SeenUpTo: w.noted, Wait: holdWait}
-	silent := w.silent(now)
+	unheard := w.asked != 0 && now-w.asked > renewBound
 	w.ask(now)
-	if !w.clockKnown || silent || len(w.runs) == 0 || w.stopsOnly() {
+	if !w.clockKnown || unheard || len(w.runs) == 0 || w.stopsOnly() {
 		order.Wait = 0
 	}
-	if w.clockKnown && len(w.runs) > 0 && !silent {
+	if w.clockKnown && len(w.runs) > 0 && !unheard {
 		order.LeaseUntilMS = e.leaseUntil(w, now)
 	}
 	w.holding = true
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -347,3 +347,45 @@
 		s.awaitPhase(job, ledger.Running, bound)
 	})
 }
+
+// Load: workers are taken away at short notice. What they will not be there to
+// finish must not wait for the end of their leases.
+func TestWorkOfLeavingWorkersIsMoved(t *testing.T) {
+	const (
+		notice = 2 * time.Second
+		work   = 4 * time.Second
+		bound  = work + 2500*time.Millisecond // 0.9 s for the stop, 1.6 s for beats, records and orders
+	)
+	runSite(t, 3, 12, func(s *site) {
+		gang := s.submit(urgentQueue, usual(task(8), work, 2), workload.Step{Count: 2, Need: task(8), Gang: true, SameRack: true, EstimateMS: int(work.Milliseconds())})
+		single := s.submit(bulkQueue, usual(task(8), work, 0), workload.Step{Count: 1, Need: task(8), EstimateMS: int(work.Milliseconds())})
+		short := s.submit(bulkQueue, usual(task(8), 1500*time.Millisecond, 0), workload.Step{Count: 1, Need: task(8), EstimateMS: 1500})
+		time.Sleep(time.Second)
+		starts := s.fleet.Starts()
+		var leaving []*simsite.Worker
+		s.fleet.Update(func() {
+			for _, w := range s.workers {
+				for _, id := range []string{gang, single, short} {
+					if w.Holds(workload.TaskID{UnitID: workload.UnitID{Job: id}}) {
+						w.Info.Draining, w.Info.Remaining = true, notice
+						leaving = append(leaving, w)
+						s.entries.Put(w.EntryRecord())
+					}
+				}
+			}
+		})
+		time.AfterFunc(notice, func() {
+			s.fleet.Update(func() {
+				for _, w := range leaving {
+					w.Silent = true
+				}
+			})
+		})
+		s.awaitPhase(short, ledger.Completed, notice)
+		s.awaitPhase(gang, ledger.Completed, bound)
+		s.awaitPhase(single, ledger.Completed, bound)
+		if got := s.fleet.Starts() - starts; got != 3 {
+			t.Errorf("%d starts after the notice, want 3", got)
+		}
+	})
+}
