Keep the policy of a queue with its jobs

All nodes had been killed while its task failed; the new leader heard of the failure before it had read the configuration, without which it allowed one attempt. A queue that a configuration removes had the same effect after a change of the lead, as well as the lowest priority.

Found by reading, after the symptom; the test has the same order of events.

Change: a job carries the policy that its queue had at the submission, until a newer configuration has the queue. TestFailureIsNotFinalBeforeTheConfigurationIsKnown fails in both cases without it.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -15,18 +15,7 @@
 	Name string
 	// Host and PathPrefix select the queue; the longest prefix wins.
 	Host, PathPrefix string
-	// Service names the workers that run the queue's tasks.
-	Service string
-	// Priority orders queues; 0 comes first and may preempt others.
-	Priority int
-	// MaxAttempts is how often a task may fail before its job fails.
-	MaxAttempts int
-	// Stretch times a job's expected run time is the objective for its
-	// completion, and Slack comes on top.
-	Stretch float64
-	Slack   time.Duration
-	// Advised queues may use only the workers that the adviser names for a step.
-	Advised bool
+	workload.Policy
 	// Public queues need no key.
 	Public bool
 }
--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -48,7 +48,7 @@
 // askForMore asks about further workers for advised units that found no room.
 func (e *Engine) askForMore(unplaced []workload.UnitID) {
 	for _, id := range unplaced {
-		if u := e.unitOf(id); u.job.advised {
+		if u := e.unitOf(id); u.job.policy.Advised {
 			e.advise(u, e.Now())
 		}
 	}
@@ -62,7 +62,7 @@
 	}
 	var candidates []*worker
 	for _, w := range e.workers {
-		if w.info.Service == u.job.service && !u.asked[w.info.ID] && e.open(w, now) && u.step.Demand().Fits(w.info.Capacity) &&
+		if w.info.Service == u.job.policy.Service && !u.asked[w.info.ID] && e.open(w, now) && u.step.Demand().Fits(w.info.Capacity) &&
 			(u.step.Label == "" || w.info.HasLabel(u.step.Label)) {
 			candidates = append(candidates, w)
 		}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -212,7 +212,7 @@
 // addJob makes the engine's view of a job that has not ended.
 func (e *Engine) addJob(entry *ledger.Entry, inherited bool) *job {
 	spec := entry.Job
-	j := &job{spec: spec, progress: entry.Progress, service: spec.Service, maxAttempts: 1, priority: lowestPriority}
+	j := &job{spec: spec, progress: entry.Progress, policy: spec.Policy}
 	if inherited {
 		j.inherited = entry.Progress.Workers
 	}
@@ -242,16 +242,13 @@
 	return j
 }
 
-// lowestPriority is the priority of a job whose queue no configuration has had.
-const lowestPriority = 9
-
-// refreshQueue takes over the settings of the job's queue, if it still exists.
+// refreshQueue takes over the policy of the job's queue, if it still exists.
 func (e *Engine) refreshQueue(j *job) {
 	if e.view.Config == nil {
 		return
 	}
 	if q := e.view.Config.Queue(j.spec.Queue); q != nil {
-		j.service, j.priority, j.maxAttempts, j.stretch, j.slack, j.advised = q.Service, q.Priority, max(1, q.MaxAttempts), q.Stretch, q.Slack, q.Advised
+		j.policy = q.Policy
 	}
 }
 
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -23,13 +23,9 @@
 	// unsaved says that progress differs from the ledger.
 	unsaved bool
 	units   []*unit
-	// queue settings as of the newest configuration that has the queue.
-	service     string
-	priority    int
-	maxAttempts int
-	advised     bool
-	stretch     float64
-	slack       time.Duration
+	// policy is that of the newest configuration that has the queue, or of the
+	// submission.
+	policy workload.Policy
 	// guaranteed jobs lie within their account's guarantee.
 	guaranteed bool
 }
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -56,7 +56,7 @@
 		finish[i] = begin + e.expected(j.units[i])
 		chain = max(chain, finish[i])
 	}
-	return time.Duration(j.stretch*float64(chain)) + j.slack
+	return time.Duration(j.policy.Stretch*float64(chain)) + j.policy.Slack
 }
 
 // lateFactor times the objective is when a job can earn nothing more: the
@@ -85,7 +85,7 @@
 		}
 		var waiting []*placement.Unit
 		for _, u := range units {
-			if e.jobs[u.ID.Job].service == service {
+			if e.jobs[u.ID.Job].policy.Service == service {
 				waiting = append(waiting, u)
 			}
 		}
@@ -115,7 +115,7 @@
 func (e *Engine) servicesOf(units []*placement.Unit) []string {
 	var services []string
 	for _, u := range units {
-		if s := e.jobs[u.ID.Job].service; !slices.Contains(services, s) {
+		if s := e.jobs[u.ID.Job].policy.Service; !slices.Contains(services, s) {
 			services = append(services, s)
 		}
 	}
@@ -149,7 +149,7 @@
 				continue
 			}
 			pw.Running = append(pw.Running, placement.Running{Unit: id.UnitID, Index: id.Index, Need: r.need,
-				Priority: u.job.priority, Guaranteed: u.job.guaranteed || u.step.MayMiss > 0, Gang: u.step.Gang, Cost: e.lossOf(r, now), Ending: e.ending(r, now)})
+				Priority: u.job.policy.Priority, Guaranteed: u.job.guaranteed || u.step.MayMiss > 0, Gang: u.step.Gang, Cost: e.lossOf(r, now), Ending: e.ending(r, now)})
 		}
 		slices.SortFunc(pw.Running, func(a, b placement.Running) int {
 			return cmp.Or(cmp.Compare(a.Unit.Job, b.Unit.Job), cmp.Compare(a.Unit.Step, b.Unit.Step), cmp.Compare(a.Index, b.Index))
@@ -236,7 +236,7 @@
 	for _, j := range e.jobs {
 		e.refreshQueue(j)
 		j.guaranteed = false
-		if j.priority == 0 && !j.progress.Phase.Ended() {
+		if j.policy.Priority == 0 && !j.progress.Phase.Ended() {
 			urgent = append(urgent, j)
 		}
 	}
@@ -281,11 +281,11 @@
 				continue
 			}
 			waiting := u.waiting()
-			if len(waiting) == 0 || j.advised && !e.haveTickets(u, now) {
+			if len(waiting) == 0 || j.policy.Advised && !e.haveTickets(u, now) {
 				continue
 			}
 			begin := max(j.spec.SubmittedMS, j.spec.Due(u.id.Round))
-			pu := &placement.Unit{ID: u.id, Step: u.step, Waiting: waiting, Priority: j.priority, Guaranteed: j.guaranteed,
+			pu := &placement.Unit{ID: u.id, Step: u.step, Waiting: waiting, Priority: j.policy.Priority, Guaranteed: j.guaranteed,
 				Deadline: begin + objective.Milliseconds(), Expired: unixMS > begin+lateFactor*objective.Milliseconds(),
 				PerWorker: map[string]int{}, Avoid: u.avoidKeys(e)}
 			for _, t := range u.tasks {
@@ -295,7 +295,7 @@
 			}
 			pu.Anywhere = u.ampleSince != 0 && now-u.ampleSince > rackPatience
 			pu.Pressing = unixMS > begin+objective.Milliseconds() || pu.Anywhere || e.tooWide(u)
-			if j.advised {
+			if j.policy.Advised {
 				pu.Only = e.ticketKeys(u)
 			}
 			pu.MustStart = unixMS-begin >= e.patience().Milliseconds()
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -35,7 +35,7 @@
 	if u.step.Gang {
 		order.Checkpoint = u.checkpoint
 	}
-	if u.job.advised {
+	if u.job.policy.Advised {
 		order.Ticket = u.tickets[w.info.ID]
 	}
 	r.resumed = order.Checkpoint != ""
@@ -282,8 +282,9 @@
 	j.progress.Failures[n] = append(j.progress.Failures[n], number)
 	j.unsaved = true
 	e.refreshQueue(j)
-	if failures := len(j.progress.Failures[n]); failures >= j.maxAttempts {
-		klog.InfoS("dispatch: task failed as often as allowed", "job", j.spec.ID, "task", u.id.String(), "index", t.id.Index, "failures", failures, "allowed", j.maxAttempts)
+	// Without a bound in the record of the job, the configuration's is waited for.
+	if failures, allowed := len(j.progress.Failures[n]), j.policy.MaxAttempts; allowed > 0 && failures >= allowed {
+		klog.InfoS("dispatch: task failed as often as allowed", "job", j.spec.ID, "task", u.id.String(), "index", t.id.Index, "failures", failures, "allowed", allowed)
 		e.endJob(j, ledger.Failed, "a task failed as often as allowed")
 	}
 }
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -204,7 +204,7 @@
 		if known, err := s.follower().Intake.Cancel(s.ctx, id); err != nil || known {
 			t.Fatalf("cancel: known %v, error %v", known, err)
 		}
-		job := &workload.Job{ID: id, Queue: usualQueue, Service: "desk", Steps: []workload.Step{{Count: 1, Need: task(1)}}}
+		job := &workload.Job{ID: id, Queue: usualQueue, Policy: workload.Policy{Service: "desk"}, Steps: []workload.Step{{Count: 1, Need: task(1)}}}
 		if err := s.follower().Intake.Submit(s.ctx, job); err != nil {
 			t.Fatal(err)
 		}
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,14 +116,20 @@
 	}
 }
 
-// publish writes the next version of the configuration.
-func (s *site) publish() {
+// publish writes the next version of the configuration, with all queues.
+func (s *site) publish() { s.publishQueues(urgentQueue, usualQueue, bulkQueue) }
+
+// publishQueues writes the next version of the configuration with some of the queues.
+func (s *site) publishQueues(names ...string) {
 	s.version++
 	c := catalog.Config{Version: s.version, Accounts: []catalog.Account{{Name: "coopers", Keys: []string{"key"}, GuaranteedAccelerators: 32}}}
 	for priority, name := range []string{urgentQueue, usualQueue, bulkQueue} {
-		c.Queues = append(c.Queues, catalog.Queue{Name: name, Host: "host", PathPrefix: "/" + name + "/", Service: "desk", Priority: priority, MaxAttempts: 3, Stretch: 3, Slack: time.Second})
+		if !slices.Contains(names, name) {
+			continue
+		}
+		c.Queues = append(c.Queues, catalog.Queue{Name: name, Host: "host", PathPrefix: "/" + name + "/", Policy: workload.Policy{Service: "desk", Priority: priority, MaxAttempts: 3, Stretch: 3, Slack: time.Second}})
 	}
-	c.Queues = append(c.Queues, catalog.Queue{Name: advisedQueue, Host: "host", PathPrefix: "/advised/", Service: "desk", Priority: 1, MaxAttempts: 3, Stretch: 3, Advised: true})
+	c.Queues = append(c.Queues, catalog.Queue{Name: advisedQueue, Host: "host", PathPrefix: "/advised/", Policy: workload.Policy{Service: "desk", Priority: 1, MaxAttempts: 3, Stretch: 3, Advised: true}})
 	data, err := json.Marshal(c)
 	if err != nil {
 		s.t.Fatal(err)
@@ -216,7 +223,10 @@
 // newJob returns a job that has not been handed in.
 func (s *site) newJob(queue string, behave func(index int) simsite.Behaviour, steps ...workload.Step) *workload.Job {
 	jobCount++
-	job := &workload.Job{ID: fmt.Sprintf("%016x", jobCount), Queue: queue, Service: "desk", Account: "coopers", Payload: "{}", Steps: steps, SubmittedMS: time.Now().UnixMilli()}
+	job := &workload.Job{ID: fmt.Sprintf("%016x", jobCount), Queue: queue, Policy: workload.Policy{Service: "desk"}, Account: "coopers", Payload: "{}", Steps: steps, SubmittedMS: time.Now().UnixMilli()}
+	if config, _, _ := s.nodes[0].Operators.Current(); config != nil && config.Queue(queue) != nil {
+		job.Policy = config.Queue(queue).Policy
+	}
 	for step := range steps {
 		unit := workload.UnitID{Job: job.ID, Step: step}
 		s.fleet.Update(func() {
--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -181,3 +181,35 @@
 		})
 	}
 }
+
+// A leader that has not read the configuration yet hears that a task has failed. The
+// queue allows more attempts, also if it has been removed meanwhile.
+func TestFailureIsNotFinalBeforeTheConfigurationIsKnown(t *testing.T) {
+	for name, removed := range map[string]bool{"not read yet": false, "queue removed": true} {
+		t.Run(name, func(t *testing.T) {
+			runSite(t, 3, 8, func(s *site) {
+				starts := 0
+				job := s.submit(usualQueue, func(int) simsite.Behaviour {
+					starts++
+					return simsite.Behaviour{Need: task(1), Work: 1500 * time.Millisecond, Fails: starts == 1}
+				}, workload.Step{Count: 1, Need: task(1), EstimateMS: 1500})
+				time.Sleep(500 * time.Millisecond)
+				for _, n := range s.nodes {
+					n.kill()
+					n.Wait()
+				}
+				if removed {
+					s.publishQueues(urgentQueue, bulkQueue)
+				}
+				n := s.addNode("node-new")
+				s.nodes = []*testNode{n}
+				if !removed {
+					n.clients[1].SetFault(simsite.LogSilent)
+				}
+				time.Sleep(4 * time.Second)
+				n.setFault(simsite.LogHealthy)
+				s.awaitPhase(job, ledger.Completed, 10*time.Second)
+			})
+		})
+	}
+}
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -88,14 +88,30 @@
 	return need
 }
 
+// Policy is how a queue treats its jobs.
+type Policy struct {
+	// Service names the workers that run the tasks.
+	Service string `json:"svc"`
+	// Priority orders queues; 0 comes first and may preempt others.
+	Priority int `json:"pri,omitempty"`
+	// MaxAttempts is how often a task may fail before its job fails.
+	MaxAttempts int `json:"tries,omitempty"`
+	// Stretch times a job's expected run time is the objective for its
+	// completion, and Slack comes on top.
+	Stretch float64       `json:"stretch,omitempty"`
+	Slack   time.Duration `json:"slack,omitempty"`
+	// Advised queues may use only the workers that the adviser names for a step.
+	Advised bool `json:"advised,omitempty"`
+}
+
 // Job is a submitted job.
 type Job struct {
 	// ID is chosen by the caller, 16 hexadecimal digits.
 	ID string `json:"id"`
 	// Queue names the queue that the job was submitted to.
 	Queue string `json:"q"`
-	// Service names the pool of workers that the queue used at submission.
-	Service string `json:"svc"`
+	// Policy is that of the queue at the submission.
+	Policy
 	// Account is the client account that owns the job.
 	Account string `json:"a,omitempty"`
 	// Payload is handed to every task unchanged.
