--- a/cmd/shallotpin/script_test.go
+++ b/cmd/shallotpin/script_test.go
@@ -46,7 +46,8 @@
 		Dir: "testdata/script",
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", bin+string(os.PathListSeparator)+env.Getenv("PATH"))
-			return nil
+			// The walkthrough submits the file that README names.
+			return os.CopyFS(filepath.Join(env.WorkDir, "examples"), os.DirFS("../../examples"))
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"ports":  cmdPorts,
