Put changed settings into force without a restart

Cause: the settings file was read again on SIGHUP only to check it; changed bounds held from the next start, and a change without a signal was not seen at all.

Change: the file is read each second and on SIGHUP; changed bounds and limits hold for the present term and for later ones, names and addresses from the next start. TestChangedSettingsAreAdopted, TestChangedSettingsHoldForThePresentTerm.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -163,17 +163,22 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	for {
+	settings := &watchedSettings{path: opts.SettingsFile, current: *s, adopt: func(s *platform.Settings) { node.Adopt(dispatchSettings(s)) }}
+	poll := time.NewTicker(settingsInterval)
+	defer poll.Stop()
+	for running := true; running; {
 		select {
 		case err := <-failed:
 			return err
+		case <-poll.C:
+			settings.check("poll")
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
-				reload(opts.SettingsFile)
-				continue
+				settings.check("SIGHUP")
+			} else {
+				running = false
 			}
 		}
-		break
 	}
 	klog.InfoS("shallotpin-entry: draining", "leading", node.Leading(), "grace_s", s.Bounds.GraceS)
 	draining.Store(true)
@@ -193,16 +198,6 @@
 	return nil
 }
 
-// reload reads the settings file again. Bounds and addresses hold for the life
-// of a process, so that a change takes effect with the next start.
-func reload(path string) {
-	if _, err := platform.LoadSettings(path); err != nil {
-		klog.InfoS("shallotpin-entry: settings not reloaded", "file", path, "err", err)
-		return
-	}
-	klog.InfoS("shallotpin-entry: settings reloaded", "file", path)
-}
-
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: idleTimeout}
--- /dev/null
+++ b/cmd/shallotpin-entry/settings_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shallotpin/shallotpin/platform"
+)
+
+const settingsText = `
+NodeName: node
+Zone: z
+Listen: {Front: "10.0.0.1:80", Ready: "10.0.0.1:81"}
+Bounds: {HoldMaxMs: 6000, GangMs: 3000, StopMs: 900, SaveS: 2, status_s: 120, ContactMs: 3000, GraceS: 6}
+platform: {Addr: "10.0.0.9:80", CallBytes: 2097152}
+`
+
+// The file may change with or without a signal, and may be cut short for a moment.
+func TestChangedSettingsAreAdopted(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(settingsText)
+	first, err := platform.LoadSettings(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var adopted []time.Duration
+	w := &watchedSettings{path: path, current: *first, adopt: func(s *platform.Settings) { adopted = append(adopted, dispatchSettings(s).StopTime) }}
+	for _, step := range []struct {
+		text, cause string
+		want        []time.Duration
+	}{
+		{settingsText, "poll", nil},
+		{settingsText, "SIGHUP", nil},
+		{settingsText[:40], "poll", nil},
+		{strings.Replace(settingsText, "StopMs: 900", "StopMs: 400", 1), "poll", []time.Duration{400 * time.Millisecond}},
+		{strings.Replace(settingsText, "StopMs: 900", "StopMs: 300", 1), "SIGHUP", []time.Duration{400 * time.Millisecond, 300 * time.Millisecond}},
+	} {
+		write(step.text)
+		w.check(step.cause)
+		if len(adopted) != len(step.want) || len(adopted) > 0 && adopted[len(adopted)-1] != step.want[len(step.want)-1] {
+			t.Fatalf("after %s of %d bytes: adopted %v, want %v", step.cause, len(step.text), adopted, step.want)
+		}
+	}
+}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -170,6 +170,14 @@
 	}
 }
 
+// Adopt takes over changed settings. Leases and stops under way keep their bounds.
+func (e *Engine) Adopt(ctx context.Context, s Settings) {
+	select {
+	case e.events <- func() { e.Settings = s; e.tenure.Adopt(s.Election) }:
+	case <-ctx.Done():
+	}
+}
+
 // onTick checks the time bounds.
 func (e *Engine) onTick() {
 	now := e.Now()
--- a/pkg/election/election.go
+++ b/pkg/election/election.go
@@ -50,6 +50,9 @@
 	return &Watch{settings: s, readable: now, lastRead: now, heard: now - s.Doubt}
 }
 
+// Adopt takes over changed settings.
+func (w *Watch) Adopt(s Settings) { w.settings = s }
+
 // Read notes a successful read of the log.
 func (w *Watch) Read(at time.Duration) {
 	if at-w.lastRead > w.settings.ReadGap {
@@ -159,6 +162,9 @@
 	return &Tenure{settings: s, confirmed: claimed}
 }
 
+// Adopt takes over changed settings.
+func (t *Tenure) Adopt(s Settings) { t.settings = s }
+
 // Confirm notes that a write sent at a time was accepted.
 func (t *Tenure) Confirm(sent time.Duration) { t.confirmed = max(t.confirmed, sent) }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -149,5 +149,8 @@
 // Retire gives up the lead for good.
 func (n *Node) Retire() { n.leader.Retire() }
 
+// Adopt takes over changed time bounds and limits.
+func (n *Node) Adopt(d dispatch.Settings) { n.leader.Adopt(d) }
+
 // Leading says whether the node leads.
 func (n *Node) Leading() bool { return n.leader.Leading() }
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -389,3 +389,27 @@
 		}
 	})
 }
+
+// Leases given after a change of the settings are as long as it says.
+func TestChangedSettingsHoldForThePresentTerm(t *testing.T) {
+	runSite(t, 3, 4, func(s *site) {
+		s.submit(bulkQueue, usual(task(1), time.Minute, 0), workload.Step{Count: 4, Need: task(1), EstimateMS: 60000})
+		changed := testSettings()
+		changed.LeaseTime = 2 * time.Second
+		for _, n := range s.nodes {
+			n.Adopt(changed)
+		}
+		// The leases of before end.
+		time.Sleep(7 * time.Second)
+		for _, n := range s.nodes {
+			n.kill()
+			n.Wait()
+		}
+		time.Sleep(changed.LeaseTime + 200*time.Millisecond)
+		for _, w := range s.workers {
+			if n := w.Running(); n > 0 {
+				t.Errorf("%d runs on %s outlive their leases", n, w.Info.ID)
+			}
+		}
+	})
+}
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -136,6 +136,25 @@
 	}
 }
 
+// Adopt takes over changed settings of the engine, also for the present term.
+func (s *Service) Adopt(d dispatch.Settings) {
+	s.mu.Lock()
+	s.settings.Dispatch = d
+	s.watch.Adopt(d.Election)
+	engine, ctx := s.engine, s.lead
+	s.mu.Unlock()
+	if engine != nil {
+		engine.Adopt(ctx, d)
+	}
+}
+
+// dispatchSettings returns the engine's settings as they are now.
+func (s *Service) dispatchSettings() dispatch.Settings {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.settings.Dispatch
+}
+
 // Leading says whether the node leads.
 func (s *Service) Leading() bool {
 	engine, _ := s.current()
@@ -315,7 +334,7 @@
 			klog.InfoS("leader: writing ended", "term", term.Number, "err", err)
 		}
 	}()
-	engine := dispatch.New(dispatch.Inputs{Settings: s.settings.Dispatch, Orders: s.orders, Adviser: s.adviser, Writer: writer, Now: s.settings.Now, UnixMS: s.settings.UnixMS,
+	engine := dispatch.New(dispatch.Inputs{Settings: s.dispatchSettings(), Orders: s.orders, Adviser: s.adviser, Writer: writer, Now: s.settings.Now, UnixMS: s.settings.UnixMS,
 		View: s.view, Term: term, Claimed: claimed})
 	s.mu.Lock()
 	s.engine, s.writer, s.lead = engine, writer, ctx
@@ -382,7 +401,7 @@
 		case <-ticker.C:
 		}
 		var records []backend.KeyedRecord
-		for _, id := range s.replica.Ended(s.settings.UnixMS() - s.settings.Dispatch.KeepEnded.Milliseconds()) {
+		for _, id := range s.replica.Ended(s.settings.UnixMS() - s.dispatchSettings().KeepEnded.Milliseconds()) {
 			records = append(records, ledger.ForgetJob(id)...)
 		}
 		if len(records) == 0 {
