Pace tasks that fill beside tasks that serve; give lasting tasks room

Tasks that fill were started beside serving ones and never slowed down, and a task that lasts waited for as long as the workers were full.

Change: the load column of a worker's listing is decoded, workers on which tasks serve and others fill are asked three times a second, and the pace of those that fill follows the worst latency against its objective: stopped beyond it, halved close to it, raised while it is calm. They start apart from serving tasks where there is room. A leader that takes over sets each pace anew. Lasting tasks come before all but guaranteed work and may stop what neither lasts nor is guaranteed.

--- a/pkg/backend/orders.go
+++ b/pkg/backend/orders.go
@@ -50,8 +50,12 @@
 type ActiveRun struct {
 	Run        RunID
 	Checkpoint string
-	// Percent is how much of its work is done.
+	// Percent is how much of its work is done; 100 for a task that lasts and is at work.
 	Percent int
+	// Load is a rough figure of the last half second: for a task that serves users,
+	// the tail of their latency in milliseconds; for any other, the processor in use,
+	// in thousandths of a core.
+	Load float64
 }
 
 // Outcome says how a run ended.
@@ -150,5 +154,7 @@
 type Orders interface {
 	Start(ctx context.Context, w WorkerRef, o StartOrder) (clockMS int64, err error)
 	Stop(ctx context.Context, w WorkerRef, run RunID, term int64) (clockMS int64, err error)
+	// Pace lets a run work at a share of its pace, in hundredths.
+	Pace(ctx context.Context, w WorkerRef, run RunID, percent int, term int64) (clockMS int64, err error)
 	Hold(ctx context.Context, w WorkerRef, o HoldOrder) (HoldReply, error)
 }
--- a/pkg/dispatch/apply.go
+++ b/pkg/dispatch/apply.go
@@ -114,7 +114,7 @@
 	}
 	for _, i := range slices.Sorted(maps.Keys(targets)) {
 		t, w := u.tasks[i], targets[i]
-		r := &run{id: backend.RunID{Task: t.id, Number: number}, task: t, worker: w, need: u.step.Demand(), phase: runPlanned, ordered: now}
+		r := &run{id: backend.RunID{Task: t.id, Number: number}, task: t, worker: w, need: u.step.Demand(), phase: runPlanned, ordered: now, share: wholePace, shareKnown: true}
 		t.run = r
 		w.runs[t.id] = r
 		w.used = w.used.Add(r.need)
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -113,6 +113,14 @@
 	// slow says that the last one was much lower.
 	pace, slowPace float64
 	slow           bool
+	// share is the share of its pace, in hundredths, at which the run works; shareKnown
+	// says that the worker has confirmed it, shared that it was ever below the whole.
+	share      int
+	shareKnown bool
+	shared     bool
+	pacing     bool
+	// load is the newest figure of the run's load: see backend.ActiveRun.
+	load float64
 	// sampled says that the run has told of its worker's speed.
 	sampled bool
 	// resumed says that the run began at a checkpoint, inherited that an earlier
@@ -120,8 +128,8 @@
 	resumed, inherited bool
 }
 
-// whole says whether the run was seen from the start of its task's work.
-func (r *run) whole() bool { return !r.resumed && !r.inherited }
+// whole says whether the run was seen from the start of its task's work, at full pace.
+func (r *run) whole() bool { return !r.resumed && !r.inherited && !r.shared }
 
 // activate notes that the run works, with a part of it done already.
 func (r *run) activate(percent int, now time.Duration) {
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -149,7 +149,8 @@
 				continue
 			}
 			pw.Running = append(pw.Running, placement.Running{Unit: id.UnitID, Index: id.Index, Need: r.need,
-				Priority: u.job.policy.Priority, Guaranteed: u.job.guaranteed || u.step.MayMiss > 0, Gang: u.step.Gang, Cost: e.lossOf(r, now), Ending: e.ending(r, now)})
+				Priority: u.job.policy.Priority, Guaranteed: u.job.guaranteed || u.step.MayMiss > 0, Gang: u.step.Gang, Cost: e.lossOf(r, now), Ending: e.ending(r, now),
+				Lasting: u.step.LongRunning, Serves: r.serves(), Fills: r.fills()})
 		}
 		slices.SortFunc(pw.Running, func(a, b placement.Running) int {
 			return cmp.Or(cmp.Compare(a.Unit.Job, b.Unit.Job), cmp.Compare(a.Unit.Step, b.Unit.Step), cmp.Compare(a.Index, b.Index))
@@ -285,7 +286,7 @@
 				continue
 			}
 			begin := max(j.spec.SubmittedMS, j.spec.Due(u.id.Round))
-			pu := &placement.Unit{ID: u.id, Step: u.step, Waiting: waiting, Priority: j.policy.Priority, Guaranteed: j.guaranteed,
+			pu := &placement.Unit{ID: u.id, Step: u.step, Waiting: waiting, Priority: j.policy.Priority, Guaranteed: j.guaranteed, Lasting: u.step.LongRunning,
 				Deadline: begin + objective.Milliseconds(), Expired: unixMS > begin+lateFactor*objective.Milliseconds(),
 				PerWorker: map[string]int{}, Avoid: u.avoidKeys(e)}
 			for _, t := range u.tasks {
--- a/pkg/dispatch/progress.go
+++ b/pkg/dispatch/progress.go
@@ -27,7 +27,7 @@
 // stalled says whether a run shows no progress for too long.
 func (e *Engine) stalled(r *run, now time.Duration) bool {
 	// A gang's member that is through with its part waits for the others.
-	if r.percent >= 100 || r.task.unit.step.LongRunning || r.worker.silent(now) {
+	if r.percent >= 100 || r.task.unit.step.LongRunning || r.share < wholePace || r.worker.silent(now) {
 		return false
 	}
 	bound := max(stallBound, stallHundredths*e.expected(r.task.unit)/100)
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -146,6 +146,7 @@
 		if r.phase == runUnresolved || r.phase == runStarting {
 			r.activate(0, now)
 		}
+		r.load = a.Load
 		e.noteProgress(r, a.Percent, now)
 		e.noteCheckpoint(r.task, a.Checkpoint)
 		return
@@ -158,7 +159,7 @@
 		e.stopStray(w, a.Run)
 		return
 	}
-	r = &run{id: a.Run, task: t, worker: w, need: t.unit.step.Demand(), ordered: now, inherited: true}
+	r = &run{id: a.Run, task: t, worker: w, need: t.unit.step.Demand(), ordered: now, inherited: true, share: wholePace}
 	r.began = now - e.expected(t.unit)*time.Duration(a.Percent)/100
 	r.activate(a.Percent, now)
 	t.run = r
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -93,6 +93,9 @@
 	if !w.clockKnown || unheard || len(w.runs) == 0 || w.stopsOnly() {
 		order.Wait = 0
 	}
+	if order.Wait > 0 && w.mixed() {
+		order.Wait = servingWait
+	}
 	if w.clockKnown && len(w.runs) > 0 && !unheard {
 		order.LeaseUntilMS = e.leaseUntil(w, now)
 	}
@@ -212,6 +215,7 @@
 	}
 	if current {
 		e.checkMissing(w, listed, sent)
+		e.paceFills(w)
 	}
 	if !w.fenced {
 		w.fenced = true
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -44,6 +44,11 @@
 	Cost float64
 	// Gang members are stopped together.
 	Gang bool
+	// Lasting tasks run until their job is cancelled.
+	Lasting bool
+	// Serves and Fills are as in workload.Step: tasks with a latency objective, and
+	// tasks that take what others leave.
+	Serves, Fills bool
 	// Ending tasks are about to end by themselves, as soon as a stop would take.
 	Ending bool
 }
@@ -61,6 +66,9 @@
 	MustStart bool
 	// Deadline orders units of one priority, in Unix milliseconds.
 	Deadline int64
+	// Lasting units run until their job is cancelled, and come before all but
+	// guaranteed ones.
+	Lasting bool
 	// Pressing units may use the room that is kept for urgent ones.
 	Pressing bool
 	// Expired units can earn nothing more and come last.
@@ -79,7 +87,7 @@
 
 // mayPreempt says whether others may be stopped for the unit.
 func (u *Unit) mayPreempt() bool {
-	return u.Guaranteed || u.Priority == 0 && !u.Expired && u.Within == ""
+	return u.Guaranteed || u.Lasting || u.Priority == 0 && !u.Expired && u.Within == ""
 }
 
 // Assignment puts a task on a worker.
@@ -145,6 +153,7 @@
 func Order(a, b *Unit) int {
 	return cmp.Or(
 		compareBool(b.Guaranteed, a.Guaranteed),
+		compareBool(b.Lasting, a.Lasting),
 		compareBool(a.Expired, b.Expired),
 		cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.Deadline, b.Deadline),
@@ -179,7 +188,7 @@
 // fill the racks: room that is free at once beats room that has to be made by
 // stops, and gangs need whole workers.
 func (p *planner) mayOpen(u *Unit, w *Worker, taken int) bool {
-	if u.Priority == 0 || u.Pressing || u.Within != "" || !w.idle() {
+	if u.Priority == 0 || u.Lasting || u.Pressing || u.Within != "" || !w.idle() {
 		return true
 	}
 	return p.idle[w.Rack]-taken-w.Capacity.Accelerators >= p.headroom
@@ -246,6 +255,7 @@
 	return cmp.Or(
 		compareBool(u.Avoid[a.ID], u.Avoid[b.ID]),
 		cmp.Compare(a.Penalty, b.Penalty),
+		compareBool(disturbs(u, a), disturbs(u, b)),
 		compareSpeed(u, a, b),
 		cmp.Compare(a.Free.Accelerators, b.Free.Accelerators),
 		cmp.Compare(b.Speed, a.Speed),
@@ -254,6 +264,14 @@
 	)
 }
 
+// disturbs says whether a task of the unit would fill beside one that serves on the
+// worker, or the other way round.
+func disturbs(u *Unit, w *Worker) bool {
+	return slices.ContainsFunc(w.Running, func(r Running) bool {
+		return u.Step.FillsIdle && r.Serves || u.Step.TargetMS > 0 && r.Fills
+	})
+}
+
 // speedWorth is how many idle accelerators left over weigh as much as a unit's
 // taking twice its time.
 func speedWorth(u *Unit) float64 {
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -63,7 +63,7 @@
 		return
 	}
 	limit := u.UrgentCost()
-	if u.Guaranteed && u.MustStart {
+	if u.MustStart && (u.Guaranteed || u.Lasting) {
 		limit = float64(len(waiting)) * 1000 * peerCost
 	}
 	var cheapest *room
@@ -194,7 +194,7 @@
 // optionsOf returns what may be stopped on a worker for the unit, the cheapest
 // first. It is the same for all units of one priority and guarantee.
 func (p *planner) optionsOf(u *Unit, w *Worker) []option {
-	key := optionsKey{w, u.Priority, u.Guaranteed}
+	key := optionsKey{w, u.Priority, u.Guaranteed, u.Lasting}
 	if options, known := p.options[key]; known {
 		return options
 	}
@@ -228,6 +228,7 @@
 	worker     *Worker
 	priority   int
 	guaranteed bool
+	lasting    bool
 }
 
 // gangMembers lists the members of each running gang.
@@ -250,10 +251,11 @@
 	if run.Ending {
 		return true
 	}
-	if run.Guaranteed {
+	if run.Guaranteed || run.Lasting {
 		return false
 	}
-	return run.Priority > u.Priority || u.Guaranteed && run.Priority == u.Priority
+	// Tasks that last have to run again within seconds, however full the workers are.
+	return run.Priority > u.Priority || u.Lasting || u.Guaranteed && run.Priority == u.Priority
 }
 
 // stopCost returns what it costs to have a running task gone soon.
--- a/pkg/simsite/workers.go
+++ b/pkg/simsite/workers.go
@@ -22,6 +22,13 @@
 	Gang int
 	// Fails makes the task end as failed.
 	Fails bool
+	// Lasts makes the task run until it is stopped.
+	Lasts bool
+	// Fills says that the task disturbs others as much as it may work.
+	Fills bool
+	// Tail is the latency of a task that serves, in milliseconds, beside tasks that
+	// fill with so many hundredths of their pace in all; nil for other tasks.
+	Tail func(fills int) float64
 }
 
 // Fleet is a set of workers in memory. It implements backend.Orders and keeps
@@ -36,11 +43,15 @@
 	// Tickets are the tickets that starts need, by unit and worker; units that are
 	// not named need none.
 	Tickets map[workload.UnitID]map[string]string
+	// Started, if set, hears of each start; it must not call the fleet.
+	Started func(w *Worker, id workload.TaskID)
 
 	mu      sync.Mutex
 	workers map[string]*Worker
 	gangs   map[gangKey][]*active
 	done    map[workload.TaskID]bool
+	// unheard are done tasks of whose end nobody may ever hear.
+	unheard map[workload.TaskID]bool
 	// Broken lists the promises that were broken.
 	broken []string
 	// Starts counts the tasks begun.
@@ -85,9 +96,10 @@
 	working bool
 	ready   bool
 	stopAt  time.Time
-	// worked is the work done so far.
+	// worked is the work done so far, pace its speed in hundredths.
 	worked  time.Duration
 	percent int
+	pace    int
 }
 
 // step is how often the workers' state moves on.
@@ -96,7 +108,7 @@
 // NewFleet returns a fleet without workers. Its clockwork ends with ctx.
 func NewFleet(ctx context.Context, behave func(workload.TaskID) Behaviour) *Fleet {
 	f := &Fleet{Behave: behave, StopTime: 900 * time.Millisecond, GangWait: 3 * time.Second, workers: map[string]*Worker{},
-		After: map[workload.UnitID][]workload.TaskID{}, gangs: map[gangKey][]*active{}, done: map[workload.TaskID]bool{}}
+		After: map[workload.UnitID][]workload.TaskID{}, gangs: map[gangKey][]*active{}, done: map[workload.TaskID]bool{}, unheard: map[workload.TaskID]bool{}}
 	go func() {
 		for ctx.Err() == nil {
 			time.Sleep(step)
@@ -161,6 +173,9 @@
 	return w, err
 }
 
+// Clock is the worker's clock, in milliseconds.
+func (w *Worker) Clock() int64 { return w.clock() }
+
 func (w *Worker) clock() int64 { return time.Since(w.epoch).Milliseconds() }
 
 func (f *Fleet) breach(format string, args ...any) {
@@ -240,7 +255,7 @@
 			f.breach("task %v runs on %s and %s", id, other.Info.ID, w.Info.ID)
 		}
 	}
-	if f.done[id] {
+	if f.done[id] && !f.unheard[id] {
 		f.breach("task %v starts again after it was done", id)
 	}
 	for _, before := range f.After[id.UnitID] {
@@ -249,7 +264,10 @@
 		}
 	}
 	f.starts++
-	r := &active{id: o.Run, worker: w, b: b, begun: time.Now(), working: b.Gang == 0}
+	if f.Started != nil {
+		f.Started(w, id)
+	}
+	r := &active{id: o.Run, worker: w, b: b, begun: time.Now(), working: b.Gang == 0, pace: 100}
 	w.runs[id] = r
 	if b.Gang > 0 {
 		key := gangKey{id.UnitID, o.Run.Number}
@@ -277,6 +295,47 @@
 	return advice, nil
 }
 
+// load returns the load figure of a run.
+func (w *Worker) load(r *active) float64 {
+	if r.b.Tail == nil {
+		return float64(r.b.Need.MilliCores)
+	}
+	fills := 0
+	for _, other := range w.runs {
+		if other.b.Fills {
+			fills += other.pace
+		}
+	}
+	return r.b.Tail(fills)
+}
+
+// Tail returns the worst latency of the tasks that serve on the worker, in
+// milliseconds.
+func (w *Worker) Tail() float64 {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	worst := 0.0
+	for _, r := range w.runs {
+		if r.b.Tail != nil {
+			worst = max(worst, w.load(r))
+		}
+	}
+	return worst
+}
+
+// Pace implements backend.Orders.
+func (f *Fleet) Pace(ctx context.Context, ref backend.WorkerRef, run backend.RunID, percent int, term int64) (int64, error) {
+	w, err := f.enter(ctx, ref, term)
+	if err != nil {
+		return 0, err
+	}
+	defer f.mu.Unlock()
+	if r := w.runs[run.Task]; r != nil && r.id == run {
+		r.pace = percent
+	}
+	return w.clock(), nil
+}
+
 // Stop implements backend.Orders.
 func (f *Fleet) Stop(ctx context.Context, ref backend.WorkerRef, run backend.RunID, term int64) (int64, error) {
 	w, err := f.enter(ctx, ref, term)
@@ -317,7 +376,7 @@
 	defer f.mu.Unlock()
 	reply := backend.HoldReply{ClockMS: w.clock(), Born: w.Info.Born, Ended: slices.Clone(w.ended)}
 	for _, r := range w.runs {
-		reply.Active = append(reply.Active, backend.ActiveRun{Run: r.id, Percent: r.percent})
+		reply.Active = append(reply.Active, backend.ActiveRun{Run: r.id, Percent: r.percent, Load: w.load(r)})
 	}
 	return reply, nil
 }
@@ -328,9 +387,14 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	for _, w := range f.workers {
+		if w.clock() > w.until {
+			w.forget()
+		}
 		for _, r := range w.runs {
-			if r.working && !w.Hangs && r.b.Work > 0 {
-				r.worked += time.Duration(float64(step) / max(1, w.Slowdown))
+			if r.b.Lasts {
+				r.percent = 100
+			} else if r.working && !w.Hangs && r.b.Work > 0 {
+				r.worked += time.Duration(float64(step) / max(1, w.Slowdown) * float64(r.pace) / 100)
 				r.percent = min(100, int(100*r.worked/r.b.Work))
 			}
 			switch {
@@ -343,6 +407,7 @@
 			case !r.working && now.Sub(r.begun) > f.GangWait:
 				w.end(r, backend.OutcomeAlone)
 				f.breach("task %v waited for its gang for too long", r.id.Task)
+			case r.b.Lasts:
 			case r.working && r.percent >= 100 && r.b.Gang == 0:
 				w.end(r, backend.OutcomeDone)
 			case r.working && r.percent >= 100 && !r.ready:
@@ -389,10 +454,26 @@
 	}
 }
 
+// Done says whether a task has finished.
+func (f *Fleet) Done(id workload.TaskID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done[id]
+}
+
+// forget notes that the ends which nobody has taken note of may never be heard of,
+// so that their tasks may start again.
+func (w *Worker) forget() {
+	for _, e := range w.ended {
+		w.fleet.unheard[e.Run.Task] = true
+	}
+}
+
 // Restart makes a worker a new incarnation under its ID, which knows nothing.
 func (w *Worker) Restart() {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
+	w.forget()
 	w.runs, w.over, w.ended, w.ends, w.until, w.fence = map[workload.TaskID]*active{}, map[workload.TaskID]int64{}, nil, 0, 0, 0
 	w.epoch = time.Now()
 	w.Info.Born++
