Repeat calls to the log beside the first one; claim the lead between submissions

The store took 0.5 s an answer from 12 to 17 s. Calls were given up after 0.1, 0.2 and 0.4 s and repeated, so that the first write of a node took 1.2 s; writes of more than 0.25 s counted as an outage, and submissions were refused. A leader that stopped then was replaced only after 3.8 s: each claim wanted that nothing be written between its read and its append, and submissions went on.

Change: a call is repeated while the first one stays open, and the first answer counts; a longer answer is taken for the usual one at once, and what counts as an outage grows with it. A claim carries no condition on the offset: its epoch suffices, since the log takes a second claim of one term for a repeat of the first and adds nothing. A claim that is carried out late is fenced, repeated or found to be led by nobody. TestSlowLogIsWaitedFor (0.8 s for 4 s), TestRefusedRepeatLeavesTheFirstCallOpen, TestLeadIsTakenDuringSubmissions.

--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -213,3 +213,24 @@
 		})
 	}
 }
+
+// Load: submissions go on while nobody leads. The lead must be taken between them.
+func TestLeadIsTakenDuringSubmissions(t *testing.T) {
+	const bound = 1600 * time.Millisecond
+	runSite(t, 4, 8, func(s *site) {
+		leader := s.leader()
+		leader.kill()
+		leader.Wait()
+		s.nodes = remove(s.nodes, leader)
+		for began, i := time.Now(), 0; time.Since(began) < bound; i++ {
+			s.ledger.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<41+i)))
+			time.Sleep(2 * time.Millisecond)
+		}
+		for _, n := range s.nodes {
+			if n.Leading() {
+				return
+			}
+		}
+		t.Error("nobody leads")
+	})
+}
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -24,7 +24,11 @@
 	writeBound = 1800 * time.Millisecond
 	// ownBound is how long this node tries before it passes a record on: many times
 	// the log's usual answer.
-	ownBound = 500 * time.Millisecond
+	ownBound = 600 * time.Millisecond
+	// slowFactor is how many times the log's usual answer this node tries if that is
+	// longer, and longestBound bounds that: it leaves time to pass a record on.
+	slowFactor   = 3
+	longestBound = 1300 * time.Millisecond
 	// readBound is how long a caller waits for a fresh view.
 	readBound = 500 * time.Millisecond
 	// freshEnough is the age up to which a view may say that a job is unknown.
@@ -32,8 +36,8 @@
 	// retryAfter is the least time after which a refused caller may come again.
 	retryAfter = time.Second
 	// patience is how long the log may take for a write until it counts as out of
-	// reach: some fifty times its usual answer.
-	patience = 250 * time.Millisecond
+	// reach: a hundred times its usual answer.
+	patience = 400 * time.Millisecond
 	// maxRetryAfter bounds the time that refused callers are told to wait.
 	maxRetryAfter = 4 * time.Second
 )
@@ -175,7 +179,7 @@
 		// A write would only wait. Nothing of it is sent.
 		return &api.Error{Code: api.CodeUnavailable, Message: fmt.Sprintf("the log is out of reach, for writes since %s", lasted), Verdict: api.NotRun}
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownBound)
+	ctx, cancel := context.WithTimeout(ctx, min(max(ownBound, slowFactor*s.writer.Usual()), longestBound))
 	defer cancel()
 	_, err := s.writer.Write(ctx, r)
 	if err == nil {
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -289,7 +289,8 @@
 	return int(h.Sum32()%ranks) + int(weak*weakRanks)
 }
 
-// claim writes a new term, on the condition that nothing else was written.
+// claim writes a new term. Of two claims of one term the log takes the second for a
+// repeat of the first and adds nothing, so that other writers do not matter.
 func (s *Service) claim(ctx context.Context) (ledger.Term, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*writeTimeout)
 	defer cancel()
@@ -299,16 +300,11 @@
 	if !s.shouldClaim() {
 		return ledger.Term{}, 0, errors.New("the lead was taken meanwhile")
 	}
-	end := s.ledger.End()
 	term := ledger.Term{Number: s.replica.Term().Number + 1, Leader: s.settings.Node, Address: s.settings.Address}
 	sent := s.settings.Now()
 	callCtx, cancelCall := context.WithTimeout(ctx, writeTimeout)
-	_, err := s.log.Append(callCtx, backend.KeyedAppend{Records: []backend.KeyedRecord{ledger.TermRecord(term)}, Producer: producer, Epoch: term.Number, Sequence: 1, At: end})
+	_, err := s.log.Append(callCtx, backend.KeyedAppend{Records: []backend.KeyedRecord{ledger.TermRecord(term)}, Producer: producer, Epoch: term.Number, Sequence: 1, At: -1})
 	cancelCall()
-	var logErr *backend.LogError
-	if errors.As(err, &logErr) && logErr.Kind == backend.LogMoved {
-		return term, 0, err
-	}
 	// Whatever the answer was, the log says who leads.
 	if refreshErr := s.ledger.Refresh(ctx); refreshErr != nil {
 		return term, 0, errors.Join(err, refreshErr)
--- a/pkg/ledger/appender.go
+++ b/pkg/ledger/appender.go
@@ -48,10 +48,8 @@
 	troubled, calling time.Duration
 	// undone is when the last call was left undone.
 	undone time.Duration
-	// usual is a moving average of how long answers take; unanswered counts the
-	// calls in a row without one.
-	usual      time.Duration
-	unanswered int
+	// usual is how long answers take.
+	usual time.Duration
 }
 
 type proposal struct {
@@ -119,6 +117,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.settings.Now()
+	// A slow log is no log in trouble.
+	patience = max(patience, patienceFactor*a.usual)
 	switch {
 	case a.troubled != 0 && (a.calling != 0 || len(a.queue) > 0 || now-a.undone < patience):
 		return now - a.troubled
@@ -199,19 +199,10 @@
 	sent := a.settings.Now()
 	a.calling = sent
 	a.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, a.patience())
-	defer cancel()
-	_, err = a.log.Append(callCtx, write)
+	took, err := a.send(ctx, write)
 	var logErr *backend.LogError
 	errors.As(err, &logErr)
-	a.noteCall(sent, err == nil)
-	if err == nil {
-		a.unanswered = 0
-		a.usual += (a.settings.Now() - sent - a.usual) / usualWeight
-	} else {
-		a.unanswered++
-		repeats.Inc()
-	}
+	a.noteCall(sent, took, err == nil)
 	switch {
 	case err == nil:
 		a.settings.NextSequence++
@@ -235,28 +226,86 @@
 }
 
 const (
-	// leastPatience is the shortest time that a call may take: some ten times the
-	// log's usual answer.
+	// leastPatience is the shortest time after which a call is repeated: some ten
+	// times the log's usual answer.
 	leastPatience = 100 * time.Millisecond
-	// patienceFactor is how many times the usual answer a call may take at first.
+	// patienceFactor is how many times the usual answer a call may take until then.
 	patienceFactor = 4
-	// usualWeight is the share of a new answer in the moving average, inverted.
+	// usualWeight is the share of a faster answer in the usual one, inverted.
 	usualWeight = 8
-	// maxDoublings bounds how often the patience is doubled.
-	maxDoublings = 6
+	// maxRepeats bounds how often a call is repeated within its time, each time after
+	// twice the wait.
+	maxRepeats = 4
 )
 
-// patience returns how long to wait for an answer before the call is repeated. It
-// answers logs that lose answers, and doubles for those that are slow.
-func (a *Appender) patience() time.Duration {
-	d := max(leastPatience, patienceFactor*a.usual) << min(a.unanswered, maxDoublings)
-	return min(d, a.settings.CallTimeout)
+// send makes a call and repeats it beside the first one while there is no answer. It
+// returns the first answer that settles the outcome, and how long that one took. It
+// answers logs that lose answers, for which a repeat is as good, and logs that are
+// slow, on which the first call comes through soonest.
+func (a *Appender) send(ctx context.Context, write backend.KeyedAppend) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.settings.CallTimeout)
+	defer cancel()
+	type answer struct {
+		took time.Duration
+		err  error
+	}
+	answers := make(chan answer, maxRepeats+1)
+	sent, under := 0, 0
+	call := func() {
+		sent, under = sent+1, under+1
+		began := a.settings.Now()
+		go func() {
+			_, err := a.log.Append(ctx, write)
+			answers <- answer{a.settings.Now() - began, err}
+		}()
+	}
+	wait := max(leastPatience, patienceFactor*a.Usual())
+	again := time.NewTimer(wait)
+	defer again.Stop()
+	call()
+	var unsettled error
+	for {
+		select {
+		case got := <-answers:
+			under--
+			var e *backend.LogError
+			if got.err == nil || errors.As(got.err, &e) && (e.Kind == backend.LogFenced || e.Kind == backend.LogSequence) {
+				return got.took, got.err
+			}
+			// One call without a known outcome leaves the outcome of all unknown.
+			if unsettled == nil || e == nil || e.Verdict != api.NotRun {
+				unsettled = got.err
+			}
+			if under == 0 {
+				return 0, unsettled
+			}
+		case <-again.C:
+			if sent <= maxRepeats {
+				repeats.Inc()
+				call()
+				wait *= 2
+				again.Reset(wait)
+			}
+		}
+	}
+}
+
+// Usual returns how long the log's answers take: as long as the last one, or longer
+// for a while if those before it did.
+func (a *Appender) Usual() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.usual
 }
 
-func (a *Appender) noteCall(sent time.Duration, done bool) {
+// noteCall notes that a call has ended, and how long the answer took if it was done.
+func (a *Appender) noteCall(sent, took time.Duration, done bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.calling = 0
+	if done {
+		a.usual = max(took, a.usual+(took-a.usual)/usualWeight)
+	}
 	switch {
 	case done:
 		a.troubled = 0
--- a/pkg/ledger/appender_test.go
+++ b/pkg/ledger/appender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,12 +15,15 @@
 type script struct {
 	backend.KeyedLog
 	answer func(call int) (delay time.Duration, err error)
+	mu     sync.Mutex
 	calls  []backend.KeyedAppend
 }
 
 func (s *script) Append(ctx context.Context, a backend.KeyedAppend) (int64, error) {
+	s.mu.Lock()
 	delay, err := s.answer(len(s.calls))
 	s.calls = append(s.calls, a)
+	s.mu.Unlock()
 	select {
 	case <-time.After(delay):
 		return 0, err
@@ -66,10 +70,11 @@
 	}
 }
 
-// A log that is slow is given the time that it takes.
+// Load: the log takes long for each answer. Calls that were given up and repeated cost
+// the time of several; the first one has to come through.
 func TestSlowLogIsWaitedFor(t *testing.T) {
 	s := &script{answer: func(int) (time.Duration, error) { return 700 * time.Millisecond, nil }}
-	if took, err := write(t, s, 10*time.Second); err != nil || took > 4*time.Second {
+	if took, err := write(t, s, 10*time.Second); err != nil || took > 800*time.Millisecond {
 		t.Errorf("took %s, error %v", took, err)
 	}
 }
@@ -94,3 +99,17 @@
 		})
 	}
 }
+
+// A repeat that is refused says nothing of the first call, which may still be done.
+func TestRefusedRepeatLeavesTheFirstCallOpen(t *testing.T) {
+	refused := &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.NotRun}
+	s := &script{answer: func(call int) (time.Duration, error) {
+		if call == 0 {
+			return 600 * time.Millisecond, nil
+		}
+		return time.Millisecond, refused
+	}}
+	if took, err := write(t, s, 5*time.Second); err != nil || took > 700*time.Millisecond {
+		t.Errorf("took %s, error %v", took, err)
+	}
+}
