Ask another node for a job's phase when the log cannot be read

Ruled out: late starts (the leader started and ended these jobs in time), readiness (it turns false, but open connections stay).

Change: such a node asks another one, which answers only from a fresh view; the node's own view is told if no other has one. TestNodeWithoutLogShowsWhatHasEnded fails without it.

--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -234,3 +234,29 @@
 		t.Error("nobody leads")
 	})
 }
+
+// A job that ends while a node cannot read the log is shown as ended there, too.
+func TestNodeWithoutLogShowsWhatHasEnded(t *testing.T) {
+	for name, fault := range map[string]simsite.LogFault{"refused": simsite.LogRefuses, "silent": simsite.LogSilent} {
+		t.Run(name, func(t *testing.T) {
+			runSite(t, 3, 8, func(s *site) {
+				n := s.follower()
+				job := s.submitTo(n, usualQueue, usual(task(1), 3*time.Second, 0), workload.Step{Count: 1, Need: task(1), EstimateMS: 3000})
+				time.Sleep(time.Second)
+				n.setFault(fault)
+				time.Sleep(4 * time.Second)
+				if phase, err := n.Intake.Phase(s.ctx, job); err != nil || phase != ledger.Completed {
+					t.Errorf("phase %q, error %v", phase, err)
+				}
+				// Without any node that reads the log, the last known phase is told.
+				for _, other := range s.nodes {
+					other.setFault(fault)
+				}
+				time.Sleep(3 * time.Second)
+				if phase, err := n.Intake.Phase(s.ctx, job); err != nil || phase == "" {
+					t.Errorf("during an outage for all: phase %q, error %v", phase, err)
+				}
+			})
+		})
+	}
+}
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -92,7 +92,9 @@
 	return phase != "", err
 }
 
-// Phase returns a job's phase, or an empty one if no such job exists.
+// Phase returns a job's phase, or an empty one if no such job exists. A node that
+// cannot follow the log asks another one: its own view would show a job as running long
+// after its end.
 func (s *Service) Phase(ctx context.Context, id string) (ledger.Phase, error) {
 	phase, err := s.PhaseHere(ctx, id)
 	if err == nil {
@@ -103,24 +105,28 @@
 	if otherErr == nil {
 		return phase, nil
 	}
+	if e, known := s.replica.Job(id); known && e.Known() {
+		// Phases only move on, so an old one is not wrong.
+		return e.Phase(), nil
+	}
 	return "", &api.Error{Code: api.CodeUnavailable, Message: "the log cannot be read", RetryAfter: retryAfter}
 }
 
-// PhaseHere is Phase by this node's own view.
+var errStale = errors.New("the view of the log is out of date")
+
+// PhaseHere is Phase by this node's own view, if that is fresh.
 func (s *Service) PhaseHere(ctx context.Context, id string) (ledger.Phase, error) {
 	e, known := s.replica.Job(id)
 	known = known && e.Known()
 	confirmed, ready := s.feed.Confirmed()
-	age := s.now() - confirmed
-	fresh := age <= freshEnough || known && e.Phase().Ended()
-	if ready && known && !fresh && s.feed.Lost() {
-		// A job that is known needs no fresh view: its phases only move on.
-		fresh = true
-	}
+	fresh := s.now()-confirmed <= freshEnough || known && e.Phase().Ended()
 	if !ready || !fresh {
+		if s.feed.Lost() {
+			return "", errStale
+		}
 		ctx, cancel := context.WithTimeout(ctx, readBound)
 		defer cancel()
-		if err := s.feed.Refresh(ctx); err != nil && !known {
+		if err := s.feed.Refresh(ctx); err != nil {
 			return "", err
 		}
 		e, known = s.replica.Job(id)
