Pass runs on to a worker's new incarnation; starting nodes leave the lead alone

The run was taken for ended with the old one, and the task started elsewhere while it worked. The answer to a start does not tell incarnations apart. The stand-in also gave leases without bound there, which it does not any more. Change: runs whose start is unanswered, or was answered since the last listing, pass to the new incarnation and hold room there until a listing shows whether they run. TestStartOnAWorkerThatHasJustRestarted: the task ran on two workers without it.

Cause 2: a trial with 100 entry VMs: nodes that start claimed the lead at once. Before the first reading of the ledger, no term is known, which was taken for a vacant lead and remembered; a new listing passed through the same state. Since claims carry no condition on the offset, such a claim also succeeds under load. Change: nothing is claimed before the first reading, and a listing replaces the state in one step. TestStartingNodeLeavesTheLeadAlone fails without it, 3 of 3.

In tests over nodes in a bubble, a fatal failure has to go to the bubble's own test: one was lost, so that this test passed without the change at first.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -408,6 +408,7 @@
 	for key, w := range e.workers {
 		other, known := e.view.Workers[w.info.ID]
 		if known && workerKey(other) != key && other.Born > bornOf(key) {
+			e.passOn(w, other.Born)
 			e.loseWorker(w, "another incarnation of the worker is listed")
 		}
 	}
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -184,6 +184,7 @@
 		return
 	}
 	if born := bornOf(w.key); reply.Born != 0 && born != 0 && reply.Born != born {
+		e.passOn(w, reply.Born)
 		e.replaceWorker(w)
 		return
 	}
@@ -288,6 +289,36 @@
 	e.loseWorker(w, "another incarnation answered in its place")
 }
 
+// passOn gives the runs that may have begun on another incarnation of a worker, which
+// has its ID, to that one. The worker's answers to starts do not tell its incarnations
+// apart, so that a start that was answered since the last listing counts, too.
+func (e *Engine) passOn(w *worker, born int64) {
+	now := e.Now()
+	info := w.info
+	info.Born = born
+	key := workerKey(info)
+	for _, r := range w.runs {
+		if r.phase == runPlanned || r.phase != runStarting && r.phase != runUnresolved && r.active <= w.listedAt {
+			continue
+		}
+		next := e.workers[key]
+		if next == nil {
+			next = e.addWorker(key, info)
+		}
+		klog.InfoS("dispatch: run may be on another incarnation", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", w.info.ID, "born", born, "phase", r.phase)
+		delete(w.runs, r.task.id)
+		w.used = w.used.Sub(r.need)
+		r.worker, next.runs[r.task.id] = next, r
+		next.used = next.used.Add(r.need)
+		next.leaseEnd = max(next.leaseEnd, w.leaseEnd)
+		if r.phase != runStopping {
+			r.phase, r.ordered = runUnresolved, now
+		}
+		r.stopConfirmed = 0
+		e.look(next)
+	}
+}
+
 // loseWorker takes all runs of a worker for ended.
 func (e *Engine) loseWorker(w *worker, why string) {
 	if len(w.runs) > 0 || w.listed {
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -185,7 +185,7 @@
 		job := s.submit(bulkQueue, usual(task(1), time.Minute, 0), workload.Step{Count: 8, Need: task(1), EstimateMS: 60000})
 		time.Sleep(time.Second)
 		if known, err := s.follower().Intake.Cancel(s.ctx, job); err != nil || !known {
-			t.Fatalf("cancel: known %v, error %v", known, err)
+			s.t.Fatalf("cancel: known %v, error %v", known, err)
 		}
 		s.awaitPhase(job, ledger.Cancelled, 100*time.Millisecond)
 		time.Sleep(3*time.Second + 900*time.Millisecond)
@@ -202,11 +202,11 @@
 	runSite(t, 3, 4, func(s *site) {
 		id := "00000000000000ff"
 		if known, err := s.follower().Intake.Cancel(s.ctx, id); err != nil || known {
-			t.Fatalf("cancel: known %v, error %v", known, err)
+			s.t.Fatalf("cancel: known %v, error %v", known, err)
 		}
 		job := &workload.Job{ID: id, Queue: usualQueue, Policy: workload.Policy{Service: "desk"}, Steps: []workload.Step{{Count: 1, Need: task(1)}}}
 		if err := s.follower().Intake.Submit(s.ctx, job); err != nil {
-			t.Fatal(err)
+			s.t.Fatal(err)
 		}
 		time.Sleep(time.Second)
 		if s.fleet.Starts() != 0 {
@@ -243,7 +243,7 @@
 		for range 20 {
 			for _, w := range s.workers[:testRackSize] {
 				if w.Running() > 0 {
-					t.Fatalf("a task runs on %s", w.Info.ID)
+					s.t.Fatalf("a task runs on %s", w.Info.ID)
 				}
 			}
 			time.Sleep(100 * time.Millisecond)
@@ -261,7 +261,7 @@
 			s.fleet.Tickets = map[workload.UnitID]map[string]string{{Job: job.ID}: {"w07": "t7", "w39": "t39"}}
 		})
 		if err := s.follower().Intake.Submit(s.ctx, job); err != nil {
-			t.Fatal(err)
+			s.t.Fatal(err)
 		}
 		s.awaitPhase(job.ID, ledger.Completed, 20*time.Second)
 	})
@@ -288,7 +288,7 @@
 		job := s.submit(bulkQueue, usual(task(1), time.Second, 0), workload.Step{Count: 16, Need: task(1), EstimateMS: 1000})
 		for range 20 {
 			if s.workers[0].Running() > 0 {
-				t.Fatal("a task runs on the leaving worker")
+				s.t.Fatal("a task runs on the leaving worker")
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -413,3 +413,36 @@
 		}
 	})
 }
+
+// Workers start again under the IDs that they had, and one gets a task before the
+// platform's list shows that. The task runs on the new incarnation, which is slow to
+// answer; it must not start elsewhere meanwhile.
+func TestStartOnAWorkerThatHasJustRestarted(t *testing.T) {
+	runSite(t, 3, 3, func(s *site) {
+		warm := s.submit(usualQueue, usual(task(1), 500*time.Millisecond, 0), workload.Step{Count: 3, Need: task(8), EstimateMS: 500})
+		s.awaitPhase(warm, ledger.Completed, 3*time.Second)
+		// The next entries of the workers are a second away.
+		time.Sleep(2 * time.Second)
+		for _, w := range s.workers {
+			w.Restart()
+		}
+		job := s.submit(usualQueue, usual(task(8), 4*time.Second, 0), workload.Step{Count: 1, Need: task(8), EstimateMS: 4000})
+		time.Sleep(100 * time.Millisecond)
+		s.fleet.Update(func() {
+			for _, w := range s.workers {
+				w.Silent = w.Holds(workload.TaskID{UnitID: workload.UnitID{Job: job}})
+				s.entries.Put(w.EntryRecord())
+			}
+		})
+		time.Sleep(600 * time.Millisecond)
+		s.fleet.Update(func() {
+			for _, w := range s.workers {
+				w.Silent = false
+			}
+		})
+		s.awaitPhase(job, ledger.Completed, 8*time.Second)
+		if got := s.fleet.Starts(); got != 4 {
+			t.Errorf("%d starts, want 4", got)
+		}
+	})
+}
--- a/pkg/entry/outage_test.go
+++ b/pkg/entry/outage_test.go
@@ -30,7 +30,7 @@
 					took := time.Since(began)
 					var e *api.Error
 					if !errors.As(err, &e) {
-						t.Fatalf("submission %d: %v", i, err)
+						s.t.Fatalf("submission %d: %v", i, err)
 					}
 					if e.Verdict == api.NotRun {
 						refused[job.ID] = true
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -32,7 +32,7 @@
 	otherTimeout = 300 * time.Millisecond
 	serveTimeout = 250 * time.Millisecond
 	// maxOthers is how many other nodes are tried.
-	maxOthers = 2
+	maxOthers = 3
 )
 
 // receiver serves the calls of other nodes.
--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -260,3 +260,21 @@
 		})
 	}
 }
+
+// A node whose first reading of the ledger takes long knows nothing of the leader until
+// then, and must not take the lead for that.
+func TestStartingNodeLeavesTheLeadAlone(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		leader := s.leader()
+		for _, name := range []string{"node-3", "node-4", "node-5"} {
+			n := s.addNode(name)
+			n.setFault(simsite.LogRefuses)
+			time.Sleep(300 * time.Millisecond)
+			n.setFault(simsite.LogHealthy)
+			time.Sleep(8 * time.Second)
+			if got := s.leader(); got != leader {
+				s.t.Fatalf("another node leads after the start of %s", name)
+			}
+		}
+	})
+}
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -204,15 +204,22 @@
 	}
 }
 
-// shouldClaim says whether to take the lead now.
+// shouldClaim says whether to take the lead now. Before the first reading of the ledger
+// nothing is known of a leader, which does not mean that there is none.
 func (s *Service) shouldClaim() bool {
+	s.mu.Lock()
+	read := s.read
+	s.mu.Unlock()
+	if read == 0 {
+		return false
+	}
 	term := s.replica.Term()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if term.Number == 0 || term.Resigned {
 		s.watch.Vacated(s.settings.Now())
 	}
-	return s.read > 0 && s.watch.Claim(s.settings.Now(), s.rank(term.Number))
+	return s.watch.Claim(s.settings.Now(), s.rank(term.Number))
 }
 
 // callLeader asks a leader that the log shows nothing of whether it still leads.
--- a/pkg/ledger/replica.go
+++ b/pkg/ledger/replica.go
@@ -32,23 +32,24 @@
 
 // Replace implements feed.Sink.
 func (r *Replica) Replace(records []backend.KeyedRecord) {
-	r.mu.Lock()
-	r.state = NewState()
-	r.mu.Unlock()
 	// A listing does not tell how old the leader's last record is.
-	r.take(records)
+	r.take(records, true)
 }
 
 // Apply implements feed.Sink.
 func (r *Replica) Apply(records []backend.KeyedRecord) {
-	if r.take(records) {
+	if r.take(records, false) {
 		r.listener.Leader()
 	}
 }
 
-// take folds records and reports whether any is the current leader's.
-func (r *Replica) take(records []backend.KeyedRecord) bool {
+// take folds records, in place of what came before or on top of it, and reports
+// whether any is the current leader's.
+func (r *Replica) take(records []backend.KeyedRecord, replace bool) bool {
 	r.mu.Lock()
+	if replace {
+		r.state = NewState()
+	}
 	jobs := map[string]Entry{}
 	fromLeader := false
 	for _, record := range records {
--- a/pkg/simsite/workers.go
+++ b/pkg/simsite/workers.go
@@ -231,7 +231,7 @@
 	if o.LeaseUntilMS <= w.clock() {
 		return &backend.OrderError{Kind: backend.OrderLate}
 	}
-	w.until = max(w.until, o.LeaseUntilMS)
+	w.extend(o.LeaseUntilMS)
 	if r := w.runs[id]; r != nil && r.id == o.Run {
 		return nil
 	}
@@ -295,6 +295,14 @@
 	return advice, nil
 }
 
+// longestLease is the longest time for which a worker goes on without a renewal.
+const longestLease = 6 * time.Second
+
+// extend takes over the end of a lease, at most the longest one from now.
+func (w *Worker) extend(untilMS int64) {
+	w.until = max(w.until, min(untilMS, w.clock()+longestLease.Milliseconds()))
+}
+
 // load returns the load figure of a run.
 func (w *Worker) load(r *active) float64 {
 	if r.b.Tail == nil {
@@ -356,7 +364,7 @@
 	if err != nil {
 		return backend.HoldReply{}, err
 	}
-	w.until = max(w.until, o.LeaseUntilMS)
+	w.extend(o.LeaseUntilMS)
 	w.ended = slices.DeleteFunc(w.ended, func(e backend.EndedRun) bool { return e.Number <= o.SeenUpTo })
 	if len(w.ended) == 0 && o.Wait > 0 {
 		woken := w.woken
