Drop cancellations of jobs that never arrive

Cause: a cancellation is stored before its job may arrive, and nothing dropped it if the job never did; each stayed in the ledger for good.

Change: the record has its time, and the leader drops it with the ended jobs, after the time for which they must be known. TestEndedListsCancellationsWithoutAJob.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -107,7 +107,7 @@
 	})
 	n.writer = ledger.NewAppender(p.Ledger, ledger.AppenderSettings{Producer: s.Node, Epoch: 1, NextSequence: 1, CallTimeout: writeTimeout, RetryDelay: writeRetry,
 		BatchDelay: batchDelay, MaxBatchBytes: s.MaxBatchBytes, Now: s.Now})
-	n.Intake = intake.New(replica, n.ledger, n.writer, &others{p.Peers, replica, s.Name}, s.Now)
+	n.Intake = intake.New(replica, n.ledger, n.writer, &others{p.Peers, replica, s.Name}, s.Now, s.UnixMS)
 	return n, p.Peers.Handle(receiverName, &receiver{n, n.leader})
 }
 
--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -107,7 +107,7 @@
 		s.nodes = remove(s.nodes, leader)
 		began := time.Now()
 		for i := 0; time.Since(began) < burst; i++ {
-			s.ledger.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<40+i)))
+			s.ledger.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<40+i), time.Now().UnixMilli()))
 			time.Sleep(2 * time.Millisecond)
 		}
 		time.Sleep(bound)
@@ -223,7 +223,7 @@
 		leader.Wait()
 		s.nodes = remove(s.nodes, leader)
 		for began, i := time.Now(), 0; time.Since(began) < bound; i++ {
-			s.ledger.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<41+i)))
+			s.ledger.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<41+i), time.Now().UnixMilli()))
 			time.Sleep(2 * time.Millisecond)
 		}
 		for _, n := range s.nodes {
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -55,12 +55,13 @@
 	feed    *feed.Feed
 	writer  *ledger.Appender
 	now     func() time.Duration
+	unixMS  func() int64
 	latency *metrics.Histogram
 }
 
 // New returns the intake of a node.
-func New(replica *ledger.Replica, f *feed.Feed, writer *ledger.Appender, others Others, now func() time.Duration) *Service {
-	return &Service{others: others, replica: replica, feed: f, writer: writer, now: now, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
+func New(replica *ledger.Replica, f *feed.Feed, writer *ledger.Appender, others Others, now func() time.Duration, unixMS func() int64) *Service {
+	return &Service{others: others, replica: replica, feed: f, writer: writer, now: now, unixMS: unixMS, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
 }
 
 // Submit stores a job. An *api.Error tells whether the job may be stored later.
@@ -87,7 +88,7 @@
 		return true, nil
 	}
 	// A job that is not known yet may still arrive; it must not run then.
-	err = s.write(ctx, ledger.CancelRecord(id))
+	err = s.write(ctx, ledger.CancelRecord(id, s.unixMS()))
 	s.logOutcome("cancellation", id, err)
 	return phase != "", err
 }
--- a/pkg/ledger/appender_test.go
+++ b/pkg/ledger/appender_test.go
@@ -45,7 +45,7 @@
 		go a.Run(ctx)
 		writeCtx, cancelWrite := context.WithTimeout(ctx, bound)
 		defer cancelWrite()
-		_, err = a.Write(writeCtx, CancelRecord("x"))
+		_, err = a.Write(writeCtx, CancelRecord("x", 1000))
 		took = time.Since(began)
 	})
 	return took, err
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -31,9 +31,9 @@
 		"submitted":                     {[]backend.KeyedRecord{JobRecord(job)}, Queued, true},
 		"running":                       {[]backend.KeyedRecord{JobRecord(job), running}, Running, true},
 		"progress before submission":    {[]backend.KeyedRecord{running, JobRecord(job)}, Running, true},
-		"cancelled":                     {[]backend.KeyedRecord{JobRecord(job), running, CancelRecord(job.ID)}, Cancelled, true},
-		"cancelled before submission":   {[]backend.KeyedRecord{CancelRecord(job.ID)}, Cancelled, false},
-		"cancelled after its end":       {append(append([]backend.KeyedRecord{JobRecord(job)}, EndJob(job.ID, &Progress{Phase: Completed})...), CancelRecord(job.ID)), Completed, true},
+		"cancelled":                     {[]backend.KeyedRecord{JobRecord(job), running, CancelRecord(job.ID, 1000)}, Cancelled, true},
+		"cancelled before submission":   {[]backend.KeyedRecord{CancelRecord(job.ID, 1000)}, Cancelled, false},
+		"cancelled after its end":       {append(append([]backend.KeyedRecord{JobRecord(job)}, EndJob(job.ID, &Progress{Phase: Completed})...), CancelRecord(job.ID, 1000)), Completed, true},
 		"submitted again after its end": {append(append([]backend.KeyedRecord{JobRecord(job)}, EndJob(job.ID, &Progress{Phase: Failed})...), JobRecord(job)), Failed, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -47,7 +47,7 @@
 
 // Nodes that start must not have to read what callers sent long ago.
 func TestEndDropsTheSubmission(t *testing.T) {
-	s := fold(t, append([]backend.KeyedRecord{JobRecord(job), CancelRecord(job.ID)}, EndJob(job.ID, &Progress{Phase: Cancelled, Done: Bitmap{1}, Workers: []string{"w"}})...)...)
+	s := fold(t, append([]backend.KeyedRecord{JobRecord(job), CancelRecord(job.ID, 1000)}, EndJob(job.ID, &Progress{Phase: Cancelled, Done: Bitmap{1}, Workers: []string{"w"}})...)...)
 	e := s.Jobs[job.ID]
 	if e.Job != nil || e.Progress.Done != nil || e.Progress.Workers != nil {
 		t.Errorf("the entry still holds %+v", e)
@@ -92,3 +92,12 @@
 		t.Errorf("%d numbers", len(seen))
 	}
 }
+
+// Cancellations of jobs that never arrive must not stay for good.
+func TestEndedListsCancellationsWithoutAJob(t *testing.T) {
+	r := NewReplica(Listener{Job: func(string, Entry) {}, Leader: func() {}})
+	r.Apply([]backend.KeyedRecord{CancelRecord("0000000000000001", 1000), CancelRecord("0000000000000002", 3000), JobRecord(job), CancelRecord(job.ID, 1000)})
+	if got := r.Ended(2000); len(got) != 1 || got[0] != "0000000000000001" {
+		t.Errorf("ended %v", got)
+	}
+}
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -72,8 +72,17 @@
 // JobRecord stores a submission.
 func JobRecord(job *workload.Job) backend.KeyedRecord { return record(jobPrefix+job.ID, job) }
 
-// CancelRecord stores that a job is cancelled, known or not.
-func CancelRecord(id string) backend.KeyedRecord { return record(cancelPrefix+id, struct{}{}) }
+// cancellation is the value of a job's cancellation.
+type cancellation struct {
+	// AtMS is when a node took it, in Unix milliseconds.
+	AtMS int64 `json:"at"`
+}
+
+// CancelRecord stores that a job, known or not, was cancelled at a time in Unix
+// milliseconds.
+func CancelRecord(id string, atMS int64) backend.KeyedRecord {
+	return record(cancelPrefix+id, cancellation{atMS})
+}
 
 // ProgressRecord stores how far a job is.
 func ProgressRecord(id string, p *Progress) backend.KeyedRecord { return record(progressPrefix+id, p) }
@@ -114,6 +123,8 @@
 	// SubmittedAt is the offset of the first submission seen.
 	SubmittedAt int64
 	Cancelled   bool
+	// CancelledMS is when it was cancelled, in Unix milliseconds; 0 if that is not known.
+	CancelledMS int64
 	Progress    Progress
 }
 
@@ -168,7 +179,13 @@
 	case jobPrefix:
 		return s.applyJob(id, r)
 	case cancelPrefix:
-		s.entry(id).Cancelled = true
+		// Records of before have no time.
+		var c cancellation
+		if err := json.Unmarshal(r.Value, &c); err != nil {
+			return Change{}, fmt.Errorf("ledger: record %q at offset %d: %w", r.Key, r.Offset, err)
+		}
+		e := s.entry(id)
+		e.Cancelled, e.CancelledMS = true, c.AtMS
 		return Change{Job: id}, nil
 	case progressPrefix:
 		var p Progress
--- a/pkg/ledger/replica.go
+++ b/pkg/ledger/replica.go
@@ -119,13 +119,15 @@
 	return n
 }
 
-// Ended lists the jobs that ended before a time, in Unix milliseconds.
+// Ended lists the jobs that ended before a time, in Unix milliseconds, and those that
+// were cancelled before it and never arrived.
 func (r *Replica) Ended(before int64) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var ids []string
 	for id, e := range r.state.Jobs {
-		if e.Progress.Phase.Ended() && e.Progress.EndedMS < before {
+		neverArrived := e.Cancelled && !e.Known() && e.CancelledMS < before
+		if neverArrived || e.Progress.Phase.Ended() && e.Progress.EndedMS < before {
 			ids = append(ids, id)
 		}
 	}
