--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -257,6 +257,7 @@
 	}
 	if q := e.view.Config.Queue(j.spec.Queue); q != nil {
 		j.policy = q.Policy
+		j.policy.MaxAttempts = max(1, q.MaxAttempts)
 	}
 }
 
