Mend what a last reading of the change found

- Tests that end the leader share killLeader.
- Three constants and a measure had no source in their comments.

No behaviour of the product changed.

--- a/pkg/dispatch/pacing.go
+++ b/pkg/dispatch/pacing.go
@@ -11,9 +11,11 @@
 const (
 	// wholePace is the share of its pace at which a task starts, in hundredths.
 	wholePace = 100
-	// leastPace is the least share at which a task goes on; below it stands still.
+	// leastPace is the least share at which a task goes on; below a twentieth it stands
+	// still, since its work would not be worth the disturbance.
 	leastPace = 5
-	// paceGain is what is added to the share of a task that disturbs nobody.
+	// paceGain is what is added to the share of a task that disturbs nobody: ten
+	// listings, 3 s, from a standstill to the whole pace.
 	paceGain = 10
 	// strainedLoad and calmLoad are shares of a latency objective: above the first,
 	// tasks beside a serving one are slowed down, below the second sped up. The figures
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -31,7 +31,8 @@
 	// serveTimeout the time that the other node takes for it.
 	otherTimeout = 300 * time.Millisecond
 	serveTimeout = 250 * time.Millisecond
-	// maxOthers is how many other nodes are tried.
+	// maxOthers is how many other nodes are tried: with a third of all nodes cut off
+	// from the log, one of them reaches it in 26 of 27 cases.
 	maxOthers = 3
 )
 
--- a/pkg/entry/sharing_test.go
+++ b/pkg/entry/sharing_test.go
@@ -93,10 +93,7 @@
 		time.Sleep(time.Second)
 		job := s.submit(bulkQueue, filling(2*time.Second), workload.Step{Count: 2, Need: task(1), FillsIdle: true, EstimateMS: 2000})
 		time.Sleep(3 * time.Second)
-		leader := s.leader()
-		leader.kill()
-		leader.Wait()
-		s.nodes = remove(s.nodes, leader)
+		s.killLeader()
 		if _, err := s.leader().Intake.Cancel(s.ctx, serves); err != nil {
 			s.t.Fatal(err)
 		}
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -191,6 +191,15 @@
 	return nil
 }
 
+// killLeader ends the leader's process.
+func (s *site) killLeader() {
+	s.t.Helper()
+	leader := s.leader()
+	leader.kill()
+	leader.Wait()
+	s.nodes = remove(s.nodes, leader)
+}
+
 // follower returns a node that does not lead.
 func (s *site) follower() *testNode {
 	leader := s.leader()
--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -38,10 +38,7 @@
 
 func TestLeadOfDeadVMIsTakenSoon(t *testing.T) {
 	runSite(t, 3, 8, func(s *site) {
-		leader := s.leader()
-		leader.kill()
-		leader.Wait()
-		s.nodes = remove(s.nodes, leader)
+		s.killLeader()
 		began := time.Now()
 		s.leader()
 		if took := time.Since(began); took > 1500*time.Millisecond {
@@ -82,10 +79,7 @@
 			s.fleet.Update(func() { w.Silent = w.Holds(workload.TaskID{UnitID: workload.UnitID{Job: job}, Index: 1}) })
 		}
 		for range 2 {
-			leader := s.leader()
-			leader.kill()
-			leader.Wait()
-			s.nodes = remove(s.nodes, leader)
+			s.killLeader()
 			time.Sleep(2500 * time.Millisecond)
 		}
 		s.awaitPhase(job, ledger.Completed, 40*time.Second)
@@ -101,10 +95,7 @@
 		bound = 300 * time.Millisecond
 	)
 	runSite(t, 4, 8, func(s *site) {
-		leader := s.leader()
-		leader.kill()
-		leader.Wait()
-		s.nodes = remove(s.nodes, leader)
+		s.killLeader()
 		began := time.Now()
 		for i := 0; time.Since(began) < burst; i++ {
 			s.ledger.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<40+i), time.Now().UnixMilli()))
@@ -128,10 +119,7 @@
 	runSite(t, 3, 8, func(s *site) {
 		s.submit(bulkQueue, usual(task(8), 30*time.Second, 0), workload.Step{Count: 8, Need: task(8), EstimateMS: 30000, SavesProgress: true})
 		time.Sleep(12 * time.Second)
-		leader := s.leader()
-		leader.kill()
-		leader.Wait()
-		s.nodes = remove(s.nodes, leader)
+		s.killLeader()
 		s.leader()
 		time.Sleep(1500 * time.Millisecond)
 		job := s.submit(urgentQueue, usual(task(8), time.Second, 2), workload.Step{Count: 2, Need: task(8), Gang: true, SameRack: true, EstimateMS: 1000})
@@ -218,10 +206,7 @@
 func TestLeadIsTakenDuringSubmissions(t *testing.T) {
 	const bound = 1600 * time.Millisecond
 	runSite(t, 4, 8, func(s *site) {
-		leader := s.leader()
-		leader.kill()
-		leader.Wait()
-		s.nodes = remove(s.nodes, leader)
+		s.killLeader()
 		for began, i := time.Now(), 0; time.Since(began) < bound; i++ {
 			s.ledger.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<41+i), time.Now().UnixMilli()))
 			time.Sleep(2 * time.Millisecond)
@@ -289,10 +274,7 @@
 				w.Silent = true
 			}
 		})
-		leader := s.leader()
-		leader.kill()
-		leader.Wait()
-		s.nodes = remove(s.nodes, leader)
+		s.killLeader()
 		job := s.submit(urgentQueue, usual(task(8), 500*time.Millisecond, 0), workload.Step{Count: 40, Need: task(8), EstimateMS: 500})
 		s.awaitPhase(job, ledger.Completed, bound)
 	})
