Wait only for tasks that may run unseen after a leader change, and for less time

Cause: the leader of a new term waited for every worker that a job's record named, for the whole job, at most for the renewal window plus a lease (20.25 s where leases last 10 s).

Ruled out: taking a worker that is off the list as gone. A worker that is cut off runs on, and its entry lapses; only the end of its lease is proof.

Change: the record says which tasks may run on each worker, and only these are waited for; it is written again when runs have ended; leases are granted until at most 12 s after the leader's last confirmed write (lease window), and a new leader waits until the lease window after the last write of earlier leaders that it has read.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -60,6 +60,9 @@
 	softMemoryShare = 0.5
 	// clockDrift is the platform's limit for how much slower a worker's clock may run.
 	clockDrift = 0.02
+	// leaseWindow is how long tasks run on while the leader cannot write to the log: the
+	// longest outages known are of 7 s, and the rest is for the leader's recovery.
+	leaseWindow = 12 * time.Second
 )
 
 type options struct {
@@ -113,7 +116,7 @@
 func dispatchSettings(s *platform.Settings) dispatch.Settings {
 	failAfter := platform.Millis(s.Bounds.ContactMS) * 2 / 3
 	return dispatch.Settings{
-		LeaseDuration: platform.Millis(s.Bounds.HoldMaxMS), ClockDrift: clockDrift, GangStartTimeout: platform.Millis(s.Bounds.GangMS),
+		LeaseDuration: platform.Millis(s.Bounds.HoldMaxMS), LeaseWindow: max(leaseWindow, platform.Millis(s.Bounds.HoldMaxMS)), ClockDrift: clockDrift, GangStartTimeout: platform.Millis(s.Bounds.GangMS),
 		MaxStopTime: platform.Millis(s.Bounds.StopMS), MaxReclaimTime: platform.Millis(s.Bounds.ReclaimMS), CheckpointInterval: platform.Seconds(s.Bounds.SaveS), EndedJobRetention: platform.Seconds(s.Bounds.StatusS),
 		Election: election.Settings{FailAfter: failAfter, MaxReadGap: entry.MaxReadDuration, Stagger: failAfter / 50, SuspectAfter: failAfter / 5, LogSettleTime: failAfter * 3 / 4, StartWindow: failAfter, RenewWindow: 3 * failAfter, HeartbeatInterval: failAfter / 4},
 	}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -45,6 +45,9 @@
 	Term ledger.Term
 	// ClaimedAt is the send time of the leadership claim.
 	ClaimedAt time.Duration
+	// EarlierWritesAt is a time by which every confirmed write of earlier leaders had been
+	// sent.
+	EarlierWritesAt time.Duration
 }
 
 // Engine is the leader's state of every job and worker during one term. The state
@@ -102,7 +105,7 @@
 	now := e.Now()
 	e.view = e.View()
 	e.lastJobAt = now
-	e.inheritedLeasesEnd = now + e.Settings.Election.RenewWindow + e.maxLeaseDuration()
+	e.inheritedLeasesEnd = e.EarlierWritesAt + e.Settings.LeaseWindow + e.maxLeaseError()
 	for id, entry := range state.Jobs {
 		if entry.Job != nil {
 			e.recordUrgentDemand(entry.Job, now)
@@ -112,9 +115,14 @@
 	e.syncWorkers()
 }
 
-// maxLeaseDuration is the longest duration of a lease on the engine's clock.
-func (e *Engine) maxLeaseDuration() time.Duration {
-	return time.Duration(float64(e.Settings.LeaseDuration)*(1+e.Settings.ClockDrift)) + leaseSlack
+// maxLeaseError is how much longer than granted a lease may last on the engine's clock.
+func (e *Engine) maxLeaseError() time.Duration {
+	return time.Duration(float64(e.Settings.LeaseDuration)*e.Settings.ClockDrift) + leaseSlack
+}
+
+// grantEnd returns until when leases may be granted now, on the engine's clock.
+func (e *Engine) grantEnd(now time.Duration) time.Duration {
+	return min(now+e.Settings.LeaseDuration, e.lease.ConfirmedAt()+e.Settings.LeaseWindow)
 }
 
 // Run schedules jobs until ctx is done or the term ends, and returns the reason.
@@ -233,7 +241,7 @@
 	spec := entry.Job
 	j := &job{spec: spec, progress: entry.Progress, policy: spec.Policy}
 	if inherited {
-		j.inherited = entry.Progress.Workers
+		j.inherited = entry.Progress.TasksByWorker()
 	}
 	// The engine changes its copy before the change is written to the ledger.
 	j.progress.Done = slices.Clone(j.progress.Done)
@@ -307,7 +315,8 @@
 			j.unsaved = false
 			p := j.progress
 			p.Term = e.Term.Number
-			p.Workers, planned = j.workerKeys(planned)
+			p.SetTasksByWorker(j.tasksByWorker())
+			planned = j.appendPlanned(planned)
 			if p.Phase.Ended() {
 				records = append(records, ledger.EndJob(id, &p)...)
 			} else {
@@ -351,23 +360,37 @@
 	}()
 }
 
-// workerKeys returns the keys of the workers on which the job has runs, including
-// planned and possible inherited ones, and appends the planned runs to a list.
-func (j *job) workerKeys(planned []*run) ([]string, []*run) {
-	keys := slices.Clone(j.inherited)
+// tasksByWorker returns the workers on which the job has runs, including planned and
+// possible inherited ones, with the numbers of their tasks; a nil set stands for all.
+func (j *job) tasksByWorker() map[string]ledger.Bitmap {
+	tasks := map[string]ledger.Bitmap{}
+	for key, numbers := range j.inherited {
+		tasks[key] = slices.Clone(numbers)
+	}
 	for _, u := range j.units {
 		for _, t := range u.tasks {
 			if t.run == nil {
 				continue
 			}
-			keys = append(keys, t.run.worker.key)
-			if t.run.phase == runPlanned {
+			key := t.run.worker.key
+			if numbers, known := tasks[key]; !known || numbers != nil {
+				tasks[key] = numbers.With(t.number)
+			}
+		}
+	}
+	return tasks
+}
+
+// appendPlanned appends the job's planned runs to a list.
+func (j *job) appendPlanned(planned []*run) []*run {
+	for _, u := range j.units {
+		for _, t := range u.tasks {
+			if t.run != nil && t.run.phase == runPlanned {
 				planned = append(planned, t.run)
 			}
 		}
 	}
-	slices.Sort(keys)
-	return slices.Compact(keys), planned
+	return planned
 }
 
 func (j *job) hasRuns() bool {
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -13,8 +13,9 @@
 // recorded.
 type job struct {
 	spec *workload.Job
-	// inherited are the workers on which an earlier leader may have started tasks.
-	inherited []string
+	// inherited are the workers on which tasks that an earlier leader started may run
+	// unseen, with the numbers of these tasks; a nil set stands for all of the job.
+	inherited map[string]ledger.Bitmap
 	cancelled bool
 	progress  ledger.Progress
 	// waitLogged is set once the wait for the inherited workers has been logged.
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -273,19 +273,13 @@
 		if j.progress.Phase.Ended() || j.cancelled {
 			continue
 		}
-		if key, blocked := e.unaccountedWorker(j, now); blocked {
-			if !j.waitLogged {
-				j.waitLogged = true
-				klog.InfoS("dispatch: tasks of an earlier leader may run unseen", "job", j.spec.ID, "worker", key, "at_most", e.inheritedLeasesEnd-now)
-			}
-			continue
-		}
+		e.accountInherited(j, now)
 		objective := e.objective(j)
 		for _, u := range j.units {
 			if unixMS < j.spec.Due(u.id.Round) || now < u.notBefore || u.reserved != nil || !e.ready(u) {
 				continue
 			}
-			waiting := u.waiting()
+			waiting := e.startable(u, now)
 			if len(waiting) == 0 || j.policy.Advised && !e.ensureTickets(u, now) {
 				continue
 			}
@@ -359,6 +353,30 @@
 // aborted. Members without a run join the gang's present run.
 func (u *unit) gangInProgress() bool { return u.step.Gang && !u.aborting && !u.idle() }
 
+// startable returns the indices of the tasks to place now: waiting ones that cannot run
+// already, unseen, since an earlier term. A gang waits until that is known of all members.
+func (e *Engine) startable(u *unit, now time.Duration) []int {
+	waiting := u.waiting()
+	if len(waiting) == 0 || len(u.job.inherited) == 0 {
+		return waiting
+	}
+	t, key, unseen := u.unseenTask()
+	if !unseen {
+		return waiting
+	}
+	if !u.job.waitLogged {
+		u.job.waitLogged = true
+		klog.InfoS("dispatch: tasks of an earlier leader may run unseen", "job", u.job.spec.ID, "task", u.id.String(), "index", t.id.Index, "worker", key, "at_most", e.inheritedLeasesEnd-now)
+	}
+	if u.step.Gang {
+		return nil
+	}
+	return slices.DeleteFunc(waiting, func(i int) bool {
+		_, unseen := u.job.unseenOn(u.tasks[i])
+		return unseen
+	})
+}
+
 // waiting returns the indices of the tasks to place: those that are not done and have no
 // run. While a gang is being aborted, none of its members is placed.
 func (u *unit) waiting() []int {
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -169,7 +169,7 @@
 	t.run = r
 	w.runs[t.id] = r
 	w.used = w.used.Add(r.need)
-	w.leaseEnd = max(w.leaseEnd, now+e.maxLeaseDuration())
+	w.leaseEnd = max(w.leaseEnd, min(now+e.Settings.LeaseDuration+e.maxLeaseError(), e.inheritedLeasesEnd))
 	t.unit.gangRun, t.unit.gangStartedAt = a.Run.Number, now
 	e.noteCheckpoint(t, a.Checkpoint)
 	klog.InfoS("dispatch: run inherited", "job", t.id.Job, "task", t.unit.id.String(), "index", t.id.Index, "run", a.Run.Number, "worker", w.info.ID, "percent", a.Percent)
@@ -336,7 +336,10 @@
 
 // checkGang aborts a gang of which only some members run.
 func (e *Engine) checkGang(u *unit, now time.Duration) {
-	if !u.step.Gang || u.idle() || len(u.job.inherited) > 0 {
+	if !u.step.Gang || u.idle() {
+		return
+	}
+	if _, _, unseen := u.unseenTask(); unseen {
 		return
 	}
 	if u.aborting {
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -15,6 +15,10 @@
 	// LeaseDuration is how long a worker keeps running tasks without a renewal: the
 	// longest lease that the platform grants.
 	LeaseDuration time.Duration
+	// LeaseWindow is how long after the leader sent its last confirmed write to the log
+	// leases may last. It is the longest log outage that running tasks survive, and
+	// bounds how long a later leader waits for tasks that it cannot see.
+	LeaseWindow time.Duration
 	// ClockDrift is the largest fraction by which a worker's clock may run slow.
 	ClockDrift float64
 	// GangStartTimeout is how long the started members of a gang wait for the others.
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -47,25 +47,41 @@
 	}
 }
 
-// unaccountedWorker returns a worker on which tasks of the job, started by an earlier
-// leader, may still run without being listed. It reports false if there is none.
-func (e *Engine) unaccountedWorker(j *job, now time.Duration) (string, bool) {
-	if now > e.inheritedLeasesEnd {
-		j.inherited = nil
-	}
-	for _, key := range j.inherited {
-		if w := e.workers[key]; w != nil && w.fenced {
-			continue
+// accountInherited removes from j.inherited the workers whose runs are known by now: those
+// that have answered in this term, that another incarnation has replaced, or whose leases
+// have ended.
+func (e *Engine) accountInherited(j *job, now time.Duration) {
+	for key := range j.inherited {
+		w := e.workers[key]
+		listed, known := e.view.Workers[workerID(key)]
+		if now > e.inheritedLeasesEnd || w != nil && w.fenced || known && listed.StartedMS > incarnationStartMS(key) {
+			delete(j.inherited, key)
 		}
-		if listed, known := e.view.Workers[workerID(key)]; known && listed.StartedMS > incarnationStartMS(key) {
-			continue
+	}
+}
+
+// unseenOn returns a worker on which the task, started by an earlier leader, may run
+// without having been listed. It reports false if there is none.
+func (j *job) unseenOn(t *task) (string, bool) {
+	for key, numbers := range j.inherited {
+		if numbers == nil || numbers.Has(t.number) {
+			return key, true
 		}
-		return key, true
 	}
-	j.inherited = nil
 	return "", false
 }
 
+// unseenTask returns a task of the unit that may run without having been listed, and the
+// worker. It reports false if there is none.
+func (u *unit) unseenTask() (*task, string, bool) {
+	for _, t := range u.tasks {
+		if key, unseen := u.job.unseenOn(t); unseen {
+			return t, key, true
+		}
+	}
+	return nil, "", false
+}
+
 // needsRenewal reports whether the engine has to renew the worker's leases or needs its
 // listing.
 func (w *worker) needsRenewal() bool {
@@ -136,11 +152,12 @@
 	return true
 }
 
-// extendLease returns the end of a full lease on the worker's clock, in milliseconds, and
+// extendLease returns the end of a new lease on the worker's clock, in milliseconds, and
 // sets leaseEnd to the time on the engine's clock until which the tasks may then run.
 func (e *Engine) extendLease(w *worker, now time.Duration) int64 {
-	w.leaseEnd = max(w.leaseEnd, now+e.maxLeaseDuration())
-	return w.clockOffsetMS + now.Milliseconds() + e.Settings.LeaseDuration.Milliseconds()
+	end := e.grantEnd(now)
+	w.leaseEnd = max(w.leaseEnd, end+e.maxLeaseError())
+	return w.clockOffsetMS + end.Milliseconds()
 }
 
 // sendRenewal makes a renewal call and posts the answer to the engine.
@@ -374,6 +391,11 @@
 	if u.idle() {
 		u.aborting = false
 	}
+	if r.phase != runPlanned {
+		// The job's record must not name the worker any longer than needed: a later leader
+		// would wait for it.
+		u.job.unsaved = u.job.unsaved || !u.job.progress.Phase.Ended()
+	}
 	e.needsPlan = true
 }
 
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -34,6 +34,8 @@
 	nodes         []*testNode
 	configVersion int64
 	behaviours    map[workload.UnitID]func(index int) simsite.Behaviour
+	// settings are those of all nodes.
+	settings dispatch.Settings
 }
 
 // testNode is a node and its clients of the ledger, operator and worker topics, in this
@@ -65,17 +67,23 @@
 // testSettings returns the settings of the users' sites.
 func testSettings() dispatch.Settings {
 	failAfter := 2 * time.Second
-	return dispatch.Settings{LeaseDuration: 6 * time.Second, ClockDrift: 0.02, GangStartTimeout: 3 * time.Second, MaxStopTime: 900 * time.Millisecond, MaxReclaimTime: 3400 * time.Millisecond, CheckpointInterval: 2 * time.Second,
+	return dispatch.Settings{LeaseDuration: 6 * time.Second, LeaseWindow: 12 * time.Second, ClockDrift: 0.02, GangStartTimeout: 3 * time.Second, MaxStopTime: 900 * time.Millisecond, MaxReclaimTime: 3400 * time.Millisecond, CheckpointInterval: 2 * time.Second,
 		EndedJobRetention: 2 * time.Minute, Election: election.Settings{FailAfter: failAfter, MaxReadGap: MaxReadDuration, Stagger: failAfter / 50, SuspectAfter: failAfter / 5, LogSettleTime: failAfter * 3 / 4, StartWindow: failAfter, RenewWindow: 3 * failAfter, HeartbeatInterval: failAfter / 4}}
 }
 
 // runSite runs a test with a site of the given number of nodes and workers. At its end it
 // fails the test for each scheduling rule that the simulated workers saw violated.
 func runSite(t *testing.T, nodes, workers int, test func(s *site)) {
+	t.Helper()
+	runSiteWith(t, testSettings(), nodes, workers, test)
+}
+
+// runSiteWith is runSite with other settings than those of testSettings.
+func runSiteWith(t *testing.T, settings dispatch.Settings, nodes, workers int, test func(s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		s := &site{t: t, ctx: ctx, cancel: cancel, network: memnet.New(nil), ledgerTopic: simsite.NewLog(), operatorTopic: simsite.NewLog(), workerTopic: simsite.NewLog(), behaviours: map[workload.UnitID]func(int) simsite.Behaviour{}}
+		s := &site{t: t, ctx: ctx, cancel: cancel, settings: settings, network: memnet.New(nil), ledgerTopic: simsite.NewLog(), operatorTopic: simsite.NewLog(), workerTopic: simsite.NewLog(), behaviours: map[workload.UnitID]func(int) simsite.Behaviour{}}
 		s.fleet = simsite.NewFleet(ctx, func(id workload.TaskID) simsite.Behaviour { return s.behaviours[id.UnitID](id.Index) })
 		for i := range workers {
 			rack := fmt.Sprintf("rack-%d", i/testRackSize)
@@ -164,7 +172,7 @@
 	n := &testNode{kill: kill, peers: peers, clients: []*simsite.Client{s.ledgerTopic.Client(), s.operatorTopic.Client(), s.workerTopic.Client()}}
 	started := time.Now()
 	var err error
-	n.Node, err = New(Settings{Name: name, Incarnation: name + "/" + started.String(), Address: address, Dispatch: testSettings(), MaxBatchBytes: 1 << 20, Now: func() time.Duration { return time.Hour + time.Since(started) }, UnixMS: func() int64 { return time.Now().UnixMilli() }},
+	n.Node, err = New(Settings{Name: name, Incarnation: name + "/" + started.String(), Address: address, Dispatch: s.settings, MaxBatchBytes: 1 << 20, Now: func() time.Duration { return time.Hour + time.Since(started) }, UnixMS: func() int64 { return time.Now().UnixMilli() }},
 		Platform{Ledger: n.clients[0], OperatorConfig: n.clients[1], Workers: n.clients[2], Orders: s.fleet, Adviser: s.fleet, DecodeOperator: decodeOperator, DecodeWorker: simsite.DecodeWorker, Peers: peers})
 	if err == nil {
 		err = peers.Start(ctx, nil)
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -106,6 +106,10 @@
 	lastProbe string
 	// lastRead is the time of the last successful read of the ledger, 0 before the first.
 	lastRead time.Duration
+	// earlierWritesAt is a time by which every write of leaders before claimedTerm that
+	// has been read had been sent. claimedTerm is the last term that the node has claimed.
+	earlierWritesAt time.Duration
+	claimedTerm     int64
 }
 
 // New returns a Service. Bind must be called before Run.
@@ -127,10 +131,19 @@
 				engine.JobChanged(ctx, id, e)
 			}
 		},
-		OnLeaderRecord: func() {
+		OnLeaderRecord: func(term int64) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.monitor.ObserveLeader(s.settings.Now())
+			now := s.settings.Now()
+			s.monitor.ObserveLeader(now)
+			if term != s.claimedTerm {
+				s.earlierWritesAt = now
+			}
+		},
+		OnListing: func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.earlierWritesAt = s.settings.Now()
 		},
 		OnRead: func(at time.Duration) {
 			s.mu.Lock()
@@ -316,17 +329,28 @@
 // Two claims of one term share producer, epoch and sequence number, so the log takes the
 // second for a repeat of the first and adds nothing. A claim therefore needs no expected end
 // offset, and records of other producers do not make it fail.
-func (s *Service) claim(ctx context.Context) (ledger.Term, time.Duration, error) {
+func (s *Service) claim(ctx context.Context) (_ ledger.Term, sentAt time.Duration, claimErr error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*writeTimeout)
 	defer cancel()
 	if err := s.ledgerFollower.Refresh(ctx); err != nil {
 		return ledger.Term{}, 0, err
 	}
+	defer func() {
+		if claimErr != nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			// Another node may lead the claimed term, and may have written in it.
+			s.claimedTerm, s.earlierWritesAt = 0, s.settings.Now()
+		}
+	}()
 	if !s.shouldClaim() {
 		return ledger.Term{}, 0, errors.New("leadership claim not due any more after a fresh read of the ledger")
 	}
 	term := ledger.Term{Number: s.replica.Term().Number + 1, Leader: s.settings.Incarnation, Address: s.settings.Address}
 	sent := s.settings.Now()
+	s.mu.Lock()
+	s.claimedTerm = term.Number
+	s.mu.Unlock()
 	callCtx, cancelCall := context.WithTimeout(ctx, writeTimeout)
 	_, err := s.log.Append(callCtx, backend.KeyedAppend{Records: []backend.KeyedRecord{ledger.TermRecord(term)}, Producer: producer, Epoch: term.Number, Sequence: 1, ExpectedEnd: -1})
 	cancelCall()
@@ -356,7 +380,7 @@
 		}
 	}()
 	engine := dispatch.New(dispatch.Inputs{Settings: s.dispatchSettings(), Orders: s.orders, Adviser: s.adviser, Writer: writer, Now: s.settings.Now, UnixMS: s.settings.UnixMS,
-		View: s.view, Term: term, ClaimedAt: claimedAt})
+		View: s.view, Term: term, ClaimedAt: claimedAt, EarlierWritesAt: s.earlierWrites()})
 	s.mu.Lock()
 	s.engine, s.writer, s.termCtx = engine, writer, ctx
 	s.mu.Unlock()
@@ -375,6 +399,12 @@
 	}
 }
 
+func (s *Service) earlierWrites() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.earlierWritesAt
+}
+
 // recordResignation writes to the ledger that no node leads any more.
 func (s *Service) recordResignation(ctx context.Context, writer *ledger.Appender, term ledger.Term) {
 	term.Resigned = true
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
@@ -96,9 +97,47 @@
 // Cancellations of jobs that are never submitted must be listed for deletion, or they
 // would stay in the ledger forever.
 func TestEndedBeforeListsCancellationsWithoutJob(t *testing.T) {
-	r := NewReplica(Listener{OnJobChange: func(string, JobEntry) {}, OnLeaderRecord: func() {}})
+	r := NewReplica(Listener{OnJobChange: func(string, JobEntry) {}, OnLeaderRecord: func(int64) {}, OnListing: func() {}})
 	r.Apply([]backend.KeyedRecord{CancelRecord("0000000000000001", 1000), CancelRecord("0000000000000002", 3000), JobRecord(job), CancelRecord(job.ID, 1000)})
 	if got := r.EndedBefore(2000); len(got) != 1 || got[0] != "0000000000000001" {
 		t.Errorf("ended before 2000: %v, want only 0000000000000001", got)
 	}
 }
+
+// A leader of this version reads which tasks may run on each worker; records without that,
+// of earlier versions, stand for all tasks of the job.
+func TestTasksByWorkerSurvivesEncoding(t *testing.T) {
+	for name, tasks := range map[string]map[string]Bitmap{
+		"none":            {},
+		"known":           {"a": Bitmap(nil).With(0).With(9), "b": Bitmap(nil).With(3)},
+		"all of a worker": {"a": nil, "b": Bitmap(nil).With(3)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var written, read Progress
+			written.SetTasksByWorker(tasks)
+			data, err := json.Marshal(written)
+			if err == nil {
+				err = json.Unmarshal(data, &read)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := read.TasksByWorker()
+			if len(got) != len(tasks) {
+				t.Fatalf("workers %v, want those of %v", got, tasks)
+			}
+			for key, numbers := range tasks {
+				for n := range 12 {
+					if want := numbers == nil || numbers.Has(n); want && got[key] != nil && !got[key].Has(n) {
+						t.Errorf("task %d is not listed for worker %s", n, key)
+					} else if name == "known" && !want && got[key].Has(n) {
+						t.Errorf("task %d is listed for worker %s", n, key)
+					}
+				}
+			}
+		})
+	}
+	if got := (&Progress{Workers: []string{"a"}}).TasksByWorker(); got["a"] != nil || len(got) != 1 {
+		t.Errorf("record of an earlier version: %v, want all tasks on worker a", got)
+	}
+}
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -8,6 +8,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
@@ -58,6 +60,9 @@
 	// Workers are the workers on which tasks of the job may run. They are written
 	// before the tasks are started there.
 	Workers []string `json:"w,omitempty"`
+	// WorkerTasks are the TaskNumbers of the tasks that may run on each of Workers, in
+	// its order. Records of earlier versions lack it: any task may run on each worker.
+	WorkerTasks []Bitmap `json:"wt,omitempty"`
 	// EndedMS is when the job ended, in Unix milliseconds.
 	EndedMS int64 `json:"e,omitempty"`
 }
@@ -273,6 +278,32 @@
 	return id.Round*perRound + before + id.Index
 }
 
+// TasksByWorker returns the TaskNumbers of the tasks that may run on each worker; a nil
+// set stands for all tasks.
+func (p *Progress) TasksByWorker() map[string]Bitmap {
+	tasks := make(map[string]Bitmap, len(p.Workers))
+	for i, key := range p.Workers {
+		tasks[key] = nil
+		if len(p.WorkerTasks) == len(p.Workers) {
+			tasks[key] = p.WorkerTasks[i]
+		}
+	}
+	return tasks
+}
+
+// SetTasksByWorker is the inverse of TasksByWorker.
+func (p *Progress) SetTasksByWorker(tasks map[string]Bitmap) {
+	p.Workers, p.WorkerTasks = slices.Sorted(maps.Keys(tasks)), nil
+	for _, key := range p.Workers {
+		if tasks[key] == nil {
+			// The format cannot tell all tasks of one worker from none.
+			p.WorkerTasks = nil
+			return
+		}
+		p.WorkerTasks = append(p.WorkerTasks, tasks[key])
+	}
+}
+
 // Bitmap is a set of small non-negative numbers.
 type Bitmap []byte
 
--- a/pkg/ledger/replica.go
+++ b/pkg/ledger/replica.go
@@ -14,9 +14,12 @@
 type Listener struct {
 	// OnJobChange is called after a job has changed.
 	OnJobChange func(id string, e JobEntry)
-	// OnLeaderRecord is called after each page of new records that has one of the
-	// current leader.
-	OnLeaderRecord func()
+	// OnLeaderRecord is called after each page of new records for each term that was
+	// current when one of its leader's records was read.
+	OnLeaderRecord func(term int64)
+	// OnListing is called after the state has been replaced by a listing, which does not
+	// tell when its records were written.
+	OnListing func()
 	// OnRead is called after each listing and each read that reached the end of the topic,
 	// with the time as of which the replica is current.
 	OnRead func(at time.Duration)
@@ -38,31 +41,34 @@
 	// A listing does not say how old the leader's last record is, so it is no sign of
 	// the leader.
 	r.apply(records, true)
+	r.listener.OnListing()
 }
 
 // Apply implements feed.Sink.
 func (r *Replica) Apply(records []backend.KeyedRecord) {
-	if r.apply(records, false) {
-		r.listener.OnLeaderRecord()
+	for _, term := range r.apply(records, false) {
+		r.listener.OnLeaderRecord(term)
 	}
 }
 
 // apply applies records, to an empty state if replace is set and else to the present one,
-// and reports whether any was written by the current leader.
-func (r *Replica) apply(records []backend.KeyedRecord, replace bool) bool {
+// and returns the terms whose leaders, while they were current, wrote any of them.
+func (r *Replica) apply(records []backend.KeyedRecord, replace bool) []int64 {
 	r.mu.Lock()
 	if replace {
 		r.state = NewState()
 	}
 	jobs := map[string]JobEntry{}
-	fromLeader := false
+	var terms []int64
 	for _, record := range records {
 		change, err := r.state.Apply(record)
 		if err != nil {
 			klog.InfoS("ledger: invalid record ignored", "err", err)
 			continue
 		}
-		fromLeader = fromLeader || change.FromLeader
+		if number := r.state.Term.Number; change.FromLeader && !slices.Contains(terms, number) {
+			terms = append(terms, number)
+		}
 		if e := r.state.Jobs[change.Job]; e != nil {
 			jobs[change.Job] = *e
 		}
@@ -71,7 +77,7 @@
 	for id, e := range jobs {
 		r.listener.OnJobChange(id, e)
 	}
-	return fromLeader
+	return terms
 }
 
 // Confirmed implements feed.Sink.
