--- a/pkg/election/election.go
+++ b/pkg/election/election.go
@@ -35,6 +35,14 @@
 	HeartbeatInterval time.Duration
 }
 
+// The time until a record of the leader is read has three latencies of the log more than
+// with a fast log: those of the write, of the one in front of it, and of the read.
+const signLatencies = 3
+
+// A claim takes three calls to the log: a read, the write, and a read that shows it.
+// claimLatencies covers them, so that the node of the next rank sees the claim.
+const claimLatencies = 4
+
 // Monitor is a follower's record of the signs of the leader.
 type Monitor struct {
 	settings Settings
@@ -51,6 +59,12 @@
 	vacantByProbe bool
 	// failureScore sums the weights of consecutive failed probes.
 	failureScore int
+	// logLatency is the newest estimate of the log's latency.
+	logLatency time.Duration
+	// claimFailures counts the failed claims since the last record of a leader was read,
+	// and nextClaim is when the node may claim again.
+	claimFailures int
+	nextClaim     time.Duration
 }
 
 // NewMonitor returns a Monitor that starts at now with the leader suspected.
@@ -64,7 +78,7 @@
 // ObserveRead records a successful read that showed every record which the log held at
 // the given time.
 func (m *Monitor) ObserveRead(at time.Duration) {
-	if at-m.lastRead > m.settings.MaxReadGap {
+	if at-m.lastRead > m.maxReadGap() {
 		// Probes made during a log outage say nothing about the leader after it.
 		m.readableSince, m.vacant, m.vacantByProbe, m.failureScore = at, false, false, 0
 	}
@@ -73,7 +87,27 @@
 
 // ObserveLeader records that a record of the leader was read.
 func (m *Monitor) ObserveLeader(now time.Duration) {
-	m.lastSign, m.vacant, m.vacantByProbe, m.failureScore = now, false, false, 0
+	m.lastSign, m.vacant, m.vacantByProbe, m.failureScore, m.claimFailures = now, false, false, 0, 0
+}
+
+// ObserveLatency records an estimate of the log's latency. All timeouts are extended by a
+// multiple of it: a slow log must not cost the leader its leadership.
+func (m *Monitor) ObserveLatency(latency time.Duration) { m.logLatency = latency }
+
+// maxClaimBackoffDoublings limits the backoff of claims to that many doublings.
+const maxClaimBackoffDoublings = 4
+
+// ObserveFailedClaim records that a claim of this node failed. The next one waits for a
+// delay that doubles with each failure; jitter, from 0 to 1, spreads the nodes.
+func (m *Monitor) ObserveFailedClaim(now time.Duration, jitter float64) {
+	delay := m.stagger() << min(m.claimFailures, maxClaimBackoffDoublings)
+	m.nextClaim = now + delay + time.Duration(jitter*float64(delay))
+	m.claimFailures++
+}
+
+// stagger is the delay between nodes of successive ranks.
+func (m *Monitor) stagger() time.Duration {
+	return max(m.settings.Stagger, claimLatencies*m.logLatency)
 }
 
 // ObserveVacancy records that no node leads. Repeated calls keep the first time.
@@ -87,9 +121,12 @@
 // for the suspect timeout. rank is the node's place in the order of claims, from 0;
 // higher ranks probe later, so that few nodes probe a leader that has nothing to write.
 func (m *Monitor) ShouldProbe(now time.Duration, rank int) bool {
-	return !m.vacant && now-m.lastSign >= m.settings.SuspectAfter+time.Duration(rank)*m.settings.Stagger && now-m.lastRead <= m.settings.MaxReadGap
+	return !m.vacant && now-m.lastSign >= m.settings.SuspectAfter+signLatencies*m.logLatency+time.Duration(rank)*m.stagger() && now-m.lastRead <= m.maxReadGap()
 }
 
+// maxReadGap is the longest gap between two reads across which the log counts as readable.
+func (m *Monitor) maxReadGap() time.Duration { return m.settings.MaxReadGap + m.logLatency }
+
 // ProbeResult is the outcome of a probe. The values of the first three are sent
 // between nodes and must not change.
 type ProbeResult int
@@ -151,15 +188,20 @@
 // is known to lead or the log has shown no write of the leader for the failure timeout.
 // rank is the node's place in the order of claims, from 0; higher ranks claim later.
 func (m *Monitor) ShouldClaim(now time.Duration, rank int) bool {
-	delay := time.Duration(rank) * m.settings.Stagger
-	if now-m.lastRead > m.settings.MaxReadGap {
+	delay := time.Duration(rank) * m.stagger()
+	if now-m.lastRead > m.maxReadGap() || now < m.nextClaim {
 		return false
 	}
 	if m.vacant {
 		// Probes are already staggered by rank, so no further delay is needed.
 		return m.vacantByProbe || now-m.vacantSince >= delay
 	}
-	return now-max(m.lastSign, m.readableSince) >= m.settings.FailAfter+delay
+	return now-max(m.lastSign, m.readableSince) >= m.settings.FailAfter+signLatencies*m.logLatency+delay
+}
+
+// HasLeader reports whether a leader is known that writes to the log.
+func (m *Monitor) HasLeader(now time.Duration) bool {
+	return !m.vacant && now-m.lastSign < m.settings.FailAfter+signLatencies*m.logLatency
 }
 
 // Lease bounds how long a leader may act without a confirmed write to the log.
--- a/pkg/election/election_test.go
+++ b/pkg/election/election_test.go
@@ -110,3 +110,49 @@
 		t.Error("no claim although only the leader cannot write")
 	}
 }
+
+// A working leader of a slow log is neither probed nor replaced, although its records are
+// read late; a leader that is gone is replaced later than with a fast log.
+func TestTimeoutsFollowTheLogsLatency(t *testing.T) {
+	latency := ms(600)
+	m := NewMonitor(settings, 0)
+	m.ObserveLatency(latency)
+	m.ObserveLeader(0)
+	silent := settings.SuspectAfter + 2*latency
+	for at := time.Duration(0); at <= silent; at += ms(100) {
+		m.ObserveRead(at)
+		if m.ShouldProbe(at, 0) || m.ShouldClaim(at, 0) {
+			t.Fatalf("probes or claims %s after the last record, with a latency of %s", at, latency)
+		}
+	}
+	for at := silent; at <= settings.FailAfter+3*latency; at += ms(100) {
+		m.ObserveRead(at)
+	}
+	if at := settings.FailAfter + 3*latency; !m.ShouldClaim(at, 0) {
+		t.Errorf("no claim %s after the last record", at)
+	} else if m.ShouldClaim(at, 1) {
+		t.Error("the second rank claims before it can have read a claim of the first")
+	}
+}
+
+// The claims of one node must become less frequent while they fail.
+func TestFailedClaimsBackOff(t *testing.T) {
+	m := NewMonitor(settings, 0)
+	m.ObserveVacancy(0)
+	claims := 0
+	for at := time.Duration(0); at < 5*time.Second; at += ms(10) {
+		m.ObserveRead(at)
+		if m.ShouldClaim(at, 0) {
+			claims++
+			m.ObserveFailedClaim(at, 0.5)
+		}
+	}
+	if claims > 12 {
+		t.Errorf("%d claims in 5s, want at most 12", claims)
+	}
+	m.ObserveLeader(5 * time.Second)
+	m.ObserveVacancy(6 * time.Second)
+	if !m.ShouldClaim(6*time.Second, 0) {
+		t.Error("the backoff outlasts a leader")
+	}
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -24,8 +24,10 @@
 	// shortest time within which a change must be in force.
 	readWait = time.Second
 	// readTimeout bounds a read in addition to its wait: many times the usual latency of
-	// the log, and short enough to detect a dead connection in time.
-	readTimeout = 700 * time.Millisecond
+	// the log, and short enough to detect a dead connection in time. maxReadTimeout
+	// bounds a read of a slow log.
+	readTimeout    = 700 * time.Millisecond
+	maxReadTimeout = 1500 * time.Millisecond
 	// listTimeout bounds a call for one page of a listing: the largest page, 1 MB, takes
 	// 4 s over the slowest link of a node, 2 Mbit/s.
 	listTimeout = 5 * time.Second
@@ -47,7 +49,8 @@
 	maxReadyAge = 2500 * time.Millisecond
 )
 
-// MaxReadDuration is the longest that a successful read of the log can take.
+// MaxReadDuration is the longest that a successful read of the log can take, unless the log
+// is slow.
 const MaxReadDuration = readWait + readTimeout
 
 // Platform is the node's access to the platform and to other nodes.
@@ -89,6 +92,7 @@
 	leader         *leader.Service
 	ledgerFollower *feed.Follower
 	configFollower *feed.Follower
+	replica        *ledger.Replica
 	// writer writes for intake; the leader has a writer of its own for each term.
 	writer  *ledger.Appender
 	running sync.WaitGroup
@@ -97,10 +101,11 @@
 // New assembles a node and registers its RPC methods. The node does nothing before Start.
 func New(s Settings, p Platform) (*Node, error) {
 	n := &Node{settings: s}
-	n.leader = leader.New(leader.Settings{Incarnation: s.Incarnation, Address: s.Address, Call: p.Peers.Call, Dispatch: s.Dispatch, MaxBatchBytes: s.MaxBatchBytes, Cores: s.Cores, Now: s.Now, UnixMS: s.UnixMS}, p.Ledger, p.Orders, p.Adviser)
+	n.leader = leader.New(leader.Settings{Name: s.Name, Incarnation: s.Incarnation, Address: s.Address, Call: p.Peers.Call, Dispatch: s.Dispatch, MaxBatchBytes: s.MaxBatchBytes, LogLatency: n.logLatency, CheckLatency: n.checkLatency, Now: s.Now, UnixMS: s.UnixMS}, p.Ledger, p.Orders, p.Adviser)
 	replica := ledger.NewReplica(n.leader.Listener())
+	n.replica = replica
 	settings := func(name string, readDelay func() time.Duration) feed.Settings {
-		return feed.Settings{Name: name, Wait: readWait, CallTimeout: readTimeout, ListTimeout: listTimeout, RetryDelay: readRetryDelay, ReadDelay: readDelay, Now: s.Now}
+		return feed.Settings{Name: name, Wait: readWait, CallTimeout: readTimeout, MaxCallTimeout: maxReadTimeout, ListTimeout: listTimeout, RetryDelay: readRetryDelay, ReadDelay: readDelay, Now: s.Now}
 	}
 	n.ledgerFollower = feed.New(p.Ledger, settings("ledger", func() time.Duration {
 		if n.leader.Leading() {
@@ -115,8 +120,8 @@
 		return feed.New(p.Workers, settings("workers", func() time.Duration { return workerReadDelay }), workers)
 	})
 	n.writer = ledger.NewAppender(p.Ledger, ledger.AppenderSettings{Producer: s.Incarnation, Epoch: 1, NextSequence: 1, CallTimeout: writeTimeout, RetryDelay: writeRetryDelay,
-		BatchDelay: batchDelay, MaxBatchBytes: s.MaxBatchBytes, Now: s.Now})
-	n.Intake = intake.New(replica, n.ledgerFollower, n.writer, &forwarder{p.Peers, replica, s.Name}, s.Now, s.UnixMS)
+		BatchDelay: batchDelay, MaxBatchBytes: s.MaxBatchBytes, LogLatency: n.logLatency, CheckLatency: n.checkLatency, Now: s.Now})
+	n.Intake = intake.New(replica, n.ledgerFollower, n.writer, n.leader.Writer, n.checkLatency, &forwarder{peers: p.Peers, replica: replica, leader: n.leader, self: s.Name, logLatency: n.logLatency, now: s.Now, failedAt: map[string]time.Duration{}}, s.Now, s.UnixMS)
 	return n, p.Peers.Handle(receiverName, &receiver{n, n.leader})
 }
 
@@ -138,13 +143,35 @@
 	}
 }
 
-// publishAddress writes the node's address to the ledger for the other nodes.
+// publishAddress writes the node's address to the ledger for the other nodes, unless the
+// ledger has it from an earlier incarnation.
 func (n *Node) publishAddress(ctx context.Context) {
-	if _, err := n.writer.Write(ctx, ledger.NodeRecord(n.settings.Name, n.settings.Address)); err != nil && ctx.Err() == nil {
+	candidate := leader.IsCandidate(n.settings.Cores)
+	for {
+		if _, read := n.ledgerFollower.ConfirmedAt(); read {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(readRetryDelay):
+		}
+	}
+	if n.replica.HasNode(n.settings.Name, n.settings.Address, candidate) {
+		return
+	}
+	if _, err := n.writer.Write(ctx, ledger.NodeRecords(n.settings.Name, n.settings.Address, candidate)...); err != nil && ctx.Err() == nil {
 		klog.InfoS("entry: address not published to the ledger", "err", err)
 	}
 }
 
+// logLatency estimates the log's latency from reads of the operators' topic, which changes
+// rarely.
+func (n *Node) logLatency() time.Duration { return n.configFollower.Latency() }
+
+// checkLatency makes logLatency soon show the present latency.
+func (n *Node) checkLatency() { n.configFollower.CheckLatency(context.Background()) }
+
 // Wait returns when the goroutines started by Start have ended.
 func (n *Node) Wait() { n.running.Wait() }
 
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -12,6 +14,7 @@
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/election"
+	"github.com/shallotpin/shallotpin/pkg/intake"
 	"github.com/shallotpin/shallotpin/pkg/leader"
 	"github.com/shallotpin/shallotpin/pkg/ledger"
 )
@@ -29,10 +32,15 @@
 	receiverName = "Entry"
 	storeMethod  = receiverName + ".Store"
 	phaseMethod  = receiverName + ".Phase"
-	// forwardTimeout bounds a call to one other node, which may write to the log, and
-	// serveTimeout the handling of the call there.
-	forwardTimeout = 300 * time.Millisecond
-	serveTimeout   = 250 * time.Millisecond
+	// minForwardTimeout bounds a call to one other node, which may use the log;
+	// forwardLatencyFactor raises it to a multiple of the log's latency. serveTimeout
+	// bounds the handling of a query.
+	minForwardTimeout    = 300 * time.Millisecond
+	forwardLatencyFactor = 3
+	serveTimeout         = 250 * time.Millisecond
+	// writerRetryDelay is how long after a failed call a node is not tried again as the
+	// one that writes for all.
+	writerRetryDelay = time.Second
 	// maxForwardNodes is how many other nodes are tried: if a third of all nodes cannot
 	// reach the log, at least one of three can in 26 of 27 cases.
 	maxForwardNodes = 3
@@ -59,9 +67,7 @@
 
 // Store adds a record to the log for another node.
 func (r *receiver) Store(record backend.KeyedRecord, stored *Stored) error {
-	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
-	defer cancel()
-	err := r.node.Intake.StoreLocally(ctx, record)
+	err := r.node.Intake.StoreLocally(record)
 	*stored = Stored{Done: err == nil}
 	if err != nil {
 		stored.Verdict = api.AsError(err, api.MayHaveRun).Verdict
@@ -82,7 +88,15 @@
 type forwarder struct {
 	peers   Peers
 	replica *ledger.Replica
+	leader  *leader.Service
 	self    string
+	// logLatency estimates the log's latency.
+	logLatency func() time.Duration
+	now        func() time.Duration
+
+	mu sync.Mutex
+	// failedAt is when the last call to a writing node failed, by address.
+	failedAt map[string]time.Duration
 }
 
 var errNoOtherNode = api.Errorf(api.CodeUnavailable, "no other node can be reached")
@@ -94,6 +108,46 @@
 	return nodes[:min(len(nodes), maxForwardNodes)]
 }
 
+// StoreAtWriter implements intake.Forwarder. It tries a further node only if the record has
+// certainly not been sent to the one before.
+func (f *forwarder) StoreAtWriter(ctx context.Context, r backend.KeyedRecord) error {
+	for _, address := range f.leader.WriterAddresses() {
+		if f.isFailing(address) {
+			continue
+		}
+		var stored Stored
+		err := f.peers.Call(ctx, address, storeMethod, r, &stored)
+		switch {
+		case err == nil && stored.Done:
+			return nil
+		case err == nil:
+			return &api.Error{Code: api.CodeUnavailable, Message: "the writing node has not stored the record", Verdict: stored.Verdict}
+		}
+		f.recordFailure(address)
+		klog.InfoS("entry: call to the writing node failed", "address", address, "err", err)
+		if !isDialError(err) {
+			return &api.Error{Code: api.CodeUnavailable, Message: err.Error(), Verdict: api.MayHaveRun}
+		}
+	}
+	return intake.ErrNoWriter
+}
+
+// isFailing reports whether a call to a writing node has failed recently.
+func (f *forwarder) isFailing(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, failed := f.failedAt[address]
+	return failed && f.now()-at < writerRetryDelay
+}
+
+func (f *forwarder) recordFailure(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	maps.DeleteFunc(f.failedAt, func(_ string, at time.Duration) bool { return now-at >= writerRetryDelay })
+	f.failedAt[address] = now
+}
+
 // Store implements intake.Forwarder.
 func (f *forwarder) Store(ctx context.Context, r backend.KeyedRecord) error {
 	mayBeStored := false
@@ -123,7 +177,7 @@
 }
 
 func (f *forwarder) call(ctx context.Context, address, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithTimeout(ctx, max(minForwardTimeout, forwardLatencyFactor*f.logLatency()))
 	defer cancel()
 	err := f.peers.Call(ctx, address, method, args, reply)
 	if err != nil {
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -47,6 +47,11 @@
 	clients []*simsite.Client
 }
 
+// logs returns the topics of the site.
+func (s *site) logs() []*simsite.Log {
+	return []*simsite.Log{s.ledgerTopic, s.operatorTopic, s.workerTopic}
+}
+
 // setFault sets the fault of all log topics as this node sees them.
 func (n *testNode) setFault(f simsite.LogFault) {
 	for _, c := range n.clients {
--- /dev/null
+++ b/pkg/entry/slowlog_test.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+// A log that answers slowly processes few appends a second, and refuses those that would
+// wait long. With one append for each submission of many nodes, or with every node claiming
+// leadership, it refuses most of them, so that the whole site stops.
+
+const leaderProducer = "leader"
+
+// submitEverywhere submits a job through another node every interval for a while, each in
+// a goroutine, and returns the number of submissions and the errors.
+func (s *site) submitEverywhere(interval, during time.Duration) (jobs []string, errs []error) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for i := range int(during / interval) {
+		time.Sleep(interval)
+		n := s.nodes[i*7%len(s.nodes)]
+		job := s.newJob(normalQueue, uniform(task(1), 500*time.Millisecond, 0), workload.Step{Count: 1, Need: task(1), EstimateMS: 500})
+		jobs = append(jobs, job.ID)
+		wg.Go(func() {
+			if err := n.Intake.Submit(s.ctx, job); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				errs = append(errs, err)
+			}
+		})
+	}
+	wg.Wait()
+	return jobs, errs
+}
+
+// A slow log must neither refuse submissions nor cost the leader its leadership.
+func TestSlowLogServesSubmissions(t *testing.T) {
+	for _, slowdown := range []int{20, 66, 150} {
+		t.Run(fmt.Sprint(slowdown), func(t *testing.T) {
+			runSite(t, 40, 40, func(s *site) {
+				time.Sleep(time.Second)
+				leader, claims := s.leader(), s.ledgerTopic.EpochsBegun(leaderProducer)
+				for _, l := range s.logs() {
+					l.SetSlowdown(slowdown)
+				}
+				jobs, errs := s.submitEverywhere(50*time.Millisecond, 6*time.Second)
+				if len(errs) > 0 {
+					t.Errorf("%d of %d submissions failed, the first with: %v", len(errs), len(jobs), errs[0])
+				}
+				if s.leader() != leader || s.ledgerTopic.EpochsBegun(leaderProducer) != claims {
+					t.Errorf("the leader changed, or %d claims were made", s.ledgerTopic.EpochsBegun(leaderProducer)-claims)
+				}
+				for _, l := range s.logs() {
+					l.SetSlowdown(1)
+				}
+				for _, job := range jobs {
+					s.awaitPhase(job, ledger.Completed, 4*time.Second)
+				}
+			})
+		})
+	}
+}
+
+// The cost of a leader change must not grow with the number of nodes.
+func TestFewNodesClaimLeadership(t *testing.T) {
+	for _, c := range []struct {
+		nodes, slowdown, maxClaims int
+		maxTime                    time.Duration
+	}{
+		{100, 1, 3, 1500 * time.Millisecond},
+		{300, 1, 3, 1500 * time.Millisecond},
+		{100, 66, 6, 6 * time.Second},
+		{300, 66, 6, 6 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%d nodes, log %d times slower", c.nodes, c.slowdown), func(t *testing.T) {
+			runSite(t, c.nodes, 8, func(s *site) {
+				time.Sleep(2 * time.Second)
+				s.leader()
+				for _, l := range s.logs() {
+					l.SetSlowdown(c.slowdown)
+				}
+				time.Sleep(3 * time.Second)
+				claims := s.ledgerTopic.EpochsBegun(leaderProducer)
+				s.killLeader()
+				started := time.Now()
+				s.leader()
+				if took := time.Since(started); took > c.maxTime {
+					t.Errorf("leadership was acquired after %s, want at most %s", took, c.maxTime)
+				}
+				time.Sleep(3 * time.Second)
+				if got := s.ledgerTopic.EpochsBegun(leaderProducer) - claims; got > c.maxClaims {
+					t.Errorf("%d claims, want at most %d", got, c.maxClaims)
+				}
+			})
+		})
+	}
+}
+
+// While no node leads and the log is slow, records must still go through one node.
+func TestSlowLogWithoutLeaderServesSubmissions(t *testing.T) {
+	runSite(t, 40, 40, func(s *site) {
+		for _, l := range s.logs() {
+			l.SetSlowdown(66)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		s.killLeader()
+		jobs, errs := s.submitEverywhere(50*time.Millisecond, 6*time.Second)
+		// Until the loss is noticed, submissions are sent to the former leader.
+		if len(errs)*5 > len(jobs) {
+			t.Errorf("%d of %d submissions failed, the first with: %v", len(errs), len(jobs), errs[0])
+		}
+	})
+}
+
+// A node that restarts under its address must not write it to the ledger again: during a
+// rolling restart of many nodes these appends would crowd out the others.
+func TestRestartedNodeDoesNotWriteItsAddress(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		n := s.follower()
+		n.kill()
+		n.Wait()
+		s.nodes = remove(s.nodes, n)
+		var before int
+		count := func() int { return s.ledgerTopic.Written("n/" + n.settings.Name) }
+		before = count()
+		s.addNode(n.settings.Name)
+		time.Sleep(time.Second)
+		if got := count(); got != before {
+			t.Errorf("the address was written %d times, want %d", got, before)
+		}
+	})
+}
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -21,10 +21,12 @@
 type Settings struct {
 	// Name is the name of the topic in logs and metrics.
 	Name string
-	// Wait is how long the log may hold a read until there is a record.
+	// Wait is how long the log may hold a read until there is a record. Reads of a slow
+	// log wait less, so that the sink is confirmed as often.
 	Wait time.Duration
-	// CallTimeout bounds a read in addition to its wait.
-	CallTimeout time.Duration
+	// CallTimeout bounds a read in addition to its wait, and MaxCallTimeout a read of a
+	// slow log.
+	CallTimeout, MaxCallTimeout time.Duration
 	// ListTimeout bounds a call for one page of a listing, which may be large.
 	ListTimeout time.Duration
 	// RetryDelay is the delay after a failed call.
@@ -64,6 +66,8 @@
 	ready          bool
 	confirmedAt    time.Duration
 	lastReadFailed bool
+	// latency estimates the latency of the log from the reads of Run.
+	latency latencyEstimator
 
 	failures *metrics.Counter
 }
@@ -139,22 +143,44 @@
 	if !ready {
 		return &backend.LogError{Kind: backend.LogUnavailable}
 	}
-	return f.read(ctx, from, 0)
+	_, err := f.read(ctx, from, 0)
+	return err
 }
 
+const (
+	// slowWaitFactor is by how many latencies a read's wait is shortened: the sink is
+	// confirmed again two latencies and a wait after the last time.
+	slowWaitFactor = 2
+	// minWait is the shortest wait, so that reads of a very slow log do not become polls.
+	minWait = 100 * time.Millisecond
+	// callTimeoutFactor is the timeout of a read in latencies.
+	callTimeoutFactor = 3
+)
+
 // step makes one read, or lists the topic if that is needed.
 func (f *Follower) step(ctx context.Context) error {
+	now := f.settings.Now()
 	f.mu.Lock()
-	ready, from, wait := f.ready, f.nextOffset, f.settings.Wait
+	ready, from, wait := f.ready, f.nextOffset, max(f.settings.Wait-slowWaitFactor*f.latency.at(now), min(minWait, f.settings.Wait))
 	if f.lastReadFailed {
 		// A read without a wait shows soonest that the topic is reachable again.
 		wait = 0
 	}
+	read := &timedRead{sentAt: now, wait: wait}
+	if ready {
+		f.latency.tail = read
+	}
 	f.mu.Unlock()
 	if !ready {
 		return f.list(ctx)
 	}
-	err := f.read(ctx, from, wait)
+	records, err := f.read(ctx, from, wait)
+	f.mu.Lock()
+	f.latency.tail = nil
+	if err == nil {
+		f.latency.answered(read, f.settings.Now(), records > 0)
+	}
+	f.mu.Unlock()
 	var logErr *backend.LogError
 	if errors.As(err, &logErr) && logErr.Kind == backend.LogTrimmed {
 		klog.InfoS("feed: records were trimmed before they were read; listing the topic again", "topic", f.settings.Name, "offset", from)
@@ -166,14 +192,22 @@
 	return err
 }
 
-// read reads one page from an offset and applies the records that are new.
-func (f *Follower) read(ctx context.Context, from int64, wait time.Duration) error {
+// callTimeout bounds a read in addition to its wait.
+func (f *Follower) callTimeout() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.settings.CallTimeout, min(callTimeoutFactor*f.latency.estimate, f.settings.MaxCallTimeout))
+}
+
+// read reads one page from an offset, applies the records that are new, and returns how
+// many records the page has.
+func (f *Follower) read(ctx context.Context, from int64, wait time.Duration) (int, error) {
 	sent := f.settings.Now()
-	callCtx, cancel := context.WithTimeout(ctx, wait+f.settings.CallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, wait+f.callTimeout())
 	defer cancel()
 	page, err := f.log.Read(callCtx, from, wait)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	f.sinkMu.Lock()
 	defer f.sinkMu.Unlock()
@@ -191,7 +225,7 @@
 		sent += wait
 	}
 	f.advance(next, next >= page.End, sent)
-	return nil
+	return len(page.Records), nil
 }
 
 // advance records the offset up to which records have been applied and, if that is the
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -21,15 +21,24 @@
 
 const (
 	// storeTimeout bounds storing a record, including forwarding it: well within the
-	// time that callers wait for an answer.
-	storeTimeout = 1800 * time.Millisecond
-	// minLocalTimeout bounds this node's write to the log before the record is
-	// forwarded: many times the usual latency of the log.
-	minLocalTimeout = 600 * time.Millisecond
-	// latencyFactor raises that bound to a multiple of the log's typical latency, and
-	// maxLocalTimeout limits it so that time remains to forward the record.
-	latencyFactor   = 3
-	maxLocalTimeout = 1300 * time.Millisecond
+	// time that callers wait for an answer. A record for a slow log may take
+	// slowStoreTimeout, if its caller waits as long.
+	storeTimeout     = 1800 * time.Millisecond
+	slowStoreTimeout = 2700 * time.Millisecond
+	// writerTimeout is how long the writing node may take to store a record before this
+	// node writes to the log, too.
+	writerTimeout = 600 * time.Millisecond
+	// slowLogLatency is the latency from which the log counts as slow, a dozen times the
+	// usual one. A slow log takes few appends a second, so that each record is then given
+	// to one node only, which batches it with others.
+	slowLogLatency = 50 * time.Millisecond
+	// lateAnswerDelay is how long the writing node may take before the log's latency is
+	// measured, and slowLogCheckInterval the time between two looks at the result.
+	lateAnswerDelay      = 100 * time.Millisecond
+	slowLogCheckInterval = 200 * time.Millisecond
+	// localTimeout bounds this node's write to a log that is not slow, before the record
+	// is forwarded: many times the usual latency of the log.
+	localTimeout = 600 * time.Millisecond
 	// readTimeout bounds a refresh of the replica for a caller.
 	readTimeout = 500 * time.Millisecond
 	// maxReplicaAge is the age up to which the replica may answer queries for jobs that
@@ -46,6 +55,9 @@
 
 // Forwarder forwards requests to other nodes while this one cannot reach the log.
 type Forwarder interface {
+	// StoreAtWriter is Store through the one node that writes the records of all nodes
+	// while it works. It fails with ErrNoWriter if that is this node or none.
+	StoreAtWriter(ctx context.Context, r backend.KeyedRecord) error
 	// Store makes another node add a record to the log. An *api.Error says by its
 	// verdict whether one may have done so.
 	Store(ctx context.Context, r backend.KeyedRecord) error
@@ -53,21 +65,29 @@
 	Phase(ctx context.Context, id string) (ledger.Phase, error)
 }
 
+// ErrNoWriter means that no other node writes records for this one.
+var ErrNoWriter = api.Errorf(api.CodeUnavailable, "no other node writes for this one")
+
 // Service is the intake of a node. It is safe for concurrent use.
 type Service struct {
 	forwarder Forwarder
 	replica   *ledger.Replica
 	follower  *feed.Follower
-	writer    *ledger.Appender
-	now       func() time.Duration
-	unixMS    func() int64
+	// writer is this node's own. leaderWriter returns that of the leader's term while this
+	// node leads, else nil: a node has one append at a time for all of its records.
+	writer       *ledger.Appender
+	leaderWriter func() *ledger.Appender
+	// checkLatency makes the writer's estimate of the log's latency show the present one.
+	checkLatency func()
+	now          func() time.Duration
+	unixMS       func() int64
 	// latency is that of successful writes, in seconds.
 	latency *metrics.Histogram
 }
 
 // New returns the intake of a node, whose replica is kept current by f.
-func New(replica *ledger.Replica, f *feed.Follower, writer *ledger.Appender, forwarder Forwarder, now func() time.Duration, unixMS func() int64) *Service {
-	return &Service{forwarder: forwarder, replica: replica, follower: f, writer: writer, now: now, unixMS: unixMS, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
+func New(replica *ledger.Replica, f *feed.Follower, writer *ledger.Appender, leaderWriter func() *ledger.Appender, checkLatency func(), forwarder Forwarder, now func() time.Duration, unixMS func() int64) *Service {
+	return &Service{forwarder: forwarder, replica: replica, follower: f, writer: writer, leaderWriter: leaderWriter, checkLatency: checkLatency, now: now, unixMS: unixMS, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
 }
 
 // Submit stores a job. The verdict of an *api.Error says whether the job may have been, or
@@ -152,21 +172,22 @@
 // ledger.Replica.Pending.
 func (s *Service) Pending(queue string) int { return s.replica.Pending(queue) }
 
-// write stores a record through this node or, if that fails, through another one.
+// write stores a record through the writing node, which batches the records of all nodes,
+// since the log takes one append after the other. If that node fails to, or takes long, the
+// record is stored through this node or, if that fails, through another one.
 func (s *Service) write(ctx context.Context, r backend.KeyedRecord) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
 	started := s.now()
-	err := s.writeLocally(ctx, r)
-	if err != nil {
-		// Both nodes may add the record; applying it twice is harmless.
-		forwardErr := s.forwarder.Store(ctx, r)
-		klog.InfoS("intake: passed a record to another node", "key", r.Key, "cause", err, "err", forwardErr)
-		// The verdict is not-run only if neither node may have added the record.
-		if forwardErr == nil || api.AsError(forwardErr, api.MayHaveRun).Verdict != api.NotRun {
-			err = forwardErr
-		}
-	}
+	ctx, cancel := s.withTimeout(ctx, storeTimeout)
+	defer cancel()
+	byWriter := make(chan error, 1)
+	go func() {
+		// Calls to a node share a connection, which ends with a cancelled call, so that
+		// the call goes on when the record has been stored otherwise.
+		ctx, cancel := s.withTimeout(context.WithoutCancel(ctx), storeTimeout)
+		defer cancel()
+		byWriter <- s.forwarder.StoreAtWriter(ctx, r)
+	}()
+	err := s.awaitWriter(ctx, r, byWriter)
 	if err == nil {
 		s.latency.Update((s.now() - started).Seconds())
 		return nil
@@ -177,29 +198,126 @@
 	return &api.Error{Code: api.CodeUnavailable, Message: "the log does not take the record", Verdict: api.NotRun, RetryAfter: s.retryAfter()}
 }
 
+// awaitWriter waits for the result of the writing node, and stores the record directly if
+// that node fails or, unless the log is slow, takes longer than writerTimeout.
+func (s *Service) awaitWriter(ctx context.Context, r backend.KeyedRecord, byWriter <-chan error) error {
+	late := time.AfterFunc(lateAnswerDelay, s.checkLatency)
+	defer late.Stop()
+	timeout := time.NewTimer(writerTimeout)
+	defer timeout.Stop()
+	for {
+		select {
+		case err := <-byWriter:
+			if err == nil {
+				return nil
+			}
+			return leastCertain(err, s.writeDirectly(ctx, r, err))
+		case <-ctx.Done():
+			return errWriterSlow
+		case <-timeout.C:
+			if s.isLogSlow() {
+				timeout.Reset(slowLogCheckInterval)
+				continue
+			}
+			err := s.writeDirectly(ctx, r, errWriterSlow)
+			if err == nil {
+				return nil
+			}
+			select {
+			case writerErr := <-byWriter:
+				return leastCertain(writerErr, err)
+			case <-ctx.Done():
+				return leastCertain(errWriterSlow, err)
+			}
+		}
+	}
+}
+
+// withTimeout returns a context that ends after the timeout or, if the log turns out to be
+// slow by then, after slowStoreTimeout.
+func (s *Service) withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, slowStoreTimeout)
+	timer := time.AfterFunc(timeout, func() {
+		if !s.isLogSlow() {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
+// isLogSlow reports whether the log answers, but slowly.
+func (s *Service) isLogSlow() bool { return s.writer.TypicalLatency() >= slowLogLatency }
+
+// errWriterSlow is the result of a call to the writing node that is not answered yet.
+var errWriterSlow = &api.Error{Code: api.CodeTimeout, Message: "the writing node has not answered yet", Verdict: api.MayHaveRun}
+
+// leastCertain returns the result of two attempts to store a record: nil if any succeeded,
+// and an error with the verdict not-run only if neither may have added the record.
+func leastCertain(a, b error) error {
+	if a == nil || b == nil {
+		return nil
+	}
+	if api.AsError(a, api.MayHaveRun).Verdict != api.NotRun {
+		return a
+	}
+	return b
+}
+
+// writeDirectly stores a record through this node or, if that fails, through another one.
+// cause is why the writing node has not stored it.
+func (s *Service) writeDirectly(ctx context.Context, r backend.KeyedRecord, cause error) error {
+	if cause != ErrNoWriter {
+		klog.InfoS("intake: record not stored by the writing node", "key", r.Key, "err", cause)
+		if s.isLogSlow() {
+			return errNotSent
+		}
+	}
+	err := s.writeLocally(ctx, r)
+	if err == nil || s.isLogSlow() {
+		return err
+	}
+	// Both nodes may add the record; applying it twice is harmless.
+	forwardErr := s.forwarder.Store(ctx, r)
+	klog.InfoS("intake: passed a record to another node", "key", r.Key, "cause", err, "err", forwardErr)
+	return leastCertain(err, forwardErr)
+}
+
+// errNotSent means that this node has not sent a record to the log.
+var errNotSent = api.Errorf(api.CodeUnavailable, "the log is slow, and the writing node has not stored the record")
+
 // retryAfter returns the delay after which rejected callers may retry. During a log outage
 // it is as long as the outage has lasted so far, since the outage is likely to last as long
 // again; callers that retry sooner would use up their few retries before its end.
 func (s *Service) retryAfter() time.Duration {
-	return min(max(minRetryAfter, s.writer.OutageDuration(outageTimeout)), maxRetryAfter)
+	return min(max(minRetryAfter, s.localWriter().OutageDuration(outageTimeout)), maxRetryAfter)
 }
 
 // StoreLocally adds a record that another node has forwarded.
-func (s *Service) StoreLocally(ctx context.Context, r backend.KeyedRecord) error {
-	ctx, cancel := context.WithTimeout(ctx, minLocalTimeout)
-	defer cancel()
-	return s.writeLocally(ctx, r)
+func (s *Service) StoreLocally(r backend.KeyedRecord) error {
+	return s.writeLocally(context.Background(), r)
+}
+
+// localWriter returns the writer for records that this node adds to the log.
+func (s *Service) localWriter() *ledger.Appender {
+	if w := s.leaderWriter(); w != nil {
+		return w
+	}
+	return s.writer
 }
 
 // writeLocally adds a record to the log from this node.
 func (s *Service) writeLocally(ctx context.Context, r backend.KeyedRecord) error {
-	if outage := s.writer.OutageDuration(outageTimeout); outage > 0 || s.follower.LastReadFailed() {
+	writer := s.localWriter()
+	if outage := writer.OutageDuration(outageTimeout); outage > 0 || s.follower.LastReadFailed() {
 		// A write would only wait, so none is sent and the verdict is certain.
 		return &api.Error{Code: api.CodeUnavailable, Message: fmt.Sprintf("the log is unreachable: the last read failed, or writes have been failing (for %s)", outage), Verdict: api.NotRun}
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(max(minLocalTimeout, latencyFactor*s.writer.TypicalLatency()), maxLocalTimeout))
+	ctx, cancel := s.withTimeout(ctx, localTimeout)
 	defer cancel()
-	_, err := s.writer.Write(ctx, r)
+	_, err := writer.Write(ctx, r)
 	if err == nil {
 		return nil
 	}
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -7,7 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/fnv"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -36,13 +36,8 @@
 	// pollInterval is how often a follower checks whether to probe or to claim
 	// leadership, and a leader whether Resign has been called.
 	pollInterval = 50 * time.Millisecond
-	// hashRanks is the number of ranks over which nodes with enough CPU are spread by
-	// a hash.
-	hashRanks = 8
-	// maxCPURankPenalty is how many ranks later a node with no CPU claims.
-	maxCPURankPenalty = 12
-	// sufficientCores is the CPU from which a node claims without a penalty. It is enough
-	// to lead any present site: the leader of 350 workers uses a third of it.
+	// sufficientCores is the CPU from which a node is a candidate for leadership: the
+	// leader of 350 workers uses a third of it.
 	sufficientCores = 0.4
 	// writeTimeout bounds a call to the log.
 	writeTimeout = time.Second
@@ -58,8 +53,14 @@
 	deleteInterval = 5 * time.Second
 )
 
+// IsCandidate reports whether a node with the given CPU capacity is a candidate for
+// leadership. Other nodes claim it only after all candidates have failed to.
+func IsCandidate(cores float64) bool { return cores >= sufficientCores }
+
 // Settings configure a Service.
 type Settings struct {
+	// Name is the name of the node's VM.
+	Name string
 	// Incarnation is the unique name of this incarnation among those of all nodes.
 	// Address is where other nodes reach this one.
 	Incarnation, Address string
@@ -69,13 +70,17 @@
 	Dispatch dispatch.Settings
 	// MaxBatchBytes bounds the records of one call to the log.
 	MaxBatchBytes int
-	// Cores is the node's CPU capacity.
-	Cores float64
+	// LogLatency returns an estimate of the log's latency.
+	LogLatency func() time.Duration
+	// CheckLatency makes LogLatency soon show the present latency.
+	CheckLatency func()
 	// Now is a monotonic clock that also advances while the process is suspended.
 	Now    func() time.Duration
 	UnixMS func() int64
 }
 
+var claimFailures = metrics.GetOrCreateCounter("shallotpin_claim_failures_total")
+
 // Service is a node's participant in leader election. Its methods are safe for
 // concurrent use.
 type Service struct {
@@ -222,6 +227,10 @@
 		term, sent, err := s.claim(ctx)
 		if err != nil {
 			s.markEnded(term)
+			s.mu.Lock()
+			s.monitor.ObserveFailedClaim(s.settings.Now(), rand.Float64())
+			s.mu.Unlock()
+			claimFailures.Inc()
 			klog.InfoS("leader: claim failed", "term", term.Number, "err", err)
 			continue
 		}
@@ -239,22 +248,73 @@
 		return false
 	}
 	term := s.replica.Term()
+	if s.replica.NodeAddress(s.settings.Name) == "" {
+		// The node has no place in the order of claims yet.
+		return false
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if term.Number == 0 || term.Resigned {
 		s.monitor.ObserveVacancy(s.settings.Now())
 	}
-	return s.monitor.ShouldClaim(s.settings.Now(), s.rank(term.Number))
+	due := s.monitor.ShouldClaim(s.settings.Now(), 0)
+	s.mu.Unlock()
+	if !due {
+		return false
+	}
+	rank := s.rank(term.Number)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.monitor.ShouldClaim(s.settings.Now(), rank)
+}
+
+// Writer returns the writer of the term that the node leads, or nil.
+func (s *Service) Writer() *ledger.Appender {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writer
+}
+
+// maxWriters is how many nodes are tried as the one that writes for all.
+const maxWriters = 3
+
+// WriterAddresses returns where to reach the nodes that write records for all others, in
+// the order in which to try them: the leader while it is known to work, then the first
+// nodes in the order of claims. The list ends before this node.
+func (s *Service) WriterAddresses() []string {
+	term := s.replica.Term()
+	s.mu.Lock()
+	hasLeader := term.Number > 0 && !term.Resigned && term.Address != "" && s.monitor.HasLeader(s.settings.Now())
+	s.mu.Unlock()
+	var addresses []string
+	if hasLeader {
+		if term.Leader == s.settings.Incarnation {
+			return nil
+		}
+		addresses = append(addresses, term.Address)
+	}
+	candidates, others := s.replica.NodeNames()
+	for _, name := range election.Order(term.Number, candidates, others) {
+		if name == s.settings.Name || len(addresses) >= maxWriters {
+			break
+		}
+		// A leader that is not known to work is not tried.
+		if address := s.replica.NodeAddress(name); address != term.Address {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
 }
 
 // probeLeader asks a suspected leader, in the background, whether it still leads. It does
 // nothing if the leader is not suspected or a probe is under way.
 func (s *Service) probeLeader(ctx context.Context) {
 	term := s.replica.Term()
+	latency := s.settings.LogLatency()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.monitor.ObserveLatency(latency)
 	now := s.settings.Now()
-	if s.probing || now < s.nextProbe || s.lastRead == 0 || term.Number == 0 || term.Address == "" || !s.monitor.ShouldProbe(now, s.rank(term.Number)) {
+	if s.probing || now < s.nextProbe || s.lastRead == 0 || term.Number == 0 || term.Address == "" || !s.monitor.ShouldProbe(now, 0) || !s.monitor.ShouldProbe(now, s.rank(term.Number)) {
 		return
 	}
 	s.probing, s.nextProbe = true, now+probeInterval
@@ -315,13 +375,10 @@
 	s.monitor.ObserveLeader(s.settings.Now())
 }
 
-// rank returns the node's place in the order of probes and claims, from 0. A hash
-// spreads the nodes; nodes with little CPU come later.
+// rank returns the node's place in the order of probes and claims, from 0.
 func (s *Service) rank(term int64) int {
-	h := fnv.New32a()
-	fmt.Fprintf(h, "%s %d", s.settings.Incarnation, term)
-	missing := max(0, 1-s.settings.Cores/sufficientCores)
-	return int(h.Sum32()%hashRanks) + int(missing*maxCPURankPenalty)
+	candidates, others := s.replica.NodeNames()
+	return election.Rank(s.settings.Name, term, candidates, others)
 }
 
 // claim writes a leadership claim and returns its term and send time. Once the claim has
@@ -373,7 +430,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	writer := ledger.NewAppender(s.log, ledger.AppenderSettings{Producer: producer, Epoch: term.Number, NextSequence: 2, CallTimeout: writeTimeout,
-		RetryDelay: writeRetryDelay, BatchDelay: batchDelay, MaxBatchBytes: s.settings.MaxBatchBytes, Now: s.settings.Now})
+		RetryDelay: writeRetryDelay, BatchDelay: batchDelay, MaxBatchBytes: s.settings.MaxBatchBytes, LogLatency: s.settings.LogLatency, CheckLatency: s.settings.CheckLatency, Now: s.settings.Now})
 	go func() {
 		if err := writer.Run(writerCtx); err != nil && writerCtx.Err() == nil {
 			klog.InfoS("leader: writer stopped", "term", term.Number, "err", err)
--- a/pkg/ledger/appender.go
+++ b/pkg/ledger/appender.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/backend"
@@ -28,6 +29,13 @@
 	BatchDelay time.Duration
 	// MaxBatchBytes bounds the records of one call; a larger Write has a call of its own.
 	MaxBatchBytes int
+	// LogLatency returns an estimate of the log's latency from other calls than the
+	// Appender's, for example from reads.
+	LogLatency func() time.Duration
+	// CheckLatency makes LogLatency soon show the present latency. It is called while the
+	// answer to a call is late: from it follows whether the log is slow or has lost the
+	// answer.
+	CheckLatency func()
 	// Now is a monotonic clock that also advances while the process is suspended.
 	Now func() time.Duration
 }
@@ -128,7 +136,7 @@
 	defer a.mu.Unlock()
 	now := a.settings.Now()
 	// A slow log is not an outage.
-	timeout = max(timeout, repeatLatencyFactor*a.latency)
+	timeout = max(timeout, repeatLatencyFactor*a.typicalLatency())
 	switch {
 	case a.failingSince != 0 && (a.inFlightSince != 0 || len(a.queue) > 0 || now-a.lastCallEnd < timeout):
 		return now - a.failingSince
@@ -216,7 +224,7 @@
 	latency, err := a.send(ctx, write)
 	var logErr *backend.LogError
 	errors.As(err, &logErr)
-	a.recordCall(sent, latency, err == nil)
+	a.recordCall(sent, latency, len(write.Records), err)
 	switch {
 	case err == nil:
 		a.settings.NextSequence++
@@ -243,6 +251,9 @@
 	// minRepeatDelay is the shortest time without an answer after which a call is
 	// repeated: some ten times the usual latency of the log.
 	minRepeatDelay = 100 * time.Millisecond
+	// lateAnswerDelay is the time without an answer after which the log's latency is
+	// measured, to tell a slow log from a lost answer.
+	lateAnswerDelay = 25 * time.Millisecond
 	// repeatLatencyFactor raises that time to a multiple of the log's typical latency.
 	repeatLatencyFactor = 4
 	// latencyDecay sets how slowly the typical latency falls: each faster call lowers it
@@ -251,6 +262,9 @@
 	// maxRepeats bounds how often a call is repeated within its timeout; the delay
 	// doubles each time.
 	maxRepeats = 4
+	// maxTimeoutFactor limits the timeout of a call to a slow log, as a multiple of
+	// AppenderSettings.CallTimeout.
+	maxTimeoutFactor = 2
 )
 
 // send makes a call and, while there is no answer, sends repeats of it in parallel. It
@@ -258,7 +272,8 @@
 // answer from a log that loses answers; leaving the first call in flight gets the earliest
 // answer from a slow log.
 func (a *Appender) send(ctx context.Context, write backend.KeyedAppend) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, a.settings.CallTimeout)
+	repeatDelay := repeatLatencyFactor * a.TypicalLatency()
+	ctx, cancel := context.WithTimeout(ctx, max(a.settings.CallTimeout, min(repeatDelay, maxTimeoutFactor*a.settings.CallTimeout)))
 	defer cancel()
 	type answer struct {
 		latency time.Duration
@@ -274,9 +289,12 @@
 			answers <- answer{a.settings.Now() - began, err}
 		}()
 	}
-	delay := max(minRepeatDelay, repeatLatencyFactor*a.TypicalLatency())
+	delay := max(minRepeatDelay, repeatDelay)
 	repeat := time.NewTimer(delay)
 	defer repeat.Stop()
+	late := time.AfterFunc(lateAnswerDelay, a.settings.CheckLatency)
+	defer late.Stop()
+	began := a.settings.Now()
 	call()
 	var unsettled error
 	for {
@@ -295,7 +313,10 @@
 				return 0, unsettled
 			}
 		case <-repeat.C:
-			if sent <= maxRepeats {
+			if wait := repeatLatencyFactor*a.TypicalLatency() - (a.settings.Now() - began); wait > 0 {
+				// The log has turned out to be slow.
+				repeat.Reset(max(wait, lateAnswerDelay))
+			} else if sent <= maxRepeats {
 				repeatsTotal.Inc()
 				call()
 				delay *= 2
@@ -310,24 +331,32 @@
 func (a *Appender) TypicalLatency() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.latency
+	return a.typicalLatency()
 }
 
-// recordCall records the end of a call, and its latency if it succeeded.
-func (a *Appender) recordCall(sent, latency time.Duration, succeeded bool) {
+// typicalLatency is TypicalLatency; it must be called with mu held.
+func (a *Appender) typicalLatency() time.Duration {
+	return max(a.latency, a.settings.LogLatency())
+}
+
+// recordCall records the end of a call, and its latency if it succeeded. It logs the first
+// failure and the first success after failures.
+func (a *Appender) recordCall(sent, latency time.Duration, records int, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.inFlightSince = 0
-	if succeeded {
-		a.latency = max(latency, a.latency+(latency-a.latency)/latencyDecay)
+	a.lastCallEnd = a.settings.Now()
+	if err == nil {
+		if a.failingSince != 0 {
+			klog.InfoS("ledger: writes succeed again", "producer", a.settings.Producer, "failing", a.lastCallEnd-a.failingSince, "latency", latency, "records", records)
+		}
+		a.latency, a.failingSince = max(latency, a.latency+(latency-a.latency)/latencyDecay), 0
+		return
 	}
-	switch {
-	case succeeded:
-		a.failingSince = 0
-	case a.failingSince == 0:
+	if a.failingSince == 0 {
 		a.failingSince = sent
+		klog.InfoS("ledger: writes fail", "producer", a.settings.Producer, "took", a.lastCallEnd-sent, "latency", a.typicalLatency(), "records", records, "err", err)
 	}
-	a.lastCallEnd = a.settings.Now()
 }
 
 func (a *Appender) finish(batch []*pendingWrite, sent time.Duration, err error) {
--- a/pkg/ledger/appender_test.go
+++ b/pkg/ledger/appender_test.go
@@ -41,7 +41,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
 		now := func() time.Duration { return time.Since(began) }
-		a := NewAppender(s, AppenderSettings{Producer: "p", Epoch: 1, NextSequence: 1, CallTimeout: time.Second, RetryDelay: 10 * time.Millisecond, MaxBatchBytes: 1000, Now: now})
+		a := NewAppender(s, AppenderSettings{Producer: "p", Epoch: 1, NextSequence: 1, CallTimeout: time.Second, RetryDelay: 10 * time.Millisecond, MaxBatchBytes: 1000, LogLatency: func() time.Duration { return 0 }, CheckLatency: func() {}, Now: now})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go a.Run(ctx)
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -22,7 +22,9 @@
 	cancelPrefix   = "c/"
 	progressPrefix = "p/"
 	nodePrefix     = "n/"
-	termKey        = "term"
+	// candidatePrefix marks the nodes that have enough CPU to lead.
+	candidatePrefix = "l/"
+	termKey         = "term"
 )
 
 // Phase is the phase of a job.
@@ -112,10 +114,14 @@
 	return []backend.KeyedRecord{{Key: jobPrefix + id}, {Key: cancelPrefix + id}, {Key: progressPrefix + id}}
 }
 
-// NodeRecord returns the record that stores the address at which other nodes reach a
-// node; an empty address deletes it.
-func NodeRecord(name, address string) backend.KeyedRecord {
-	return backend.KeyedRecord{Key: nodePrefix + name, Value: []byte(address)}
+// NodeRecords returns the records that store the address at which other nodes reach a
+// node, and whether it is a candidate for leadership; an empty address deletes it.
+func NodeRecords(name, address string, candidate bool) []backend.KeyedRecord {
+	records := []backend.KeyedRecord{{Key: nodePrefix + name, Value: []byte(address)}, {Key: candidatePrefix + name}}
+	if candidate {
+		records[1].Value = []byte(address)
+	}
+	return records
 }
 
 // record encodes a value of one of the types above, all of which can be encoded.
@@ -165,11 +171,13 @@
 	Term Term
 	// Nodes maps the names of entry VMs to the addresses at which other nodes reach them.
 	Nodes map[string]string
+	// Candidates are the names of the entry VMs that have enough CPU to lead.
+	Candidates map[string]bool
 }
 
 // NewState returns the state of an empty topic.
 func NewState() *State {
-	return &State{Jobs: map[string]*JobEntry{}, Nodes: map[string]string{}}
+	return &State{Jobs: map[string]*JobEntry{}, Nodes: map[string]string{}, Candidates: map[string]bool{}}
 }
 
 // Change is the effect of a record on the State.
@@ -212,6 +220,9 @@
 	case nodePrefix:
 		s.Nodes[id] = string(r.Value)
 		return Change{}, nil
+	case candidatePrefix:
+		s.Candidates[id] = true
+		return Change{}, nil
 	case termKey:
 		var t Term
 		if err := json.Unmarshal(r.Value, &t); err != nil {
@@ -252,6 +263,8 @@
 		}
 	case nodePrefix:
 		delete(s.Nodes, id)
+	case candidatePrefix:
+		delete(s.Candidates, id)
 	}
 	return Change{}
 }
--- a/pkg/ledger/replica.go
+++ b/pkg/ledger/replica.go
@@ -115,6 +115,36 @@
 	return addresses
 }
 
+// NodeNames returns the names of the entry VMs that have enough CPU to lead, and of the
+// others.
+func (r *Replica) NodeNames() (candidates, others []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range r.state.Nodes {
+		if r.state.Candidates[name] {
+			candidates = append(candidates, name)
+		} else {
+			others = append(others, name)
+		}
+	}
+	return candidates, others
+}
+
+// NodeAddress returns the address of an entry VM, or "" if none is known.
+func (r *Replica) NodeAddress(name string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Nodes[name]
+}
+
+// HasNode reports whether the state has a node with its address, and as a candidate for
+// leadership or not, as given.
+func (r *Replica) HasNode(name, address string, candidate bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Nodes[name] == address && r.state.Candidates[name] == candidate
+}
+
 // Pending returns the number of a queue's jobs of which no task has started. Jobs with
 // scheduled occurrences are not counted.
 func (r *Replica) Pending(queue string) int {
--- a/pkg/simsite/log.go
+++ b/pkg/simsite/log.go
@@ -27,8 +27,15 @@
 	LogLosesReplies
 )
 
-// callLatency is the duration of a call to the log.
-const callLatency = 4 * time.Millisecond
+const (
+	// callLatency is the duration of a call to the log, without a slowdown.
+	callLatency = 4 * time.Millisecond
+	// appendTime is how long an append occupies the log, without a slowdown: appends are
+	// processed one at a time.
+	appendTime = 2 * time.Millisecond
+	// maxAppendWait is how long an append may wait for others; further ones are refused.
+	maxAppendWait = 2 * time.Second
+)
 
 // Log is an in-memory keyed log. It is safe for concurrent use.
 type Log struct {
@@ -39,13 +46,60 @@
 	epochs    map[string]int64
 	sequences map[string]int64
 	changed   chan struct{}
+	// slowdown is the factor by which calls take longer; 0 means 1.
+	slowdown int
+	// busyUntil is when the appends received so far will have been processed.
+	busyUntil time.Time
+	// claims counts the received appends that begin an epoch of a producer, by the
+	// producer's name.
+	claims map[string]int
 	// Appends is the number of executed appends, without repeats of a producer's sequence number.
 	Appends int
 }
 
 // NewLog returns an empty log.
 func NewLog() *Log {
-	return &Log{newest: map[string]backend.KeyedRecord{}, epochs: map[string]int64{}, sequences: map[string]int64{}, changed: make(chan struct{})}
+	return &Log{newest: map[string]backend.KeyedRecord{}, epochs: map[string]int64{}, sequences: map[string]int64{}, claims: map[string]int{}, changed: make(chan struct{})}
+}
+
+// SetSlowdown sets the factor by which calls take longer from now on.
+func (l *Log) SetSlowdown(factor int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slowdown = factor
+}
+
+func (l *Log) slowed(d time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return d * time.Duration(max(1, l.slowdown))
+}
+
+// EpochsBegun returns how many appends that begin an epoch of the producer the log has
+// received, with refused and repeated ones.
+func (l *Log) EpochsBegun(producer string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.claims[producer]
+}
+
+// waitForTurn waits until an append is processed. It returns false if too many wait.
+func (l *Log) waitForTurn() bool {
+	took := l.slowed(appendTime)
+	l.mu.Lock()
+	now := time.Now()
+	if l.busyUntil.Sub(now) > maxAppendWait {
+		l.mu.Unlock()
+		return false
+	}
+	if l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.busyUntil = l.busyUntil.Add(took)
+	end := l.busyUntil
+	l.mu.Unlock()
+	time.Sleep(time.Until(end))
+	return true
 }
 
 // Client is one node's connection to a log, with its own fault. It implements
@@ -88,6 +142,19 @@
 	return l.newest[key].Value
 }
 
+// Written returns how often a key has been written since the last Trim.
+func (l *Log) Written(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.records {
+		if r.Key == key {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *Log) end() int64 { return l.first + int64(len(l.records)) }
 
 // add appends records. It must be called with mu held.
@@ -115,10 +182,10 @@
 		<-ctx.Done()
 		return f, &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.MayHaveRun, Cause: ctx.Err()}
 	case LogRefuses:
-		time.Sleep(callLatency)
+		time.Sleep(c.log.slowed(callLatency))
 		return f, &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.NotRun, Cause: errors.New("log refused the call")}
 	}
-	time.Sleep(callLatency)
+	time.Sleep(c.log.slowed(callLatency))
 	return f, nil
 }
 
@@ -128,7 +195,13 @@
 	if err != nil {
 		return 0, err
 	}
+	if !c.log.waitForTurn() {
+		return 0, &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.NotRun, Cause: errors.New("too many appends wait")}
+	}
 	end, err := c.log.append(a)
+	if ctx.Err() != nil {
+		return 0, &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.MayHaveRun, Cause: ctx.Err()}
+	}
 	if f == LogLosesReplies {
 		<-ctx.Done()
 		return 0, &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.MayHaveRun, Cause: ctx.Err()}
@@ -144,6 +217,9 @@
 	}
 	if a.Producer != "" {
 		epoch, known := l.epochs[a.Producer]
+		if a.Sequence == 1 {
+			l.claims[a.Producer]++
+		}
 		switch {
 		case known && a.Epoch < epoch:
 			return 0, &backend.LogError{Kind: backend.LogFenced, Verdict: api.NotRun}
