Keep work starting through partial outages of the log

Nodes wait 0.6 s for it with each submission, take a read in flight for a sign of a slow log, and reject although a third node could write.

Ruled out: late plans (under 10 ms), full racks (urgent jobs start within 0.15 s else).

Change: a bound for each part of the view, three quarters of the time that the platform gives for a zone, a draining worker, a cancellation; the leader takes jobs up that it has stored; a call to the log waits an eighth of the latency (30 ms at most) for writes that follow from the last one, and a plan is made before it; nodes write themselves after 0.25 s, try no late node again for 1 s, and go on to a further one after a refusal; after a failed read, reads in flight show no latency; a gang's member without progress counts as stalled at once when others progress. Lost work is counted by cause.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -60,6 +60,9 @@
 	softMemoryShare = 0.5
 	// clockDrift is the platform's limit for how much slower a worker's clock may run.
 	clockDrift = 0.02
+	// defaultMaxViewAge is the greatest age of a view at which tasks are started, where the
+	// platform sets no limit: three quarters of the shortest limit known.
+	defaultMaxViewAge = 1500 * time.Millisecond
 	// leaseWindow is how long tasks run on while the leader cannot write to the log: the
 	// longest outages known are of 7 s, and the rest is for the leader's recovery.
 	leaseWindow = 12 * time.Second
@@ -116,12 +119,23 @@
 func dispatchSettings(s *platform.Settings) dispatch.Settings {
 	failAfter := platform.Millis(s.Bounds.ContactMS) * 2 / 3
 	return dispatch.Settings{
+		MaxConfigAge: maxViewAge(s.Bounds.EvacuateMS), MaxWorkersAge: maxViewAge(s.Bounds.DrainMS), MaxLedgerAge: maxViewAge(s.Bounds.CancelMS),
 		LeaseDuration: platform.Millis(s.Bounds.HoldMaxMS), LeaseWindow: max(leaseWindow, platform.Millis(s.Bounds.HoldMaxMS)), ClockDrift: clockDrift, GangStartTimeout: platform.Millis(s.Bounds.GangMS),
 		MaxStopTime: platform.Millis(s.Bounds.StopMS), MaxReclaimTime: platform.Millis(s.Bounds.ReclaimMS), CheckpointInterval: platform.Seconds(s.Bounds.SaveS), EndedJobRetention: platform.Seconds(s.Bounds.StatusS),
 		Election: election.Settings{FailAfter: failAfter, MaxReadGap: entry.MaxReadDuration, Stagger: failAfter / 50, SuspectAfter: failAfter / 5, LogSettleTime: failAfter * 3 / 4, StartWindow: failAfter, RenewWindow: 3 * failAfter, HeartbeatInterval: failAfter / 4},
 	}
 }
 
+// maxViewAge returns the greatest age of a view at which tasks are started, given the time
+// within which a change must take effect, in milliseconds; 0 means unknown. A quarter of the
+// time remains for the order.
+func maxViewAge(limitMS int64) time.Duration {
+	if limitMS <= 0 {
+		return defaultMaxViewAge
+	}
+	return platform.Millis(limitMS) * 3 / 4
+}
+
 func serve(s *platform.Settings, opts options) error {
 	store := &http.Client{Transport: newTransport()}
 	topic := func(name string) *platform.Topic {
--- a/pkg/dispatch/apply.go
+++ b/pkg/dispatch/apply.go
@@ -27,7 +27,7 @@
 			if t.unit.step.Gang {
 				t.unit.aborting = true
 			}
-			e.stopRun(t.run, "preempted for another job")
+			e.stopRun(t.run, stopPreempted)
 		}
 	}
 	for _, a := range p.Reserve {
@@ -152,5 +152,5 @@
 func (e *Engine) canStart(r *run, now time.Duration) bool {
 	j := r.task.unit.job
 	return !j.progress.Phase.Ended() && !r.task.done && !r.task.unit.aborting && e.lease.MayStart(now) &&
-		now-e.view.ConfirmedAt <= maxViewAge && e.workers[r.worker.key] == r.worker && e.isSchedulable(r.worker, now)
+		e.view.isRecent(now, &e.Settings) && e.workers[r.worker.key] == r.worker && e.isSchedulable(r.worker, now)
 }
--- a/pkg/dispatch/draining.go
+++ b/pkg/dispatch/draining.go
@@ -21,9 +21,9 @@
 		if r.phase != runActive || u.step.LongRunning || u.aborting || r.task.done || !e.outlastsWorker(r, untilGone, now) {
 			continue
 		}
-		e.stopRun(r, "its worker is draining")
+		e.stopRun(r, stopDraining)
 		if u.step.Gang {
-			e.abortGang(u, "the worker of a member is draining")
+			e.abortGang(u, stopGangDraining)
 		}
 	}
 }
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -25,9 +25,19 @@
 	ZonesOut map[string]bool
 	// Workers are the workers that the platform lists, by ID.
 	Workers map[string]catalog.Worker
-	// ConfirmedAt is when the oldest part of the view was last known to be up to date,
-	// on the clock of Inputs.Now.
-	ConfirmedAt time.Duration
+	// ConfigAt, WorkersAt and LedgerAt are when the configuration with the zones, the list
+	// of workers, and the jobs were last known to be up to date, on the clock of Inputs.Now.
+	ConfigAt, WorkersAt, LedgerAt time.Duration
+}
+
+// age returns the age of the oldest part of the view.
+func (v *View) age(now time.Duration) time.Duration {
+	return now - min(v.ConfigAt, v.WorkersAt, v.LedgerAt)
+}
+
+// isRecent reports whether tasks may be started on the basis of the view.
+func (v *View) isRecent(now time.Duration, s *Settings) bool {
+	return v.Config != nil && now-v.ConfigAt <= s.MaxConfigAge && now-v.WorkersAt <= s.MaxWorkersAge && now-v.LedgerAt <= s.MaxLedgerAge
 }
 
 // Inputs are the dependencies of an Engine.
@@ -55,10 +65,13 @@
 // and UpdateSettings.
 type Engine struct {
 	Inputs
-	ctx     context.Context
-	events  chan func()
-	lease   *election.Lease
-	jobs    map[string]*job
+	ctx    context.Context
+	events chan func()
+	lease  *election.Lease
+	jobs   map[string]*job
+	// endedAt is when jobs that have ended were removed from jobs. A submission that
+	// arrives late must not start them again.
+	endedAt map[string]time.Duration
 	workers map[string]*worker
 	view    View
 	// lastJobAt is when the last new job arrived, or the term began.
@@ -93,7 +106,7 @@
 
 // New returns an engine for one term.
 func New(in Inputs) *Engine {
-	return &Engine{Inputs: in, events: make(chan func(), eventQueueSize), jobs: map[string]*job{}, workers: map[string]*worker{},
+	return &Engine{Inputs: in, events: make(chan func(), eventQueueSize), jobs: map[string]*job{}, endedAt: map[string]time.Duration{}, workers: map[string]*worker{},
 		lease: election.NewLease(in.Settings.Election, in.ClaimedAt), lastWriteAt: in.ClaimedAt, runTimes: map[string]*runTime{},
 		planDurations: metrics.GetOrCreateHistogram("shallotpin_plan_seconds"),
 		startWaits:    metrics.GetOrCreateHistogram("shallotpin_start_wait_seconds")}
@@ -148,18 +161,23 @@
 			e.onTick()
 		case <-planTimer:
 			planTimer = nil
-			e.needsPlan = false
-			began := e.Now()
-			e.plan()
-			e.lastPlanAt = e.Now()
-			e.lastPlanDuration = e.lastPlanAt - began
-			e.planDurations.Update(e.lastPlanDuration.Seconds())
+			e.planNow()
 			e.flush()
 		}
 	}
 	return e.termErr
 }
 
+// planNow makes a plan and carries it out.
+func (e *Engine) planNow() {
+	e.needsPlan = false
+	began := e.Now()
+	e.plan()
+	e.lastPlanAt = e.Now()
+	e.lastPlanDuration = e.lastPlanAt - began
+	e.planDurations.Update(e.lastPlanDuration.Seconds())
+}
+
 // post queues f to run on the engine's goroutine. It blocks while the event queue is
 // full, and drops f once the term has ended.
 func (e *Engine) post(f func()) {
@@ -202,6 +220,7 @@
 	e.view = e.View()
 	e.checkWorkers(now)
 	e.checkRuns(now)
+	maps.DeleteFunc(e.endedAt, func(_ string, at time.Duration) bool { return now-at > lateSubmissionTime })
 	e.needsPlan = true
 	e.flush()
 }
@@ -214,7 +233,7 @@
 		return
 	}
 	if j == nil {
-		if entry.Progress.Phase.Ended() {
+		if _, ended := e.endedAt[id]; ended || entry.Progress.Phase.Ended() {
 			return
 		}
 		j = e.newJob(entry, inherited)
@@ -294,7 +313,7 @@
 		for _, t := range u.tasks {
 			// The members of a completed gang end by themselves.
 			if t.run != nil && !t.done {
-				e.stopRun(t.run, "the job ended")
+				e.stopRun(t.run, stopJobEnded)
 			}
 		}
 	}
@@ -324,6 +343,7 @@
 			}
 		} else if j.endRecorded && !j.hasRuns() {
 			delete(e.jobs, id)
+			e.endedAt[id] = e.Now()
 		}
 	}
 	now := e.Now()
@@ -355,6 +375,10 @@
 			}
 			e.startPlanned(planned)
 			e.needsPlan = true
+			if e.Now()-sent > slowWriteTime {
+				// The next write takes long, too, so it should have what is planned now.
+				e.planNow()
+			}
 			e.flush()
 		})
 	}()
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -107,7 +107,7 @@
 	// stopConfirmedAt is when the worker confirmed a stop; 0 means not yet.
 	stopConfirmedAt time.Duration
 	stopInFlight    bool
-	stopReason      string
+	stopReason      stopReason
 	// percent is the newest known progress, and percentAt when it last changed or its
 	// measurement began anew.
 	percent   int
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -68,7 +68,7 @@
 // plan decides which tasks start and stop, for each service, and carries it out.
 func (e *Engine) plan() {
 	now := e.Now()
-	if !e.lease.MayStart(now) || now-e.view.ConfirmedAt > maxViewAge || e.view.Config == nil {
+	if !e.lease.MayStart(now) || !e.view.isRecent(now, &e.Settings) {
 		return
 	}
 	e.startReserved(now)
--- a/pkg/dispatch/progress.go
+++ b/pkg/dispatch/progress.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -32,14 +33,25 @@
 		return false
 	}
 	limit := max(stallTimeout, stallPercent*e.expectedRunTime(r.task.unit)/100)
-	if r.percent == 0 || r.resumed {
-		// The task may still wait for its gang or read its checkpoint.
+	if r.resumed || r.percent == 0 && !r.gangWorks() {
+		// The task may still read its checkpoint, or wait for its gang.
 		limit += startupAllowance
 	}
 	// The newest listing must be recent enough to show the lack of progress.
 	return now-r.percentAt > limit && r.worker.listingAt-r.percentAt > limit*3/4
 }
 
+// gangWorks reports whether another member of the run's gang has made progress, so that the
+// gang is complete and no member waits for others.
+func (r *run) gangWorks() bool {
+	if !r.task.unit.step.Gang {
+		return false
+	}
+	return slices.ContainsFunc(r.task.unit.tasks, func(t *task) bool {
+		return t.run != nil && t.run.id.Number == r.id.Number && t.run.percent > 0 && !t.run.resumed && !t.run.inherited
+	})
+}
+
 // recordProgress updates a run's progress and progress rate from a listing.
 func (e *Engine) recordProgress(r *run, percent int, now time.Duration) {
 	if percent == r.percent {
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -41,7 +41,7 @@
 	}
 	r.resumed = order.Checkpoint != ""
 	klog.InfoS("dispatch: start", "job", t.id.Job, "task", u.id.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "zone", w.info.Zone, "rack", w.info.Rack,
-		"view_age", now-e.view.ConfirmedAt, "worker_age", now-w.answeredAt, "resumes", order.Checkpoint != "")
+		"view_age", e.view.age(now), "worker_age", now-w.answeredAt, "resumes", order.Checkpoint != "")
 	go func() {
 		ctx, cancel := context.WithTimeout(e.ctx, startTimeout)
 		defer cancel()
@@ -103,15 +103,17 @@
 }
 
 // stopRun asks a worker to stop a run. checkRuns repeats the call until it is confirmed.
-func (e *Engine) stopRun(r *run, why string) {
+func (e *Engine) stopRun(r *run, why stopReason) {
 	if r.phase == runPlanned {
-		e.removeRun(r, why)
+		e.removeRun(r, why.text)
 		return
 	}
 	if r.phase != runStopping {
-		klog.InfoS("dispatch: stop", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", r.worker.info.ID, "why", why, "percent", r.percent, "percent_age", e.Now()-r.percentAt, "listing_age", e.Now()-r.worker.listingAt)
+		klog.InfoS("dispatch: stop", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", r.worker.info.ID, "why", why.text, "percent", r.percent, "percent_age", e.Now()-r.percentAt, "listing_age", e.Now()-r.worker.listingAt)
+	}
+	if r.phase != runStopping {
+		r.phase, r.stopReason = runStopping, why
 	}
-	r.phase, r.stopReason = runStopping, why
 	if r.stopInFlight || r.stopConfirmedAt != 0 {
 		return
 	}
@@ -310,13 +312,13 @@
 			case r.phase == runStopping && now-r.stopConfirmedAt > e.Settings.MaxStopTime:
 				e.requestListing(w)
 			case r.phase == runUnresolved && now-r.orderedAt > 2*orderTimeout:
-				e.stopRun(r, "the start was not confirmed")
+				e.stopRun(r, stopUnconfirmed)
 			case r.phase == runActive && (e.isStalled(r, now) || e.restartIsFaster(r)):
 				e.quarantine(w, now)
 				u.avoid[w.info.ID] = true
-				e.stopRun(r, "no progress")
+				e.stopRun(r, stopStalled)
 				if u.step.Gang && !u.aborting {
-					e.abortGang(u, "a member makes no progress")
+					e.abortGang(u, stopGangStalled)
 				}
 			}
 		}
@@ -344,7 +346,7 @@
 	}
 	if u.aborting {
 		if now-u.abortedAt > orderTimeout {
-			e.abortGang(u, "only part of the gang has ended")
+			e.abortGang(u, stopGangRemainder)
 		}
 		return
 	}
@@ -362,6 +364,6 @@
 		}
 	}
 	if ordered > 0 && active < len(u.tasks) {
-		e.abortGang(u, "not all members run")
+		e.abortGang(u, stopGangIncomplete)
 	}
 }
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -30,6 +30,11 @@
 	// CheckpointInterval is the time between two checkpoints of a task that saves its
 	// progress.
 	CheckpointInterval time.Duration
+	// MaxConfigAge, MaxWorkersAge and MaxLedgerAge are the greatest ages of the parts of
+	// the view at which tasks are started. They are less than the times within which
+	// nothing more may start in a zone out of service, on a draining worker, or for a
+	// cancelled job.
+	MaxConfigAge, MaxWorkersAge, MaxLedgerAge time.Duration
 	// EndedJobRetention is how long the state of an ended job can be queried.
 	EndedJobRetention time.Duration
 	// Election configures the leader lease.
@@ -74,11 +79,13 @@
 	// eventQueueSize is the capacity of the engine's event queue: the answers of all
 	// workers of a large site.
 	eventQueueSize = 1024
+	// slowWriteTime is the time of a write from which the next one is made after a plan.
+	slowWriteTime = 50 * time.Millisecond
+	// lateSubmissionTime is how long after its end a job's submission may still arrive:
+	// many times as long as a write can take.
+	lateSubmissionTime = time.Minute
 	// checkInterval is how often timeouts are checked.
 	checkInterval = 100 * time.Millisecond
-	// maxViewAge is the greatest age of the view at which tasks are started: less than
-	// the shortest time within which a change must take effect.
-	maxViewAge = 1500 * time.Millisecond
 	// stallTimeout is how long a run may show no progress: a little more than the
 	// time between two renewals.
 	stallTimeout = 1100 * time.Millisecond
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -281,7 +281,7 @@
 		case r.stopConfirmedAt != 0 && r.stopConfirmedAt < sent:
 			e.removeRun(r, "never started or ended unseen")
 		case r.phase == runUnresolved && sent > r.orderedAt+startTimeout:
-			e.stopRun(r, "the start was not carried out")
+			e.stopRun(r, stopNotCarriedOut)
 		case r.phase == runActive && r.activeAt < sent:
 			e.removeRun(r, "the worker no longer lists it")
 		}
@@ -361,7 +361,7 @@
 		klog.InfoS("dispatch: worker lost", "worker", w.info.ID, "why", why, "runs", len(w.runs), "silent", e.Now()-w.answeredAt)
 	}
 	for _, r := range w.runs {
-		e.removeRun(r, "worker lost: "+why)
+		e.removeRun(r, workerLostPrefix+why)
 	}
 	w.fenced = true
 	w.endsRecorded, w.endsAcknowledged = w.endsHandled, w.endsHandled
@@ -377,12 +377,13 @@
 	if w.runs[t.id] != r {
 		return
 	}
+	cause, lost := e.recordLostWork(r, why, e.Now())
 	delete(w.runs, t.id)
 	w.used = w.used.Sub(r.need)
 	if t.run == r {
 		t.run = nil
 	}
-	klog.InfoS("dispatch: run ended", "job", t.id.Job, "task", t.id.UnitID.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "why", why, "ran", e.Now()-r.orderedAt)
+	klog.InfoS("dispatch: run ended", "job", t.id.Job, "task", t.id.UnitID.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "why", why, "ran", e.Now()-r.orderedAt, "cause", cause, "lost_core_s", int(lost))
 	u := t.unit
 	if u.step.Gang && !t.done && !u.aborting && (r.activeAt != 0 || e.Now()-u.gangStartedAt > e.gangAbortTimeout()) {
 		// The other members end by themselves; checkGang stops those that do not.
@@ -410,11 +411,11 @@
 }
 
 // abortGang stops all members of a gang, since a gang cannot run in part.
-func (e *Engine) abortGang(u *unit, why string) {
+func (e *Engine) abortGang(u *unit, why stopReason) {
 	u.aborting, u.abortedAt = true, e.Now()
 	for _, t := range u.tasks {
 		if t.run != nil {
-			e.stopRun(t.run, "gang: "+why)
+			e.stopRun(t.run, why)
 		}
 	}
 }
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -41,6 +41,10 @@
 	// writerRetryDelay is how long after a failed call a node is not tried again as the
 	// one that writes for all.
 	writerRetryDelay = time.Second
+	// lateWriterDelay is the time without an answer after which a writing node counts as
+	// failing, unless the log's latency is more than lateWriterDelay/lateWriterLatencies.
+	lateWriterDelay     = 250 * time.Millisecond
+	lateWriterLatencies = 5
 	// maxForwardNodes is how many other nodes are tried: if a third of all nodes cannot
 	// reach the log, at least one of three can in 26 of 27 cases.
 	maxForwardNodes = 3
@@ -108,30 +112,43 @@
 	return nodes[:min(len(nodes), maxForwardNodes)]
 }
 
-// StoreAtWriter implements intake.Forwarder. It tries a further node only if the record has
-// certainly not been sent to the one before.
+// StoreAtWriter implements intake.Forwarder. It tries a further node only if the one before
+// has certainly not stored the record.
 func (f *forwarder) StoreAtWriter(ctx context.Context, r backend.KeyedRecord) error {
 	for _, address := range f.leader.WriterAddresses() {
 		if f.isFailing(address) {
 			continue
 		}
 		var stored Stored
+		late := time.AfterFunc(lateWriterDelay, func() { f.recordLate(address) })
 		err := f.peers.Call(ctx, address, storeMethod, r, &stored)
+		late.Stop()
 		switch {
 		case err == nil && stored.Done:
 			return nil
 		case err == nil:
-			return &api.Error{Code: api.CodeUnavailable, Message: "the writing node has not stored the record", Verdict: stored.Verdict}
+			err = &api.Error{Code: api.CodeUnavailable, Message: "the writing node has not stored the record", Verdict: stored.Verdict}
+		case isDialError(err):
+			err = &api.Error{Code: api.CodeUnavailable, Message: err.Error(), Verdict: api.NotRun}
+		default:
+			err = &api.Error{Code: api.CodeUnavailable, Message: err.Error(), Verdict: api.MayHaveRun}
 		}
 		f.recordFailure(address)
-		klog.InfoS("entry: call to the writing node failed", "address", address, "err", err)
-		if !isDialError(err) {
-			return &api.Error{Code: api.CodeUnavailable, Message: err.Error(), Verdict: api.MayHaveRun}
+		klog.InfoS("entry: record not stored by a writing node", "address", address, "key", r.Key, "err", err)
+		if api.AsError(err, api.MayHaveRun).Verdict != api.NotRun {
+			return err
 		}
 	}
 	return intake.ErrNoWriter
 }
 
+// recordLate records that a writing node has not answered in time, unless the log is slow.
+func (f *forwarder) recordLate(address string) {
+	if f.logLatency() < lateWriterDelay/lateWriterLatencies {
+		f.recordFailure(address)
+	}
+}
+
 // isFailing reports whether a call to a writing node has failed recently.
 func (f *forwarder) isFailing(address string) bool {
 	f.mu.Lock()
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -72,7 +72,7 @@
 // testSettings returns the settings of the users' sites.
 func testSettings() dispatch.Settings {
 	failAfter := 2 * time.Second
-	return dispatch.Settings{LeaseDuration: 6 * time.Second, LeaseWindow: 12 * time.Second, ClockDrift: 0.02, GangStartTimeout: 3 * time.Second, MaxStopTime: 900 * time.Millisecond, MaxReclaimTime: 3400 * time.Millisecond, CheckpointInterval: 2 * time.Second,
+	return dispatch.Settings{LeaseDuration: 6 * time.Second, LeaseWindow: 12 * time.Second, MaxConfigAge: 3750 * time.Millisecond, MaxWorkersAge: 1500 * time.Millisecond, MaxLedgerAge: 2250 * time.Millisecond, ClockDrift: 0.02, GangStartTimeout: 3 * time.Second, MaxStopTime: 900 * time.Millisecond, MaxReclaimTime: 3400 * time.Millisecond, CheckpointInterval: 2 * time.Second,
 		EndedJobRetention: 2 * time.Minute, Election: election.Settings{FailAfter: failAfter, MaxReadGap: MaxReadDuration, Stagger: failAfter / 50, SuspectAfter: failAfter / 5, LogSettleTime: failAfter * 3 / 4, StartWindow: failAfter, RenewWindow: 3 * failAfter, HeartbeatInterval: failAfter / 4}}
 }
 
--- a/pkg/entry/slowlog_test.go
+++ b/pkg/entry/slowlog_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/memnet"
+	"github.com/shallotpin/shallotpin/pkg/simsite"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
@@ -135,3 +137,89 @@
 		}
 	})
 }
+
+// Only the operators' topic cannot be read. Work must go on while its view of the zones is
+// young enough, and must not start any more once it is not.
+func TestStartsWithoutTheOperatorsTopic(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		time.Sleep(time.Second)
+		s.leader()
+		for _, n := range s.nodes {
+			n.clients[1].SetFault(simsite.LogSilent)
+		}
+		step := workload.Step{Count: 1, Need: task(1), EstimateMS: 300}
+		time.Sleep(2 * time.Second)
+		early := s.submit(normalQueue, uniform(task(1), 300*time.Millisecond, 0), step)
+		s.awaitPhase(early, ledger.Completed, time.Second)
+		time.Sleep(testSettings().MaxConfigAge)
+		late := s.submit(normalQueue, uniform(task(1), 300*time.Millisecond, 0), step)
+		time.Sleep(2 * time.Second)
+		if got := s.phase(late); got != ledger.Queued {
+			t.Errorf("with an old view of the zones, the job is %q, want %q", got, ledger.Queued)
+		}
+		for _, n := range s.nodes {
+			n.clients[1].SetFault(simsite.LogHealthy)
+		}
+		s.awaitPhase(late, ledger.Completed, 2*time.Second)
+	})
+}
+
+// The leader cannot read the ledger for two seconds, while it can write. Jobs whose submissions
+// it has written itself must start.
+func TestLeaderStartsJobsThatItHasStored(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		time.Sleep(time.Second)
+		leader := s.leader()
+		leader.clients[0].SetReadFault(simsite.LogSilent)
+		// The read in flight ends.
+		time.Sleep(1100 * time.Millisecond)
+		job := s.submit(normalQueue, uniform(task(1), 300*time.Millisecond, 0), workload.Step{Count: 1, Need: task(1), EstimateMS: 300})
+		s.awaitPhase(job, ledger.Completed, 800*time.Millisecond)
+		leader.clients[0].SetReadFault(simsite.LogHealthy)
+	})
+}
+
+// The node that writes for all does not answer calls. A node must not wait long for it, and
+// not again for the next record.
+func TestSilentWritingNodeIsReplaced(t *testing.T) {
+	runSite(t, 4, 8, func(s *site) {
+		time.Sleep(time.Second)
+		leader := s.leader()
+		n := s.follower()
+		s.network.SetBothLinks(n.settings.Name, leader.settings.Name, memnet.Cut)
+		for i, limit := range []time.Duration{400 * time.Millisecond, 50 * time.Millisecond, 50 * time.Millisecond} {
+			job := s.newJob(normalQueue, uniform(task(1), 300*time.Millisecond, 0), workload.Step{Count: 1, Need: task(1), EstimateMS: 300})
+			began := time.Now()
+			if err := n.Intake.Submit(s.ctx, job); err != nil {
+				t.Fatalf("submission %d: %v", i, err)
+			}
+			if took := time.Since(began); took > limit {
+				t.Errorf("submission %d took %s, want at most %s", i, took, limit)
+			}
+		}
+	})
+}
+
+// The log is slow, and refuses the calls of the leader. A submission to another node must
+// reach the log through a third one.
+func TestRefusalOfTheWritingNodeIsNotFinal(t *testing.T) {
+	runSite(t, 6, 8, func(s *site) {
+		for _, l := range s.logs() {
+			l.SetSlowdown(66)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		leader := s.leader()
+		var n *testNode
+		for _, other := range s.nodes {
+			if addresses := other.leader.WriterAddresses(); len(addresses) > 2 {
+				n = other
+			}
+		}
+		leader.setFault(simsite.LogRefuses)
+		time.Sleep(500 * time.Millisecond)
+		job := s.newJob(normalQueue, uniform(task(1), 300*time.Millisecond, 0), workload.Step{Count: 1, Need: task(1), EstimateMS: 300})
+		if err := n.Intake.Submit(s.ctx, job); err != nil {
+			t.Errorf("submission: %v", err)
+		}
+	})
+}
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -177,7 +177,9 @@
 	records, err := f.read(ctx, from, wait)
 	f.mu.Lock()
 	f.latency.tail = nil
-	if err == nil {
+	if err != nil {
+		f.latency.failing = true
+	} else {
 		f.latency.answered(read, f.settings.Now(), records > 0)
 	}
 	f.mu.Unlock()
--- a/pkg/feed/latency.go
+++ b/pkg/feed/latency.go
@@ -17,6 +17,9 @@
 	// tail and check are the reads in flight: the one that follows the topic, and one
 	// made by CheckLatency. Each is nil if there is none.
 	tail, check *timedRead
+	// failing means that the last read failed. The log or the path to it may then be down,
+	// so that a read in flight shows nothing.
+	failing bool
 }
 
 // timedRead is a read in flight, sent at sentAt with the given wait.
@@ -32,6 +35,7 @@
 
 // answered records the end of a successful read.
 func (e *latencyEstimator) answered(r *timedRead, now time.Duration, records bool) {
+	e.failing = false
 	if records && r.wait > 0 {
 		e.estimate = min(e.estimate, now-r.sentAt)
 		return
@@ -43,6 +47,9 @@
 
 // at returns the estimate as of now. It counts reads that are overdue.
 func (e *latencyEstimator) at(now time.Duration) time.Duration {
+	if e.failing {
+		return e.estimate
+	}
 	return max(e.estimate, e.tail.overdue(now), e.check.overdue(now))
 }
 
@@ -70,8 +77,10 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.latency.check = nil
-		if err == nil {
-			f.latency.answered(read, f.settings.Now(), false)
+		if err != nil {
+			f.latency.failing = true
+			return
 		}
+		f.latency.answered(read, f.settings.Now(), false)
 	}()
 }
--- a/pkg/feed/latency_test.go
+++ b/pkg/feed/latency_test.go
@@ -37,4 +37,8 @@
 	}
 	e.check = &timedRead{sentAt: ms(5000)}
 	expect(ms(5070), ms(70), "with a check in flight")
+	e.failing = true
+	if got := e.at(ms(9000)); got > ms(8) {
+		t.Errorf("%s with a read in flight after a failed one, want at most 8ms: an outage is not a slow log", got)
+	}
 }
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -27,7 +27,7 @@
 	slowStoreTimeout = 2700 * time.Millisecond
 	// writerTimeout is how long the writing node may take to store a record before this
 	// node writes to the log, too.
-	writerTimeout = 600 * time.Millisecond
+	writerTimeout = 250 * time.Millisecond
 	// slowLogLatency is the latency from which the log counts as slow, a dozen times the
 	// usual one. A slow log takes few appends a second, so that each record is then given
 	// to one node only, which batches it with others.
@@ -77,6 +77,8 @@
 	// node leads, else nil: a node has one append at a time for all of its records.
 	writer       *ledger.Appender
 	leaderWriter func() *ledger.Appender
+	// stored is called with each record that leaderWriter has added.
+	stored func(backend.KeyedRecord)
 	// checkLatency makes the writer's estimate of the log's latency show the present one.
 	checkLatency func()
 	now          func() time.Duration
@@ -86,8 +88,8 @@
 }
 
 // New returns the intake of a node, whose replica is kept current by f.
-func New(replica *ledger.Replica, f *feed.Follower, writer *ledger.Appender, leaderWriter func() *ledger.Appender, checkLatency func(), forwarder Forwarder, now func() time.Duration, unixMS func() int64) *Service {
-	return &Service{forwarder: forwarder, replica: replica, follower: f, writer: writer, leaderWriter: leaderWriter, checkLatency: checkLatency, now: now, unixMS: unixMS, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
+func New(replica *ledger.Replica, f *feed.Follower, writer *ledger.Appender, leaderWriter func() *ledger.Appender, stored func(backend.KeyedRecord), checkLatency func(), forwarder Forwarder, now func() time.Duration, unixMS func() int64) *Service {
+	return &Service{forwarder: forwarder, replica: replica, follower: f, writer: writer, leaderWriter: leaderWriter, stored: stored, checkLatency: checkLatency, now: now, unixMS: unixMS, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
 }
 
 // Submit stores a job. The verdict of an *api.Error says whether the job may have been, or
@@ -319,6 +321,9 @@
 	defer cancel()
 	_, err := writer.Write(ctx, r)
 	if err == nil {
+		if writer != s.writer {
+			s.stored(r)
+		}
 		return nil
 	}
 	var logErr *backend.LogError
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -274,6 +274,27 @@
 	return s.writer
 }
 
+// JobStored passes a submission that this node has added to the log to the engine, if the
+// node leads, before the replica has read it. Other records, and jobs that the replica
+// knows, are left to the replica.
+func (s *Service) JobStored(r backend.KeyedRecord) {
+	engine, ctx := s.current()
+	if engine == nil {
+		return
+	}
+	state := ledger.NewState()
+	change, err := state.Apply(r)
+	if err != nil {
+		klog.InfoS("leader: stored record not decoded", "key", r.Key, "err", err)
+		return
+	}
+	entry := state.Jobs[change.Job]
+	if _, known := s.replica.Job(change.Job); known || entry == nil || entry.Job == nil {
+		return
+	}
+	engine.JobChanged(ctx, change.Job, *entry)
+}
+
 // maxWriters is how many nodes are tried as the one that writes for all.
 const maxWriters = 3
 
@@ -491,13 +512,12 @@
 	}
 }
 
-// view returns the configuration and the workers for the engine. Its ConfirmedAt is that of
-// the oldest part, including the replica of the ledger.
+// view returns the configuration and the workers for the engine.
 func (s *Service) view() dispatch.View {
 	config, out, configAt := s.operatorConfig.Current()
 	workers, workersAt := s.workers.Current()
 	ledgerAt, _ := s.ledgerFollower.ConfirmedAt()
-	return dispatch.View{Config: config, ZonesOut: out, Workers: workers, ConfirmedAt: min(configAt, workersAt, ledgerAt)}
+	return dispatch.View{Config: config, ZonesOut: out, Workers: workers, ConfigAt: configAt, WorkersAt: workersAt, LedgerAt: ledgerAt}
 }
 
 // deleteEndedJobs deletes the records of jobs that ended, or were cancelled without a
--- a/pkg/ledger/appender.go
+++ b/pkg/ledger/appender.go
@@ -181,6 +181,10 @@
 				return err
 			}
 			if !repeat {
+				// Writes that follow from this one join the next batch.
+				if !sleep(ctx, min(a.TypicalLatency()/joinLatencyDivisor, maxJoinDelay)) {
+					return ctx.Err()
+				}
 				break
 			}
 			// Nothing of the batch was added, so withdrawn writes may be left out and
@@ -248,6 +252,11 @@
 }
 
 const (
+	// After a call, the next one waits for a share of the latency, 1/joinLatencyDivisor and
+	// at most maxJoinDelay, so that writes that follow from the result need not wait for
+	// the end of another call.
+	joinLatencyDivisor = 8
+	maxJoinDelay       = 30 * time.Millisecond
 	// minRepeatDelay is the shortest time without an answer after which a call is
 	// repeated: some ten times the usual latency of the log.
 	minRepeatDelay = 100 * time.Millisecond
--- a/pkg/simsite/log.go
+++ b/pkg/simsite/log.go
@@ -108,6 +108,8 @@
 	log   *Log
 	mu    sync.Mutex
 	fault LogFault
+	// readFault is the fault of reads, in place of fault, unless it is LogHealthy.
+	readFault LogFault
 }
 
 // Client returns a new connection to the log without faults.
@@ -120,6 +122,14 @@
 	c.fault = f
 }
 
+// SetReadFault sets the fault of later reads of the client; LogHealthy leaves them to
+// SetFault.
+func (c *Client) SetReadFault(f LogFault) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readFault = f
+}
+
 // Put appends records unconditionally, as writers of the platform do.
 func (l *Log) Put(records ...backend.KeyedRecord) {
 	l.mu.Lock()
@@ -173,9 +183,12 @@
 }
 
 // beginCall waits for the latency of a call and applies the client's fault.
-func (c *Client) beginCall(ctx context.Context) (LogFault, error) {
+func (c *Client) beginCall(ctx context.Context, read bool) (LogFault, error) {
 	c.mu.Lock()
 	f := c.fault
+	if read && c.readFault != LogHealthy {
+		f = c.readFault
+	}
 	c.mu.Unlock()
 	switch f {
 	case LogSilent:
@@ -191,7 +204,7 @@
 
 // Append implements backend.KeyedLog.
 func (c *Client) Append(ctx context.Context, a backend.KeyedAppend) (int64, error) {
-	f, err := c.beginCall(ctx)
+	f, err := c.beginCall(ctx, false)
 	if err != nil {
 		return 0, err
 	}
@@ -237,7 +250,7 @@
 
 // Read implements backend.KeyedLog.
 func (c *Client) Read(ctx context.Context, from int64, wait time.Duration) (backend.KeyedPage, error) {
-	if _, err := c.beginCall(ctx); err != nil {
+	if _, err := c.beginCall(ctx, true); err != nil {
 		return backend.KeyedPage{}, err
 	}
 	deadline := time.After(wait)
@@ -269,7 +282,7 @@
 
 // Newest implements backend.KeyedLog. It returns all keys in one page.
 func (c *Client) Newest(ctx context.Context, after string) (backend.KeyedPage, error) {
-	if _, err := c.beginCall(ctx); err != nil {
+	if _, err := c.beginCall(ctx, true); err != nil {
 		return backend.KeyedPage{}, err
 	}
 	l := c.log
