Ask the leader for a job's phase while a read of the log hangs; read all pages

Cause: a node that is cut off from the log holds each query until its read times out (0.5 s), then asks three random nodes in turn, a third of which may be cut off, too; a refresh read one page, so that on a large ledger "no such job" could be said of a job in a later page.

Change: after 50 ms the leader is asked as well, then a further node each 60 ms; a refresh goes on until it has what the topic held when it began.

--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -38,6 +38,8 @@
 	minForwardTimeout    = 300 * time.Millisecond
 	forwardLatencyFactor = 3
 	serveTimeout         = 250 * time.Millisecond
+	// phaseStagger is the delay between queries to further nodes.
+	phaseStagger = 60 * time.Millisecond
 	// writerRetryDelay is how long after a failed call a node is not tried again as the
 	// one that writes for all.
 	writerRetryDelay = time.Second
@@ -81,7 +83,7 @@
 
 // Phase returns a job's phase, or an error if this node cannot read the log.
 func (r *receiver) Phase(id string, phase *ledger.Phase) error {
-	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), max(serveTimeout, forwardLatencyFactor*r.node.logLatency()))
 	defer cancel()
 	p, err := r.node.Intake.LocalPhase(ctx, id)
 	*phase = p
@@ -182,19 +184,57 @@
 	return errNoOtherNode
 }
 
-// Phase implements intake.Forwarder.
+// Phase implements intake.Forwarder. It asks the leader first, which knows of changes
+// before all others, and a further node each phaseStagger until one has answered.
 func (f *forwarder) Phase(ctx context.Context, id string) (ledger.Phase, error) {
-	for _, address := range f.pickNodes() {
-		var phase ledger.Phase
-		if err := f.call(ctx, address, phaseMethod, id, &phase); err == nil {
-			return phase, nil
+	addresses := f.leader.WriterAddresses()
+	addresses = append(addresses[:min(len(addresses), 1)], f.pickNodes()...)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(len(addresses))*phaseStagger+f.callTimeout())
+	defer cancel()
+	answers := make(chan *ledger.Phase, len(addresses))
+	next, waiting := 0, 0
+	ask := func() {
+		address := addresses[next]
+		next, waiting = next+1, waiting+1
+		go func() {
+			var phase ledger.Phase
+			// A call that is not awaited any more must not end the connection to its node.
+			if f.call(context.WithoutCancel(ctx), address, phaseMethod, id, &phase) != nil {
+				answers <- nil
+				return
+			}
+			answers <- &phase
+		}()
+	}
+	for {
+		if next < len(addresses) {
+			ask()
+		}
+		stagger := time.NewTimer(phaseStagger)
+		select {
+		case phase := <-answers:
+			if waiting--; phase != nil {
+				stagger.Stop()
+				return *phase, nil
+			}
+		case <-stagger.C:
+		case <-ctx.Done():
+			waiting, next = 0, len(addresses)
+		}
+		stagger.Stop()
+		if waiting == 0 && next == len(addresses) {
+			return "", errNoOtherNode
 		}
 	}
-	return "", errNoOtherNode
+}
+
+// callTimeout bounds a call to one other node, which may use the log.
+func (f *forwarder) callTimeout() time.Duration {
+	return max(minForwardTimeout, forwardLatencyFactor*f.logLatency())
 }
 
 func (f *forwarder) call(ctx context.Context, address, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, max(minForwardTimeout, forwardLatencyFactor*f.logLatency()))
+	ctx, cancel := context.WithTimeout(ctx, f.callTimeout())
 	defer cancel()
 	err := f.peers.Call(ctx, address, method, args, reply)
 	if err != nil {
--- a/pkg/entry/slowlog_test.go
+++ b/pkg/entry/slowlog_test.go
@@ -223,3 +223,36 @@
 		}
 	})
 }
+
+// A node whose reads of the log hang must show a job's end that others know, and soon.
+func TestPhaseIsShownByNodeWithHangingReads(t *testing.T) {
+	runSite(t, 4, 8, func(s *site) {
+		time.Sleep(time.Second)
+		n := s.follower()
+		n.setFault(simsite.LogSilent)
+		job := s.submitTo(s.leader(), normalQueue, uniform(task(1), 200*time.Millisecond, 0), workload.Step{Count: 1, Need: task(1), EstimateMS: 200})
+		time.Sleep(700 * time.Millisecond)
+		began := time.Now()
+		phase, err := n.Intake.Phase(s.ctx, job)
+		if took := time.Since(began); err != nil || phase != ledger.Completed || took > 150*time.Millisecond {
+			t.Errorf("phase %q, error %v after %s; want %q within 150ms", phase, err, took, ledger.Completed)
+		}
+	})
+}
+
+// More records than fit in one page lie between a node's replica and the end of the log. The
+// node must not say that a job does not exist before it has read them all.
+func TestUnknownJobIsSoughtInAllPages(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		n := s.follower()
+		s.ledgerTopic.SetPageSize(5)
+		for i := range 40 {
+			s.ledgerTopic.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<40+i), time.Now().UnixMilli()))
+		}
+		job := s.newJob(normalQueue, uniform(task(1), time.Second, 0), workload.Step{Count: 1, Need: task(1), EstimateMS: 1000})
+		s.ledgerTopic.Put(ledger.JobRecord(job))
+		if phase, err := n.Intake.LocalPhase(s.ctx, job.ID); err != nil || phase == "" {
+			t.Errorf("phase %q, error %v; want one of a known job", phase, err)
+		}
+	})
+}
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -133,18 +133,30 @@
 	return f.nextOffset
 }
 
-// Refresh reads one page without waiting, in addition to Run. After it the sink has the
-// records that the topic holds now, unless these exceed the page. Before the first listing
-// it fails with a *backend.LogError.
+// Refresh reads without waiting, in addition to Run, until the sink has every record that
+// the topic held when Refresh was called. Before the first listing it fails with a
+// *backend.LogError.
 func (f *Follower) Refresh(ctx context.Context) error {
-	f.mu.Lock()
-	ready, from := f.ready, f.nextOffset
-	f.mu.Unlock()
-	if !ready {
-		return &backend.LogError{Kind: backend.LogUnavailable}
+	began := f.settings.Now()
+	for {
+		f.mu.Lock()
+		ready, from, confirmedAt := f.ready, f.nextOffset, f.confirmedAt
+		f.mu.Unlock()
+		if !ready {
+			return &backend.LogError{Kind: backend.LogUnavailable}
+		}
+		if confirmedAt >= began {
+			return nil
+		}
+		records, err := f.read(ctx, from, 0)
+		if err != nil {
+			return err
+		}
+		if f.NextOffset() == from && records > 0 {
+			// The page does not continue at the requested offset.
+			return &backend.LogError{Kind: backend.LogUnavailable, Cause: errors.New("read makes no progress")}
+		}
 	}
-	_, err := f.read(ctx, from, 0)
-	return err
 }
 
 const (
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -39,8 +39,11 @@
 	// localTimeout bounds this node's write to a log that is not slow, before the record
 	// is forwarded: many times the usual latency of the log.
 	localTimeout = 600 * time.Millisecond
-	// readTimeout bounds a refresh of the replica for a caller.
+	// readTimeout bounds a refresh of the replica for a caller, unless the log is slow.
 	readTimeout = 500 * time.Millisecond
+	// phaseHedgeDelay is how long a refresh may take before other nodes are asked, too: a
+	// dozen times the usual latency of the log.
+	phaseHedgeDelay = 50 * time.Millisecond
 	// maxReplicaAge is the age up to which the replica may answer queries for jobs that
 	// are unknown or have not ended. The phase of an ended job is final at any age.
 	maxReplicaAge = 100 * time.Millisecond
@@ -124,17 +127,53 @@
 }
 
 // Phase returns a job's phase, or an empty one if no such job exists. A node that cannot
-// read the log asks another one, since its own replica would show a job as running long
-// after its end. If no node can read the log, the last phase read is returned.
+// read the log, or not at once, asks others, since its own replica would show a job as
+// running long after its end. If no node can read the log, the last phase read is returned.
 func (s *Service) Phase(ctx context.Context, id string) (ledger.Phase, error) {
-	phase, err := s.LocalPhase(ctx, id)
-	if err == nil {
+	if phase, fresh := s.freshPhase(id); fresh {
 		return phase, nil
 	}
-	phase, forwardErr := s.forwarder.Phase(ctx, id)
-	klog.InfoS("intake: asked another node for a job's phase", "job", id, "phase", phase, "cause", err, "err", forwardErr)
-	if forwardErr == nil {
-		return phase, nil
+	type answer struct {
+		phase ledger.Phase
+		err   error
+	}
+	local, others := make(chan answer, 1), make(chan answer, 1)
+	go func() {
+		phase, err := s.LocalPhase(ctx, id)
+		local <- answer{phase, err}
+	}()
+	askOthers := func(cause error) {
+		go func() {
+			phase, err := s.forwarder.Phase(ctx, id)
+			klog.InfoS("intake: asked another node for a job's phase", "job", id, "phase", phase, "cause", cause, "err", err)
+			others <- answer{phase, err}
+		}()
+	}
+	hedge := time.NewTimer(phaseHedgeDelay)
+	defer hedge.Stop()
+	for waiting, asked := 1, false; waiting > 0; {
+		select {
+		case a := <-local:
+			if a.err == nil {
+				return a.phase, nil
+			}
+			if waiting--; !asked {
+				asked, waiting = true, waiting+1
+				askOthers(a.err)
+			}
+		case a := <-others:
+			if a.err == nil {
+				return a.phase, nil
+			}
+			waiting--
+		case <-hedge.C:
+			if !asked {
+				asked, waiting = true, waiting+1
+				askOthers(errReadLate)
+			}
+		case <-ctx.Done():
+			waiting = 0
+		}
 	}
 	if e, known := s.replica.Job(id); known && e.WasSubmitted() {
 		// Phases only advance, so the job has at least reached the last one read.
@@ -143,31 +182,43 @@
 	return "", &api.Error{Code: api.CodeUnavailable, Message: "the log cannot be read", RetryAfter: minRetryAfter}
 }
 
-var errStale = errors.New("the replica of the ledger is out of date: the last read of the log failed")
+var (
+	errStale    = errors.New("the replica of the ledger is out of date: the last read of the log failed")
+	errReadLate = errors.New("the replica of the ledger is out of date: a read of the log takes long")
+)
 
-// LocalPhase is Phase without asking other nodes. It refreshes the replica if needed and
-// returns an error if the log cannot be read.
-func (s *Service) LocalPhase(ctx context.Context, id string) (ledger.Phase, error) {
+// freshPhase returns a job's phase if the replica is recent enough to tell it.
+func (s *Service) freshPhase(id string) (ledger.Phase, bool) {
 	e, known := s.replica.Job(id)
 	known = known && e.WasSubmitted()
 	confirmedAt, ready := s.follower.ConfirmedAt()
-	fresh := s.now()-confirmedAt <= maxReplicaAge || known && e.Phase().Ended()
-	if !ready || !fresh {
-		if s.follower.LastReadFailed() {
-			return "", errStale
-		}
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		if err := s.follower.Refresh(ctx); err != nil {
-			return "", err
-		}
-		e, known = s.replica.Job(id)
-		known = known && e.WasSubmitted()
+	if !ready || s.now()-confirmedAt > maxReplicaAge && !(known && e.Phase().Ended()) {
+		return "", false
 	}
 	if !known {
-		return "", nil
+		return "", true
+	}
+	return e.Phase(), true
+}
+
+// LocalPhase is Phase without asking other nodes. It refreshes the replica if needed and
+// returns an error if the log cannot be read.
+func (s *Service) LocalPhase(ctx context.Context, id string) (ledger.Phase, error) {
+	if phase, fresh := s.freshPhase(id); fresh {
+		return phase, nil
+	}
+	if s.follower.LastReadFailed() {
+		return "", errStale
+	}
+	ctx, cancel := s.withTimeout(ctx, readTimeout)
+	defer cancel()
+	if err := s.follower.Refresh(ctx); err != nil {
+		return "", err
+	}
+	if e, known := s.replica.Job(id); known && e.WasSubmitted() {
+		return e.Phase(), nil
 	}
-	return e.Phase(), nil
+	return "", nil
 }
 
 // Pending returns the number of a queue's jobs of which no task has started, as
--- a/pkg/simsite/log.go
+++ b/pkg/simsite/log.go
@@ -46,6 +46,8 @@
 	epochs    map[string]int64
 	sequences map[string]int64
 	changed   chan struct{}
+	// pageSize limits the records of a page that Read returns; 0 means no limit.
+	pageSize int
 	// slowdown is the factor by which calls take longer; 0 means 1.
 	slowdown int
 	// busyUntil is when the appends received so far will have been processed.
@@ -69,6 +71,13 @@
 	l.slowdown = factor
 }
 
+// SetPageSize limits the records of each page that Read returns.
+func (l *Log) SetPageSize(records int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pageSize = records
+}
+
 func (l *Log) slowed(d time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -264,6 +273,9 @@
 		page := backend.KeyedPage{End: l.end()}
 		if from < l.end() {
 			page.Records = append(page.Records, l.records[from-l.first:]...)
+			if l.pageSize > 0 && len(page.Records) > l.pageSize {
+				page.Records = page.Records[:l.pageSize]
+			}
 		}
 		changed := l.changed
 		l.mu.Unlock()
