Stop nothing for others before a new leader knows what runs on the site

Ruled out: protecting gangs of which a member was not listed. That would hold back even units that must start within a guarantee while a worker is gone for good.

Change: until all listed workers have answered in the term, at most 1.2 s after its claim, only units that must start stop others.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -78,6 +78,8 @@
 	lastJobAt time.Duration
 	// inheritedLeasesEnd is when every lease that an earlier leader granted has ended.
 	inheritedLeasesEnd time.Duration
+	// settled means that all listed workers have answered in this term; see isSettled.
+	settled bool
 	// firstCallSlotsUsed counts the recent calls to workers that have not answered in
 	// this term; see maxFirstCalls.
 	firstCallSlotsUsed int
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -91,6 +91,11 @@
 				waiting = append(waiting, u)
 			}
 		}
+		if !e.isSettled(now) {
+			for _, u := range waiting {
+				u.MayNotPreempt = !u.MustStart
+			}
+		}
 		plan := placement.Decide(pool, waiting, e.headroom(pool, now))
 		e.trackAmpleCapacity(pool, waiting, plan.Unplaced, now)
 		e.adviseUnplaced(plan.Unplaced)
@@ -98,6 +103,23 @@
 	}
 }
 
+// isSettled reports whether the engine knows what runs on the site: all listed workers have
+// answered in this term, or it has lasted for takeoverSettleTime. Before that, room may be
+// free that is not known, and what seems cheap to stop may be part of a gang whose other
+// members have not been listed.
+func (e *Engine) isSettled(now time.Duration) bool {
+	if e.settled || now-e.ClaimedAt >= takeoverSettleTime {
+		return true
+	}
+	for _, w := range e.workers {
+		if w.listed && !w.fenced && !w.replaced {
+			return false
+		}
+	}
+	e.settled = len(e.workers) > 0
+	return e.settled
+}
+
 // trackAmpleCapacity records since when units of jobs without any run wait although
 // free capacity is ample. It does not count the time while jobs keep arriving, since a
 // rack is then likely to come free sooner than a gang that spans racks would complete.
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -84,6 +84,10 @@
 	// lateSubmissionTime is how long after its end a job's submission may still arrive:
 	// many times as long as a write can take.
 	lateSubmissionTime = time.Minute
+	// takeoverSettleTime is how long after its claim a leader stops others only for units
+	// that must start, while some workers have not answered yet: workers that are gone do
+	// not answer at all.
+	takeoverSettleTime = 1200 * time.Millisecond
 	// checkInterval is how often timeouts are checked.
 	checkInterval = 100 * time.Millisecond
 	// stallTimeout is how long a run may show no progress: a little more than the
--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -282,3 +282,37 @@
 		s.awaitPhase(job, ledger.Completed, maxTime)
 	})
 }
+
+// Two workers run a gang when the leader changes; the others are idle, but answer the new
+// leader late. An urgent job waits already. The new leader must not stop the gang before it
+// knows what runs on the site.
+func TestNewLeaderStopsNothingBeforeItKnowsTheSite(t *testing.T) {
+	runSite(t, 4, 8, func(s *site) {
+		gang := s.submit(normalQueue, uniform(task(8), 9*time.Second, 2), workload.Step{Count: 2, Need: task(8), Gang: true, EstimateMS: 9000})
+		time.Sleep(1500 * time.Millisecond)
+		s.fleet.Update(func() {
+			for _, w := range s.workers {
+				w.Silent = true
+				for index := range 2 {
+					if w.IsRunning(workload.TaskID{UnitID: workload.UnitID{Job: gang}, Index: index}) {
+						w.Silent = false
+					}
+				}
+			}
+		})
+		s.killLeader()
+		urgent := s.submitTo(s.nodes[0], urgentQueue, uniform(task(8), time.Second, 2), workload.Step{Count: 2, Need: task(8), Gang: true, EstimateMS: 1000})
+		s.leader()
+		time.Sleep(500 * time.Millisecond)
+		s.fleet.Update(func() {
+			for _, w := range s.workers {
+				w.Silent = false
+			}
+		})
+		s.awaitPhase(urgent, ledger.Completed, 3*time.Second)
+		s.awaitPhase(gang, ledger.Completed, 8*time.Second)
+		if got := s.fleet.Starts(); got != 4 {
+			t.Errorf("%d starts, want 4: something was stopped", got)
+		}
+	})
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -66,6 +66,8 @@
 	// MustStart means that a guaranteed or long-running unit may not wait any longer for
 	// capacity to come free by itself.
 	MustStart bool
+	// MayNotPreempt units wait for capacity to come free by itself.
+	MayNotPreempt bool
 	// DeadlineMS orders units of one priority; it is a Unix time.
 	DeadlineMS int64
 	// LongRunning units run until their job is cancelled, and come before all but
@@ -89,6 +91,9 @@
 
 // mayPreempt reports whether running tasks may be stopped for the unit.
 func (u *Unit) mayPreempt() bool {
+	if u.MayNotPreempt {
+		return false
+	}
 	return u.Guaranteed || u.LongRunning || u.Priority == 0 && !u.Expired && u.RequiredRack == ""
 }
 
