--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -49,8 +49,15 @@
 	stopMargin = 700 * time.Millisecond
 	// dialTimeout limits a connection attempt; it outlasts the loss of one packet.
 	dialTimeout = 500 * time.Millisecond
-	// idleTimeout is how long idle connections to workers and the store are kept open.
-	idleTimeout = 90 * time.Second
+	// idleTimeout is how long idle connections to workers and the store are kept open: the
+	// leader of thousands of workers must not keep those to workers without runs.
+	idleTimeout = 20 * time.Second
+	// maxIdleConns is how many idle connections to one worker or the store are kept: a
+	// renewal that waits, and an order beside it.
+	maxIdleConns = 2
+	// connBufferBytes is the size of each buffer of a connection. Orders and most replies
+	// fit; with the default of 4 KiB, buffers are a third of a leader's memory.
+	connBufferBytes = 1 << 10
 	// headerTimeout limits the time to read a request's header.
 	headerTimeout = 3 * time.Second
 	// callerIdleTimeout is how long idle connections of callers are kept open.
@@ -153,7 +160,7 @@
 	if s.Advice != "" {
 		adviser = &platform.Adviser{Base: "http://" + s.Advice, Client: orders}
 	}
-	node, err := entry.New(entry.Settings{Name: s.NodeName, Incarnation: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s), MaxBatchBytes: s.Store.CallBytes / 2, Cores: s.Limits.CPUShare * max(1, s.Limits.Cores), Now: steady.Now, UnixMS: unixMS},
+	node, err := entry.New(entry.Settings{Name: s.NodeName, Incarnation: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s), MaxBatchBytes: s.Store.CallBytes / 2, Cores: s.Limits.CPUShare * max(1, s.Limits.Cores), MemoryMB: s.Limits.MemoryMB, Now: steady.Now, UnixMS: unixMS},
 		entry.Platform{Ledger: topic(platform.LedgerTopic), OperatorConfig: topic(platform.OperatorTopic), Workers: topic(platform.WorkerTopic),
 			Orders: &platform.Orders{Client: orders}, Adviser: adviser, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker, Peers: peers})
 	if err != nil {
@@ -221,7 +228,8 @@
 
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: idleTimeout}
+	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout,
+		ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes}
 }
 
 // closeWhenDraining wraps a handler so that, while the node is draining, each response
--- a/cmd/shallotpin/operators.go
+++ b/cmd/shallotpin/operators.go
@@ -192,14 +192,12 @@
 	Scenario string `long:"scenario" required:"true" description:"name of the scenario"`
 	Seed     uint64 `long:"seed" default:"1" description:"seed of every random choice"`
 	Workers  int    `long:"workers" default:"0" description:"number of workers; 0 takes the scenario's own"`
-	Site     string `long:"site" description:"capacity only: URL of a running shallotpin-standin target, which keeps the stand-ins out of the figures"`
-	Profile  string `long:"profile" description:"capacity only: file for a processor profile, see go tool pprof -tags"`
 	JSON     bool   `long:"json" description:"print one JSON object on one line"`
 }
 
 // Execute implements flags.Commander.
 func (c *benchCommand) Execute([]string) error {
-	result, err := bench.Run(context.Background(), bench.Options{Scenario: c.Scenario, Seed: c.Seed, Workers: c.Workers, Site: c.Site, Profile: c.Profile})
+	result, err := bench.Run(context.Background(), bench.Options{Scenario: c.Scenario, Seed: c.Seed, Workers: c.Workers})
 	if err != nil {
 		return err
 	}
--- a/pkg/bench/config.go
+++ b/pkg/bench/config.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	secondsPerDay = 86400
 	// changesPerDay is the rate of configuration changes at the target size.
 	changesPerDay = 4300
 	// warmUp lets the nodes discover one another after the start.
--- a/pkg/bench/target.go
+++ b/pkg/bench/target.go
@@ -16,6 +16,10 @@
 
 // Parameters of the target scenario.
 const (
+	targetWorkers  = 1500
+	targetAccounts = 190
+	// tasksPerWorker is the number of tasks on each worker.
+	tasksPerWorker = 5
 	smallWorkers   = 150
 	largeWorkers   = 6000
 	targetRackSize = 16
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -76,8 +76,9 @@
 	Dispatch                   dispatch.Settings
 	// MaxBatchBytes bounds the records of one call to the log.
 	MaxBatchBytes int
-	// Cores is the node's CPU capacity.
-	Cores float64
+	// Cores and MemoryMB are the node's capacity.
+	Cores    float64
+	MemoryMB int
 	// Now is a monotonic clock that also advances while the process is suspended.
 	Now    func() time.Duration
 	UnixMS func() int64
@@ -146,7 +147,7 @@
 // publishAddress writes the node's address to the ledger for the other nodes, unless the
 // ledger has it from an earlier incarnation.
 func (n *Node) publishAddress(ctx context.Context) {
-	candidate := leader.IsCandidate(n.settings.Cores)
+	candidate := leader.IsCandidate(n.settings.Cores, n.settings.MemoryMB)
 	for {
 		if _, read := n.ledgerFollower.ConfirmedAt(); read {
 			break
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -39,6 +39,9 @@
 	// sufficientCores is the CPU from which a node is a candidate for leadership: the
 	// leader of 350 workers uses a third of it.
 	sufficientCores = 0.4
+	// sufficientMemoryMB is the memory from which a node is a candidate: the leader of 3,000
+	// workers uses some 200 MB.
+	sufficientMemoryMB = 256
 	// writeTimeout bounds a call to the log.
 	writeTimeout = time.Second
 	// writeRetryDelay is the delay after a failed call to the log.
@@ -53,9 +56,11 @@
 	deleteInterval = 5 * time.Second
 )
 
-// IsCandidate reports whether a node with the given CPU capacity is a candidate for
-// leadership. Other nodes claim it only after all candidates have failed to.
-func IsCandidate(cores float64) bool { return cores >= sufficientCores }
+// IsCandidate reports whether a node with the given capacity is a candidate for leadership.
+// Other nodes claim it only after all candidates have failed to.
+func IsCandidate(cores float64, memoryMB int) bool {
+	return cores >= sufficientCores && memoryMB >= sufficientMemoryMB
+}
 
 // Settings configure a Service.
 type Settings struct {
