--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -423,7 +423,7 @@
 // taskOf returns the task of a job that has not ended, or nil.
 func (e *Engine) taskOf(id workload.TaskID) *task {
 	j := e.jobs[id.Job]
-	if j == nil || id.Round >= j.spec.Rounds() || id.Step >= len(j.spec.Steps) || id.Index >= j.spec.Steps[id.Step].Count {
+	if j == nil || id.Round < 0 || id.Step < 0 || id.Index < 0 || id.Round >= j.spec.Rounds() || id.Step >= len(j.spec.Steps) || id.Index >= j.spec.Steps[id.Step].Count {
 		return nil
 	}
 	return j.units[id.Round*len(j.spec.Steps)+id.Step].tasks[id.Index]
--- a/pkg/ledger/appender.go
+++ b/pkg/ledger/appender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,7 +76,9 @@
 	// mayBeAdded means that a call with these records is in flight or has an unknown
 	// outcome.
 	mayBeAdded bool
-	withdrawn  bool
+	// unsettledBefore means that mayBeAdded was set before the present call.
+	unsettledBefore bool
+	withdrawn       bool
 }
 
 // NewAppender returns an Appender. Writes wait until Run is called.
@@ -172,6 +175,9 @@
 			return nil
 		}
 		for {
+			if batch = a.claim(batch); len(batch) == 0 {
+				break
+			}
 			repeat, err := a.call(ctx, batch)
 			if err == nil && repeat && !sleep(ctx, a.settings.RetryDelay) {
 				err = ctx.Err()
@@ -212,15 +218,30 @@
 // same for all writes of a batch, since only a batch with no such call is changed.
 func mayBeAdded(batch []*pendingWrite) bool { return batch[0].mayBeAdded }
 
+// claim removes the withdrawn writes of a batch that is about to be sent: their callers have
+// been told that nothing was added. The others cannot be withdrawn any more, unless the log
+// refuses them. A batch that may have been added is sent again as it was.
+func (a *Appender) claim(batch []*pendingWrite) []*pendingWrite {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !mayBeAdded(batch) {
+		batch = slices.DeleteFunc(batch, func(w *pendingWrite) bool { return w.withdrawn })
+	}
+	for _, w := range batch {
+		w.unsettledBefore = w.mayBeAdded
+		w.mayBeAdded = true
+	}
+	return batch
+}
+
 // call sends a batch under the next sequence number and reports whether it must be sent
 // again. An error means that the Appender cannot go on.
 func (a *Appender) call(ctx context.Context, batch []*pendingWrite) (repeat bool, err error) {
 	write := backend.KeyedAppend{Producer: a.settings.Producer, Epoch: a.settings.Epoch, Sequence: a.settings.NextSequence, ExpectedEnd: -1}
 	a.mu.Lock()
-	mayBeAddedBefore := mayBeAdded(batch)
+	mayBeAddedBefore := batch[0].unsettledBefore
 	for _, w := range batch {
 		write.Records = append(write.Records, w.records...)
-		w.mayBeAdded = true
 	}
 	sent := a.settings.Now()
 	a.inFlightSince = sent
--- a/pkg/ledger/appender_test.go
+++ b/pkg/ledger/appender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -116,3 +117,22 @@
 		t.Errorf("took %s, error %v; want at most 700ms and no error", took, err)
 	}
 }
+
+// A write is withdrawn after its batch was taken from the queue and before it is sent. Its
+// caller is told that nothing was added, so that it must not be sent.
+func TestWithdrawnWriteIsNotSent(t *testing.T) {
+	a := NewAppender(nil, AppenderSettings{MaxBatchBytes: 1000})
+	kept, withdrawn := &pendingWrite{done: make(chan struct{})}, &pendingWrite{done: make(chan struct{})}
+	a.queue = []*pendingWrite{withdrawn, kept}
+	batch := a.nextBatch()
+	var logErr *backend.LogError
+	if err := a.withdraw(withdrawn, context.Canceled); !errors.As(err, &logErr) || logErr.Verdict != api.NotRun {
+		t.Fatalf("withdrawal: %v, want the verdict not-run", err)
+	}
+	if batch = a.claim(batch); len(batch) != 1 || batch[0] != kept {
+		t.Errorf("%d writes are sent, want only the one that was not withdrawn", len(batch))
+	}
+	if err := a.withdraw(kept, context.Canceled); !errors.As(err, &logErr) || logErr.Verdict != api.MayHaveRun {
+		t.Errorf("withdrawal of a write that is sent: %v, want the verdict may-have-run", err)
+	}
+}
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -141,3 +141,41 @@
 		t.Errorf("record of an earlier version: %v, want all tasks on worker a", got)
 	}
 }
+
+// A job that no node would have accepted must be ignored: its steps would be used as they
+// are, by every node.
+func TestInvalidJobRecordIsIgnored(t *testing.T) {
+	for name, value := range map[string]string{
+		"depends on a step that does not exist": `{"id":"0123456789abcdef","steps":[{"n":1,"d":[7]}]}`,
+		"no steps":                              `{"id":"0123456789abcdef"}`,
+		"another ID":                            `{"id":"fedcba9876543210","steps":[{"n":1}]}`,
+		"not JSON":                              `{`,
+	} {
+		s := NewState()
+		if _, err := s.Apply(backend.KeyedRecord{Key: "j/0123456789abcdef", Value: []byte(value)}); err == nil || len(s.Jobs) != 0 {
+			t.Errorf("%s: error %v, %d jobs; want an error and none", name, err, len(s.Jobs))
+		}
+	}
+}
+
+func FuzzApply(f *testing.F) {
+	f.Add("j/0123456789abcdef", []byte(`{"id":"0123456789abcdef","steps":[{"n":1}]}`))
+	f.Add("p/0123456789abcdef", []byte(`{"t":1,"s":"running","d":"AQ==","w":["a"],"wt":["AQ==","AQ=="]}`))
+	f.Add("term", []byte(`{"n":3,"l":"a"}`))
+	f.Add("n/x", []byte("a"))
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		s := NewState()
+		// Without an error, applying the record again must be harmless.
+		for range 2 {
+			if _, err := s.Apply(backend.KeyedRecord{Key: key, Value: value}); err != nil {
+				return
+			}
+		}
+		for _, e := range s.Jobs {
+			e.Phase()
+			for _, numbers := range e.Progress.TasksByWorker() {
+				numbers.Has(3)
+			}
+		}
+	})
+}
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -238,14 +238,20 @@
 
 // applyJob keeps the first submission of a job and ignores repeated ones.
 func (s *State) applyJob(id string, r backend.KeyedRecord) (Change, error) {
-	e := s.entry(id)
-	if e.Job != nil {
+	if e := s.Jobs[id]; e != nil && e.Job != nil {
 		return Change{}, nil
 	}
 	var job workload.Job
 	if err := json.Unmarshal(r.Value, &job); err != nil {
 		return Change{}, fmt.Errorf("ledger: record %q at offset %d: %w", r.Key, r.Offset, err)
 	}
+	if job.ID != id {
+		return Change{}, fmt.Errorf("ledger: record %q at offset %d is of job %q", r.Key, r.Offset, job.ID)
+	}
+	if err := job.Validate(); err != nil {
+		return Change{}, fmt.Errorf("ledger: record %q at offset %d: %w", r.Key, r.Offset, err)
+	}
+	e := s.entry(id)
 	e.Job, e.SubmitOffset = &job, r.Offset
 	return Change{Job: id}, nil
 }
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -172,6 +172,9 @@
 	maxSteps        = 256
 	maxTasks        = 20_000
 	maxRounds       = 10_000
+	// maxRoundTasks limits the tasks of all rounds together, each of which takes memory of
+	// the leader.
+	maxRoundTasks = 100_000
 )
 
 // Validate returns an error that describes the first invalid field of the job. Its text
@@ -192,10 +195,14 @@
 		if err := j.Steps[i].validate(i); err != nil {
 			return fmt.Errorf("step %d: %w", i, err)
 		}
+		// Checked for each step, since the sum of all could overflow.
+		if j.Steps[i].Count > maxTasks-tasks {
+			return fmt.Errorf("the tasks of the first %d steps are more than %d", i+1, maxTasks)
+		}
 		tasks += j.Steps[i].Count
 	}
-	if tasks > maxTasks {
-		return fmt.Errorf("%d tasks are more than %d", tasks, maxTasks)
+	if total := j.Rounds() * tasks; total > maxRoundTasks {
+		return fmt.Errorf("%d occurrences of %d tasks are more than %d tasks", j.Rounds(), tasks, maxRoundTasks)
 	}
 	return nil
 }
