Keep the limits of client accounts

A unit that its limit holds back stops nothing of others, and what waits behind it starts; an urgent one stops less urgent work of its own account.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"fmt"
 	"net"
 	"strings"
 	"time"
@@ -29,6 +30,33 @@
 	// GuaranteedAccelerators is the number of accelerators guaranteed to the account's
 	// jobs of priority 0.
 	GuaranteedAccelerators int
+	// Limit is what the account may have running at a time over all workers; 0 means no
+	// limit of that resource.
+	Limit workload.Resources
+}
+
+// CheckLimit returns an error if a job can never run within the account's limit.
+func (a *Account) CheckLimit(job *workload.Job) error {
+	for i := range job.Steps {
+		step := &job.Steps[i]
+		tasks := 1
+		if step.Gang {
+			tasks = step.Count
+		}
+		for _, d := range [...]struct {
+			name        string
+			need, limit int
+		}{
+			{"thousandths of a core", step.Need.MilliCores, a.Limit.MilliCores},
+			{"MB of memory", step.Need.MemoryMB, a.Limit.MemoryMB},
+			{"accelerators", step.Need.Accelerators, a.Limit.Accelerators},
+		} {
+			if d.limit > 0 && d.need > d.limit/tasks {
+				return fmt.Errorf("step %d runs %d tasks of %d %s at once, the limit of account %s is %d", i, tasks, d.need, d.name, a.Name, d.limit)
+			}
+		}
+	}
+	return nil
 }
 
 // Config is one version of the operators' configuration.
--- a/pkg/dispatch/apply.go
+++ b/pkg/dispatch/apply.go
@@ -131,11 +131,17 @@
 func (e *Engine) startPlanned(planned []*run) {
 	now := e.Now()
 	e.view = e.View()
+	var quotas map[string]*placement.Quota
+	if e.view.Config != nil {
+		quotas = e.quotas()
+	}
 	blocked := map[*unit]bool{}
 	for _, r := range planned {
 		if r.isCurrent() && r.phase == runPlanned && !e.canStart(r, now) && r.task.unit.step.Gang {
 			blocked[r.task.unit] = true
 		}
+		// The limit may have fallen since the plan was made.
+		blocked[r.task.unit] = blocked[r.task.unit] || quotas[r.task.unit.job.spec.Account].Exceeded()
 	}
 	for _, r := range planned {
 		switch {
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -20,6 +20,9 @@
 	progress  ledger.Progress
 	// waitLogged is set once the wait for the inherited workers has been logged.
 	waitLogged bool
+	// overQuotaLogged is set once it has been logged that the account's limit holds the job
+	// back.
+	overQuotaLogged bool
 	// endRecorded means that the ledger is known to hold the job's end.
 	endRecorded bool
 	// unsaved means that progress differs from the ledger.
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -77,7 +77,11 @@
 	if len(units) == 0 {
 		return
 	}
-	workers, byID := e.snapshotWorkers(now)
+	quotas := e.quotas()
+	for _, u := range units {
+		u.Quota = quotas[e.jobs[u.ID.Job].spec.Account]
+	}
+	workers, byID := e.snapshotWorkers(now, quotas)
 	for _, service := range e.servicesOf(units) {
 		var pool []*placement.Worker
 		for _, w := range workers {
@@ -97,8 +101,9 @@
 			}
 		}
 		plan := placement.Decide(pool, waiting, e.headroom(pool, now))
-		e.trackAmpleCapacity(pool, waiting, plan.Unplaced, now)
+		e.trackAmpleCapacity(pool, waiting, plan, now)
 		e.adviseUnplaced(plan.Unplaced)
+		e.logOverQuota(plan.OverQuota, quotas)
 		e.apply(plan, byID, now)
 	}
 }
@@ -123,11 +128,11 @@
 // trackAmpleCapacity records since when units of jobs without any run wait although
 // free capacity is ample. It does not count the time while jobs keep arriving, since a
 // rack is then likely to come free sooner than a gang that spans racks would complete.
-func (e *Engine) trackAmpleCapacity(pool []*placement.Worker, waiting []*placement.Unit, unplaced []workload.UnitID, now time.Duration) {
+func (e *Engine) trackAmpleCapacity(pool []*placement.Worker, waiting []*placement.Unit, plan placement.Plan, now time.Duration) {
 	for _, pu := range waiting {
 		u := e.unitOf(pu.ID)
 		switch {
-		case now-e.lastJobAt < minArrivalGap || !slices.Contains(unplaced, pu.ID) || u.job.hasRuns() || !placement.HasAmpleCapacity(pool, pu):
+		case now-e.lastJobAt < minArrivalGap || !slices.Contains(plan.Unplaced, pu.ID) || slices.Contains(plan.OverQuota, pu.ID) || u.job.hasRuns() || !placement.HasAmpleCapacity(pool, pu):
 			u.ampleCapacitySince = 0
 		case u.ampleCapacitySince == 0:
 			u.ampleCapacitySince = now
@@ -148,7 +153,7 @@
 }
 
 // snapshotWorkers returns the listed workers in the form that package placement takes.
-func (e *Engine) snapshotWorkers(now time.Duration) ([]*placement.Worker, map[string]*worker) {
+func (e *Engine) snapshotWorkers(now time.Duration, quotas map[string]*placement.Quota) ([]*placement.Worker, map[string]*worker) {
 	reserved := map[*worker]workload.Resources{}
 	for _, j := range e.jobs {
 		for _, u := range j.units {
@@ -174,7 +179,7 @@
 			}
 			pw.Running = append(pw.Running, placement.RunningTask{Unit: id.UnitID, Index: id.Index, Need: r.need,
 				Priority: u.job.policy.Priority, Guaranteed: u.job.guaranteed || u.step.MaxUnavailable > 0, Gang: u.step.Gang, LostWork: e.lostWork(r, now), Ending: e.isEnding(r, now),
-				LongRunning: u.step.LongRunning, LatencySensitive: r.isLatencySensitive(), BestEffort: r.isBestEffort()})
+				LongRunning: u.step.LongRunning, LatencySensitive: r.isLatencySensitive(), BestEffort: r.isBestEffort(), Quota: quotas[u.job.spec.Account]})
 		}
 		slices.SortFunc(pw.Running, func(a, b placement.RunningTask) int {
 			return cmp.Or(cmp.Compare(a.Unit.Job, b.Unit.Job), cmp.Compare(a.Unit.Step, b.Unit.Step), cmp.Compare(a.Index, b.Index))
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -36,6 +36,8 @@
 	behaviours    map[workload.UnitID]func(index int) simsite.Behaviour
 	// settings are those of all nodes.
 	settings dispatch.Settings
+	// limit is that of the client account; zero means none.
+	limit workload.Resources
 }
 
 // testNode is a node and its clients of the ledger, operator and worker topics, in this
@@ -140,7 +142,7 @@
 // the advised one.
 func (s *site) publishQueues(names ...string) {
 	s.configVersion++
-	c := catalog.Config{Version: s.configVersion, Accounts: []catalog.Account{{Name: "coopers", Keys: []string{"key"}, GuaranteedAccelerators: 32}}}
+	c := catalog.Config{Version: s.configVersion, Accounts: []catalog.Account{{Name: "coopers", Keys: []string{"key"}, GuaranteedAccelerators: 32, Limit: s.limit}}}
 	for priority, name := range []string{urgentQueue, normalQueue, bulkQueue} {
 		if !slices.Contains(names, name) {
 			continue
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -50,6 +50,8 @@
 	// LatencySensitive tasks have a latency objective; BestEffort tasks use leftover
 	// capacity. See workload.Step.
 	LatencySensitive, BestEffort bool
+	// Quota is that of the task's account, or nil if it has no limit.
+	Quota *Quota
 	// Ending tasks are expected to end by themselves within the time of a stop.
 	Ending bool
 }
@@ -66,6 +68,8 @@
 	// MustStart means that a guaranteed or long-running unit may not wait any longer for
 	// capacity to come free by itself.
 	MustStart bool
+	// Quota is that of the unit's account, or nil if it has no limit.
+	Quota *Quota
 	// MayNotPreempt units wait for capacity to come free by itself.
 	MayNotPreempt bool
 	// DeadlineMS orders units of one priority; it is a Unix time.
@@ -112,8 +116,9 @@
 	Reserve []Assignment
 	// Stop are the tasks to stop; a gang is stopped as a whole.
 	Stop []workload.TaskID
-	// Unplaced are the units of which not all tasks can start.
-	Unplaced []workload.UnitID
+	// Unplaced are the units of which not all tasks can start. OverQuota are those of them
+	// that the limit of their account holds back.
+	Unplaced, OverQuota []workload.UnitID
 }
 
 // planner is one decision in progress.
@@ -237,6 +242,10 @@
 		pool = p.byRack[rack]
 	}
 	for i, index := range u.Waiting {
+		if u.Quota.fitting(u.Step.Need) == 0 {
+			p.holdBack(u, 1)
+			return
+		}
 		w := p.bestFit(u, pool)
 		if w == nil {
 			p.plan.Unplaced = append(p.plan.Unplaced, u.ID)
@@ -249,6 +258,16 @@
 	}
 }
 
+// holdBack records that the limit of the unit's account does not allow the given number of
+// its tasks. An urgent unit may stop less urgent work of its own account, and nothing else.
+func (p *planner) holdBack(u *Unit, tasks int) {
+	p.plan.Unplaced = append(p.plan.Unplaced, u.ID)
+	p.plan.OverQuota = append(p.plan.OverQuota, u.ID)
+	if u.mayPreempt() {
+		p.preemptWithinQuota(u, tasks)
+	}
+}
+
 // bestFit returns the worker that suits a task of the unit best, or nil if it fits on
 // none.
 func (p *planner) bestFit(u *Unit, pool []*Worker) *Worker {
@@ -315,12 +334,17 @@
 		p.idleAccelerators[w.Rack] -= w.Capacity.Accelerators
 	}
 	w.Free = w.Free.Sub(u.Step.Demand())
+	u.Quota.take(u.Step.Need)
 	u.PerWorker[w.ID]++
 	p.plan.Start = append(p.plan.Start, Assignment{Task: workload.TaskID{UnitID: u.ID, Index: index}, Worker: w.ID})
 }
 
 // placeGang places all waiting tasks of a gang or none.
 func (p *planner) placeGang(u *Unit) {
+	if u.Quota.fitting(u.Step.Need) < len(u.Waiting) {
+		p.holdBack(u, len(u.Waiting))
+		return
+	}
 	pools := p.gangPools(u)
 	var chosen []*Worker
 	bestScore := 0.0
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -76,6 +76,7 @@
 	if p.searches++; p.searches > maxSearches {
 		return
 	}
+	waiting = waiting[:min(len(waiting), u.Quota.fitting(u.Step.Need))]
 	limit := u.PreemptionCostLimit()
 	if u.MustStart && (u.Guaranteed || u.LongRunning) {
 		// In practice, no preemption costs as much.
@@ -101,6 +102,7 @@
 	}
 	for i, w := range cheapest.targets {
 		w.Free = w.Free.Sub(u.Step.Demand())
+		u.Quota.take(u.Step.Need)
 		u.PerWorker[w.ID]++
 		p.plan.Reserve = append(p.plan.Reserve, Assignment{Task: workload.TaskID{UnitID: u.ID, Index: waiting[i]}, Worker: w.ID})
 	}
