Keep room under an account's limit for its urgent units

Change: the room that an urgent unit, or one past its objective, waits for is kept from later units of its account; a guaranteed unit stops its account's less urgent work whatever that costs, also work of its own priority that is not guaranteed.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -266,6 +266,9 @@
 	if u.mayPreempt() {
 		p.preemptWithinQuota(u, tasks)
 	}
+	if late := u.MayUseHeadroom && !u.Expired; late || u.Priority == 0 && !u.Expired {
+		u.Quota.hold(u.Step.Need, tasks)
+	}
 }
 
 // bestFit returns the worker that suits a task of the unit best, or nil if it fits on
--- a/pkg/placement/quota.go
+++ b/pkg/placement/quota.go
@@ -16,6 +16,8 @@
 	// Used is what the account has running or reserved, including Releasing, which is what
 	// is being stopped.
 	Used, Releasing workload.Resources
+	// held is kept for units of the account that come before others and do not fit yet.
+	held workload.Resources
 }
 
 // fitting returns how many further tasks with the given need the limit allows. A nil Quota
@@ -24,11 +26,11 @@
 	if q == nil {
 		return math.MaxInt
 	}
-	n := math.MaxInt
+	n, used := math.MaxInt, q.Used.Add(q.held)
 	for _, d := range [...]struct{ limit, used, need int }{
-		{q.Limit.MilliCores, q.Used.MilliCores, need.MilliCores},
-		{q.Limit.MemoryMB, q.Used.MemoryMB, need.MemoryMB},
-		{q.Limit.Accelerators, q.Used.Accelerators, need.Accelerators},
+		{q.Limit.MilliCores, used.MilliCores, need.MilliCores},
+		{q.Limit.MemoryMB, used.MemoryMB, need.MemoryMB},
+		{q.Limit.Accelerators, used.Accelerators, need.Accelerators},
 	} {
 		if d.limit > 0 && d.need > 0 {
 			n = min(n, max(0, d.limit-d.used)/d.need)
@@ -44,6 +46,14 @@
 	}
 }
 
+// hold keeps the limit's room for tasks with the given need: without it, less urgent tasks of
+// the account would take what is released bit by bit.
+func (q *Quota) hold(need workload.Resources, tasks int) {
+	for range tasks {
+		q.held = q.held.Add(need)
+	}
+}
+
 // Exceeded reports whether the account has more running than its limit.
 func (q *Quota) Exceeded() bool {
 	return q != nil && (q.Limit.MilliCores > 0 && q.Used.MilliCores > q.Limit.MilliCores ||
@@ -56,12 +66,13 @@
 // is placed by a later plan, before the account's other units.
 func (p *planner) preemptWithinQuota(u *Unit, tasks int) {
 	// What is being stopped will not count any more.
-	after := &Quota{Limit: u.Quota.Limit, Used: u.Quota.Used.Sub(u.Quota.Releasing)}
+	after := &Quota{Limit: u.Quota.Limit, Used: u.Quota.Used.Sub(u.Quota.Releasing), held: u.Quota.held}
 	var candidates []candidate
 	seen := map[workload.UnitID]bool{}
 	for _, w := range p.workers {
 		for _, run := range w.Running {
-			if run.Quota != u.Quota || run.Priority <= u.Priority || run.Guaranteed || run.LongRunning || run.Gang && seen[run.Unit] {
+			lessUrgent := run.Priority > u.Priority || u.Guaranteed && run.Priority == u.Priority
+			if run.Quota != u.Quota || !lessUrgent || run.Guaranteed || run.LongRunning || run.Gang && seen[run.Unit] {
 				continue
 			}
 			c := candidate{members: []member{{run, w}}, cost: stopCost(u, run)}
@@ -86,7 +97,9 @@
 		}
 		n++
 	}
-	if after.fitting(u.Step.Need) < tasks || cost > u.PreemptionCostLimit() && !u.MustStart {
+	// A guaranteed unit may have to wait for a second stop once its limit allows it, so that
+	// it does not wait for cheap work to stop first.
+	if after.fitting(u.Step.Need) < tasks || cost > u.PreemptionCostLimit() && !u.Guaranteed {
 		return
 	}
 	for _, c := range candidates[:n] {
--- a/pkg/placement/quota_test.go
+++ b/pkg/placement/quota_test.go
@@ -107,3 +107,37 @@
 		}
 	})
 }
+
+// A guaranteed gang of an account at its limit stops even costly work of the account at once:
+// it may have to wait for a second stop, of another account's work, within the time that its
+// guarantee allows.
+func TestGuaranteedWorkDoesNotWaitAtTheLimit(t *testing.T) {
+	for guaranteed, stops := range map[bool]int{true: 1, false: 0} {
+		workers := idleSite(2)
+		quota := &Quota{Limit: workload.Resources{Accelerators: 8}, Used: need(8)}
+		occupy(workers[0], "own", 0, need(8), 1, 5000, false)
+		workers[0].Running[0].Quota = quota
+		urgent := unit("urgent", 1, gang(8), 0)
+		urgent.Quota, urgent.Guaranteed = quota, guaranteed
+		if plan := Decide(workers, []*Unit{urgent}, 0); len(plan.Stop) != stops {
+			t.Errorf("guaranteed %v: stops %v, want %d", guaranteed, plan.Stop, stops)
+		}
+	}
+}
+
+// An urgent gang waits until its account's limit has room for all of it. Bulk tasks of the
+// account must not take what is released meanwhile.
+func TestBulkWorkDoesNotTakeWhatAnUrgentGangWaitsFor(t *testing.T) {
+	quota := &Quota{Limit: workload.Resources{Accelerators: 16}, Used: need(10), Releasing: need(6)}
+	urgent, bulk, other := unit("urgent", 2, gang(8), 0), unit("bulk", 8, workload.Step{Need: need(1)}, 2), unit("other", 3, workload.Step{Need: need(1)}, 2)
+	urgent.Quota, bulk.Quota = quota, quota
+	plan := Decide(idleSite(8), []*Unit{urgent, bulk, other}, 0)
+	for _, a := range plan.Start {
+		if a.Task.Job != "other" {
+			t.Errorf("%s starts, want only the other account's tasks", a.Task.Job)
+		}
+	}
+	if len(plan.Start) != 3 {
+		t.Errorf("%d starts, want 3", len(plan.Start))
+	}
+}
