Make calls on connections that the other node has closed on a new one; forget old latencies

The call fails with "connection is shut down", is taken for one that may have run, though it was not sent, and the node does not write by itself, since it takes the log for slow: the latency of its only write, made while 100 nodes started at once, never fell. So callers get 504, after which they cannot try again. Probes of the leader counted as unanswered for the same reason.

Ruled out: dead nodes first in the order of claims (dials to them are refused at once).

Change: a call that was not sent, since the other end had closed the connection, is made on a new one; an append's latency counts for 3 s.

TestClosedConnectionIsReplacedBeforeTheCall and TestSlowStartOfTheLogIsForgotten fail without it.

--- a/pkg/entry/slowlog_test.go
+++ b/pkg/entry/slowlog_test.go
@@ -256,3 +256,28 @@
 		}
 	})
 }
+
+// The log was slow while the site started, and is not any more. When the leader is gone,
+// nodes must write by themselves, and not take the log for slow.
+func TestSlowStartOfTheLogIsForgotten(t *testing.T) {
+	runSite(t, 10, 8, func(s *site) {
+		for _, l := range s.logs() {
+			l.SetSlowdown(66)
+		}
+		// Each node writes once.
+		s.submitEverywhere(20*time.Millisecond, 200*time.Millisecond)
+		for _, n := range s.nodes {
+			if _, err := n.writer.Write(s.ctx, ledger.CancelRecord("00000000000000ff", 1)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, l := range s.logs() {
+			l.SetSlowdown(1)
+		}
+		time.Sleep(6 * time.Second)
+		s.killLeader()
+		if jobs, errs := s.submitEverywhere(20*time.Millisecond, time.Second); len(errs) > 0 {
+			t.Errorf("%d of %d submissions failed, the first with: %v", len(errs), len(jobs), errs[0])
+		}
+	})
+}
--- a/pkg/ledger/appender.go
+++ b/pkg/ledger/appender.go
@@ -289,6 +289,8 @@
 	// latencyDecay sets how slowly the typical latency falls: each faster call lowers it
 	// by 1/latencyDecay of the difference.
 	latencyDecay = 8
+	// maxLatencyAge is how long after the last call its latency counts as typical.
+	maxLatencyAge = 3 * time.Second
 	// maxRepeats bounds how often a call is repeated within its timeout; the delay
 	// doubles each time.
 	maxRepeats = 4
@@ -366,6 +368,11 @@
 
 // typicalLatency is TypicalLatency; it must be called with mu held.
 func (a *Appender) typicalLatency() time.Duration {
+	if a.settings.Now()-a.lastCallEnd > maxLatencyAge {
+		// The last call may have been made under another load, for example while the site
+		// started.
+		return a.settings.LogLatency()
+	}
 	return max(a.latency, a.settings.LogLatency())
 }
 
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -10,6 +10,7 @@
 	"net/rpc"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -89,6 +90,7 @@
 	s.waitForReplies(ctx)
 	s.mu.Lock()
 	for _, c := range s.clients {
+		c.dropped.Store(true)
 		c.Close()
 	}
 	for c := range s.accepted {
@@ -149,13 +151,28 @@
 	delete(s.accepted, conn)
 }
 
+// maxAttempts limits how often a call that has not been sent is made on a new connection.
+const maxAttempts = 3
+
 // Call invokes a method of the node at address. If ctx ends first, the call may
 // still take effect there. *reply is set only if there is no error.
 func (s *Service) Call(ctx context.Context, address, method string, args, reply any) error {
-	c, err := s.client(ctx, address)
-	if err != nil {
-		return err
+	for attempt := 1; ; attempt++ {
+		c, err := s.client(ctx, address)
+		if err != nil {
+			return err
+		}
+		// The node may have closed the connection since the last call, for example by a
+		// restart. The call has not been sent then, and is made on a new connection.
+		if err = s.callOn(ctx, c, address, method, args, reply); !errors.Is(err, rpc.ErrShutdown) || c.dropped.Load() || attempt == maxAttempts {
+			return err
+		}
 	}
+}
+
+// callOn is Call on one connection. The error is rpc.ErrShutdown, while the connection has
+// not been dropped, only if the call was not sent.
+func (s *Service) callOn(ctx context.Context, c *client, address, method string, args, reply any) error {
 	// net/rpc may decode a late reply after Call has returned, so it gets a separate
 	// value.
 	answer := reflect.New(reflect.TypeOf(reply).Elem())
@@ -168,7 +185,10 @@
 				return nil
 			}
 			var remote rpc.ServerError
-			if !errors.As(call.Error, &remote) {
+			switch {
+			case errors.Is(call.Error, rpc.ErrShutdown) && !c.dropped.Load():
+				s.forget(address, c)
+			case !errors.As(call.Error, &remote):
 				s.drop(address, c)
 			}
 			return call.Error
@@ -186,6 +206,9 @@
 type client struct {
 	*rpc.Client
 	sending chan struct{}
+	// dropped is set before this node closes the connection. Calls in flight then end with
+	// rpc.ErrShutdown, too.
+	dropped atomic.Bool
 }
 
 // send starts a call. net/rpc writes while holding a lock and blocks as long as the
@@ -230,17 +253,23 @@
 		}
 		return existing, nil
 	}
-	c = &client{rpc.NewClient(conn), make(chan struct{}, 1)}
+	c = &client{Client: rpc.NewClient(conn), sending: make(chan struct{}, 1)}
 	s.clients[address] = c
 	return c, nil
 }
 
 // drop closes c, so that its pending calls fail and the next call opens a new one.
 func (s *Service) drop(address string, c *client) {
+	s.forget(address, c)
+	c.dropped.Store(true)
+	c.Close()
+}
+
+// forget makes the next call open a new connection. c is closed already.
+func (s *Service) forget(address string, c *client) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.clients[address] == c {
 		delete(s.clients, address)
 	}
-	s.mu.Unlock()
-	c.Close()
 }
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -177,3 +178,39 @@
 		}
 	})
 }
+
+// The node at the other end has been restarted, or is gone, since the last call. The next
+// call must be made on a new connection, or fail as one that could not connect: the call on
+// the old connection has not been sent.
+func TestClosedConnectionIsReplacedBeforeTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(nil)
+		server, client := startPair(t, network, "Echo", Echo{})
+		say := func() error {
+			args, reply := "x", ""
+			return client.Call(t.Context(), serverAddress, "Echo.Say", &args, &reply)
+		}
+		if err := say(); err != nil {
+			t.Fatal(err)
+		}
+		if err := server.Stop(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		var opErr *net.OpError
+		if err := say(); !errors.As(err, &opErr) || opErr.Op != "dial" {
+			t.Errorf("call to a node that is gone: %v, want an error of the dial", err)
+		}
+		again := New(network.Host("b"), serverAddress)
+		if err := again.Handle("Echo", Echo{}); err != nil {
+			t.Fatal(err)
+		}
+		if err := again.Start(t.Context(), nil); err != nil {
+			t.Fatal(err)
+		}
+		defer again.Stop(t.Context())
+		if err := say(); err != nil {
+			t.Errorf("call to a restarted node: %v", err)
+		}
+	})
+}
