Shorten the lease window to 10 s

Ruled out: a wall-clock time in the record, which would let the second new leader wait for the rest only: clocks of nodes may differ by 5 s, and jump.

Change: 10 s. A log outage of 7 s, the longest known, leaves 2 s for the next write and the renewals.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -72,7 +72,7 @@
 	defaultMaxViewAge = 1500 * time.Millisecond
 	// leaseWindow is how long tasks run on while the leader cannot write to the log: the
 	// longest outages known are of 7 s, and the rest is for the leader's recovery.
-	leaseWindow = 12 * time.Second
+	leaseWindow = 10 * time.Second
 )
 
 type options struct {
