--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -33,7 +33,7 @@
 	// to one node only, which batches it with others.
 	slowLogLatency = 50 * time.Millisecond
 	// lateAnswerDelay is how long the writing node may take before the log's latency is
-	// measured, and slowLogCheckInterval the time between two looks at the result.
+	// checked, and slowLogCheckInterval the time between two looks at the result.
 	lateAnswerDelay      = 100 * time.Millisecond
 	slowLogCheckInterval = 200 * time.Millisecond
 	// localTimeout bounds this node's write to a log that is not slow, before the record
--- a/pkg/ledger/appender.go
+++ b/pkg/ledger/appender.go
@@ -282,7 +282,7 @@
 	// repeated: some ten times the usual latency of the log.
 	minRepeatDelay = 100 * time.Millisecond
 	// lateAnswerDelay is the time without an answer after which the log's latency is
-	// measured, to tell a slow log from a lost answer.
+	// checked, to tell a slow log from a lost answer.
 	lateAnswerDelay = 25 * time.Millisecond
 	// repeatLatencyFactor raises that time to a multiple of the log's typical latency.
 	repeatLatencyFactor = 4
