--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -56,7 +56,8 @@
 	outageTimeout = 400 * time.Millisecond
 )
 
-// Forwarder forwards requests to other nodes while this one cannot reach the log.
+// Forwarder forwards records to the node that writes for all, and requests to other nodes
+// while this one cannot reach the log.
 type Forwarder interface {
 	// StoreAtWriter is Store through the one node that writes the records of all nodes
 	// while it works. It fails with ErrNoWriter if that is this node or none.
