--- a/pkg/backend/keyedlog.go
+++ b/pkg/backend/keyedlog.go
@@ -47,12 +47,17 @@
 	// kind LogEndMismatch, it returns the current end.
 	Append(ctx context.Context, a KeyedAppend) (end int64, err error)
 	// Read returns records from offset from on, and waits up to wait for the first one.
-	Read(ctx context.Context, from int64, wait time.Duration) (KeyedPage, error)
+	// progress may be nil.
+	Read(ctx context.Context, from int64, wait time.Duration, progress Progress) (KeyedPage, error)
 	// Newest lists the newest record of each key after the given key. The pages of one
-	// listing are not a consistent snapshot.
-	Newest(ctx context.Context, after string) (KeyedPage, error)
+	// listing are not a consistent snapshot. progress may be nil.
+	Newest(ctx context.Context, after string, progress Progress) (KeyedPage, error)
 }
 
+// Progress is called with the size of each part of a page that arrives, in bytes, and with
+// 0 when the reply begins.
+type Progress func(bytes int)
+
 // LogErrorKind classifies failures of log calls.
 type LogErrorKind string
 
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -219,8 +219,12 @@
 	sent := f.settings.Now()
 	callCtx, cancel := context.WithTimeout(ctx, wait+f.callTimeout())
 	defer cancel()
-	page, err := f.log.Read(callCtx, from, wait)
+	received := 0
+	page, err := f.log.Read(callCtx, from, wait, func(bytes int) { received += bytes })
 	if err != nil {
+		if received > 0 {
+			klog.InfoS("feed: page arrived only in part", "topic", f.settings.Name, "offset", from, "received", received, "took", f.settings.Now()-sent, "err", err)
+		}
 		return 0, err
 	}
 	f.sinkMu.Lock()
@@ -266,7 +270,7 @@
 	sent, end, after := f.settings.Now(), int64(-1), ""
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, f.settings.ListTimeout)
-		page, err := f.log.Newest(callCtx, after)
+		page, err := f.log.Newest(callCtx, after, nil)
 		cancel()
 		if err != nil {
 			return err
--- a/pkg/simsite/log.go
+++ b/pkg/simsite/log.go
@@ -119,6 +119,8 @@
 	fault LogFault
 	// readFault is the fault of reads, in place of fault, unless it is LogHealthy.
 	readFault LogFault
+	// linkRate is the rate at which pages arrive, in bytes per second; 0 means at once.
+	linkRate int
 }
 
 // Client returns a new connection to the log without faults.
@@ -139,6 +141,44 @@
 	c.readFault = f
 }
 
+// SetLinkRate sets the rate at which later pages arrive at the client, in bytes per second.
+// Concurrent calls do not share it.
+func (c *Client) SetLinkRate(bytesPerSecond int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.linkRate = bytesPerSecond
+}
+
+// transferInterval is the time between two parts of a page on a link of limited rate.
+const transferInterval = 50 * time.Millisecond
+
+// transfer delays a page by the time that it takes over the client's link.
+func (c *Client) transfer(ctx context.Context, page backend.KeyedPage, progress backend.Progress) (backend.KeyedPage, error) {
+	c.mu.Lock()
+	rate := c.linkRate
+	c.mu.Unlock()
+	if progress != nil {
+		progress(0)
+	}
+	size := 0
+	for _, r := range page.Records {
+		size += len(r.Key) + len(r.Value)
+	}
+	for rate > 0 && size > 0 {
+		part := min(size, max(1, rate*int(transferInterval.Milliseconds())/1000))
+		select {
+		case <-time.After(time.Duration(part) * time.Second / time.Duration(rate)):
+		case <-ctx.Done():
+			return backend.KeyedPage{}, &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.MayHaveRun, Cause: ctx.Err()}
+		}
+		size -= part
+		if progress != nil {
+			progress(part)
+		}
+	}
+	return page, nil
+}
+
 // Put appends records unconditionally, as writers of the platform do.
 func (l *Log) Put(records ...backend.KeyedRecord) {
 	l.mu.Lock()
@@ -258,7 +298,7 @@
 }
 
 // Read implements backend.KeyedLog.
-func (c *Client) Read(ctx context.Context, from int64, wait time.Duration) (backend.KeyedPage, error) {
+func (c *Client) Read(ctx context.Context, from int64, wait time.Duration, progress backend.Progress) (backend.KeyedPage, error) {
 	if _, err := c.beginCall(ctx, true); err != nil {
 		return backend.KeyedPage{}, err
 	}
@@ -280,7 +320,7 @@
 		changed := l.changed
 		l.mu.Unlock()
 		if len(page.Records) > 0 || wait == 0 {
-			return page, nil
+			return c.transfer(ctx, page, progress)
 		}
 		select {
 		case <-changed:
@@ -293,18 +333,18 @@
 }
 
 // Newest implements backend.KeyedLog. It returns all keys in one page.
-func (c *Client) Newest(ctx context.Context, after string) (backend.KeyedPage, error) {
+func (c *Client) Newest(ctx context.Context, after string, progress backend.Progress) (backend.KeyedPage, error) {
 	if _, err := c.beginCall(ctx, true); err != nil {
 		return backend.KeyedPage{}, err
 	}
 	l := c.log
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	page := backend.KeyedPage{End: l.end()}
 	for key, r := range l.newest {
 		if key > after {
 			page.Records = append(page.Records, r)
 		}
 	}
-	return page, nil
+	l.mu.Unlock()
+	return c.transfer(ctx, page, progress)
 }
