Let a page arrive for as long as it takes, so that slow links follow the log

Cause: the time limit of a read, 0.7 s beside its wait, covered the whole transfer. With 2,000 queues a configuration has some 400 KB, and the smallest nodes have 10 Mbit/s. Once one read had failed, two or more records waited, their page took longer than 0.7 s, and the follower ended the read and asked for the same page again, for ever. The node stayed ready and served by the old version. The class of fault: a time limit on work whose size is not bounded, with a retry that starts it anew.

Ruled out: records applied out of order (versions in each node's log only rise); a store that does not answer (the ledger's topic on the same node is followed again).

Change: the limit holds until the reply begins; after that, the read ends only if no more of the page arrives for 1 s. The same holds for listings, whose pages had 5 s. The estimate of the log's latency ends when the reply begins: a large page no longer makes the log look slow.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -23,14 +23,17 @@
 	// readWait is how long the log may hold a read until there is a record: half of the
 	// shortest time within which a change must be in force.
 	readWait = time.Second
-	// readTimeout bounds a read in addition to its wait: many times the usual latency of
-	// the log, and short enough to detect a dead connection in time. maxReadTimeout
-	// bounds a read of a slow log.
+	// readTimeout bounds the time until the reply to a read begins, in addition to the
+	// read's wait: many times the usual latency of the log, and short enough to detect a
+	// dead connection in time. maxReadTimeout bounds that of a read of a slow log.
 	readTimeout    = 700 * time.Millisecond
 	maxReadTimeout = 1500 * time.Millisecond
-	// listTimeout bounds a call for one page of a listing: the largest page, 1 MB, takes
-	// 4 s over the slowest link of a node, 2 Mbit/s.
+	// listTimeout bounds the time until the reply to a call for one page of a listing
+	// begins.
 	listTimeout = 5 * time.Second
+	// stallTimeout is how long no more of a page may arrive before its connection counts as
+	// dead: several retransmissions of a lost packet.
+	stallTimeout = time.Second
 	// readRetryDelay is the delay after a failed read.
 	readRetryDelay = 100 * time.Millisecond
 	// workerReadDelay is the delay between reads of the worker topic, which batches the
@@ -106,7 +109,7 @@
 	replica := ledger.NewReplica(n.leader.Listener())
 	n.replica = replica
 	settings := func(name string, readDelay func() time.Duration) feed.Settings {
-		return feed.Settings{Name: name, Wait: readWait, CallTimeout: readTimeout, MaxCallTimeout: maxReadTimeout, ListTimeout: listTimeout, RetryDelay: readRetryDelay, ReadDelay: readDelay, Now: s.Now}
+		return feed.Settings{Name: name, Wait: readWait, CallTimeout: readTimeout, MaxCallTimeout: maxReadTimeout, ListTimeout: listTimeout, StallTimeout: stallTimeout, RetryDelay: readRetryDelay, ReadDelay: readDelay, Now: s.Now}
 	}
 	n.ledgerFollower = feed.New(p.Ledger, settings("ledger", func() time.Duration {
 		if n.leader.Leading() {
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -24,11 +24,15 @@
 	// Wait is how long the log may hold a read until there is a record. Reads of a slow
 	// log wait less, so that the sink is confirmed as often.
 	Wait time.Duration
-	// CallTimeout bounds a read in addition to its wait, and MaxCallTimeout a read of a
-	// slow log.
+	// CallTimeout bounds, in addition to the wait, the time until the reply to a read
+	// begins, and MaxCallTimeout that of a read of a slow log.
 	CallTimeout, MaxCallTimeout time.Duration
-	// ListTimeout bounds a call for one page of a listing, which may be large.
+	// ListTimeout bounds the time until the reply to a call for one page of a listing
+	// begins.
 	ListTimeout time.Duration
+	// StallTimeout is how long no more of a page may arrive. The whole page may take
+	// longer: the largest one takes seconds over a slow link.
+	StallTimeout time.Duration
 	// RetryDelay is the delay after a failed call.
 	RetryDelay time.Duration
 	// ReadDelay returns the delay between two reads, which batches records.
@@ -148,7 +152,7 @@
 		if confirmedAt >= began {
 			return nil
 		}
-		records, err := f.read(ctx, from, 0)
+		records, err := f.read(ctx, from, 0, nil)
 		if err != nil {
 			return err
 		}
@@ -186,7 +190,7 @@
 	if !ready {
 		return f.list(ctx)
 	}
-	records, err := f.read(ctx, from, wait)
+	records, err := f.read(ctx, from, wait, read)
 	f.mu.Lock()
 	f.latency.tail = nil
 	if err != nil {
@@ -206,7 +210,7 @@
 	return err
 }
 
-// callTimeout bounds a read in addition to its wait.
+// callTimeout bounds the time until the reply to a read begins, in addition to its wait.
 func (f *Follower) callTimeout() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -214,16 +218,20 @@
 }
 
 // read reads one page from an offset, applies the records that are new, and returns how
-// many records the page has.
-func (f *Follower) read(ctx context.Context, from int64, wait time.Duration) (int, error) {
+// many records the page has. It records in timed, unless that is nil, when the reply begins.
+func (f *Follower) read(ctx context.Context, from int64, wait time.Duration, timed *timedRead) (int, error) {
 	sent := f.settings.Now()
-	callCtx, cancel := context.WithTimeout(ctx, wait+f.callTimeout())
-	defer cancel()
-	received := 0
-	page, err := f.log.Read(callCtx, from, wait, func(bytes int) { received += bytes })
+	callCtx, t := newTransfer(ctx, wait+f.callTimeout(), f.settings.StallTimeout, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		timed.begin(f.settings.Now())
+	})
+	defer t.close()
+	page, err := f.log.Read(callCtx, from, wait, t.progress)
 	if err != nil {
-		if received > 0 {
-			klog.InfoS("feed: page arrived only in part", "topic", f.settings.Name, "offset", from, "received", received, "took", f.settings.Now()-sent, "err", err)
+		err = t.explain(callCtx, err)
+		if t.received > 0 {
+			klog.InfoS("feed: page arrived only in part", "topic", f.settings.Name, "offset", from, "received", t.received, "took", f.settings.Now()-sent, "err", err)
 		}
 		return 0, err
 	}
@@ -269,11 +277,11 @@
 	var records []backend.KeyedRecord
 	sent, end, after := f.settings.Now(), int64(-1), ""
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, f.settings.ListTimeout)
-		page, err := f.log.Newest(callCtx, after, nil)
-		cancel()
+		callCtx, t := newTransfer(ctx, f.settings.ListTimeout, f.settings.StallTimeout, nil)
+		page, err := f.log.Newest(callCtx, after, t.progress)
+		t.close()
 		if err != nil {
-			return err
+			return t.explain(callCtx, err)
 		}
 		if end < 0 {
 			end = page.End
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -40,7 +40,7 @@
 // testSettings are the settings of the operators' topic in package entry.
 func testSettings() Settings {
 	started := time.Now()
-	return Settings{Name: "test", Wait: time.Second, CallTimeout: 700 * time.Millisecond, MaxCallTimeout: 1500 * time.Millisecond, ListTimeout: 5 * time.Second,
+	return Settings{Name: "test", Wait: time.Second, CallTimeout: 700 * time.Millisecond, MaxCallTimeout: 1500 * time.Millisecond, ListTimeout: 5 * time.Second, StallTimeout: time.Second,
 		RetryDelay: 100 * time.Millisecond, ReadDelay: func() time.Duration { return 0 }, Now: func() time.Duration { return time.Since(started) }}
 }
 
--- a/pkg/feed/latency.go
+++ b/pkg/feed/latency.go
@@ -22,14 +22,26 @@
 	failing bool
 }
 
-// timedRead is a read in flight, sent at sentAt with the given wait.
-type timedRead struct{ sentAt, wait time.Duration }
+// timedRead is a read in flight, sent at sentAt with the given wait. Its reply began to
+// arrive at begunAt, 0 if it has not; the time that a page takes over the link says nothing
+// of the log.
+type timedRead struct{ sentAt, wait, begunAt time.Duration }
 
-// overdue returns for how long an answer has been due: the latency is at least that.
+// begin records that the reply has begun. It does nothing if r is nil.
+func (r *timedRead) begin(now time.Duration) {
+	if r != nil {
+		r.begunAt = now
+	}
+}
+
+// overdue returns for how long an answer was due, or has been: the latency is at least that.
 func (r *timedRead) overdue(now time.Duration) time.Duration {
 	if r == nil {
 		return 0
 	}
+	if r.begunAt != 0 {
+		now = r.begunAt
+	}
 	return min(max(0, now-r.sentAt-r.wait), maxLatency)
 }
 
@@ -37,6 +49,9 @@
 func (e *latencyEstimator) answered(r *timedRead, now time.Duration, records bool) {
 	e.failing = false
 	if records && r.wait > 0 {
+		if r.begunAt != 0 {
+			now = r.begunAt
+		}
 		e.estimate = min(e.estimate, now-r.sentAt)
 		return
 	}
@@ -66,14 +81,15 @@
 func (f *Follower) CheckLatency(ctx context.Context) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.ready || f.latency.check != nil {
+	if !f.ready || f.latency.check != nil || f.latency.tail != nil && f.latency.tail.begunAt != 0 {
+		// A page that is arriving has shown the latency already.
 		return
 	}
 	read := &timedRead{sentAt: f.settings.Now()}
 	f.latency.check = read
 	from := f.nextOffset
 	go func() {
-		_, err := f.read(ctx, from, 0)
+		_, err := f.read(ctx, from, 0, read)
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.latency.check = nil
