Read the configuration before requests that waited while the process was paused

Cause: a process that resumes after a freeze has requests waiting, and its follower has yet to read what has changed. Requests were decided by the configuration that the process had, without a look at its age, some before and some after that read. The class of fault: a process that was paused acts on knowledge that was valid before.

Ruled out: versions that fall within a process (none does in any log).

Change: package pause detects that the process has not run for 150 ms or more, also for the first goroutine that runs afterwards. A request is decided by a configuration that has been confirmed since the process last resumed, and not more than 1.25 s ago; otherwise the node reads the operators' topic first, one read for all waiting requests, none while a page is arriving.

The same shape elsewhere: the phase of a job needs a ledger read after the question (maxReplicaAge 0.1 s on a clock that runs on during a pause); starts need views younger than the platform's bounds, and a lease on the worker's clock that ends; keys and limits at submission go through the configuration above. Nothing to change there.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -175,7 +175,7 @@
 	klog.InfoS("shallotpin-entry: started", "node", s.NodeName, "zone", s.Zone, "front", s.Listen.Front, "settings", opts.SettingsFile)
 
 	var draining atomic.Bool
-	jobs := &platform.JobHandler{Intake: node.Intake, OperatorConfig: node.OperatorConfig, Now: steady.Now, UnixMS: unixMS}
+	jobs := &platform.JobHandler{Intake: node.Intake, CurrentConfig: node.CurrentConfig, UnixMS: unixMS}
 	front := &http.Server{Handler: closeWhenDraining(&draining, jobs), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
 	ready := &http.Server{Handler: readinessHandler(&draining, node), ReadHeaderTimeout: headerTimeout}
 	mux := http.NewServeMux()
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/shallotpin/shallotpin/pkg/intake"
 	"github.com/shallotpin/shallotpin/pkg/leader"
 	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/pause"
 )
 
 const (
@@ -97,6 +98,7 @@
 	ledgerFollower *feed.Follower
 	configFollower *feed.Follower
 	replica        *ledger.Replica
+	pauses         *pause.Detector
 	// writer writes for intake; the leader has a writer of its own for each term.
 	writer  *ledger.Appender
 	running sync.WaitGroup
@@ -104,7 +106,7 @@
 
 // New assembles a node and registers its RPC methods. The node does nothing before Start.
 func New(s Settings, p Platform) (*Node, error) {
-	n := &Node{settings: s}
+	n := &Node{settings: s, pauses: pause.NewDetector(s.Now)}
 	n.leader = leader.New(leader.Settings{Name: s.Name, Incarnation: s.Incarnation, Address: s.Address, Call: p.Peers.Call, Dispatch: s.Dispatch, MaxBatchBytes: s.MaxBatchBytes, LogLatency: n.logLatency, CheckLatency: n.checkLatency, Now: s.Now, UnixMS: s.UnixMS}, p.Ledger, p.Orders, p.Adviser)
 	replica := ledger.NewReplica(n.leader.Listener())
 	n.replica = replica
@@ -132,7 +134,7 @@
 // Start starts the node's goroutines, which end after ctx does.
 func (n *Node) Start(ctx context.Context) {
 	for _, run := range []func(context.Context){
-		n.ledgerFollower.Run, n.configFollower.Run, n.leader.Run, n.publishAddress,
+		n.ledgerFollower.Run, n.configFollower.Run, n.leader.Run, n.publishAddress, n.pauses.Run,
 		func(ctx context.Context) {
 			if err := n.writer.Run(ctx); err != nil && ctx.Err() == nil {
 				klog.InfoS("entry: ledger writer stopped", "err", err)
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,8 +48,14 @@
 	kill    context.CancelFunc
 	peers   *peer.Service
 	clients []*simsite.Client
+	// paused is for how long the node has been paused in all, in nanoseconds.
+	paused atomic.Int64
 }
 
+// pause makes the node's clock advance as if the node had been paused until now. Its timers
+// do not advance, as those of a suspended VM.
+func (n *testNode) pause(d time.Duration) { n.paused.Add(int64(d)) }
+
 // logs returns the topics of the site.
 func (s *site) logs() []*simsite.Log {
 	return []*simsite.Log{s.ledgerTopic, s.operatorTopic, s.workerTopic}
@@ -179,7 +186,7 @@
 	n := &testNode{kill: kill, peers: peers, clients: []*simsite.Client{s.ledgerTopic.Client(), s.operatorTopic.Client(), s.workerTopic.Client()}}
 	started := time.Now()
 	var err error
-	n.Node, err = New(Settings{Name: name, Incarnation: name + "/" + started.String(), Address: address, Dispatch: s.settings, MaxBatchBytes: 1 << 20, Now: func() time.Duration { return time.Hour + time.Since(started) }, UnixMS: func() int64 { return time.Now().UnixMilli() }},
+	n.Node, err = New(Settings{Name: name, Incarnation: name + "/" + started.String(), Address: address, Dispatch: s.settings, MaxBatchBytes: 1 << 20, Now: func() time.Duration { return time.Hour + time.Since(started) + time.Duration(n.paused.Load()) }, UnixMS: func() int64 { return time.Now().UnixMilli() }},
 		Platform{Ledger: n.clients[0], OperatorConfig: n.clients[1], Workers: n.clients[2], Orders: s.fleet, Adviser: s.fleet, DecodeOperator: decodeOperator, DecodeWorker: simsite.DecodeWorker, Peers: peers})
 	if err == nil {
 		err = peers.Start(ctx, nil)
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -59,6 +59,8 @@
 	settings Settings
 	sink     Sink
 	wake     chan struct{}
+	// awaiting holds a value while a call of AwaitConfirmed reads.
+	awaiting chan struct{}
 
 	// sinkMu is held while the sink is called.
 	sinkMu sync.Mutex
@@ -78,7 +80,7 @@
 
 // New returns a Follower. It reads nothing before Run is called.
 func New(log backend.KeyedLog, s Settings, sink Sink) *Follower {
-	return &Follower{log: log, settings: s, sink: sink, wake: make(chan struct{}, 1),
+	return &Follower{log: log, settings: s, sink: sink, wake: make(chan struct{}, 1), awaiting: make(chan struct{}, 1),
 		failures: metrics.GetOrCreateCounter(`shallotpin_feed_failures_total{topic="` + s.Name + `"}`)}
 }
 
@@ -140,8 +142,46 @@
 // Refresh reads without waiting, in addition to Run, until the sink has every record that
 // the topic held when Refresh was called. Before the first listing it fails with a
 // *backend.LogError.
-func (f *Follower) Refresh(ctx context.Context) error {
-	began := f.settings.Now()
+func (f *Follower) Refresh(ctx context.Context) error { return f.readUntil(ctx, f.settings.Now()) }
+
+// AwaitConfirmed reads without waiting, in addition to Run, until the sink has every record
+// that the topic held at the given time. Concurrent calls share their reads. Failed reads
+// are repeated until ctx ends.
+func (f *Follower) AwaitConfirmed(ctx context.Context, at time.Duration) error {
+	select {
+	case f.awaiting <- struct{}{}:
+		defer func() { <-f.awaiting }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for {
+		err := errArriving
+		if !f.pageArriving() {
+			err = f.readUntil(ctx, at)
+		}
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(f.settings.RetryDelay):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+var errArriving = errors.New("a page is arriving")
+
+// pageArriving reports whether a page of Run's read is arriving. A second read of the same
+// records would only delay it.
+func (f *Follower) pageArriving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.latency.tail != nil && f.latency.tail.begunAt != 0
+}
+
+// readUntil reads until the sink is confirmed as of the given time.
+func (f *Follower) readUntil(ctx context.Context, at time.Duration) error {
 	for {
 		f.mu.Lock()
 		ready, from, confirmedAt := f.ready, f.nextOffset, f.confirmedAt
@@ -149,7 +189,7 @@
 		if !ready {
 			return &backend.LogError{Kind: backend.LogUnavailable}
 		}
-		if confirmedAt >= began {
+		if confirmedAt >= at {
 			return nil
 		}
 		records, err := f.read(ctx, from, 0, nil)
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -107,3 +108,81 @@
 		}
 	})
 }
+
+// countingLog counts the reads that are sent to a log.
+type countingLog struct {
+	backend.KeyedLog
+	reads atomic.Int32
+}
+
+func (c *countingLog) Read(ctx context.Context, from int64, wait time.Duration, progress backend.Progress) (backend.KeyedPage, error) {
+	c.reads.Add(1)
+	return c.KeyedLog.Read(ctx, from, wait, progress)
+}
+
+// Requests that wait for the newest records must not ask for them again while they are
+// arriving: over a slow link, that would delay them.
+func TestArrivingPageIsNotReadTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := simsite.NewLog()
+		client := log.Client()
+		log.Put(version(1, 10))
+		counting := &countingLog{KeyedLog: client}
+		f := New(counting, testSettings(), &versions{})
+		go f.Run(ctx)
+		time.Sleep(3 * time.Second)
+		client.SetLinkRate(250_000)
+		log.Put(version(2, 400_000))
+		time.Sleep(200 * time.Millisecond)
+		synctest.Wait()
+		reads := counting.reads.Load()
+		for range 3 {
+			waitCtx, done := context.WithTimeout(ctx, 400*time.Millisecond)
+			if err := f.AwaitConfirmed(waitCtx, f.settings.Now()); err == nil {
+				t.Error("confirmed before the page has arrived")
+			}
+			done()
+		}
+		synctest.Wait()
+		if counting.reads.Load() != reads {
+			t.Errorf("%d further reads while a page arrives, want none", counting.reads.Load()-reads)
+		}
+		waitCtx, done := context.WithTimeout(ctx, 2*time.Second)
+		defer done()
+		if err := f.AwaitConfirmed(waitCtx, f.settings.Now()); err != nil {
+			t.Errorf("not confirmed after the page has arrived: %v", err)
+		}
+		cancel()
+	})
+}
+
+// Calls that wait for the same records must share their reads: a node that resumes has many
+// requests waiting.
+func TestWaitingRequestsShareReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := simsite.NewLog()
+		client := log.Client()
+		log.Put(version(1, 10))
+		counting := &countingLog{KeyedLog: client}
+		f := New(counting, testSettings(), &versions{})
+		go f.Run(ctx)
+		time.Sleep(3100 * time.Millisecond)
+		synctest.Wait()
+		reads, at := counting.reads.Load(), f.settings.Now()
+		for range 50 {
+			go func() {
+				if err := f.AwaitConfirmed(ctx, at); err != nil {
+					t.Errorf("not confirmed: %v", err)
+				}
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		if got := counting.reads.Load() - reads; got != 1 {
+			t.Errorf("%d reads for 50 requests, want 1", got)
+		}
+	})
+}
