Log crashes of workers with the runs that may have caused them

The logs had 'worker lost' for each run, but not that the worker had crashed, nor which runs had started shortly before. 'dispatch: worker crashed' names the worker, its runs and the suspects: runs that the worker had not reported for 2 s on its own clock. shallotpin_worker_crashes_total counts them. A worker that drained has left, one that is silent may run on; neither is logged as crashed.

No decision changes.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -471,6 +471,7 @@
 	for key, w := range e.workers {
 		other, known := e.view.Workers[w.info.ID]
 		if known && workerKey(other) != key && other.StartedMS > incarnationStartMS(key) {
+			e.recordCrash(w)
 			e.transferRuns(w, other.StartedMS)
 			e.loseWorker(w, "another incarnation of the worker is listed")
 		}
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -139,6 +139,10 @@
 	// resumed means that the run began at a checkpoint, inherited that an earlier
 	// leader started it.
 	resumed, inherited bool
+	// firstSeenClockMS is the worker's clock when it first reported the run, 0 if it has
+	// not. survived means that it still did crashWindow later.
+	firstSeenClockMS int64
+	survived         bool
 }
 
 // isRepresentative reports whether the run covers its task's work from the start, at
@@ -164,8 +168,10 @@
 	// replaced means that another incarnation has answered in the worker's place. The
 	// platform may list the old one for a while.
 	replaced bool
-	runs     map[workload.TaskID]*run
-	used     workload.Resources
+	// crashed means that recordCrash has handled the end of the incarnation.
+	crashed bool
+	runs    map[workload.TaskID]*run
+	used    workload.Resources
 	// clockOffsetMS is a lower bound of the worker's clock minus the engine's.
 	clockOffsetMS int64
 	clockKnown    bool
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -73,6 +73,7 @@
 		e.updateClockOffset(w, clockMS)
 		if r.phase == runStarting {
 			r.activate(0, now)
+			r.noteSurvival(clockMS)
 		}
 		e.renewNow(w)
 		return
@@ -152,6 +153,7 @@
 		if r.phase == runUnresolved || r.phase == runStarting {
 			r.activate(0, now)
 		}
+		r.noteSurvival(w.listingClockMS)
 		r.load = a.Load
 		e.recordProgress(r, a.Percent, now)
 		e.noteCheckpoint(r.task, a.Checkpoint)
@@ -168,6 +170,7 @@
 	r = &run{id: a.Run, task: t, worker: w, need: t.unit.step.Demand(), orderedAt: now, inherited: true, throttlePercent: fullSpeedPercent}
 	r.beganAt = now - e.expectedRunTime(t.unit)*time.Duration(a.Percent)/100
 	r.activate(a.Percent, now)
+	r.noteSurvival(w.listingClockMS)
 	t.run = r
 	w.runs[t.id] = r
 	w.used = w.used.Add(r.need)
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -219,6 +219,7 @@
 		return
 	}
 	if startMS := incarnationStartMS(w.key); reply.IncarnationStartMS != 0 && startMS != 0 && reply.IncarnationStartMS != startMS {
+		e.recordCrash(w)
 		e.transferRuns(w, reply.IncarnationStartMS)
 		e.markReplaced(w)
 		return
@@ -322,6 +323,7 @@
 // markReplaced gives up a worker in whose place another incarnation has answered.
 func (e *Engine) markReplaced(w *worker) {
 	w.replaced = true
+	e.recordCrash(w)
 	e.loseWorker(w, "another incarnation answered in its place")
 }
 
@@ -351,6 +353,7 @@
 			r.phase, r.orderedAt = runUnresolved, now
 		}
 		r.stopConfirmedAt = 0
+		r.firstSeenClockMS, r.survived = 0, false
 		e.requestListing(next)
 	}
 }
