--- a/pkg/backend/orders.go
+++ b/pkg/backend/orders.go
@@ -129,8 +129,11 @@
 // OrderError is a failed order. Unless Kind is OrderUnanswered, the worker has not
 // carried out the order.
 type OrderError struct {
-	Kind  OrderErrorKind
-	Cause error
+	Kind OrderErrorKind
+	// Broken means that the worker closed the connection without an answer, or refused it:
+	// its process may have ended.
+	Broken bool
+	Cause  error
 }
 
 // Error implements the error interface.
--- a/pkg/dispatch/apply.go
+++ b/pkg/dispatch/apply.go
@@ -158,5 +158,5 @@
 func (e *Engine) canStart(r *run, now time.Duration) bool {
 	j := r.task.unit.job
 	return !j.progress.Phase.Ended() && !r.task.done && !r.task.unit.aborting && e.lease.MayStart(now) &&
-		e.view.isRecent(now, &e.Settings) && e.workers[r.worker.key] == r.worker && e.isSchedulable(r.worker, now)
+		e.view.isRecent(now, &e.Settings) && e.workers[r.worker.key] == r.worker && e.isSchedulable(r.worker, now) && r.mayStartBeside()
 }
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -1,27 +1,132 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+)
+
+// A task may crash each worker that starts it. The leader sees only that another incarnation
+// answers in a worker's place, so it infers the cause: the suspects are the runs that had
+// started shortly before. Suspects start apart from other new runs, which tells the cause of
+// a further crash, and whoever survives is cleared. A job ends as failed after a few crashes
+// in a row; a task that is only often beside such a task, or on workers that crash by
+// themselves, does not get that far.
+
+const (
+	// crashWindow is how long a run must have been active before a crash of its worker is
+	// not put down to it: a task that crashes workers does so soon after its start.
+	crashWindow = 2 * time.Second
+	// maxCrashes is after how many crashes in a row a task is given up, if nothing else can
+	// have caused minCrashesAlone of them. The platform allows to give up after two, and
+	// forbids the third start after three: two more may go unnoticed by changing leaders.
+	maxCrashes      = 3
+	minCrashesAlone = 2
+	// maxExcusedCrashes is how many crashes in a row are not put down to a task because its
+	// worker crashes by itself: after an outage, that may be true of every worker.
+	maxExcusedCrashes = 2
+	// crashMemory is for how long a crash counts against the worker: a suspected task starts
+	// elsewhere, and if there was no suspect, further crashes are excused.
+	crashMemory = time.Minute
+	// suspectInterval is the least time between two attempts to place a suspected task of
+	// a unit while others of its tasks wait.
+	suspectInterval = 500 * time.Millisecond
 )
 
-// crashWindow is how long a run must have been active before a crash of its worker is not
-// put down to it: a task that crashes workers does so soon after its start.
-const crashWindow = 2 * time.Second
+// isSuspected reports whether the task, or another of its gang, may have crashed a worker and
+// has not been cleared.
+func (t *task) isSuspected() bool {
+	if t.unit.step.Gang {
+		return slices.ContainsFunc(t.unit.tasks, func(m *task) bool { return t.unit.job.progress.Crashes[m.number].Total > 0 })
+	}
+	return t.unit.job.progress.Crashes[t.number].Total > 0
+}
 
 // noteSurvival records that the worker has reported the run as active at clockMS on its own
 // clock: a report may reach a leader that was paused long after it was made.
-func (r *run) noteSurvival(clockMS int64) {
+func (e *Engine) noteSurvival(r *run, clockMS int64) {
 	if r.firstSeenClockMS == 0 {
 		r.firstSeenClockMS = clockMS
 	}
-	r.survived = r.survived || clockMS-r.firstSeenClockMS >= crashWindow.Milliseconds()
+	if r.survived || clockMS-r.firstSeenClockMS < crashWindow.Milliseconds() {
+		return
+	}
+	r.survived = true
+	if !r.task.unit.step.Gang || r.task.unit.hasSurvived() {
+		r.task.clearSuspicion()
+	}
+}
+
+// clearSuspicion forgets the crashes that the task, or its gang, may have caused, since it
+// has run without one.
+func (t *task) clearSuspicion() {
+	if !t.isSuspected() {
+		return
+	}
+	u := t.unit
+	u.suspectSurvived = true
+	for _, m := range u.tasks {
+		if m == t || u.step.Gang {
+			delete(u.job.progress.Crashes, m.number)
+		}
+	}
+	u.job.unsaved = true
+	klog.InfoS("dispatch: suspected task cleared", "job", u.job.spec.ID, "task", u.id.String(), "index", t.id.Index)
+}
+
+// hasSurvived reports whether the runs of all tasks have survived crashWindow.
+func (u *unit) hasSurvived() bool {
+	for _, t := range u.tasks {
+		if t.run == nil || !t.run.survived {
+			return false
+		}
+	}
+	return true
+}
+
+// isNew reports whether the run has started and has not survived crashWindow yet.
+func (r *run) isNew() bool { return r.phase != runPlanned && !r.survived }
+
+// awaitsSurvival reports whether a listing is due that clears a suspected task.
+func (r *run) awaitsSurvival(now time.Duration) bool {
+	return !r.survived && now-r.activeAt > crashWindow && r.task.isSuspected()
+}
+
+// hasNewRuns reports whether the worker has new or planned runs.
+func (w *worker) hasNewRuns() bool {
+	for _, r := range w.runs {
+		if !r.survived {
+			return true
+		}
+	}
+	return false
 }
 
-// isSuspect reports whether the run may be the cause of a crash of its worker.
-func (r *run) isSuspect() bool { return r.phase != runPlanned && !r.survived }
+// suspects returns the runs that may be the cause of the worker's crash: the new ones that
+// had been ordered when its connections broke, if that is known.
+func (w *worker) suspects() []*run {
+	var suspects []*run
+	for _, r := range w.runs {
+		if r.isNew() && (w.brokenAt == 0 || r.orderedAt <= w.brokenAt && w.brokenAt-r.orderedAt < crashWindow) {
+			suspects = append(suspects, r)
+		}
+	}
+	return suspects
+}
+
+// areOneCause reports whether the runs are one run, or members of one gang.
+func areOneCause(runs []*run) bool {
+	for _, r := range runs {
+		if u := r.task.unit; u != runs[0].task.unit || !u.step.Gang && len(runs) > 1 {
+			return false
+		}
+	}
+	return len(runs) > 0
+}
 
 // recordCrash handles the end of a worker incarnation in whose place another one has
 // appeared. A worker that was draining has left as announced; one that is only silent may
@@ -31,12 +136,190 @@
 		return
 	}
 	w.crashed = true
-	var suspects []string
+	now := e.Now()
+	suspects := w.suspects()
+	alone, byItself := areOneCause(suspects), e.crashesByItself(w, now)
+	metrics.GetOrCreateCounter("shallotpin_worker_crashes_total").Inc()
+	klog.InfoS("dispatch: worker crashed", "worker", w.info.ID, "address", w.info.Address, "runs", len(w.runs), "suspects", len(suspects), "crashes_by_itself", byItself, "silent", now-w.answeredAt)
+	if w.fenced {
+		c := e.crashes[w.info.Address]
+		c.at = now
+		if len(suspects) == 0 {
+			c.withoutSuspectAt = now
+		}
+		e.crashes[w.info.Address] = c
+	}
+	for _, r := range suspects {
+		e.blame(r, alone, byItself)
+	}
+}
+
+// crashTimes are the times of the last crashes of the workers at one address: of any, and
+// of one without a suspect, 0 if there was none.
+type crashTimes struct{ at, withoutSuspectAt time.Duration }
+
+// hasCrashed reports whether the worker or an earlier one at its address has crashed lately.
+func (e *Engine) hasCrashed(w *worker, now time.Duration) bool {
+	c := e.crashes[w.info.Address]
+	return c.at != 0 && now-c.at < crashMemory
+}
+
+// crashesByItself reports whether the worker, or an earlier one at its address, has crashed
+// without a suspect lately.
+func (e *Engine) crashesByItself(w *worker, now time.Duration) bool {
+	c := e.crashes[w.info.Address]
+	return c.withoutSuspectAt != 0 && now-c.withoutSuspectAt < crashMemory
+}
+
+// recordReplaced records the crashes of workers at whose addresses the platform lists
+// workers that have started later. Nothing else may call an idle worker and notice.
+func (e *Engine) recordReplaced() {
+	newest := map[string]int64{}
+	for _, info := range e.view.Workers {
+		newest[info.Address] = max(newest[info.Address], info.StartedMS)
+	}
+	for key, w := range e.workers {
+		if !w.crashed && incarnationStartMS(key) < newest[w.info.Address] {
+			e.recordCrash(w)
+		}
+	}
+}
+
+// blame counts a crash that the run may have caused, and ends the job as failed after too
+// many of one task. A run counts once, though it may be on a further incarnation of its
+// worker. alone means that the run was the only suspect, byItself that the worker had crashed
+// without one shortly before.
+func (e *Engine) blame(r *run, alone, byItself bool) {
+	u, j := r.task.unit, r.task.unit.job
+	if j.progress.Phase.Ended() || r.blamed {
+		return
+	}
+	r.blamed = true
+	if j.progress.Crashes == nil {
+		j.progress.Crashes = map[int]ledger.CrashCount{}
+	}
+	count := j.progress.Crashes[r.task.number]
+	count.Total++
+	alone = alone && (!byItself || count.Total > maxExcusedCrashes)
+	if alone {
+		count.Alone++
+	}
+	j.progress.Crashes[r.task.number] = count
+	j.unsaved = true
+	klog.InfoS("dispatch: task may have crashed its worker", "job", j.spec.ID, "task", u.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", r.worker.info.ID, "alone", alone, "crashes", count.Total, "crashes_alone", count.Alone)
+	if count.Total >= maxCrashes && count.Alone >= minCrashesAlone {
+		e.endJob(j, ledger.Failed, "a task crashed each worker that started it")
+	}
+}
+
+// onProbation reports whether the worker has just started a suspected task, or is about to.
+// Nothing else starts there until the task has survived.
+func (w *worker) onProbation() bool {
 	for _, r := range w.runs {
-		if r.isSuspect() {
-			suspects = append(suspects, r.task.id.String())
+		if !r.survived && r.task.isSuspected() {
+			return true
 		}
 	}
-	metrics.GetOrCreateCounter("shallotpin_worker_crashes_total").Inc()
-	klog.InfoS("dispatch: worker crashed", "worker", w.info.ID, "address", w.info.Address, "runs", len(w.runs), "suspects", suspects, "silent", e.Now()-w.answeredAt)
+	return false
+}
+
+// mayStartBeside reports whether a planned run may start beside the new runs on its worker:
+// a suspected task starts apart from them, except for members of its own gang.
+func (r *run) mayStartBeside() bool {
+	for _, other := range r.worker.runs {
+		sameGang := other.task.unit == r.task.unit && r.task.unit.step.Gang
+		if other != r && !sameGang && other.isNew() && (r.task.isSuspected() || other.task.isSuspected()) {
+			return false
+		}
+	}
+	return true
+}
+
+// splitSuspects selects which of the waiting tasks of a unit to place now: either one
+// suspected task, or those that are not suspected. A unit of which no suspected task has
+// survived yet has only one of them running at a time, so that a wide job whose tasks all
+// crash their workers does not take down many at once. It reports whether the result is
+// suspected; a gang is placed as a whole.
+func (e *Engine) splitSuspects(u *unit, waiting []int, now time.Duration) ([]int, bool) {
+	if len(u.job.progress.Crashes) == 0 {
+		return waiting, false
+	}
+	if u.step.Gang {
+		return waiting, u.tasks[0].isSuspected()
+	}
+	var clear []int
+	worst, worstTotal := -1, 0
+	for _, i := range waiting {
+		total := u.job.progress.Crashes[u.tasks[i].number].Total
+		if total == 0 {
+			clear = append(clear, i)
+		} else if total > worstTotal {
+			worst, worstTotal = i, total
+		}
+	}
+	if worst < 0 || len(clear) > 0 && now < u.nextSuspectAt || !u.suspectSurvived && u.hasSuspectStarted() {
+		return clear, false
+	}
+	u.nextSuspectAt = now + suspectInterval
+	return []int{worst}, true
+}
+
+// hasSuspectStarted reports whether a suspected task of the unit has a run that has not
+// survived yet.
+func (u *unit) hasSuspectStarted() bool {
+	for _, t := range u.tasks {
+		if t.run != nil && !t.run.survived && t.isSuspected() {
+			return true
+		}
+	}
+	return false
+}
+
+// workersForSuspect returns the keys of the workers on which a suspected unit may start,
+// out of allowed, where nil means all: those without new runs, preferably ones that have not
+// crashed lately, where a crash tells most, and of these idle ones, where nothing else is
+// lost with a crash.
+func (e *Engine) workersForSuspect(u *unit, allowed map[string]bool, now time.Duration) map[string]bool {
+	var apart, sound, idle map[string]bool
+	for key, w := range e.workers {
+		if allowed != nil && !allowed[key] || w.hasNewRuns() || !e.isSchedulable(w, now) || !u.step.Demand().Fits(w.info.Capacity) || u.step.Label != "" && !w.info.HasLabel(u.step.Label) {
+			continue
+		}
+		apart = withKey(apart, key)
+		if e.hasCrashed(w, now) {
+			continue
+		}
+		sound = withKey(sound, key)
+		if len(w.runs) == 0 {
+			idle = withKey(idle, key)
+		}
+	}
+	switch {
+	case len(idle) > 0 && !u.step.Gang:
+		return idle
+	case len(sound) > 0 && !u.step.Gang:
+		return sound
+	case len(apart) > 0:
+		return apart
+	}
+	return allowed
+}
+
+// addCrashedWorkers returns keys with those of the workers that have crashed lately. Gangs
+// use these last: whole racks may have none that has not crashed.
+func (e *Engine) addCrashedWorkers(keys map[string]bool, now time.Duration) map[string]bool {
+	for key, w := range e.workers {
+		if e.hasCrashed(w, now) {
+			keys = withKey(keys, key)
+		}
+	}
+	return keys
+}
+
+func withKey(keys map[string]bool, key string) map[string]bool {
+	if keys == nil {
+		keys = map[string]bool{}
+	}
+	keys[key] = true
+	return keys
 }
--- /dev/null
+++ b/pkg/dispatch/crash_test.go
@@ -0,0 +1,467 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/catalog"
+	"github.com/shallotpin/shallotpin/pkg/election"
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/placement"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+// unansweredOrders answers no order, and counts the requests for listings.
+type unansweredOrders struct {
+	backend.Orders
+	listings chan string
+}
+
+func (o *unansweredOrders) Renew(_ context.Context, w backend.WorkerRef, order backend.RenewOrder) (backend.Listing, error) {
+	if order.LeaseUntilMS == 0 {
+		o.listings <- w.ID
+	}
+	return backend.Listing{}, &backend.OrderError{Kind: backend.OrderUnanswered}
+}
+
+func (o *unansweredOrders) Stop(context.Context, backend.WorkerRef, backend.RunID, int64) (int64, error) {
+	return 0, &backend.OrderError{Kind: backend.OrderUnanswered}
+}
+
+// crashSite is an engine whose clock, workers and runs a test moves by hand.
+type crashSite struct {
+	*Engine
+	t       *testing.T
+	now     time.Duration
+	workers map[string]*worker
+	orders  *unansweredOrders
+}
+
+// newCrashSite returns a site with workers w0, w1 and so on, each at its own address.
+func newCrashSite(t *testing.T, workers int) *crashSite {
+	t.Helper()
+	s := &crashSite{t: t, now: time.Hour, workers: map[string]*worker{}, orders: &unansweredOrders{listings: make(chan string, 100)}}
+	view := View{Config: &catalog.Config{}, Workers: map[string]catalog.Worker{}}
+	settings := Settings{LeaseDuration: 6 * time.Second, LeaseWindow: 12 * time.Second, MaxReclaimTime: 10 * time.Second, MaxConfigAge: time.Hour, MaxWorkersAge: time.Hour, MaxLedgerAge: time.Hour, GangStartTimeout: 3 * time.Second,
+		Election: election.Settings{StartWindow: time.Hour, RenewWindow: time.Hour}}
+	s.Engine = New(Inputs{Settings: settings, Orders: s.orders, Now: func() time.Duration { return s.now }, UnixMS: func() int64 { return s.now.Milliseconds() },
+		View:      func() View { view.ConfigAt, view.WorkersAt, view.LedgerAt = s.now, s.now, s.now; return view },
+		ClaimedAt: s.now, Term: ledger.Term{Number: 1}})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	// No write is made.
+	s.ctx, s.writeInFlight, s.view = ctx, true, s.View()
+	for i := range workers {
+		info := catalog.Worker{ID: fmt.Sprintf("w%d", i), StartedMS: 1, Address: fmt.Sprintf("a%d", i), Service: "s", Zone: "z", Capacity: workload.Resources{Accelerators: 8}}
+		view.Workers[info.ID] = info
+		w := s.addWorker(workerKey(info), info)
+		w.listed, w.fenced = true, true
+		s.workers[info.ID] = w
+	}
+	return s
+}
+
+// job submits a job of one step and returns its unit.
+func (s *crashSite) job(id string, step workload.Step) *unit {
+	step.Need = workload.Resources{Accelerators: 1}
+	s.applyEntry(id, &ledger.JobEntry{Job: &workload.Job{ID: id, Policy: workload.Policy{Service: "s"}, Steps: []workload.Step{step}}}, false)
+	return s.jobs[id].units[0]
+}
+
+// start starts a task on a worker, which confirms it.
+func (s *crashSite) start(u *unit, index int, on string) *run {
+	w := s.workers[on]
+	s.startUnit(u, map[int]*worker{index: w}, s.now)
+	r := u.tasks[index].run
+	r.phase = runStarting
+	s.onStartReply(r, s.now.Milliseconds(), nil)
+	w.renewalInFlight = false
+	return r
+}
+
+// list delivers a listing of all runs of a worker, made when its clock read clock.
+func (s *crashSite) list(worker string, clock time.Duration) {
+	w := s.workers[worker]
+	reply := backend.Listing{ClockMS: clock.Milliseconds(), IncarnationStartMS: 1}
+	for _, r := range w.runs {
+		reply.Active = append(reply.Active, backend.ActiveRun{Run: r.id})
+	}
+	s.onRenewalReply(w, backend.RenewOrder{}, s.now, reply, nil)
+}
+
+// crash replaces a worker by another incarnation.
+func (s *crashSite) crash(worker string) {
+	s.markReplaced(s.workers[worker])
+	info := s.workers[worker].info
+	info.StartedMS++
+	w := s.addWorker(workerKey(info), info)
+	w.listed, w.fenced = true, true
+	s.workers[worker] = w
+}
+
+// offers reports whether placement may start new tasks on a worker.
+func (s *crashSite) offers(worker string) bool {
+	s.t.Helper()
+	pool, _ := s.snapshotWorkers(s.now, nil)
+	for _, w := range pool {
+		if w.ID == s.workers[worker].key {
+			return w.Schedulable
+		}
+	}
+	s.t.Fatalf("placement does not know worker %s", worker)
+	return false
+}
+
+// waitingUnit returns a unit in the form that placement takes.
+func (s *crashSite) waitingUnit(u *unit) *placement.Unit {
+	s.t.Helper()
+	for _, pu := range s.waitingUnits(s.now) {
+		if pu.ID == u.id {
+			return pu
+		}
+	}
+	s.t.Fatalf("unit %s does not wait", u.id)
+	return nil
+}
+
+// expectCount checks the crashes counted for a task.
+func (s *crashSite) expectCount(u *unit, index, total, alone int) {
+	s.t.Helper()
+	if got, want := u.job.progress.Crashes[u.tasks[index].number], (ledger.CrashCount{Total: total, Alone: alone}); got != want {
+		s.t.Errorf("crashes of %s.%d: %+v, want %+v", u.id, index, got, want)
+	}
+}
+
+// Only what started shortly before a crash may have caused it.
+func TestCrashIsNotBlamedOnWhatHasRunForLong(t *testing.T) {
+	s := newCrashSite(t, 1)
+	old, fresh := s.job("old", workload.Step{Count: 1}), s.job("new", workload.Step{Count: 1})
+	s.start(old, 0, "w0")
+	s.now += 3 * time.Second
+	s.list("w0", s.now)
+	s.start(fresh, 0, "w0")
+	s.crash("w0")
+	s.expectCount(old, 0, 0, 0)
+	s.expectCount(fresh, 0, 1, 1)
+}
+
+// A crash with several possible causes must not convict any of them, however often it
+// happens; members of one gang are one cause.
+func TestCrashWithSeveralSuspectsConvictsNone(t *testing.T) {
+	s := newCrashSite(t, 1)
+	a, b := s.job("a", workload.Step{Count: 1}), s.job("b", workload.Step{Count: 1})
+	for i := range 6 {
+		s.start(a, 0, "w0")
+		s.start(b, 0, "w0")
+		s.crash("w0")
+		s.expectCount(a, 0, i+1, 0)
+		s.expectCount(b, 0, i+1, 0)
+	}
+	if a.job.progress.Phase.Ended() || b.job.progress.Phase.Ended() {
+		t.Error("a job ended though nothing shows that it caused a crash")
+	}
+	gang := s.job("gang", workload.Step{Count: 2, Gang: true})
+	s.start(gang, 0, "w0")
+	s.start(gang, 1, "w0")
+	s.crash("w0")
+	s.expectCount(gang, 0, 1, 1)
+	s.expectCount(gang, 1, 1, 1)
+}
+
+// Crashes under different members must not convict a gang: one that is on many workers is
+// often on some that crash.
+func TestGangIsNotGivenUpForCrashesUnderDifferentMembers(t *testing.T) {
+	s := newCrashSite(t, 2)
+	gang := s.job("gang", workload.Step{Count: 6, Gang: true})
+	for i := range 6 {
+		s.start(gang, i, "w0")
+		s.start(gang, (i+1)%6, "w1")
+		s.crash("w0")
+		s.expectCount(gang, i, 1, 1)
+		s.removeRun(gang.tasks[(i+1)%6].run, string(backend.OutcomeGangBroken))
+	}
+	if gang.job.progress.Phase.Ended() {
+		t.Error("the gang was given up")
+	}
+	for range 2 {
+		s.start(gang, 3, "w0")
+		s.crash("w0")
+	}
+	if gang.job.progress.Phase != ledger.Failed {
+		t.Errorf("the job is %q after 3 crashes under one member, want failed", gang.job.progress.Phase)
+	}
+}
+
+// What was ordered after a worker's connections broke cannot have crashed it.
+func TestCrashIsNotBlamedOnWhatWasOrderedAfterIt(t *testing.T) {
+	s := newCrashSite(t, 1)
+	cause, late, early := s.job("cause", workload.Step{Count: 1}), s.job("late", workload.Step{Count: 1}), s.job("early", workload.Step{Count: 1})
+	s.start(early, 0, "w0")
+	s.now += 3 * time.Second
+	s.start(cause, 0, "w0")
+	s.now += 10 * time.Millisecond
+	s.workers["w0"].noteError(&backend.OrderError{Kind: backend.OrderUnanswered, Broken: true}, s.now)
+	s.now += 500 * time.Millisecond
+	s.startUnit(late, map[int]*worker{0: s.workers["w0"]}, s.now)
+	late.tasks[0].run.phase = runUnresolved
+	s.workers["w0"].noteError(&backend.OrderError{Kind: backend.OrderUnanswered, Broken: true}, s.now)
+	s.crash("w0")
+	s.expectCount(cause, 0, 1, 1)
+	s.expectCount(late, 0, 0, 0)
+	// It had been started long before, though no listing has shown so.
+	s.expectCount(early, 0, 0, 0)
+}
+
+// A worker that leaves after it has drained, or falls silent until its leases have ended,
+// has not crashed.
+func TestLeavingOrSilentWorkerIsNotACrash(t *testing.T) {
+	s := newCrashSite(t, 2)
+	u, v := s.job("u", workload.Step{Count: 1}), s.job("v", workload.Step{Count: 1})
+	s.start(u, 0, "w0")
+	s.workers["w0"].info.Draining = true
+	s.crash("w0")
+	s.expectCount(u, 0, 0, 0)
+	s.start(v, 0, "w1")
+	w := s.workers["w1"]
+	w.noteCall(s.now)
+	s.now += time.Minute
+	s.checkWorkers(s.now)
+	if v.tasks[0].run != nil {
+		t.Fatal("the silent worker was not given up")
+	}
+	s.expectCount(v, 0, 0, 0)
+}
+
+// The crashes of workers that crash by themselves are excused, but not for ever: after an
+// outage that is true of every worker.
+func TestCrashesOfWorkersThatCrashByThemselvesAreExcusedTwice(t *testing.T) {
+	s := newCrashSite(t, 1)
+	u := s.job("u", workload.Step{Count: 1})
+	crash := func(total, alone int) {
+		t.Helper()
+		s.now += time.Second
+		s.start(u, 0, "w0")
+		s.crash("w0")
+		s.expectCount(u, 0, total, alone)
+	}
+	s.crash("w0")
+	crash(1, 0)
+	crash(2, 0)
+	crash(3, 1)
+	if u.job.progress.Phase.Ended() {
+		t.Error("the job ended after one crash that is not excused")
+	}
+	s.now += time.Second
+	s.start(u, 0, "w0")
+	s.crash("w0")
+	if u.job.progress.Phase != ledger.Failed {
+		t.Errorf("the job is %q, want failed", u.job.progress.Phase)
+	}
+	v := s.job("v", workload.Step{Count: 1})
+	s.now += 2 * crashMemory
+	s.start(v, 0, "w0")
+	s.crash("w0")
+	s.expectCount(v, 0, 1, 1)
+}
+
+// A task must be cleared once it has run for a while, by the worker's clock: a listing that
+// reaches a paused leader late says nothing of the time since it was made.
+func TestSuspectIsClearedWhenItSurvives(t *testing.T) {
+	s := newCrashSite(t, 2)
+	u := s.job("u", workload.Step{Count: 1})
+	s.start(u, 0, "w0")
+	s.crash("w0")
+	began := s.now
+	s.start(u, 0, "w1")
+	s.now += 10 * time.Second
+	s.list("w1", began+time.Second)
+	s.expectCount(u, 0, 1, 1)
+	for len(s.orders.listings) > 0 {
+		<-s.orders.listings
+	}
+	s.workers["w1"].listingAt = began
+	s.checkRuns(s.now)
+	if got := <-s.orders.listings; got != "w1" {
+		t.Errorf("listing of %s requested, want one of w1, which may clear the task", got)
+	}
+	s.list("w1", began+crashWindow)
+	s.expectCount(u, 0, 0, 0)
+	s.crash("w1")
+	s.expectCount(u, 0, 0, 0)
+}
+
+// A suspected task must not start beside other new runs, nor they beside it, until it has
+// survived; members of one gang may.
+func TestSuspectStartsApart(t *testing.T) {
+	s := newCrashSite(t, 3)
+	suspect, other, gang := s.job("suspect", workload.Step{Count: 1}), s.job("other", workload.Step{Count: 1}), s.job("gang", workload.Step{Count: 2, Gang: true})
+	s.start(suspect, 0, "w0")
+	s.crash("w0")
+	plan := func(u *unit, index int, on string) bool {
+		s.startUnit(u, map[int]*worker{index: s.workers[on]}, s.now)
+		r := u.tasks[index].run
+		defer s.removeRun(r, "test")
+		return s.canStart(r, s.now)
+	}
+	s.start(other, 0, "w1")
+	if plan(suspect, 0, "w1") {
+		t.Error("suspected task may start beside a new run")
+	}
+	s.now += 3 * time.Second
+	s.list("w1", s.now)
+	if !plan(suspect, 0, "w1") {
+		t.Error("suspected task may not start beside a run that has run for long")
+	}
+	s.start(suspect, 0, "w2")
+	second := s.job("second", workload.Step{Count: 1})
+	if plan(second, 0, "w2") || s.offers("w2") {
+		t.Error("a task may start beside a suspected one")
+	}
+	s.now += 3 * time.Second
+	s.list("w2", s.now)
+	if !plan(second, 0, "w2") || !s.offers("w2") {
+		t.Error("no task may start beside a cleared one")
+	}
+	s.start(gang, 0, "w0")
+	s.start(gang, 1, "w0")
+	s.crash("w0")
+	s.start(gang, 0, "w0")
+	s.startUnit(gang, map[int]*worker{1: s.workers["w0"]}, s.now)
+	if !s.canStart(gang.tasks[1].run, s.now) {
+		t.Error("a member of a suspected gang may not join its gang")
+	}
+}
+
+// A suspected task starts where a crash tells most and costs least: on idle workers that have
+// not crashed, else on ones without new runs.
+func TestSuspectPrefersIdleSoundWorkers(t *testing.T) {
+	s := newCrashSite(t, 4)
+	u, old, fresh := s.job("u", workload.Step{Count: 1}), s.job("old", workload.Step{Count: 1}), s.job("fresh", workload.Step{Count: 1})
+	s.start(u, 0, "w0")
+	s.crash("w0")
+	s.start(old, 0, "w1")
+	s.now += 3 * time.Second
+	s.list("w1", s.now)
+	s.start(fresh, 0, "w2")
+	expect := func(want ...string) {
+		t.Helper()
+		var got []string
+		for key := range s.workersForSuspect(u, nil, s.now) {
+			got = append(got, workerID(key))
+		}
+		slices.Sort(got)
+		if !slices.Equal(got, want) {
+			t.Errorf("workers %v, want %v", got, want)
+		}
+	}
+	expect("w3")
+	s.workers["w3"].info.Draining = true
+	expect("w1")
+	s.workers["w1"].info.Draining = true
+	expect("w0")
+	s.workers["w0"].info.Draining = true
+	allowed := map[string]bool{s.workers["w2"].key: true}
+	if got := s.workersForSuspect(u, allowed, s.now); !maps.Equal(got, allowed) {
+		t.Errorf("workers %v, want all that are allowed, so that the task can start at all", got)
+	}
+}
+
+// A suspected task must start where nothing else is new, and must not stop others' work to get
+// there before it has to start.
+func TestSuspectStopsNoOthers(t *testing.T) {
+	s := newCrashSite(t, 1)
+	u := s.job("u", workload.Step{Count: 1})
+	if pu := s.waitingUnit(u); pu.StartsApart || pu.MayNotPreempt {
+		t.Errorf("unit without crashes: starts apart %v, may not preempt %v", pu.StartsApart, pu.MayNotPreempt)
+	}
+	u.job.spec.SubmittedMS = s.UnixMS()
+	s.start(u, 0, "w0")
+	s.crash("w0")
+	if pu := s.waitingUnit(u); !pu.StartsApart || !pu.MayNotPreempt {
+		t.Errorf("suspected unit: starts apart %v, may not preempt %v", pu.StartsApart, pu.MayNotPreempt)
+	}
+	if pu := s.waitingUnit(u); !pu.Avoid[s.workers["w0"].key] {
+		t.Error("suspected unit does not avoid a worker that has crashed")
+	}
+	s.now += s.maxReclaimWait()
+	if pu := s.waitingUnit(u); !pu.StartsApart || pu.MayNotPreempt {
+		t.Errorf("suspected unit that must start: starts apart %v, may not preempt %v", pu.StartsApart, pu.MayNotPreempt)
+	}
+}
+
+// A gang is cleared by the survival of all its members: any of them may be the cause.
+func TestGangIsClearedAsAWhole(t *testing.T) {
+	s := newCrashSite(t, 3)
+	u := s.job("u", workload.Step{Count: 2, Gang: true})
+	s.start(u, 0, "w0")
+	s.crash("w0")
+	s.start(u, 0, "w1")
+	s.start(u, 1, "w2")
+	s.now += 3 * time.Second
+	s.list("w2", s.now)
+	s.expectCount(u, 0, 1, 1)
+	s.list("w1", s.now)
+	s.expectCount(u, 0, 0, 0)
+}
+
+// Of a unit with suspected tasks, one may run at a time until one has run without a crash;
+// the others of the unit go on meanwhile.
+func TestOneSuspectOfAUnitRunsAtATime(t *testing.T) {
+	s := newCrashSite(t, 6)
+	u := s.job("u", workload.Step{Count: 6})
+	for i := range 3 {
+		on := fmt.Sprintf("w%d", i)
+		s.start(u, i, on)
+		s.crash(on)
+	}
+	expect := func(want []int, wantSuspected bool) {
+		t.Helper()
+		s.now += suspectInterval
+		got, suspected := s.splitSuspects(u, u.waiting(), s.now)
+		if !slices.Equal(got, want) || suspected != wantSuspected {
+			t.Errorf("tasks %v, suspected %v; want %v, %v", got, suspected, want, wantSuspected)
+		}
+	}
+	expect([]int{0}, true)
+	if got, suspected := s.splitSuspects(u, u.waiting(), s.now); suspected || !slices.Equal(got, []int{3, 4, 5}) {
+		t.Errorf("tasks %v right after a suspect, want the others", got)
+	}
+	s.start(u, 0, "w0")
+	expect([]int{3, 4, 5}, false)
+	s.taskDone(u.tasks[0], u.tasks[0].run)
+	s.removeRun(u.tasks[0].run, string(backend.OutcomeDone))
+	expect([]int{1}, true)
+	s.start(u, 1, "w1")
+	expect([]int{2}, true)
+}
+
+// The crash of an idle worker, which nothing calls, must be noticed when another incarnation
+// is listed at its address, also under another ID.
+func TestCrashOfIdleWorkerIsNoticed(t *testing.T) {
+	s := newCrashSite(t, 2)
+	next := s.workers["w0"].info
+	next.ID, next.StartedMS = "other", 2
+	s.view.Workers[next.ID] = next
+	s.syncWorkers()
+	if !s.crashesByItself(s.workers["w0"], s.now) || s.crashesByItself(s.workers["w1"], s.now) {
+		t.Error("want a crash of w0 alone")
+	}
+}
+
+// A run that may be on the next incarnation of its worker must survive there anew before a
+// crash of that one is not put down to it.
+func TestTransferredRunHasNotSurvived(t *testing.T) {
+	s := newCrashSite(t, 1)
+	u := s.job("u", workload.Step{Count: 1})
+	r := s.start(u, 0, "w0")
+	r.survived, r.phase = true, runUnresolved
+	s.transferRuns(s.workers["w0"], 2)
+	if r.survived || r.firstSeenClockMS != 0 {
+		t.Error("the run counts as having survived on the new incarnation")
+	}
+}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -93,6 +93,8 @@
 	writeInFlight    bool
 	lastWriteAt      time.Duration
 	runTimes         map[string]*runTime
+	// crashes are the crashes of workers within crashMemory, by address.
+	crashes map[string]crashTimes
 	// adviceInFlight means that a call to the adviser is in flight.
 	adviceInFlight bool
 	// urgentDemand is the decayed demand of urgent jobs as of urgentDemandAt, in
@@ -109,7 +111,7 @@
 // New returns an engine for one term.
 func New(in Inputs) *Engine {
 	return &Engine{Inputs: in, events: make(chan func(), eventQueueSize), jobs: map[string]*job{}, endedAt: map[string]time.Duration{}, workers: map[string]*worker{},
-		lease: election.NewLease(in.Settings.Election, in.ClaimedAt), lastWriteAt: in.ClaimedAt, runTimes: map[string]*runTime{},
+		lease: election.NewLease(in.Settings.Election, in.ClaimedAt), lastWriteAt: in.ClaimedAt, runTimes: map[string]*runTime{}, crashes: map[string]crashTimes{},
 		planDurations: metrics.GetOrCreateHistogram("shallotpin_plan_seconds"),
 		startWaits:    metrics.GetOrCreateHistogram("shallotpin_start_wait_seconds")}
 }
@@ -222,6 +224,7 @@
 	e.view = e.View()
 	e.checkWorkers(now)
 	e.checkRuns(now)
+	maps.DeleteFunc(e.crashes, func(_ string, c crashTimes) bool { return now-c.at > crashMemory })
 	maps.DeleteFunc(e.endedAt, func(_ string, at time.Duration) bool { return now-at > lateSubmissionTime })
 	e.needsPlan = true
 	e.flush()
@@ -272,6 +275,7 @@
 	for n, runs := range entry.Progress.Failures {
 		j.progress.Failures[n] = slices.Clone(runs)
 	}
+	j.progress.Crashes = maps.Clone(entry.Progress.Crashes)
 	for round := range spec.Rounds() {
 		for step := range spec.Steps {
 			u := &unit{id: workload.UnitID{Job: spec.ID, Round: round, Step: step}, job: j, step: &spec.Steps[step], avoid: map[string]bool{}}
@@ -309,7 +313,7 @@
 	klog.InfoS("dispatch: job ended", "job", j.spec.ID, "phase", phase, "why", why, "age_ms", e.UnixMS()-j.spec.SubmittedMS)
 	metrics.GetOrCreateCounter(`shallotpin_jobs_ended_total{phase="` + string(phase) + `"}`).Inc()
 	j.progress.Phase, j.progress.EndedMS, j.unsaved = phase, e.UnixMS(), true
-	j.progress.Checkpoints, j.progress.Failures = nil, nil
+	j.progress.Checkpoints, j.progress.Failures, j.progress.Crashes = nil, nil, nil
 	for _, u := range j.units {
 		u.reserved = nil
 		for _, t := range u.tasks {
@@ -468,6 +472,7 @@
 		w.listed = false
 		klog.InfoS("dispatch: worker no longer listed", "worker", w.info.ID, "draining", w.info.Draining, "runs", len(w.runs))
 	}
+	e.recordReplaced()
 	for key, w := range e.workers {
 		other, known := e.view.Workers[w.info.ID]
 		if known && workerKey(other) != key && other.StartedMS > incarnationStartMS(key) {
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -59,6 +59,10 @@
 	// starts were sent.
 	gangRun       int64
 	gangStartedAt time.Duration
+	// suspectSurvived means that a suspected task of the unit was cleared, nextSuspectAt is
+	// when a suspected task may be placed again before others.
+	suspectSurvived bool
+	nextSuspectAt   time.Duration
 	// tickets are the adviser's, by worker ID, and valid until ticketsUntil.
 	// advisedWorkers are the workers that it was asked about for this set of tickets.
 	tickets        map[string]string
@@ -143,6 +147,8 @@
 	// not. survived means that it still did crashWindow later.
 	firstSeenClockMS int64
 	survived         bool
+	// blamed means that a crash has been counted for the run.
+	blamed bool
 }
 
 // isRepresentative reports whether the run covers its task's work from the start, at
@@ -179,6 +185,9 @@
 	answeredAt time.Duration
 	// unansweredSince is when the earliest unanswered call was sent, 0 if there is none.
 	unansweredSince time.Duration
+	// brokenAt is when a call first failed since the last answer because the worker closed
+	// or refused the connection, 0 if none has.
+	brokenAt time.Duration
 	// leaseEnd is when the leases of all runs will have ended unless renewed.
 	leaseEnd        time.Duration
 	renewalInFlight bool
@@ -217,7 +226,19 @@
 }
 
 // noteAnswer records that the worker has answered a call.
-func (w *worker) noteAnswer(now time.Duration) { w.answeredAt, w.unansweredSince = now, 0 }
+func (w *worker) noteAnswer(now time.Duration) {
+	w.answeredAt, w.unansweredSince, w.brokenAt = now, 0, 0
+}
+
+// noteError records a failed call.
+func (w *worker) noteError(err *backend.OrderError, now time.Duration) {
+	switch {
+	case err.Kind != backend.OrderUnanswered:
+		w.noteAnswer(now)
+	case err.Broken && w.brokenAt == 0:
+		w.brokenAt = now
+	}
+}
 
 // isUnresponsive reports whether a call has been unanswered for longer than
 // unresponsiveTimeout.
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -169,7 +169,7 @@
 			continue
 		}
 		pw := &placement.Worker{ID: key, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity,
-			Free: w.info.Capacity.Sub(w.used).Sub(reserved[w]), Speed: w.speed, Schedulable: e.isSchedulable(w, now)}
+			Free: w.info.Capacity.Sub(w.used).Sub(reserved[w]), Speed: w.speed, Schedulable: e.isSchedulable(w, now) && !w.onProbation()}
 		pw.Penalty = w.failures
 		for id, r := range w.runs {
 			u := r.task.unit
@@ -306,7 +306,7 @@
 			if unixMS < j.spec.Due(u.id.Round) || now < u.notBefore || u.reserved != nil || !e.ready(u) {
 				continue
 			}
-			waiting := e.startable(u, now)
+			waiting, suspected := e.splitSuspects(u, e.startable(u, now), now)
 			if len(waiting) == 0 || j.policy.Advised && !e.ensureTickets(u, now) {
 				continue
 			}
@@ -325,6 +325,11 @@
 				pu.AllowedWorkers = e.ticketKeys(u)
 			}
 			pu.MustStart = unixMS-begin >= e.maxReclaimWait().Milliseconds()
+			if suspected {
+				pu.AllowedWorkers = e.workersForSuspect(u, pu.AllowedWorkers, now)
+				pu.Avoid = e.addCrashedWorkers(pu.Avoid, now)
+				pu.StartsApart, pu.MayNotPreempt = true, !pu.MustStart
+			}
 			if u.gangInProgress() {
 				pu.Guaranteed = false
 				pu.RequiredRack = u.rack()
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -73,7 +73,7 @@
 		e.updateClockOffset(w, clockMS)
 		if r.phase == runStarting {
 			r.activate(0, now)
-			r.noteSurvival(clockMS)
+			e.noteSurvival(r, clockMS)
 		}
 		e.renewNow(w)
 		return
@@ -85,6 +85,9 @@
 	}
 	klog.InfoS("dispatch: start not confirmed", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", w.info.ID, "err", err)
 	if kind == backend.OrderUnanswered {
+		if orderErr != nil {
+			w.noteError(orderErr, now)
+		}
 		if r.phase == runStarting {
 			r.phase = runUnresolved
 			e.quarantine(w, now)
@@ -153,7 +156,7 @@
 		if r.phase == runUnresolved || r.phase == runStarting {
 			r.activate(0, now)
 		}
-		r.noteSurvival(w.listingClockMS)
+		e.noteSurvival(r, w.listingClockMS)
 		r.load = a.Load
 		e.recordProgress(r, a.Percent, now)
 		e.noteCheckpoint(r.task, a.Checkpoint)
@@ -170,7 +173,7 @@
 	r = &run{id: a.Run, task: t, worker: w, need: t.unit.step.Demand(), orderedAt: now, inherited: true, throttlePercent: fullSpeedPercent}
 	r.beganAt = now - e.expectedRunTime(t.unit)*time.Duration(a.Percent)/100
 	r.activate(a.Percent, now)
-	r.noteSurvival(w.listingClockMS)
+	e.noteSurvival(r, w.listingClockMS)
 	t.run = r
 	w.runs[t.id] = r
 	w.used = w.used.Add(r.need)
@@ -246,6 +249,7 @@
 	if u.step.Gang {
 		finished = u.tasks
 	}
+	t.clearSuspicion()
 	for _, f := range finished {
 		if !f.done {
 			f.done = true
@@ -316,6 +320,8 @@
 				e.requestListing(w)
 			case r.phase == runUnresolved && now-r.orderedAt > 2*orderTimeout:
 				e.stopRun(r, stopUnconfirmed)
+			case r.phase == runActive && r.awaitsSurvival(now) && now-w.listingAt > renewalRetryDelay:
+				e.requestListing(w)
 			case r.phase == runActive && (e.isStalled(r, now) || e.restartIsFaster(r)):
 				e.quarantine(w, now)
 				u.avoid[w.info.ID] = true
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -305,8 +305,8 @@
 	if !errors.As(err, &orderErr) {
 		return
 	}
-	if orderErr.Kind != backend.OrderUnanswered {
-		w.noteAnswer(e.Now())
+	if orderErr.Kind != backend.OrderWrongIncarnation {
+		w.noteError(orderErr, e.Now())
 	}
 	metrics.GetOrCreateCounter(`shallotpin_order_errors_total{kind="` + string(orderErr.Kind) + `"}`).Inc()
 	switch orderErr.Kind {
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -101,7 +101,7 @@
 		s.fleet = simsite.NewFleet(ctx, func(id workload.TaskID) simsite.Behaviour { return s.behaviours[id.UnitID](id.Index) })
 		for i := range workers {
 			rack := fmt.Sprintf("rack-%d", i/testRackSize)
-			s.workers = append(s.workers, s.fleet.Add(catalog.Worker{ID: fmt.Sprintf("w%02d", i), StartedMS: 1, Service: "desk", Address: "a", Zone: "zone-" + rack, Rack: rack,
+			s.workers = append(s.workers, s.fleet.Add(catalog.Worker{ID: fmt.Sprintf("w%02d", i), StartedMS: 1, Service: "desk", Address: fmt.Sprintf("a%02d", i), Zone: "zone-" + rack, Rack: rack,
 				Labels: []string{rack}, Capacity: wholeWorker}))
 		}
 		s.publishConfig()
@@ -301,6 +301,14 @@
 	s.t.Errorf("job %s is %q after %s, want %q", id, s.phase(id), within, want)
 }
 
+// expectPhase fails the test unless a job has a phase now.
+func (s *site) expectPhase(id string, want ledger.Phase) {
+	s.t.Helper()
+	if got := s.phase(id); got != want {
+		s.t.Errorf("job %s is %q, want %q", id, got, want)
+	}
+}
+
 // task returns the resources of a task that needs a number of a worker's accelerators.
 func task(accelerators int) workload.Resources {
 	return workload.Resources{MilliCores: 8000 * accelerators, MemoryMB: 32768 * accelerators, Accelerators: accelerators}
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -37,7 +37,8 @@
 	Running Phase = "running"
 	// Completed means that every task is done.
 	Completed Phase = "completed"
-	// Failed means that a task has failed workload.Policy.MaxAttempts times.
+	// Failed means that a task has failed workload.Policy.MaxAttempts times, or has crashed
+	// several workers.
 	Failed Phase = "failed"
 	// Cancelled means that the caller cancelled the job.
 	Cancelled Phase = "cancelled"
@@ -56,6 +57,9 @@
 	// Failures lists the numbers of the failed runs by TaskNumber; those of a gang are
 	// listed under its first task.
 	Failures map[int][]int64 `json:"f,omitempty"`
+	// Crashes counts the crashes of workers that tasks may have caused, by TaskNumber, since
+	// the task, or its whole gang, last ran for a while.
+	Crashes map[int]CrashCount `json:"x,omitempty"`
 	// Checkpoints holds the newest checkpoints, by TaskNumber, of tasks that are not
 	// running.
 	Checkpoints map[int]string `json:"c,omitempty"`
@@ -69,6 +73,13 @@
 	EndedMS int64 `json:"e,omitempty"`
 }
 
+// CrashCount counts crashes of workers.
+type CrashCount struct {
+	// Total counts all crashes, Alone those that nothing else can have caused.
+	Total int `json:"t"`
+	Alone int `json:"a,omitempty"`
+}
+
 // Term is the numbered period for which one leader leads.
 type Term struct {
 	// Number increases by one with each leader; workers refuse requests of lower terms.
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -28,6 +28,8 @@
 	Speed float64
 	// Running are the worker's tasks that are not being stopped already.
 	Running []RunningTask
+	// startsFor is the last unit of which the plan starts a task here.
+	startsFor *Unit
 }
 
 func (w *Worker) hasLabel(label string) bool { return slices.Contains(w.Labels, label) }
@@ -91,6 +93,8 @@
 	AllowedWorkers map[string]bool
 	// Avoid are the IDs of workers on which the unit's tasks failed; they are used last.
 	Avoid map[string]bool
+	// StartsApart units start on workers where the plan starts nothing else.
+	StartsApart bool
 }
 
 // mayPreempt reports whether running tasks may be stopped for the unit.
@@ -194,6 +198,9 @@
 
 // eligible reports whether the unit's tasks could run on the worker if it were empty.
 func eligible(u *Unit, w *Worker) bool {
+	if other := w.startsFor; other != nil && other != u && (u.StartsApart || other.StartsApart) {
+		return false
+	}
 	return w.Schedulable && (u.AllowedWorkers == nil || u.AllowedWorkers[w.ID]) && (u.Step.Label == "" || w.hasLabel(u.Step.Label)) && u.Step.Demand().Fits(w.Capacity)
 }
 
@@ -337,6 +344,7 @@
 		p.idleAccelerators[w.Rack] -= w.Capacity.Accelerators
 	}
 	w.Free = w.Free.Sub(u.Step.Demand())
+	w.startsFor = u
 	u.Quota.take(u.Step.Need)
 	u.PerWorker[w.ID]++
 	p.plan.Start = append(p.plan.Start, Assignment{Task: workload.TaskID{UnitID: u.ID, Index: index}, Worker: w.ID})
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/shallotpin/shallotpin/pkg/workload"
@@ -341,3 +342,26 @@
 		}
 	}
 }
+
+// A task that may crash its worker must not start together with anything else there, in
+// whichever order the units are placed.
+func TestUnitsThatStartApart(t *testing.T) {
+	for _, priority := range []int{0, 1, 2} {
+		apart := unit("b", 1, workload.Step{Need: need(1)}, priority)
+		apart.StartsApart = true
+		others := []*Unit{unit("a", 1, workload.Step{Need: need(1)}, 1), unit("c", 2, workload.Step{Need: need(1)}, 1)}
+		plan := Decide(racks(1), append(others, apart), 0)
+		if len(plan.Start) != 4 {
+			t.Fatalf("%d starts, want 4", len(plan.Start))
+		}
+		where := map[string][]string{}
+		for _, a := range plan.Start {
+			where[a.Task.Job] = append(where[a.Task.Job], a.Worker)
+		}
+		for _, job := range []string{"a", "c"} {
+			if slices.Contains(where[job], where["b"][0]) {
+				t.Errorf("priority %d: job %s starts beside the one that starts apart: %v", priority, job, where)
+			}
+		}
+	}
+}
--- a/pkg/simsite/workers.go
+++ b/pkg/simsite/workers.go
@@ -23,6 +23,8 @@
 	Gang int
 	// Fails makes the task fail once its work is complete.
 	Fails bool
+	// Crashes makes the task crash its worker crashDelay after each start.
+	Crashes bool
 	// LongRunning makes the task run until it is stopped.
 	LongRunning bool
 	// BestEffort makes the task count, with its throttle percent, as load on the
@@ -52,6 +54,9 @@
 	// OnStart, if not nil, is called for each start with the fleet's lock held, so
 	// it must not call methods of the fleet or its workers.
 	OnStart func(w *Worker, id workload.TaskID)
+	// OnNewID, if not nil, makes crashed workers come back under a new ID at the same
+	// address; orders to the old one are refused. It is called as OnStart.
+	OnNewID func(old, new *Worker)
 
 	mu      sync.Mutex
 	workers map[string]*Worker
@@ -62,6 +67,11 @@
 	unreportedDone map[workload.TaskID]bool
 	violations     []string
 	starts         int
+	// crashes counts the workers that each task has crashed, startsBeyond its starts after
+	// it had crashed maxCrashes workers.
+	crashes, startsBeyond map[workload.TaskID]int
+	// down is the number of crashed workers that are not back, maxDown the highest so far.
+	down, maxDown int
 }
 
 type gangKey struct {
@@ -85,6 +95,8 @@
 	Replaced bool
 	// LosesStartReplies makes the worker execute starts without replying.
 	LosesStartReplies bool
+	// backAt is when a crashed worker comes back; zero if it has not crashed.
+	backAt time.Time
 
 	fleet      *Fleet
 	epoch      time.Time // zero of the worker's clock
@@ -101,6 +113,7 @@
 	id              backend.RunID
 	worker          *Worker
 	behaviour       Behaviour
+	orderedAt       time.Time
 	startedAt       time.Time // reset when the last member of the gang starts
 	working         bool
 	workComplete    bool
@@ -116,7 +129,7 @@
 // NewFleet returns a fleet without workers, whose runs advance until ctx ends.
 func NewFleet(ctx context.Context, behaviourOf func(workload.TaskID) Behaviour) *Fleet {
 	f := &Fleet{BehaviourOf: behaviourOf, StopTime: 900 * time.Millisecond, GangStartTimeout: 3 * time.Second, workers: map[string]*Worker{},
-		Prerequisites: map[workload.UnitID][]workload.TaskID{}, gangs: map[gangKey][]*activeRun{}, done: map[workload.TaskID]bool{}, unreportedDone: map[workload.TaskID]bool{}}
+		Prerequisites: map[workload.UnitID][]workload.TaskID{}, gangs: map[gangKey][]*activeRun{}, crashes: map[workload.TaskID]int{}, startsBeyond: map[workload.TaskID]int{}, done: map[workload.TaskID]bool{}, unreportedDone: map[workload.TaskID]bool{}}
 	go func() {
 		for ctx.Err() == nil {
 			time.Sleep(tickInterval)
@@ -196,6 +209,9 @@
 
 var errNoReply = errors.New("worker did not reply")
 
+// errCrashed is the result of calls to a worker that has crashed and is not back.
+var errCrashed = &backend.OrderError{Kind: backend.OrderUnanswered, Broken: true, Cause: errors.New("connection refused")}
+
 // beginOrder finds the worker that an order is for and checks the order's term. If
 // it succeeds, it returns with mu held. For an unknown or silent worker, it blocks
 // until ctx ends.
@@ -203,6 +219,10 @@
 	time.Sleep(orderLatency)
 	f.mu.Lock()
 	w := f.workers[ref.ID]
+	if w != nil && !w.backAt.IsZero() {
+		f.mu.Unlock()
+		return nil, errCrashed
+	}
 	if w == nil || w.Silent {
 		f.mu.Unlock()
 		<-ctx.Done()
@@ -275,10 +295,15 @@
 		}
 	}
 	f.starts++
+	if f.crashes[id] >= maxCrashes {
+		if f.startsBeyond[id]++; f.startsBeyond[id] >= maxStartsBeyond {
+			f.recordViolation("task %v started %d times after it had crashed %d workers", id, f.startsBeyond[id], maxCrashes)
+		}
+	}
 	if f.OnStart != nil {
 		f.OnStart(w, id)
 	}
-	r := &activeRun{id: o.Run, worker: w, behaviour: b, startedAt: time.Now(), working: b.Gang == 0, throttlePercent: 100}
+	r := &activeRun{id: o.Run, worker: w, behaviour: b, orderedAt: time.Now(), startedAt: time.Now(), working: b.Gang == 0, throttlePercent: 100}
 	w.runs[id] = r
 	if b.Gang > 0 {
 		key := gangKey{id.UnitID, o.Run.Number}
@@ -389,6 +414,10 @@
 		}
 		f.mu.Lock()
 	}
+	if !w.backAt.IsZero() {
+		f.mu.Unlock()
+		return backend.Listing{}, errCrashed
+	}
 	if w.Silent {
 		f.mu.Unlock()
 		<-ctx.Done()
@@ -408,6 +437,9 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	for _, w := range f.workers {
+		if !w.backAt.IsZero() && !now.Before(w.backAt) {
+			w.comeBack()
+		}
 		if w.clock() > w.leaseUntil {
 			w.markUnreported()
 		}
@@ -419,6 +451,9 @@
 				r.progressPercent = min(100, int(100*r.workDone/r.behaviour.Work))
 			}
 			switch {
+			case r.behaviour.Crashes && now.Sub(r.orderedAt) >= crashDelay:
+				f.crashes[r.id.Task]++
+				w.crash()
 			case w.clock() > w.leaseUntil:
 				w.end(r, backend.OutcomeLeaseExpired)
 			case !r.stopAt.IsZero() && !now.Before(r.stopAt):
@@ -497,12 +532,84 @@
 func (w *Worker) Restart() {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
+	w.restart()
+}
+
+func (w *Worker) restart() {
 	w.markUnreported()
 	w.runs, w.endedUpTo, w.ended, w.endCount, w.leaseUntil, w.fence = map[workload.TaskID]*activeRun{}, map[workload.TaskID]int64{}, nil, 0, 0, 0
 	w.epoch = time.Now()
 	w.Info.StartedMS++
 }
 
+const (
+	// crashDelay is how long after its start a task crashes its worker.
+	crashDelay = 10 * time.Millisecond
+	// crashDowntime is how long a crashed worker is down.
+	crashDowntime = 3 * time.Second
+	// maxCrashes is how many workers a task may crash, and maxStartsBeyond how many more
+	// starts after that violate the platform's rule.
+	maxCrashes      = 3
+	maxStartsBeyond = 3
+)
+
+// Crash makes the worker lose its runs and fall silent; it comes back after crashDowntime as
+// another incarnation. It must be called within Fleet.Update.
+func (w *Worker) Crash() { w.crash() }
+
+func (w *Worker) crash() {
+	if !w.backAt.IsZero() {
+		return
+	}
+	w.Silent, w.backAt = true, time.Now().Add(crashDowntime)
+	w.fleet.down++
+	w.fleet.maxDown = max(w.fleet.maxDown, w.fleet.down)
+	for _, r := range w.runs {
+		for _, m := range w.fleet.gangs[gangKey{r.id.Task.UnitID, r.id.Number}] {
+			if m.worker != w {
+				m.worker.end(m, backend.OutcomeGangBroken)
+			}
+		}
+	}
+	clear(w.runs)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *Worker) comeBack() {
+	f := w.fleet
+	f.down--
+	w.Silent, w.backAt = false, time.Time{}
+	if f.OnNewID == nil {
+		w.restart()
+		return
+	}
+	w.markUnreported()
+	w.ended, w.Replaced = nil, true
+	info := w.Info
+	info.ID, info.StartedMS = info.ID+"'", info.StartedMS+1
+	next := &Worker{Info: info, fleet: f, epoch: time.Now(), runs: map[workload.TaskID]*activeRun{}, endedUpTo: map[workload.TaskID]int64{}, changed: make(chan struct{})}
+	f.workers[info.ID] = next
+	f.OnNewID(w, next)
+}
+
+// MaxDown returns the highest number of crashed workers that were down at once since the
+// last call.
+func (f *Fleet) MaxDown() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := f.maxDown
+	f.maxDown = f.down
+	return most
+}
+
+// Crashes returns how many workers a task has crashed.
+func (f *Fleet) Crashes(id workload.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes[id]
+}
+
 // IsRunning reports whether the worker runs a task. It must be called within
 // Fleet.Update.
 func (w *Worker) IsRunning(id workload.TaskID) bool { return w.runs[id] != nil }
