--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -48,10 +48,18 @@
 	kill    context.CancelFunc
 	peers   *peer.Service
 	clients []*simsite.Client
+	// stopped is closed once the node no longer listens for other nodes.
+	stopped chan struct{}
 	// paused is for how long the node has been paused in all, in nanoseconds.
 	paused atomic.Int64
 }
 
+// Wait waits for the end of a killed node, whose name may then be used again.
+func (n *testNode) Wait() {
+	n.Node.Wait()
+	<-n.stopped
+}
+
 // pause makes the node's clock advance as if the node had been paused until now. Its timers
 // do not advance, as those of a suspended VM.
 func (n *testNode) pause(d time.Duration) { n.paused.Add(int64(d)) }
@@ -183,7 +191,7 @@
 	ctx, kill := context.WithCancel(s.ctx)
 	address := name + ":7002"
 	peers := peer.New(s.network.Host(name), address)
-	n := &testNode{kill: kill, peers: peers, clients: []*simsite.Client{s.ledgerTopic.Client(), s.operatorTopic.Client(), s.workerTopic.Client()}}
+	n := &testNode{kill: kill, peers: peers, stopped: make(chan struct{}), clients: []*simsite.Client{s.ledgerTopic.Client(), s.operatorTopic.Client(), s.workerTopic.Client()}}
 	started := time.Now()
 	var err error
 	n.Node, err = New(Settings{Name: name, Incarnation: name + "/" + started.String(), Address: address, Dispatch: s.settings, MaxBatchBytes: 1 << 20, Now: func() time.Duration { return time.Hour + time.Since(started) + time.Duration(n.paused.Load()) }, UnixMS: func() int64 { return time.Now().UnixMilli() }},
@@ -199,6 +207,7 @@
 		stopCtx, cancel := context.WithCancel(context.Background())
 		cancel()
 		_ = peers.Stop(stopCtx)
+		close(n.stopped)
 	})
 	s.nodes = append(s.nodes, n)
 	return n
