Follow the capacity of workers that shrink and grow

What callers would see: a worker whose capacity shrinks while it runs tasks is filled up to its former capacity (LIMIT); its tasks then slow each other down, or are refused one after the other. One that has grown stays half empty.

Cause: a worker's capacity was taken over with other changes only. A change of it alone was not reported by the catalog, a tick read the view without its workers, and a plan was not checked against the capacity again before its starts. What needs nothing of a resource fitted where less than nothing of it was free.

The change: the catalog reports it, ticks and starts read the records of the workers, and planned runs that do not fit any more are removed, gangs as a whole, before the others start.

--- a/pkg/catalog/sinks.go
+++ b/pkg/catalog/sinks.go
@@ -110,8 +110,8 @@
 
 // NewWorkers returns an empty Workers, which decodes records with decode. It calls changed,
 // without holding its lock, after each listing and after a worker is added, removed or
-// restarted, or changes its draining state or its remaining time. It does not call changed
-// for other updates.
+// restarted, or changes its draining state, its remaining time or its capacity. It does not
+// call changed for other updates.
 func NewWorkers(decode func(backend.KeyedRecord) (Worker, error), now func() time.Duration, changed func()) *Workers {
 	return &Workers{decode: decode, now: now, changed: changed, workers: map[string]Worker{}}
 }
@@ -148,7 +148,7 @@
 		}
 		worker.ReceivedAt = w.now()
 		old, known := w.workers[r.Key]
-		changed = changed || !known || old.Draining != worker.Draining || old.StartedMS != worker.StartedMS || old.Remaining != worker.Remaining
+		changed = changed || !known || old.Draining != worker.Draining || old.StartedMS != worker.StartedMS || old.Remaining != worker.Remaining || old.Capacity != worker.Capacity
 		w.workers[r.Key] = worker
 	}
 	w.mu.Unlock()
--- a/pkg/dispatch/apply.go
+++ b/pkg/dispatch/apply.go
@@ -126,11 +126,13 @@
 	u.job.unsaved = true
 }
 
+const planOutdated = "the plan is out of date"
+
 // startPlanned starts planned runs, or removes those that may no longer start. A
 // gang starts only if all of its planned members may.
 func (e *Engine) startPlanned(planned []*run) {
 	now := e.Now()
-	e.view = e.View()
+	e.updateView()
 	var quotas map[string]*placement.Quota
 	if e.view.Config != nil {
 		quotas = e.quotas()
@@ -143,11 +145,17 @@
 		// The limit may have fallen since the plan was made.
 		blocked[r.task.unit] = blocked[r.task.unit] || quotas[r.task.unit.job.spec.Account].Exceeded()
 	}
+	// What is removed first leaves its room to the rest.
+	for _, r := range planned {
+		if r.isCurrent() && r.phase == runPlanned && blocked[r.task.unit] {
+			e.removeRun(r, planOutdated)
+		}
+	}
 	for _, r := range planned {
 		switch {
 		case !r.isCurrent() || r.phase != runPlanned:
-		case blocked[r.task.unit] || !e.canStart(r, now):
-			e.removeRun(r, "the plan is out of date")
+		case !e.canStart(r, now):
+			e.removeRun(r, planOutdated)
 		default:
 			e.startRun(r, now)
 		}
@@ -158,5 +166,5 @@
 func (e *Engine) canStart(r *run, now time.Duration) bool {
 	j := r.task.unit.job
 	return !j.progress.Phase.Ended() && !r.task.done && !r.task.unit.aborting && e.lease.MayStart(now) &&
-		e.view.isRecent(now, &e.Settings) && e.workers[r.worker.key] == r.worker && e.isSchedulable(r.worker, now) && r.mayStartBeside()
+		e.view.isRecent(now, &e.Settings) && e.workers[r.worker.key] == r.worker && e.isSchedulable(r.worker, now) && r.worker.used.Fits(r.worker.info.Capacity) && r.mayStartBeside()
 }
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -204,7 +204,7 @@
 // dropped if the event queue is full.
 func (e *Engine) ViewChanged() {
 	select {
-	case e.events <- func() { e.view = e.View(); e.syncWorkers(); e.needsPlan = true }:
+	case e.events <- func() { e.updateView(); e.needsPlan = true }:
 	default:
 	}
 }
@@ -218,10 +218,16 @@
 	}
 }
 
+// updateView takes over the newest view and its workers.
+func (e *Engine) updateView() {
+	e.view = e.View()
+	e.syncWorkers()
+}
+
 // onTick checks the timeouts.
 func (e *Engine) onTick() {
 	now := e.Now()
-	e.view = e.View()
+	e.updateView()
 	e.checkWorkers(now)
 	e.checkRuns(now)
 	maps.DeleteFunc(e.crashes, func(_ string, c crashTimes) bool { return now-c.at > crashMemory })
@@ -457,6 +463,9 @@
 		if w.info.Draining != info.Draining {
 			klog.InfoS("dispatch: worker draining state changed", "worker", info.ID, "draining", info.Draining, "remaining", info.Remaining, "runs", len(w.runs))
 		}
+		if w.info.Capacity != info.Capacity {
+			klog.InfoS("dispatch: worker capacity changed", "worker", info.ID, "from", w.info.Capacity, "to", info.Capacity, "used", w.used)
+		}
 		w.info, w.listed = info, true
 		if !w.clockKnown && info.ClockMS != 0 {
 			w.clockOffsetMS, w.clockKnown = info.ClockMS-info.ReceivedAt.Milliseconds(), true
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -32,10 +32,13 @@
 
 // Count returns how many times r fits into free, at most 1<<20.
 func (r Resources) Count(free Resources) int {
+	if !r.Fits(free) {
+		return 0
+	}
 	count := 1 << 20
 	for _, dimension := range [...][2]int{{r.MilliCores, free.MilliCores}, {r.MemoryMB, free.MemoryMB}, {r.Accelerators, free.Accelerators}} {
 		if dimension[0] > 0 {
-			count = min(count, max(0, dimension[1])/dimension[0])
+			count = min(count, dimension[1]/dimension[0])
 		}
 	}
 	return count
