--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -100,6 +100,20 @@
 	s.expectCount(early, 0, 0, 0)
 }
 
+// A worker that answers again after a broken connection has not crashed: a later crash may
+// have been caused by what was ordered since.
+func TestBrokenConnectionIsForgottenWithTheNextAnswer(t *testing.T) {
+	s := newManualSite(t, 1)
+	s.workers["w0"].noteError(&backend.OrderError{Kind: backend.OrderUnanswered, Broken: true}, s.now)
+	s.now += time.Second
+	s.list("w0", s.now)
+	u := s.job("u", workload.Step{Count: 1})
+	s.startUnit(u, map[int]*worker{0: s.workers["w0"]}, s.now)
+	u.tasks[0].run.phase = runUnresolved
+	s.crash("w0")
+	s.expectCount(u, 0, 1, 1)
+}
+
 // A worker that leaves after it has drained, or falls silent until its leases have ended,
 // has not crashed.
 func TestLeavingOrSilentWorkerIsNotACrash(t *testing.T) {
@@ -147,6 +161,10 @@
 	}
 	v := s.job("v", workload.Step{Count: 1})
 	s.now += 2 * crashMemory
+	s.onTick()
+	if len(s.crashes) != 0 {
+		t.Error("crashes are remembered for ever")
+	}
 	s.start(v, 0, "w0")
 	s.crash("w0")
 	s.expectCount(v, 0, 1, 1)
