Send no more in one call than the link carries in time

What callers would see: in a burst on slow links, no submission is accepted for as long as the burst lasts, and the leader is replaced: 60 jobs of 4 kB at once over links of 2 Mbit/s, 60 of 60 ended without a known outcome.

A call to the log has 1 s, whatever its size, a batch up to half of what the platform takes (1 MB), and repeats of a call that has not arrived yet share its link.

Other calls of nodes are small (probes, forwarded records, lists of 500 ends).

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -78,8 +78,9 @@
 	// those of all nodes. Address is where other nodes reach this one.
 	Name, Incarnation, Address string
 	Dispatch                   dispatch.Settings
-	// MaxBatchBytes bounds the records of one call to the log.
-	MaxBatchBytes int
+	// MaxBatchBytes bounds the records of one call to the log. LinkRate is the rate of the
+	// node's link in bytes per second, 0 if unknown.
+	MaxBatchBytes, LinkRate int
 	// Cores and MemoryMB are the node's capacity.
 	Cores    float64
 	MemoryMB int
@@ -107,7 +108,7 @@
 // New assembles a node and registers its RPC methods. The node does nothing before Start.
 func New(s Settings, p Platform) (*Node, error) {
 	n := &Node{settings: s, pauses: pause.NewDetector(s.Now)}
-	n.leader = leader.New(leader.Settings{Name: s.Name, Incarnation: s.Incarnation, Address: s.Address, Call: p.Peers.Call, Dispatch: s.Dispatch, MaxBatchBytes: s.MaxBatchBytes, LogLatency: n.logLatency, CheckLatency: n.checkLatency, Now: s.Now, UnixMS: s.UnixMS}, p.Ledger, p.Orders, p.Adviser)
+	n.leader = leader.New(leader.Settings{Name: s.Name, Incarnation: s.Incarnation, Address: s.Address, Call: p.Peers.Call, Dispatch: s.Dispatch, MaxBatchBytes: s.MaxBatchBytes, LinkRate: s.LinkRate, LogLatency: n.logLatency, CheckLatency: n.checkLatency, Now: s.Now, UnixMS: s.UnixMS}, p.Ledger, p.Orders, p.Adviser)
 	replica := ledger.NewReplica(n.leader.Listener())
 	n.replica = replica
 	settings := func(name string, readDelay func() time.Duration) feed.Settings {
@@ -126,7 +127,7 @@
 		return feed.New(p.Workers, settings("workers", func() time.Duration { return workerReadDelay }), workers)
 	})
 	n.writer = ledger.NewAppender(p.Ledger, ledger.AppenderSettings{Producer: s.Incarnation, Epoch: 1, NextSequence: 1, CallTimeout: writeTimeout, RetryDelay: writeRetryDelay,
-		BatchDelay: batchDelay, MaxBatchBytes: s.MaxBatchBytes, LogLatency: n.logLatency, CheckLatency: n.checkLatency, Now: s.Now})
+		BatchDelay: batchDelay, MaxBatchBytes: s.MaxBatchBytes, LinkRate: s.LinkRate, LogLatency: n.logLatency, CheckLatency: n.checkLatency, Now: s.Now})
 	n.Intake = intake.New(replica, n.ledgerFollower, n.writer, n.leader.Writer, n.leader.JobStored, n.checkLatency, &forwarder{peers: p.Peers, replica: replica, leader: n.leader, self: s.Name, logLatency: n.logLatency, now: s.Now, failedAt: map[string]time.Duration{}}, s.Now, s.UnixMS)
 	return n, p.Peers.Handle(receiverName, &receiver{n, n.leader})
 }
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -39,6 +39,9 @@
 	settings dispatch.Settings
 	// limit is that of the client account; zero means none.
 	limit workload.Resources
+	// linkRate is that of the links of nodes added later, in bytes per second; 0 means no
+	// limit.
+	linkRate int
 }
 
 // testNode is a node and its clients of the ledger, operator and worker topics, in this
@@ -192,9 +195,12 @@
 	address := name + ":7002"
 	peers := peer.New(s.network.Host(name), address)
 	n := &testNode{kill: kill, peers: peers, stopped: make(chan struct{}), clients: []*simsite.Client{s.ledgerTopic.Client(), s.operatorTopic.Client(), s.workerTopic.Client()}}
+	for _, c := range n.clients {
+		c.SetLinkRate(s.linkRate)
+	}
 	started := time.Now()
 	var err error
-	n.Node, err = New(Settings{Name: name, Incarnation: name + "/" + started.String(), Address: address, Dispatch: s.settings, MaxBatchBytes: 1 << 20, Now: func() time.Duration { return time.Hour + time.Since(started) + time.Duration(n.paused.Load()) }, UnixMS: func() int64 { return time.Now().UnixMilli() }},
+	n.Node, err = New(Settings{Name: name, Incarnation: name + "/" + started.String(), Address: address, Dispatch: s.settings, MaxBatchBytes: 1 << 20, LinkRate: s.linkRate, Now: func() time.Duration { return time.Hour + time.Since(started) + time.Duration(n.paused.Load()) }, UnixMS: func() int64 { return time.Now().UnixMilli() }},
 		Platform{Ledger: n.clients[0], OperatorConfig: n.clients[1], Workers: n.clients[2], Orders: s.fleet, Adviser: s.fleet, DecodeOperator: decodeOperator, DecodeWorker: simsite.DecodeWorker, Peers: peers})
 	if err == nil {
 		err = peers.Start(ctx, nil)
--- a/pkg/entry/slowlog_test.go
+++ b/pkg/entry/slowlog_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,6 +20,9 @@
 
 const leaderProducer = "leader"
 
+// slowLinkRate is the rate of a slow link, in bytes per second.
+const slowLinkRate = 250_000
+
 // submitEverywhere submits a job through another node every interval for a while, each in
 // a goroutine, and returns the number of submissions and the errors.
 func (s *site) submitEverywhere(interval, during time.Duration) (jobs []string, errs []error) {
@@ -281,3 +286,43 @@
 		}
 	})
 }
+
+// A burst of submissions must get through links that take seconds for all of them: what is
+// sent in one call must arrive within the time that the call has.
+func TestBurstOfSubmissionsOverSlowLinks(t *testing.T) {
+	runSite(t, 4, 8, func(s *site) {
+		s.linkRate = slowLinkRate
+		for _, n := range slices.Clone(s.nodes) {
+			n.kill()
+			n.Wait()
+			s.nodes = remove(s.nodes, n)
+			s.addNode(n.settings.Name)
+		}
+		leader := s.leader()
+		time.Sleep(time.Second)
+		const jobs, payload = 60, 4000
+		began := time.Now()
+		var stored []string
+		var wg sync.WaitGroup
+		for range jobs {
+			job := s.newJob(normalQueue, uniform(task(1), 100*time.Millisecond, 0), workload.Step{Count: 1, Need: task(1), EstimateMS: 100})
+			job.Payload = strings.Repeat("x", payload)
+			stored = append(stored, job.ID)
+			wg.Go(func() {
+				if err := leader.Intake.Submit(s.ctx, job); err != nil {
+					t.Errorf("submission: %v", err)
+				}
+			})
+		}
+		wg.Wait()
+		if took, atLeast := time.Since(began), jobs*payload*time.Second/slowLinkRate; took > 2*atLeast {
+			t.Errorf("took %s, want at most twice the %s that the link needs", took, atLeast)
+		}
+		if s.leader() != leader {
+			t.Error("the leader changed")
+		}
+		for _, job := range stored {
+			s.awaitPhase(job, ledger.Completed, 30*time.Second)
+		}
+	})
+}
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -73,8 +73,9 @@
 	// syscall.ECONNREFUSED.
 	Call     func(ctx context.Context, address, method string, args, reply any) error
 	Dispatch dispatch.Settings
-	// MaxBatchBytes bounds the records of one call to the log.
-	MaxBatchBytes int
+	// MaxBatchBytes bounds the records of one call to the log. LinkRate is the rate of the
+	// node's link in bytes per second, 0 if unknown.
+	MaxBatchBytes, LinkRate int
 	// LogLatency returns an estimate of the log's latency.
 	LogLatency func() time.Duration
 	// CheckLatency makes LogLatency soon show the present latency.
@@ -456,7 +457,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	writer := ledger.NewAppender(s.log, ledger.AppenderSettings{Producer: producer, Epoch: term.Number, NextSequence: 2, CallTimeout: writeTimeout,
-		RetryDelay: writeRetryDelay, BatchDelay: batchDelay, MaxBatchBytes: s.settings.MaxBatchBytes, LogLatency: s.settings.LogLatency, CheckLatency: s.settings.CheckLatency, Now: s.settings.Now})
+		RetryDelay: writeRetryDelay, BatchDelay: batchDelay, MaxBatchBytes: s.settings.MaxBatchBytes, LinkRate: s.settings.LinkRate, LogLatency: s.settings.LogLatency, CheckLatency: s.settings.CheckLatency, Now: s.settings.Now})
 	go func() {
 		if err := writer.Run(writerCtx); err != nil && writerCtx.Err() == nil {
 			klog.InfoS("leader: writer stopped", "term", term.Number, "err", err)
--- a/pkg/ledger/appender.go
+++ b/pkg/ledger/appender.go
@@ -30,6 +30,9 @@
 	BatchDelay time.Duration
 	// MaxBatchBytes bounds the records of one call; a larger Write has a call of its own.
 	MaxBatchBytes int
+	// LinkRate is the rate of the link to the log in bytes per second, 0 if unknown. It
+	// bounds the records of one call further, so that they arrive in time.
+	LinkRate int
 	// LogLatency returns an estimate of the log's latency from other calls than the
 	// Appender's, for example from reads.
 	LogLatency func() time.Duration
@@ -41,6 +44,30 @@
 	Now func() time.Duration
 }
 
+// linkTimeDivisor is the part of the call timeout that sending a batch may take: the link is
+// shared with repeats and with what others send.
+const linkTimeDivisor = 4
+
+// maxBatch returns the bound on the records of one call in bytes.
+func (s *AppenderSettings) maxBatch() int {
+	if s.LinkRate <= 0 {
+		return s.MaxBatchBytes
+	}
+	return min(s.MaxBatchBytes, int(int64(s.LinkRate)*s.CallTimeout.Milliseconds()/1000/linkTimeDivisor))
+}
+
+// sendTime returns how long sending records takes if nothing else uses the link.
+func (s *AppenderSettings) sendTime(records []backend.KeyedRecord) time.Duration {
+	if s.LinkRate <= 0 {
+		return 0
+	}
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	return time.Duration(size) * time.Second / time.Duration(s.LinkRate)
+}
+
 var repeatsTotal = metrics.GetOrCreateCounter("shallotpin_log_repeats_total")
 
 // Appender writes records to a keyed log in order, batching them into calls. A call whose
@@ -321,7 +348,7 @@
 			answers <- answer{a.settings.Now() - began, err}
 		}()
 	}
-	delay := max(minRepeatDelay, repeatDelay)
+	delay := max(minRepeatDelay, repeatDelay) + 2*a.settings.sendTime(write.Records)
 	repeat := time.NewTimer(delay)
 	defer repeat.Stop()
 	late := time.AfterFunc(lateAnswerDelay, a.settings.CheckLatency)
@@ -412,7 +439,7 @@
 	var batch []*pendingWrite
 	size, used := 0, 0
 	for _, w := range a.queue {
-		if len(batch) > 0 && size+w.bytes > a.settings.MaxBatchBytes {
+		if len(batch) > 0 && size+w.bytes > a.settings.maxBatch() {
 			break
 		}
 		used++
--- a/pkg/simsite/log.go
+++ b/pkg/simsite/log.go
@@ -119,8 +119,10 @@
 	fault LogFault
 	// readFault is the fault of reads, in place of fault, unless it is LogHealthy.
 	readFault LogFault
-	// linkRate is the rate at which pages arrive, in bytes per second; 0 means at once.
-	linkRate int
+	// linkRate is the rate of the client's link in each direction, in bytes per second; 0
+	// means no limit. sending and receiving are the numbers of calls that share it.
+	linkRate           int
+	sending, receiving int
 }
 
 // Client returns a new connection to the log without faults.
@@ -141,42 +143,52 @@
 	c.readFault = f
 }
 
-// SetLinkRate sets the rate at which later pages arrive at the client, in bytes per second.
-// Concurrent calls do not share it.
+// SetLinkRate sets the rate at which later records are sent and later pages arrive, in bytes
+// per second for each direction. Concurrent calls share it.
 func (c *Client) SetLinkRate(bytesPerSecond int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.linkRate = bytesPerSecond
 }
 
-// transferInterval is the time between two parts of a page on a link of limited rate.
+// transferInterval is the time between two parts of a transfer on a link of limited rate.
 const transferInterval = 50 * time.Millisecond
 
-// transfer delays a page by the time that it takes over the client's link.
-func (c *Client) transfer(ctx context.Context, page backend.KeyedPage, progress backend.Progress) (backend.KeyedPage, error) {
-	c.mu.Lock()
-	rate := c.linkRate
-	c.mu.Unlock()
+// transfer takes the time that records take over the client's link, in the direction whose
+// calls sharing counts.
+func (c *Client) transfer(ctx context.Context, sharing *int, records []backend.KeyedRecord, progress backend.Progress) error {
 	if progress != nil {
 		progress(0)
 	}
 	size := 0
-	for _, r := range page.Records {
+	for _, r := range records {
 		size += len(r.Key) + len(r.Value)
 	}
+	c.mu.Lock()
+	rate := c.linkRate
+	*sharing++
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		*sharing--
+	}()
 	for rate > 0 && size > 0 {
-		part := min(size, max(1, rate*int(transferInterval.Milliseconds())/1000))
+		c.mu.Lock()
+		share := rate / *sharing
+		c.mu.Unlock()
+		part := min(size, max(1, share*int(transferInterval.Milliseconds())/1000))
 		select {
-		case <-time.After(time.Duration(part) * time.Second / time.Duration(rate)):
+		case <-time.After(time.Duration(part) * time.Second / time.Duration(max(1, share))):
 		case <-ctx.Done():
-			return backend.KeyedPage{}, &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.MayHaveRun, Cause: ctx.Err()}
+			return &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.MayHaveRun, Cause: ctx.Err()}
 		}
 		size -= part
 		if progress != nil {
 			progress(part)
 		}
 	}
-	return page, nil
+	return nil
 }
 
 // Put appends records unconditionally, as writers of the platform do.
@@ -257,6 +269,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := c.transfer(ctx, &c.sending, a.Records, nil); err != nil {
+		return 0, err
+	}
 	if !c.log.waitForTurn() {
 		return 0, &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.NotRun, Cause: errors.New("too many appends wait")}
 	}
@@ -320,7 +335,7 @@
 		changed := l.changed
 		l.mu.Unlock()
 		if len(page.Records) > 0 || wait == 0 {
-			return c.transfer(ctx, page, progress)
+			return page, c.transfer(ctx, &c.receiving, page.Records, progress)
 		}
 		select {
 		case <-changed:
@@ -346,5 +361,5 @@
 		}
 	}
 	l.mu.Unlock()
-	return c.transfer(ctx, page, progress)
+	return page, c.transfer(ctx, &c.receiving, page.Records, progress)
 }
