Keep a request that only stopping nodes have refused until this node has slots

Cause: a node without slots forwards requests to a node that has joined. While a site starts, a stopping node may be the only one that is known to have joined; its true refusal was the final answer, though this node agrees on its own slots some 0.1 s later and the caller's deadline is seconds away. Trace: at 26 ms entry-1 reaches two nodes, one has joined, and that one is stopping.

Ruled out: that no further node is tried (up to three are).

The change: a request that the others have certainly not run waits for a slot of this node, as it does if there is no other node.

--- a/pkg/memsite/state_test.go
+++ b/pkg/memsite/state_test.go
@@ -393,6 +393,28 @@
 	})
 }
 
+// Nodes that start have no slots until they have agreed on them. If the only other node that
+// has joined is stopping, its refusals say that a request did not run: it must be kept until
+// there are slots. Which node joins first differs from start to start.
+func TestStoppingNodeFailsNoRequestOfItsNeighbour(t *testing.T) {
+	for range 25 {
+		synctest.Test(t, func(t *testing.T) {
+			s := startSite(t, nil)
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				if err := s.Retire(t.Context(), 0); err != nil {
+					t.Error(err)
+				}
+			})
+			for range 30 {
+				wg.Go(func() { checkServed(t, s, 1) })
+				time.Sleep(4 * time.Millisecond)
+			}
+			wg.Wait()
+		})
+	}
+}
+
 // TestChangesUnderLostAnswers loses the reply to every append, and checks that each
 // accepted preset switch is in force on all nodes within the bound.
 func TestChangesUnderLostAnswers(t *testing.T) {
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -179,7 +179,13 @@
 		return s.runKeyed(ctx, r, hops, marks)
 	}
 	if hops == 0 && s.lacksSlots(r.Service) {
-		return withoutNotRun(r, s.forward(ctx, r, hops, func(n *rosterNode) bool { return n.joined }))
+		answer := s.forward(ctx, r, hops, func(n *rosterNode) bool { return n.joined })
+		if r.Key != "" || !canForwardAgain(r, answer) || s.roster.isDraining() {
+			return withoutNotRun(r, answer)
+		}
+		// No other node takes it, for example since they are stopping. This node soon agrees
+		// on its slots with those that remain.
+		return withoutNotRun(r, joinVerdicts(answer, s.run(ctx, r, nil)))
 	}
 	return withoutNotRun(r, s.run(ctx, r, nil))
 }
