Wait for readiness in the pause script before callers are sent to the node

The script is wrong, not the node: after SIGCONT it waited until the node shows the new preset, which it may have from another node while its own view of the log is not fresh. Until then it reports not ready and refuses requests with a true not-run; callers are only sent to nodes that are ready, as the site command of the scripts says.

--- a/cmd/shallotpin/script_test.go
+++ b/cmd/shallotpin/script_test.go
@@ -56,7 +56,7 @@
 			"signal": cmdSignal,
 			"await":  cmdAwait,
 			"load":   cmdLoad, "loaded": cmdLoaded, "running": cmdRunning,
-			"site": cmdSite, "finished": cmdFinished, "preset": cmdPreset,
+			"site": cmdSite, "finished": cmdFinished, "preset": cmdPreset, "ready": cmdReady,
 		},
 	})
 }
@@ -159,17 +159,25 @@
 			"--log", "http://"+env("LOG"), "--vms", "http://"+env("VMS"))
 	}
 	ts.Check(ts.Exec("shallotpin", "--server", "http://"+env("H0"), "config", "publish", "config.json"))
-	// A load balancer sends callers only to nodes that report that they are ready.
+	cmdReady(ts, false, []string{env("H0"), env("H1"), env("H2")})
+}
+
+// readyTimeout bounds the wait until nodes are ready.
+const readyTimeout = 30 * time.Second
+
+// cmdReady waits until the nodes with the given HTTP addresses are ready, as a load balancer
+// does: it sends callers only to nodes that report so.
+func cmdReady(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) == 0 {
+		ts.Fatalf("usage: ready ADDRESS...")
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
 	defer cancel()
-	for i := range 3 {
-		ts.Check(client.New("http://" + env("H"+strconv.Itoa(i))).WaitReady(ctx))
+	for _, address := range args {
+		ts.Check(client.New("http://" + address).WaitReady(ctx))
 	}
 }
 
-// readyTimeout bounds the wait until all nodes of a site are ready.
-const readyTimeout = 30 * time.Second
-
 // cmdSignal sends a signal to a spawned process.
 func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
 	if len(args) != 2 || signals[args[1]] == 0 {
