--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -249,6 +249,25 @@
 	}
 }
 
+// An ended job stays ended, so that its phase needs no read of a slow log.
+func TestEndedJobIsReportedAtOnceWithASlowLog(t *testing.T) {
+	runSite(t, 3, 8, func(s *site) {
+		n := s.follower()
+		job := s.submitTo(n, normalQueue, uniform(task(1), time.Second, 0), workload.Step{Count: 1, Need: task(1), EstimateMS: 1000})
+		s.awaitPhase(job, ledger.Completed, 5*time.Second)
+		time.Sleep(time.Second)
+		s.ledgerTopic.SetSlowdown(100)
+		for range 20 {
+			time.Sleep(130 * time.Millisecond)
+			began := time.Now()
+			phase, err := n.Intake.Phase(s.ctx, job)
+			if took := time.Since(began); err != nil || phase != ledger.Completed || took > 0 {
+				t.Errorf("phase %q, error %v after %s; want %q at once", phase, err, took, ledger.Completed)
+			}
+		}
+	})
+}
+
 // A node that has not completed its first read of the ledger does not know the leader. It
 // must not take that for a vacancy and claim leadership.
 func TestStartingNodeDoesNotClaimLeadership(t *testing.T) {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -181,6 +181,34 @@
 	}
 }
 
+// However urgent a unit is, it must stop neither guaranteed nor long-running work; it does stop
+// the same work without these properties.
+func TestProtectedWorkIsNotStoppedHoweverUrgentTheUnit(t *testing.T) {
+	for name, c := range map[string]struct {
+		running RunningTask
+		stops   int
+	}{
+		"none":                     {RunningTask{Priority: 2}, 1},
+		"guaranteed":               {RunningTask{Priority: 2, Guaranteed: true}, 0},
+		"guaranteed, as urgent":    {RunningTask{Priority: 0, Guaranteed: true}, 0},
+		"long-running":             {RunningTask{Priority: 2, LongRunning: true}, 0},
+		"long-running, guaranteed": {RunningTask{Priority: 1, LongRunning: true, Guaranteed: true}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			workers := racks(1)
+			for i, w := range workers {
+				occupy(w, "other", i, need(8), c.running.Priority, 1, false)
+				w.Running[0].Guaranteed, w.Running[0].LongRunning = c.running.Guaranteed, c.running.LongRunning
+			}
+			u := unit("j", 1, gang(8), 0)
+			u.Guaranteed, u.MustStart = true, true
+			if plan := Decide(workers, []*Unit{u}, 0); len(plan.Stop) != c.stops {
+				t.Errorf("%d stops, want %d", len(plan.Stop), c.stops)
+			}
+		})
+	}
+}
+
 // Guards against urgent gangs that preempt each other again and again just after their
 // start, when accounts submit more urgent work than their guarantees cover.
 func TestUrgentWorkIsStoppedLast(t *testing.T) {
