Do not rely on a copy of the VM list that a node unknown to it may know better

Cause: such a node serves on if every VM of its copy has confirmed that it has no newer one, or does not run. An entry VM that was lost and replaced less than 2 s before a partition is in the copy under its old name: its address refuses connections, which counts as a confirmation, and nobody asks the new VM, which reads the list. In the trace the copy is 42 s old, confirmed by all 99 ms ago, and names entry-2 where entry-2-1 runs.

Ruled out: confirmations that travel in a circle (their ages only grow), and a view of the log that counts as unreachable for all (it was fresh).

The change: a VM that has called this node and is not in its copy may have a newer one, until the list is read 30 s later without it, as for removed VMs.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -59,7 +60,10 @@
 	pendingCalls map[string]bool
 	// entryRemovedAt is when an entry VM was last found to be removed from the list.
 	entryRemovedAt time.Time
-	loops          kernel.Loops
+	// unlisted holds when each entry VM, by ID, that the copy does not name last called this
+	// node.
+	unlisted map[string]time.Time
+	loops    kernel.Loops
 }
 
 // vmCopy holds the VMs of one kind, as listed at some time not before asOf.
@@ -73,7 +77,7 @@
 func New(list backend.VMList, self string, peers *peer.Service) (*Service, error) {
 	s := &Service{
 		list: list, self: self, peers: peers, copies: map[backend.VMKind]vmCopy{},
-		confirmedAt: map[string]time.Time{}, unansweredSince: map[string]time.Time{}, pendingCalls: map[string]bool{},
+		confirmedAt: map[string]time.Time{}, unansweredSince: map[string]time.Time{}, pendingCalls: map[string]bool{}, unlisted: map[string]time.Time{},
 	}
 	return s, peers.Handle(rpcName, &handler{s})
 }
@@ -121,7 +125,7 @@
 // UpstreamsCurrent reports whether the copy of the upstreams is current: either it
 // is recent, or every other entry VM has confirmed that it has no newer one, because
 // the list is unreachable for all. A peer that does not answer may have a newer
-// copy, and so may the not yet listed replacement of a removed one. After a pause of
+// copy, and so may the not yet listed replacement of a lost one. After a pause of
 // the process, the copy is not current until the list or the peers are read again.
 func (s *Service) UpstreamsCurrent(now time.Time) bool {
 	s.mu.RLock()
@@ -133,6 +137,11 @@
 	if entries.asOf.Sub(s.entryRemovedAt) <= maxReplacementTime && now.Sub(entries.asOf) < peerLostAfter {
 		return false
 	}
+	for id, at := range s.unlisted {
+		if !containsVM(entries.vms, id) && entries.asOf.Sub(at) <= maxReplacementTime && now.Sub(at) < peerLostAfter {
+			return false
+		}
+	}
 	for _, vm := range entries.vms {
 		if vm.ID != s.self && now.Sub(s.confirmedAt[vm.ID]) > confirmationTTL {
 			return false
@@ -141,6 +150,16 @@
 	return !entries.asOf.IsZero()
 }
 
+// RecordCaller records that an entry VM has called this node. It may be able to read the VM
+// list although this node's copy does not name it.
+func (s *Service) RecordCaller(id string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id != s.self && !containsVM(s.copies[backend.KindEntry].vms, id) {
+		s.unlisted[id] = now
+	}
+}
+
 func (s *Service) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.readList(ctx)
@@ -182,6 +201,11 @@
 		return
 	}
 	s.copies[kind] = c
+	if kind == backend.KindEntry {
+		maps.DeleteFunc(s.unlisted, func(id string, at time.Time) bool {
+			return containsVM(c.vms, id) || c.asOf.Sub(at) > maxReplacementTime
+		})
+	}
 	if kind == backend.KindEntry && slices.ContainsFunc(old.vms, func(vm backend.VM) bool { return !containsVM(c.vms, vm.ID) }) {
 		s.entryRemovedAt = c.asOf
 	}
--- a/pkg/requests/current_test.go
+++ b/pkg/requests/current_test.go
@@ -58,3 +58,48 @@
 		}
 	})
 }
+
+// TestUnlistedNodeMayHaveNewerVMList replaces an entry VM just before the other two lose the
+// VM list: their copy names the old VM, whose address refuses connections. The new VM can
+// still read the list. They must not rely on their copy, although all VMs that it names have
+// confirmed that they have no newer one or do not run.
+func TestUnlistedNodeMayHaveNewerVMList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3, 1, 20*time.Millisecond)
+		f.LoseEntry(2)
+		if err := f.Replace(t.Context(), 2, 1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		for i := range 2 {
+			f.CutPlatform(i, memsite.PlatformCut{VMList: true})
+			f.Net.SetBothLinks(f.Entries[i].Settings.ID, f.Entries[2].Settings.ID, memnet.Cut)
+		}
+		left := map[string]bool{}
+		f.VMs.Update(func(vms []backend.VM) []backend.VM {
+			for i := range vms {
+				if vms[i].Kind == backend.KindUpstream && i%2 == 0 {
+					vms[i].Leaving, left[vms[i].ID] = true, true
+				}
+			}
+			return vms
+		})
+		time.Sleep(2 * leaveWithin)
+		began := time.Now()
+		quote := api.Request{Account: "coopers", Service: "stave-desk", Class: "quote", Body: []byte("quote"), Timeout: time.Second}
+		for i := range 2 {
+			for _, failed := range f.loadAt(i, 40, time.Second, quote) {
+				if failed.err.Verdict != api.NotRun {
+					t.Errorf("sent after %s: %v", failed.sent, failed.err)
+				}
+			}
+		}
+		for id, u := range f.Upstreams {
+			for _, e := range u.Executions() {
+				if left[id] && e.At.After(began) {
+					t.Errorf("a request started on %s, which had left", id)
+				}
+			}
+		}
+	})
+}
--- a/pkg/requests/peers.go
+++ b/pkg/requests/peers.go
@@ -121,6 +121,7 @@
 func (h *handler) Hello(args *Hello, reply *HelloReply) error {
 	s := h.s
 	s.roster.recordContact(args.From, time.Now())
+	s.fleet.RecordCaller(args.From.ID, time.Now())
 	_, unlogged := s.table.UnloggedKeys(0)
 	reply.From, reply.Unlogged = s.members.Self(), unlogged
 	reply.View, _ = s.roster.view()
