--- a/pkg/dispatch/capacity_test.go
+++ b/pkg/dispatch/capacity_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/catalog"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
@@ -15,13 +16,9 @@
 	return 0, &backend.OrderError{Kind: backend.OrderUnanswered}
 }
 
-// setCapacity changes the number of accelerators in a worker's record, of which nothing tells
-// the engine.
+// setCapacity changes the number of accelerators in a worker's record.
 func (s *manualSite) setCapacity(worker string, accelerators int) {
-	workers := s.View().Workers
-	info := workers[worker]
-	info.Capacity.Accelerators = accelerators
-	workers[worker] = info
+	s.setRecord(worker, func(info *catalog.Worker) { info.Capacity.Accelerators = accelerators })
 }
 
 // A worker may shrink while the record of a plan is being written: only as much of the plan as
--- a/pkg/dispatch/manual_test.go
+++ b/pkg/dispatch/manual_test.go
@@ -38,13 +38,15 @@
 	now     time.Duration
 	workers map[string]*worker
 	orders  *unansweredOrders
+	// zonesOut are the zones of the view that are out.
+	zonesOut map[string]bool
 }
 
 // newManualSite returns a site with workers w0, w1 and so on, each at its own address.
 func newManualSite(t *testing.T, workers int) *manualSite {
 	t.Helper()
-	s := &manualSite{t: t, now: time.Hour, workers: map[string]*worker{}, orders: &unansweredOrders{listings: make(chan string, 100)}}
-	view := View{Config: &catalog.Config{}, Workers: map[string]catalog.Worker{}}
+	s := &manualSite{t: t, now: time.Hour, workers: map[string]*worker{}, zonesOut: map[string]bool{}, orders: &unansweredOrders{listings: make(chan string, 100)}}
+	view := View{Config: &catalog.Config{}, Workers: map[string]catalog.Worker{}, ZonesOut: s.zonesOut}
 	settings := Settings{LeaseDuration: 6 * time.Second, LeaseWindow: 12 * time.Second, MaxReclaimTime: 10 * time.Second, MaxConfigAge: time.Hour, MaxWorkersAge: time.Hour, MaxLedgerAge: time.Hour, GangStartTimeout: 3 * time.Second,
 		Election: election.Settings{StartWindow: time.Hour, RenewWindow: time.Hour}}
 	s.Engine = New(Inputs{Settings: settings, Orders: s.orders, Now: func() time.Duration { return s.now }, UnixMS: func() int64 { return s.now.Milliseconds() },
@@ -64,6 +66,14 @@
 	return s
 }
 
+// setRecord changes the record of a worker in the view, of which nothing tells the engine.
+func (s *manualSite) setRecord(worker string, change func(*catalog.Worker)) {
+	workers := s.View().Workers
+	info := workers[worker]
+	change(&info)
+	workers[worker] = info
+}
+
 // job submits a job of one step and returns its unit.
 func (s *manualSite) job(id string, step workload.Step) *unit {
 	step.Need = workload.Resources{Accelerators: 1}
