--- a/pkg/dispatch/manual_test.go
+++ b/pkg/dispatch/manual_test.go
@@ -38,15 +38,16 @@
 	now     time.Duration
 	workers map[string]*worker
 	orders  *unansweredOrders
-	// zonesOut are the zones of the view that are out.
+	// config and zonesOut are the configuration of the view and its zones that are out.
+	config   *catalog.Config
 	zonesOut map[string]bool
 }
 
 // newManualSite returns a site with workers w0, w1 and so on, each at its own address.
 func newManualSite(t *testing.T, workers int) *manualSite {
 	t.Helper()
-	s := &manualSite{t: t, now: time.Hour, workers: map[string]*worker{}, zonesOut: map[string]bool{}, orders: &unansweredOrders{listings: make(chan string, 100)}}
-	view := View{Config: &catalog.Config{}, Workers: map[string]catalog.Worker{}, ZonesOut: s.zonesOut}
+	s := &manualSite{t: t, now: time.Hour, workers: map[string]*worker{}, config: &catalog.Config{}, zonesOut: map[string]bool{}, orders: &unansweredOrders{listings: make(chan string, 100)}}
+	view := View{Config: s.config, Workers: map[string]catalog.Worker{}, ZonesOut: s.zonesOut}
 	settings := Settings{LeaseDuration: 6 * time.Second, LeaseWindow: 12 * time.Second, MaxReclaimTime: 10 * time.Second, MaxConfigAge: time.Hour, MaxWorkersAge: time.Hour, MaxLedgerAge: time.Hour, GangStartTimeout: 3 * time.Second,
 		Election: election.Settings{StartWindow: time.Hour, RenewWindow: time.Hour}}
 	s.Engine = New(Inputs{Settings: settings, Orders: s.orders, Now: func() time.Duration { return s.now }, UnixMS: func() int64 { return s.now.Milliseconds() },
