--- a/pkg/transport/drain_linux_test.go
+++ b/pkg/transport/drain_linux_test.go
@@ -34,12 +34,16 @@
 	if err != nil {
 		t.Fatalf("accept the queued connection: %v", err)
 	}
+	request := make([]byte, len("request"))
+	if _, err := io.ReadFull(server, request); err != nil || string(request) != "request" {
+		t.Errorf("the server got %q, %v", request, err)
+	}
 	io.WriteString(server, "answer")
 	server.Close()
 	if err := <-closed; err != nil {
 		t.Error(err)
 	}
-	if answer, err := io.ReadAll(caller); err != nil && string(answer) != "answer" {
+	if answer, err := io.ReadAll(caller); err != nil || string(answer) != "answer" {
 		t.Errorf("the caller got %q, %v", answer, err)
 	}
 	if late, err := net.Dial("tcp", l.Addr().String()); err == nil {
