Count the bytes of kept answers only as long as they are kept

The list of keys with answers grew for ever, and a dropped answer of a request that may have run said that it ran.

Tests that failed before: 589,824 bytes counted of 196,608 kept, 98,304 keys listed of 32,768; the message. Evicted keys now give their bytes back, the list is cut in front, and the message follows the verdict.

--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -131,10 +131,14 @@
 	for n := len(t.order); n > 0 && len(t.order) > maxEntries; n-- {
 		key := t.order[0]
 		t.order = t.order[1:]
-		if e := t.entries[key]; e.active || e.unlogged || e.phase == sent {
+		e := t.entries[key]
+		if e.active || e.unlogged || e.phase == sent {
 			t.order = append(t.order, key)
 			continue
 		}
+		if e.answerKept {
+			t.answerBytes -= len(e.answer.Body)
+		}
 		delete(t.entries, key)
 	}
 }
@@ -303,24 +307,33 @@
 	e.phase, e.answer, e.answerKept = ended, answer, true
 	t.answerOrder = append(t.answerOrder, key)
 	t.answerBytes += len(answer.Body)
-	for t.answerBytes > maxKeptAnswerBytes && len(t.answerOrder) > 1 {
+	for len(t.answerOrder) > 1 && (t.answerBytes > maxKeptAnswerBytes || !t.keepsAnswer(t.answerOrder[0])) {
 		t.dropAnswer(t.answerOrder[0])
 		t.answerOrder = t.answerOrder[1:]
 	}
 }
 
+// keepsAnswer reports whether the answer of a key is kept. It must be called with mu held.
+func (t *Table) keepsAnswer(key string) bool {
+	e := t.entries[key]
+	return e != nil && e.answerKept
+}
+
 // dropAnswer drops the body of an answer but keeps its verdict. It must be called with
 // mu held.
 func (t *Table) dropAnswer(key string) {
-	e := t.entries[key]
-	if e == nil || !e.answerKept {
+	if !t.keepsAnswer(key) {
 		return
 	}
+	e := t.entries[key]
 	t.answerBytes -= len(e.answer.Body)
-	verdict := e.answer.Verdict
+	verdict, known := e.answer.Verdict, "the request ran"
+	if verdict == api.MayHaveRun {
+		known = "the request may have run"
+	}
 	e.answerKept = false
 	e.answer.Body = ""
-	e.answer.Error = &api.Error{Code: api.CodeUnavailable, Message: "the request ran; its answer is no longer kept", Verdict: verdict}
+	e.answer.Error = &api.Error{Code: api.CodeUnavailable, Message: known + "; its answer is no longer kept", Verdict: verdict}
 }
 
 // Grant is the reply to a node that claims a key without the log.
