Say that a job does not exist only with a view of the log

The lookup took an empty state for the state. It now refuses as unavailable while the node cannot know.

--- a/pkg/frontdoor/callers.go
+++ b/pkg/frontdoor/callers.go
@@ -101,6 +101,10 @@
 		changed := s.journal.Changed()
 		status, ok := s.job(r.PathValue("id"))
 		if !ok {
+			if refusal := s.relay.CheckServe(time.Now()); refusal != nil {
+				writeError(w, refusal)
+				return
+			}
 			writeError(w, api.Errorf(api.CodeNotFound, "no job %q", r.PathValue("id")))
 			return
 		}
--- a/pkg/memsite/state_test.go
+++ b/pkg/memsite/state_test.go
@@ -393,6 +393,35 @@
 	})
 }
 
+// A node that does not know the state of the log must not say that a job does not exist.
+func TestNodeWithoutStateKnowsOfNoMissingJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, nil)
+		time.Sleep(5 * time.Second)
+		job, err := s.Client(0).SubmitJob(testCtx(t, maxUrgentStartDelay), gangSpec(t, 1, 300), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.LoseEntry(2)
+		s.Log.SetFaults(standin.LogFaults{Delay: time.Second})
+		if err := s.Replace(t.Context(), 2, 1); err != nil {
+			t.Fatal(err)
+		}
+		found := false
+		for range 100 {
+			_, err := s.Client(2).Job(testCtx(t, time.Second), job.ID)
+			found = found || err == nil
+			if err != nil && api.AsError(err, api.NotRun).Code != api.CodeUnavailable {
+				t.Errorf("status of a job that exists: %v", err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if !found {
+			t.Error("the job was not shown within 5s")
+		}
+	})
+}
+
 // Nodes that start have no slots until they have agreed on them. If the only other node that
 // has joined is stopping, its refusals say that a request did not run: it must be kept until
 // there are slots. Which node joins first differs from start to start.
