--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -150,7 +150,7 @@
 		e.crashes[w.info.Address] = c
 	}
 	for _, r := range suspects {
-		e.blame(r, alone, byItself)
+		e.countCrash(r, alone, byItself)
 	}
 }
 
@@ -185,16 +185,16 @@
 	}
 }
 
-// blame counts a crash that the run may have caused, and ends the job as failed after too
+// countCrash counts a crash that the run may have caused, and ends the job as failed after too
 // many of one task. A run counts once, though it may be on a further incarnation of its
 // worker. alone means that the run was the only suspect, byItself that the worker had crashed
 // without one shortly before.
-func (e *Engine) blame(r *run, alone, byItself bool) {
+func (e *Engine) countCrash(r *run, alone, byItself bool) {
 	u, j := r.task.unit, r.task.unit.job
-	if j.progress.Phase.Ended() || r.blamed {
+	if j.progress.Phase.Ended() || r.crashCounted {
 		return
 	}
-	r.blamed = true
+	r.crashCounted = true
 	if j.progress.Crashes == nil {
 		j.progress.Crashes = map[int]ledger.CrashCount{}
 	}
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -21,7 +21,7 @@
 }
 
 // Only what started shortly before a crash may have caused it.
-func TestCrashIsNotBlamedOnWhatHasRunForLong(t *testing.T) {
+func TestCrashDoesNotCountForWhatHasRunForLong(t *testing.T) {
 	s := newManualSite(t, 1)
 	old, fresh := s.job("old", workload.Step{Count: 1}), s.job("new", workload.Step{Count: 1})
 	s.start(old, 0, "w0")
@@ -33,9 +33,9 @@
 	s.expectCount(fresh, 0, 1, 1)
 }
 
-// A crash with several possible causes must not convict any of them, however often it
+// A crash with several possible causes must end no job, however often it
 // happens; members of one gang are one cause.
-func TestCrashWithSeveralSuspectsConvictsNone(t *testing.T) {
+func TestCrashesWithSeveralSuspectsEndNoJob(t *testing.T) {
 	s := newManualSite(t, 1)
 	a, b := s.job("a", workload.Step{Count: 1}), s.job("b", workload.Step{Count: 1})
 	for i := range 6 {
@@ -56,7 +56,7 @@
 	s.expectCount(gang, 1, 1, 1)
 }
 
-// Crashes under different members must not convict a gang: one that is on many workers is
+// Crashes under different members must not end the job of a gang: one that is on many workers is
 // often on some that crash.
 func TestGangIsNotGivenUpForCrashesUnderDifferentMembers(t *testing.T) {
 	s := newManualSite(t, 2)
@@ -81,7 +81,7 @@
 }
 
 // What was ordered after a worker's connections broke cannot have crashed it.
-func TestCrashIsNotBlamedOnWhatWasOrderedAfterIt(t *testing.T) {
+func TestCrashDoesNotCountForWhatWasOrderedAfterIt(t *testing.T) {
 	s := newManualSite(t, 1)
 	cause, late, early := s.job("cause", workload.Step{Count: 1}), s.job("late", workload.Step{Count: 1}), s.job("early", workload.Step{Count: 1})
 	s.start(early, 0, "w0")
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -147,8 +147,8 @@
 	// not. survived means that it still did crashWindow later.
 	firstSeenClockMS int64
 	survived         bool
-	// blamed means that a crash has been counted for the run.
-	blamed bool
+	// crashCounted means that a crash has been counted for the run.
+	crashCounted bool
 }
 
 // isRepresentative reports whether the run covers its task's work from the start, at
