--- a/pkg/requests/current_test.go
+++ b/pkg/requests/current_test.go
@@ -11,6 +11,20 @@
 	"github.com/shallotpin/shallotpin/pkg/memsite"
 )
 
+// leaveHalf lists half of the upstreams as leaving and returns their IDs.
+func (f *fixture) leaveHalf() map[string]bool {
+	left := map[string]bool{}
+	f.VMs.Update(func(vms []backend.VM) []backend.VM {
+		for i := range vms {
+			if vms[i].Kind == backend.KindUpstream && i%2 == 0 {
+				vms[i].Leaving, left[vms[i].ID] = true, true
+			}
+		}
+		return vms
+	})
+	return left
+}
+
 // TestReconnectedNodeRechecksUpstream makes upstreams leave while an entry VM is
 // isolated from the VM list and from the other nodes. Requests that reach it shortly
 // before it reads the list again wait, and must not be sent to an upstream that was
@@ -24,15 +38,7 @@
 			f.Net.SetBothLinks("entry-0", "entry-2", fault)
 		}
 		cut(memnet.Cut)
-		left := map[string]bool{}
-		f.VMs.Update(func(vms []backend.VM) []backend.VM {
-			for i := range vms {
-				if vms[i].Kind == backend.KindUpstream && i%2 == 0 {
-					vms[i].Leaving, left[vms[i].ID] = true, true
-				}
-			}
-			return vms
-		})
+		left := f.leaveHalf()
 		time.Sleep(2 * leaveWithin)
 		began := time.Now()
 		time.AfterFunc(time.Second, func() { cut(memnet.Healthy) })
@@ -75,15 +81,7 @@
 			f.CutPlatform(i, memsite.PlatformCut{VMList: true})
 			f.Net.SetBothLinks(f.Entries[i].Settings.ID, f.Entries[2].Settings.ID, memnet.Cut)
 		}
-		left := map[string]bool{}
-		f.VMs.Update(func(vms []backend.VM) []backend.VM {
-			for i := range vms {
-				if vms[i].Kind == backend.KindUpstream && i%2 == 0 {
-					vms[i].Leaving, left[vms[i].ID] = true, true
-				}
-			}
-			return vms
-		})
+		left := f.leaveHalf()
 		time.Sleep(2 * leaveWithin)
 		began := time.Now()
 		quote := api.Request{Account: "coopers", Service: "stave-desk", Class: "quote", Body: []byte("quote"), Timeout: time.Second}
