--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -22,8 +22,8 @@
 	// not put down to it: a task that crashes workers does so soon after its start.
 	crashWindow = 2 * time.Second
 	// maxCrashes is after how many crashes in a row a task is given up, if nothing else can
-	// have caused minCrashesAlone of them. The platform allows to give up after two, and
-	// forbids the third start after three: two more may go unnoticed by changing leaders.
+	// have caused minCrashesAlone of them. The platform allows it after two crashes and forbids
+	// the third start after three, so that two more may go unnoticed while leaders change.
 	maxCrashes      = 3
 	minCrashesAlone = 2
 	// maxExcusedCrashes is how many crashes in a row are not put down to a task because its
