--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -286,14 +286,14 @@
 	const (
 		cutTime = 4500 * time.Millisecond
 		work    = 10 * time.Second
-		jobs    = 3
-		tasks   = 400
+		jobs    = 12
+		tasks   = 100
 	)
 	if err := begin(s, "aaaaaa", 3, 1); err != nil {
 		return false, err
 	}
 	s.rec.quiet = true
-	id := func(n int) string { return fmt.Sprintf("00000000000002a%d", n) }
+	id := func(n int) string { return fmt.Sprintf("0000000000002a%02d", n) }
 	var firstAt time.Time
 	for n := range jobs {
 		s.setWork(id(n), 0, work, 0)
@@ -304,7 +304,7 @@
 			firstAt = time.Now()
 		}
 		// Without the cut, the ends of one job only come together.
-		time.Sleep(time.Second)
+		time.Sleep(150 * time.Millisecond)
 		if !waitFor(3*time.Second, func() bool { started, _ := s.rec.count(id(n)); return started == tasks }) {
 			return false, fmt.Errorf("%w: not all tasks were started", errSetup)
 		}
@@ -319,6 +319,9 @@
 		}
 		e.mu.Unlock()
 	}
+	if most < jobs*tasks {
+		return false, fmt.Errorf("%w: the tasks are on several executors", errSetup)
+	}
 	if trouble {
 		time.Sleep(time.Until(firstAt.Add(work - 2*time.Second)))
 		// The cut begins just after a hold has arrived, so that no lease lapses.
