review: a lasting task is not replaced while its job has another run (case 4)

Two tasks that last fill the rack with their data; one executor of fourteen is emptied and taken away. Its task is never started on another rack, though twelve executors are empty. It takes the place of the case with steady traffic, which has the same cause.

--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -348,54 +348,59 @@
 	return s.rec.restartsAfterDone() > 0, nil
 }
 
-// playRack fills one of three racks with tasks that last, and hands in another job that
-// lasts and has its data there. Small jobs keep coming. The other racks are empty.
+// playRack runs two tasks that last on the two executors of the rack with their data, and
+// takes one of the executors away. All other executors are empty.
 func playRack(s *site, trouble bool) (bool, error) {
 	const (
-		first  = "00000000000003a1"
-		second = "00000000000003a2"
-		watch  = 40 * time.Second
+		id    = "00000000000003a1"
+		watch = 40 * time.Second
 	)
-	if err := begin(s, "aaaaaa", 3, 1); err != nil {
+	if err := begin(s, "aaaaaaaaaaaaaa", 3, 1); err != nil {
 		return false, err
 	}
 	rack := s.executors[0].rack
-	s.setWork(first, 0, time.Hour, 0)
-	s.setWork(second, 0, time.Hour, 0)
-	if !s.submit(first, job{Spec: "first", Steps: []step{{Count: 2, Cpu: 8000, MemMb: 8000, Gpu: 8, EstMs: 1000, DataRack: rack, LongRunning: true}}}) {
+	s.setWork(id, 0, time.Hour, 0)
+	if !s.submit(id, job{Spec: "lasting", Steps: []step{{Count: 2, Cpu: 8000, MemMb: 8000, Gpu: 8, EstMs: 1000, DataRack: rack, LongRunning: true}}}) {
 		return false, fmt.Errorf("%w: no job accepted", errSetup)
 	}
-	if !waitFor(10*time.Second, func() bool { started, _ := s.rec.count(first); return started == 2 }) {
-		return false, fmt.Errorf("%w: the rack was not filled", errSetup)
-	}
-	time.Sleep(time.Second)
-	if !s.submit(second, job{Spec: "second", Steps: []step{{Count: 1, Cpu: 4000, MemMb: 4000, Gpu: 1, EstMs: 1000, DataRack: rack, LongRunning: true}}}) {
-		return false, fmt.Errorf("%w: no job accepted", errSetup)
+	if !waitFor(10*time.Second, func() bool { started, _ := s.rec.count(id); return started == 2 }) {
+		return false, fmt.Errorf("%w: the tasks were not started", errSetup)
 	}
-	accepted := time.Now()
-	begun := func() bool { started, _ := s.rec.count(second); return started > 0 }
-	for n := 0; time.Since(accepted) < watch && !begun(); n++ {
-		if trouble {
-			id := fmt.Sprintf("0000000000000b%02d", n)
-			s.setWork(id, 0, 300*time.Millisecond, 0)
-			if !s.submit(id, job{Spec: "small", Steps: []step{{Count: 1, Cpu: 1000, MemMb: 1000, EstMs: 300}}}) {
-				return false, fmt.Errorf("%w: no job accepted", errSetup)
+	time.Sleep(3 * time.Second)
+	if trouble {
+		s.executors[0].leave(3 * time.Second)
+	}
+	// running returns how many executors run each task of the job.
+	running := func(task string) bool {
+		for _, e := range s.executors {
+			e.mu.Lock()
+			_, found := e.runs[task]
+			e.mu.Unlock()
+			if found {
+				return true
+			}
+		}
+		return false
+	}
+	var missing [2]time.Duration
+	var since [2]time.Time
+	for begun := time.Now(); time.Since(begun) < watch; time.Sleep(200 * time.Millisecond) {
+		for i := range since {
+			if running(fmt.Sprintf("%s.0.0.%d", id, i)) {
+				since[i] = time.Time{}
+			} else if since[i].IsZero() {
+				since[i] = time.Now()
+			} else {
+				missing[i] = max(missing[i], time.Since(since[i]))
 			}
 		}
-		time.Sleep(time.Second)
 	}
-	waited := time.Since(accepted)
 	for _, e := range s.executors {
 		e.mu.Lock()
-		s.rec.log("executor %s in rack %s has %d runs", e.name, e.rack, len(e.runs))
+		s.rec.log("executor %s in rack %s: up %v, %d runs", e.name, e.rack, e.up, len(e.runs))
 		e.mu.Unlock()
 	}
-	s.rec.log("the second job: state %q, begun %v, watched for %v", s.state(second), begun(), waited.Round(100*time.Millisecond))
-	if trouble && !begun() {
-		s.rec.log("no more small jobs come")
-		again := time.Now()
-		waitFor(20*time.Second, begun)
-		s.rec.log("begun %v, %v later", begun(), time.Since(again).Round(100*time.Millisecond))
-	}
-	return waited >= watch, nil
+	s.rec.log("the job: state %q; its tasks were without a run for at most %v and %v on end", s.state(id), missing[0].Round(100*time.Millisecond), missing[1].Round(100*time.Millisecond))
+	// Three seconds on end count from six seconds after a task's last run.
+	return max(missing[0], missing[1]) > 9*time.Second, nil
 }
--- a/review/standins/executor.go
+++ b/review/standins/executor.go
@@ -41,6 +41,7 @@
 	changed        chan struct{}
 	lastLongHoldAt time.Time
 	unhealthyUntil time.Time
+	leavesAt       time.Time
 	listener       net.Listener
 	// cut is non-nil while the executor is cut off from the system's machines, and closed
 	// when that ends.
@@ -110,7 +111,11 @@
 func (e *executor) beat() {
 	e.seq++
 	e.lastBeat = time.Now()
-	value, err := json.Marshal(map[string]any{"Service": serviceName, "Addr": e.addr, "Zone": e.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0,
+	state := "ready"
+	if !e.leavesAt.IsZero() {
+		state = "draining"
+	}
+	value, err := json.Marshal(map[string]any{"Service": serviceName, "Addr": e.addr, "Zone": e.zone, "Version": "v1", "Slots": 8, "State": state, "ColdLeftMs": 0, "RemainingMs": max(0, time.Until(e.leavesAt).Milliseconds()),
 		"Capacity": map[string]int{"Cpu": e.cpu, "MemMb": e.mem, "Gpu": e.gpu}, "Labels": []string{e.kind, e.rack}, "ClockMs": e.clock(), "Seq": e.seq, "born": e.born.UnixMilli()})
 	if err != nil {
 		panic(err)
@@ -415,6 +420,29 @@
 	return c.Conn.Close()
 }
 
+// leave drains the executor, which then leaves for good.
+func (e *executor) leave(after time.Duration) {
+	e.mu.Lock()
+	e.leavesAt = time.Now().Add(after)
+	e.beat()
+	e.mu.Unlock()
+	e.site.rec.log("executor %s is draining", e.name)
+	time.Sleep(after)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.runs {
+		e.site.rec.ended(e, r, "terminated")
+	}
+	e.up = false
+	e.runs = map[string]*run{}
+	e.listener.Close()
+	for c := range e.conns {
+		c.Close()
+	}
+	e.site.store.put("keyed.servers", e.id, nil)
+	e.site.rec.log("executor %s has left", e.name)
+}
+
 // restartBehindCut cuts the executor off for a while; it crashes behind the cut and starts
 // again there.
 func (e *executor) restartBehindCut(d time.Duration) {
--- a/review/standins/site.go
+++ b/review/standins/site.go
@@ -108,7 +108,7 @@
 func (s *site) addExecutor(kind string) (*executor, error) {
 	n := len(s.executors)
 	zones := []string{"z1", "z2", "z3"}
-	e := &executor{site: s, name: fmt.Sprintf("w%d-", n), zone: zones[n%3], rack: fmt.Sprintf("r%d-1", n%3), kind: kind, cpu: 64000, mem: 262144, gpu: 8, conns: map[net.Conn]bool{}}
+	e := &executor{site: s, name: fmt.Sprintf("w%d-", n), zone: zones[n%3], rack: fmt.Sprintf("r%d-%d", n%3, n/6), kind: kind, cpu: 64000, mem: 262144, gpu: 8, conns: map[net.Conn]bool{}}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.start(); err != nil {
