--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # standard library only.
 set -euo pipefail
 cd "$(dirname "$0")/standins"
-GOTOOLCHAIN=local GOFLAGS=-buildvcs=false go build -o ../bin/standins .
+GOTOOLCHAIN=local GOFLAGS=-buildvcs=false go build -trimpath -ldflags='-s -w' -o ../bin/standins .
