dispatch: keep calling workers that were given up until they answer

What callers saw: a worker that had been out of reach for 5.5 s got no work any more while the same node led.

Cause: nothing starts on a worker with a call unanswered for more than 2 s, which only an answer ends. A worker that was given up had no runs left and counted as known in this term, so that nothing called it any more: silence was given no end.

Evidence: the leader's log of the case ends with `worker lost` ("its leases have ended and it does not answer"); no call follows, although the worker is listed as ready. Ruled out: the platform's list, a dead connection (no call is made at all), the quarantine (12 s at most).

Change: a listed worker with an unanswered call is called until it answers, each 1.3 s once it has no runs; one that has left or was replaced is not. Since calls go on, ends that are handled but not recorded are no longer acknowledged when a worker is given up: the next leader could not have heard of them. Nor does giving up count as an answer, so that what an earlier leader started there is waited for until its leases have ended. Related paths that ended in the same state: an unanswered request for a listing of an idle worker, and unanswered starts.

--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -71,6 +71,10 @@
 	// failed; only unresolved starts are left; or ended runs are not recorded in the
 	// ledger yet, and the worker would list them again at once.
 	renewalRetryDelay = 300 * time.Millisecond
+	// returnCallInterval is the time between two calls to a worker that has no runs and does
+	// not answer: it gets work again within two seconds of its return, and the calls to many
+	// such workers cost less than renewals.
+	returnCallInterval = 1300 * time.Millisecond
 	// minPlanInterval is the least time between two plans, so that events are batched.
 	minPlanInterval = 15 * time.Millisecond
 	// planIdleFactor is the least time between two plans as a multiple of the last
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -33,15 +33,15 @@
 	return n
 }
 
-// checkWorkers renews leases that are due, gives up unresponsive workers whose leases
+// checkWorkers renews leases that are due, ends the runs of unresponsive workers whose leases
 // have ended, and deletes workers that are gone.
 func (e *Engine) checkWorkers(now time.Duration) {
 	for key, w := range e.workers {
 		if len(w.runs) > 0 && now > w.leaseEnd && w.isUnresponsive(now) {
-			e.loseWorker(w, "its leases have ended and it does not answer")
+			e.loseRuns(w, "its leases have ended and it does not answer")
 		}
 		e.renewIfDue(w, now)
-		if !w.listed && len(w.runs) == 0 && w.endsAcknowledged >= w.endsHandled {
+		if !w.listed && len(w.runs) == 0 && (w.endsAcknowledged >= w.endsHandled || w.isUnresponsive(now)) {
 			delete(e.workers, key)
 		}
 	}
@@ -85,9 +85,13 @@
 // needsRenewal reports whether the engine has to renew the worker's leases or needs its
 // listing.
 func (w *worker) needsRenewal() bool {
-	return len(w.runs) > 0 || len(w.orphans) > 0 || w.endsAcknowledged < w.endsHandled || w.listed && !w.fenced && !w.replaced
+	return len(w.runs) > 0 || len(w.orphans) > 0 || w.endsAcknowledged < w.endsHandled || w.listed && !w.replaced && (!w.fenced || w.mayReturn())
 }
 
+// mayReturn reports whether the worker has no runs and has left a call unanswered: it gets no
+// work until it answers one.
+func (w *worker) mayReturn() bool { return len(w.runs) == 0 && w.unansweredSince != 0 }
+
 // renewNow sends a renewal, due or not, if none is in flight.
 func (e *Engine) renewNow(w *worker) {
 	now := e.Now()
@@ -221,6 +225,9 @@
 	}
 	if err != nil {
 		w.renewalDue = now + renewalRetryDelay
+		if w.fenced && w.mayReturn() {
+			w.renewalDue = max(w.renewalDue, sent+returnCallInterval)
+		}
 		e.onOrderError(w, err)
 		return
 	}
@@ -364,20 +371,26 @@
 	}
 }
 
-// loseWorker treats all runs of a worker as ended.
-func (e *Engine) loseWorker(w *worker, why string) {
+// loseRuns treats all runs of a worker as ended. The worker may still be there: what it lists
+// once it answers counts.
+func (e *Engine) loseRuns(w *worker, why string) {
 	if len(w.runs) > 0 || w.listed {
 		klog.InfoS("dispatch: worker lost", "worker", w.info.ID, "why", why, "runs", len(w.runs), "silent", e.Now()-w.answeredAt)
 	}
 	for _, r := range w.runs {
 		e.removeRun(r, workerLostPrefix+why)
 	}
+	e.needsPlan = true
+}
+
+// loseWorker gives up a worker for good, since another incarnation is in its place.
+func (e *Engine) loseWorker(w *worker, why string) {
+	e.loseRuns(w, why)
 	w.fenced = true
 	w.endsRecorded, w.endsAcknowledged = w.endsHandled, w.endsHandled
 	if current, known := e.view.Workers[w.info.ID]; !known || workerKey(current) != w.key {
 		w.listed = false
 	}
-	e.needsPlan = true
 }
 
 // removeRun releases the resources of a run that has ended or never began.
