dispatch: conclude nothing from a listing that may lack ends

Cause: the platform returns the ends of a worker's runs 500 at a time. An active run that was in neither list was taken for gone, although its end was on a later page, and its task was planned again.

Evidence: in the leader's log of the case 700 of 1,200 runs end at one moment with "the worker no longer lists it"; their ends are listed some 30 ms later, after the new starts. Ruled out: ends that are acknowledged before they are handled; leases that ended.

Until a listing holds all, no run is concluded to be gone, a start is not taken for one that was not carried out, a confirmed stop not for a run that never began, and a new leader does not take the worker's runs for known. Related: the answer to a start no longer counts as a listing; another incarnation may give it.

--- a/pkg/backend/orders.go
+++ b/pkg/backend/orders.go
@@ -97,8 +97,11 @@
 	// the worker did not report it. It distinguishes incarnations with the same ID.
 	IncarnationStartMS int64
 	Active             []ActiveRun
-	// Ended holds the ended runs that no renewal has acknowledged yet.
+	// Ended holds the ended runs that no renewal has acknowledged yet, or the first of them.
 	Ended []EndedRun
+	// MoreEnds means that there may be further ended runs, which the worker reports once these
+	// are acknowledged: a run in neither list may have ended.
+	MoreEnds bool
 }
 
 // OrderErrorKind classifies failures of orders.
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -170,8 +170,8 @@
 	info catalog.Worker
 	// listed means that the platform's list has the worker.
 	listed bool
-	// fenced means that the worker has answered in this term: it rejects calls of
-	// earlier leaders, and its runs are known.
+	// fenced means that the worker has answered in this term and listed all that it has: it
+	// rejects calls of earlier leaders, and its runs and ends are known.
 	fenced bool
 	// replaced means that another incarnation has answered in the worker's place. The
 	// platform may list the old one for a while.
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -69,7 +69,6 @@
 	}
 	if err == nil {
 		w.noteAnswer(now)
-		w.fenced = true
 		e.updateClockOffset(w, clockMS)
 		if r.phase == runStarting {
 			r.activate(0, now)
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -264,10 +264,15 @@
 		}
 	}
 	if isNewest {
-		e.checkMissing(w, listed, sent)
+		if !reply.MoreEnds {
+			e.checkMissing(w, listed, sent)
+		}
 		e.throttleBestEffort(w)
 	}
-	if !w.fenced {
+	if reply.MoreEnds {
+		klog.InfoS("dispatch: worker may have more ends to list", "worker", w.info.ID, "active", len(reply.Active), "ended", len(reply.Ended), "runs", len(w.runs))
+	}
+	if !w.fenced && !reply.MoreEnds {
 		w.fenced = true
 		klog.V(1).InfoS("dispatch: worker answered in this term", "worker", w.info.ID, "active", len(reply.Active), "ended", len(reply.Ended))
 	}
@@ -284,8 +289,8 @@
 	e.renewIfDue(w, now)
 }
 
-// checkMissing resolves runs that are missing from a listing requested at sent although
-// the worker would list them.
+// checkMissing resolves runs that are missing from a listing with all ends, requested at sent,
+// although the worker would list them.
 func (e *Engine) checkMissing(w *worker, listed map[backend.RunID]bool, sent time.Duration) {
 	for _, r := range w.runs {
 		if listed[r.id] {
--- a/pkg/simsite/workers.go
+++ b/pkg/simsite/workers.go
@@ -46,6 +46,8 @@
 	StopTime time.Duration
 	// GangStartTimeout bounds how long a run waits for the rest of its gang.
 	GangStartTimeout time.Duration
+	// EndsPerListing is how many ended runs a listing holds at most; 0 means no limit.
+	EndsPerListing int
 	// Prerequisites lists the tasks that must be done before a unit may start.
 	Prerequisites map[workload.UnitID][]workload.TaskID
 	// Tickets are the tickets that starts need, by unit and worker. Units without an
@@ -459,6 +461,9 @@
 	}
 	defer f.mu.Unlock()
 	reply := backend.Listing{ClockMS: w.clock(), IncarnationStartMS: w.Info.StartedMS, Ended: slices.Clone(w.ended)}
+	if limit := f.EndsPerListing; limit > 0 && len(reply.Ended) >= limit {
+		reply.Ended, reply.MoreEnds = reply.Ended[:limit], true
+	}
 	for _, r := range w.runs {
 		reply.Active = append(reply.Active, backend.ActiveRun{Run: r.id, Percent: r.progressPercent, Load: w.load(r)})
 	}
