dispatch: find the start time in worker keys whose ID contains an @

What callers saw: nothing yet; found while looking for odd entries. A worker key is the worker's ID and its start time. An ID with an @, which other writers of the list may choose, was cut at the first one, so that the start time read as 0 and the key as one of another worker.

Change: the key is cut at the last @. TestWorkerKeysOfAnyID failed before.

--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -19,17 +19,14 @@
 // incarnations share, and the start time.
 func workerKey(w catalog.Worker) string { return w.ID + "@" + strconv.FormatInt(w.StartedMS, 10) }
 
-func workerID(key string) string {
-	id, _, _ := strings.Cut(key, "@")
-	return id
-}
+// workerID returns the ID in a worker key. The ID may contain any character.
+func workerID(key string) string { return key[:max(0, strings.LastIndex(key, "@"))] }
 
 // incarnationStartMS returns the start time in a worker key, in Unix milliseconds; 0 if
 // the platform did not report it.
 func incarnationStartMS(key string) int64 {
-	_, startMS, _ := strings.Cut(key, "@")
 	// The conversion cannot fail, since workerKey makes all keys.
-	n, _ := strconv.ParseInt(startMS, 10, 64)
+	n, _ := strconv.ParseInt(key[strings.LastIndex(key, "@")+1:], 10, 64)
 	return n
 }
 
