dispatch: log workers that do not answer

What operators saw: a worker that cannot be called, for example because its entry names a port that nobody listens on, was called again and again without a line in the log.

Change: one line for each silence, with the address, the last error, the time since the last answer and the number of runs. TestSilentWorkerIsLoggedOnce failed before.

--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -187,6 +187,10 @@
 	answeredAt time.Duration
 	// unansweredSince is when the earliest unanswered call was sent, 0 if there is none.
 	unansweredSince time.Duration
+	// lastError is the error of the newest call that was not answered, nil after an answer.
+	// silenceLogged means that the silence has been logged.
+	lastError     error
+	silenceLogged bool
 	// brokenAt is when a call first failed since the last answer because the worker closed
 	// or refused the connection, 0 if none has.
 	brokenAt time.Duration
@@ -242,15 +246,17 @@
 // noteAnswer records that the worker has answered a call.
 func (w *worker) noteAnswer(now time.Duration) {
 	w.answeredAt, w.unansweredSince, w.brokenAt = now, 0, 0
-	w.silence = silence{}
+	w.silence, w.lastError, w.silenceLogged = silence{}, nil, false
 }
 
 // noteError records a failed call.
 func (w *worker) noteError(err *backend.OrderError, now time.Duration) {
-	switch {
-	case err.Kind != backend.OrderUnanswered:
+	if err.Kind != backend.OrderUnanswered {
 		w.noteAnswer(now)
-	case err.Broken && w.brokenAt == 0:
+		return
+	}
+	w.lastError = err
+	if err.Broken && w.brokenAt == 0 {
 		w.brokenAt = now
 	}
 }
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -34,6 +34,10 @@
 // have ended, and deletes workers that are gone.
 func (e *Engine) checkWorkers(now time.Duration) {
 	for key, w := range e.workers {
+		if w.isUnresponsive(now) && !w.silenceLogged {
+			w.silenceLogged = true
+			klog.InfoS("dispatch: worker does not answer", "worker", w.info.ID, "address", w.info.Address, "silent", now-w.answeredAt, "runs", len(w.runs), "err", w.lastError)
+		}
 		if len(w.runs) > 0 && now > w.leaseEnd && w.isUnresponsive(now) {
 			e.loseRuns(w, "its leases have ended and it does not answer")
 		}
--- a/pkg/entry/logs_test.go
+++ b/pkg/entry/logs_test.go
@@ -29,13 +29,16 @@
 }
 
 // linesOf returns the lines that name a job.
-func (l *logs) linesOf(job string) string {
+func (l *logs) linesOf(job string) string { return l.linesWith(`job="` + job + `"`) }
+
+// linesWith returns the lines that contain a text.
+func (l *logs) linesWith(part string) string {
 	klog.Flush()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var lines []string
 	for line := range strings.Lines(l.text.String()) {
-		if strings.Contains(line, `job="`+job+`"`) {
+		if strings.Contains(line, part) {
 			lines = append(lines, line)
 		}
 	}
@@ -109,3 +112,21 @@
 		})
 	}
 }
+
+// A worker that cannot be reached must be logged with the error, once until it answers.
+func TestSilentWorkerIsLoggedOnce(t *testing.T) {
+	l := captureLogs(t)
+	runSite(t, 3, 2, func(s *site) {
+		s.submit(normalQueue, uniform(task(8), time.Minute, 0), workload.Step{Count: 2, Need: task(8), EstimateMS: 60000})
+		time.Sleep(time.Second)
+		s.fleet.Update(func() { s.workers[0].CutOff = true })
+		time.Sleep(20 * time.Second)
+		s.fleet.Update(func() { s.workers[0].CutOff = false })
+		time.Sleep(2 * time.Second)
+	})
+	for _, want := range []string{`"dispatch: worker does not answer" worker="w00" address="a00" silent=.* runs=1 err="order: unanswered: worker did not reply"`, `"dispatch: worker answers again" worker="w00"`} {
+		if got := len(regexp.MustCompile(want).FindAllString(l.linesWith(`worker="w00"`), -1)); got != 1 {
+			t.Errorf("%d lines match %s, want 1", got, want)
+		}
+	}
+}
