dispatch: stop the second run of a task once its first has completed it

What callers saw: capacity in use for nothing. A worker is given up while out of reach, and its task is started elsewhere. Once the worker is back, it lists that the first run ended as done: the task counts as done, but its second run went on to its end.

Change: runs of such a task, and of its gang, with another number are stopped. Members of the gang that completed end by themselves, as before.

TestRunOfATaskThatIsDoneIsStopped failed before.

--- a/pkg/dispatch/lostwork.go
+++ b/pkg/dispatch/lostwork.go
@@ -18,6 +18,7 @@
 var (
 	stopPreempted      = stopReason{"preempted", "preempted for another job"}
 	stopJobEnded       = stopReason{"job-ended", "the job ended"}
+	stopTaskDone       = stopReason{"task-done", "an earlier run has completed the task"}
 	stopDraining       = stopReason{"draining", "its worker is draining"}
 	stopGangDraining   = stopReason{"draining", "gang: the worker of a member is draining"}
 	stopStalled        = stopReason{"stalled", "no progress"}
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -218,6 +218,7 @@
 		switch end.Outcome {
 		case backend.OutcomeDone:
 			e.taskDone(t, r)
+			e.stopOtherRuns(t, end.Run.Number)
 		case backend.OutcomeFailed:
 			e.taskFailed(t, w, end.Run.Number)
 		}
@@ -231,6 +232,23 @@
 	}
 }
 
+// stopOtherRuns stops the runs of a task that is done, and of its gang, other than the run with
+// the given number, which has completed it: they were started while that one was out of reach.
+func (e *Engine) stopOtherRuns(t *task, number int64) {
+	if !t.done {
+		return
+	}
+	tasks := []*task{t}
+	if t.unit.step.Gang {
+		tasks = t.unit.tasks
+	}
+	for _, other := range tasks {
+		if other.run != nil && other.run.id.Number != number {
+			e.stopRun(other.run, stopTaskDone)
+		}
+	}
+}
+
 // taskDone records that a task has completed. A gang is complete as soon as one of its
 // members is.
 func (e *Engine) taskDone(t *task, r *run) {
--- a/pkg/dispatch/silence_test.go
+++ b/pkg/dispatch/silence_test.go
@@ -179,3 +179,39 @@
 		t.Errorf("quarantined until %s with %d failures, want %s and %d as before the silence", w.quarantinedUntil, w.failures, until, maxQuarantineFactor)
 	}
 }
+
+// A task that is started again because its worker was given up, and whose first run then turns out
+// to have ended as done, must not go on: its work is needless. A gang's present run is one whole.
+func TestRunOfATaskThatIsDoneIsStopped(t *testing.T) {
+	for name, step := range map[string]workload.Step{"single": {Count: 1}, "gang": {Count: 2, Gang: true}} {
+		t.Run(name, func(t *testing.T) {
+			s := newManualSite(t, 2)
+			u := s.job("u", step)
+			other := s.job("other", workload.Step{Count: 1})
+			first := s.start(u, 0, "w0").id
+			s.silence("w0")
+			u.aborting = false
+			second := s.start(u, 0, "w1")
+			unrelated := s.start(other, 0, "w1")
+			s.onRunEnded(s.workers["w0"], backend.EndedRun{Number: 1, Run: first, Outcome: backend.OutcomeDone})
+			if second.phase != runStopping {
+				t.Errorf("the second run of a task that is done is %s, want stopping", second.phase)
+			}
+			if unrelated.phase != runActive {
+				t.Errorf("the run of another task is %s", unrelated.phase)
+			}
+		})
+	}
+}
+
+// The members of a gang that completes list their ends one by one: those that still run end by
+// themselves.
+func TestMembersOfACompletedGangAreNotStopped(t *testing.T) {
+	s := newManualSite(t, 2)
+	u := s.job("u", workload.Step{Count: 2, Gang: true})
+	first, second := s.start(u, 0, "w0"), s.start(u, 1, "w1")
+	s.onRunEnded(s.workers["w0"], backend.EndedRun{Number: 1, Run: first.id, Outcome: backend.OutcomeDone})
+	if second.phase != runActive {
+		t.Errorf("the other member is %s, want active", second.phase)
+	}
+}
