dispatch: do not let long-running tasks wait for their data's rack for good

Cause: a unit may leave its data's rack once ample capacity has been seen for 2 s, which was not counted while its job had runs or while jobs kept arriving. The other tasks of the job last, so the wait had no end.

Evidence: found by reading; no trace of the case was taken. The headroom is no cause, as long-running tasks may use it.

Change: for long-running tasks neither condition holds, and capacity is ample if they fit twice over, however full the site is.

--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -125,14 +125,16 @@
 	return e.settled
 }
 
-// trackAmpleCapacity records since when units of jobs without any run wait although
-// free capacity is ample. It does not count the time while jobs keep arriving, since a
-// rack is then likely to come free sooner than a gang that spans racks would complete.
+// trackAmpleCapacity records since when units wait although free capacity is ample. It counts
+// the time of units of jobs without any run, and not while jobs keep arriving, since a rack is
+// then likely to come free sooner than a gang that spans racks would complete. Neither holds for
+// long-running tasks: what keeps the rack from them may never end.
 func (e *Engine) trackAmpleCapacity(pool []*placement.Worker, waiting []*placement.Unit, plan placement.Plan, now time.Duration) {
 	for _, pu := range waiting {
 		u := e.unitOf(pu.ID)
+		mayWait := !pu.LongRunning && (now-e.lastJobAt < minArrivalGap || u.job.hasRuns())
 		switch {
-		case now-e.lastJobAt < minArrivalGap || !slices.Contains(plan.Unplaced, pu.ID) || slices.Contains(plan.OverQuota, pu.ID) || u.job.hasRuns() || !placement.HasAmpleCapacity(pool, pu):
+		case mayWait || !slices.Contains(plan.Unplaced, pu.ID) || slices.Contains(plan.OverQuota, pu.ID) || !placement.HasAmpleCapacity(pool, pu):
 			u.ampleCapacitySince = 0
 		case u.ampleCapacitySince == 0:
 			u.ampleCapacitySince = now
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -420,10 +420,10 @@
 }
 
 // HasAmpleCapacity reports whether a unit's tasks would fit on the workers twice over,
-// regardless of racks, and less than half of some resource is used. Work that waits on
-// such a site should run, by the platform's rule. It detects sites that are mostly idle
-// although a gang that needs one rack, or tasks that need the rack of their data, have
-// to wait because every rack is partly used.
+// regardless of racks, and, unless they run for long, less than half of some resource is used.
+// Work that waits on such a site should run, by the platform's rule. It detects sites that are
+// mostly idle although a gang that needs one rack, or tasks that need the rack of their data,
+// have to wait because every rack is partly used.
 func HasAmpleCapacity(workers []*Worker, u *Unit) bool {
 	fitting := 0
 	var free, capacity workload.Resources
@@ -433,8 +433,8 @@
 			fitting += slots(u, w, w.Free)
 		}
 	}
-	return fitting >= 2*len(u.Waiting) &&
-		(2*free.MilliCores > capacity.MilliCores || 2*free.MemoryMB > capacity.MemoryMB || 2*free.Accelerators > capacity.Accelerators)
+	return fitting >= 2*len(u.Waiting) && (u.LongRunning ||
+		2*free.MilliCores > capacity.MilliCores || 2*free.MemoryMB > capacity.MemoryMB || 2*free.Accelerators > capacity.Accelerators)
 }
 
 // pickWorkers returns workers of the pool for all waiting tasks, or nil if they do not
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -357,6 +357,26 @@
 	}
 }
 
+// Long-running tasks must not wait for a rack however full the site is, if they fit elsewhere twice
+// over.
+func TestAmpleCapacityForLongRunningTasksOfAFullSite(t *testing.T) {
+	for _, c := range []struct {
+		longRunning bool
+		idle        int
+		ample       bool
+	}{{true, 4, true}, {true, 3, false}, {false, 4, false}, {false, 7, true}} {
+		workers := racks(3)
+		for i := range len(workers) - c.idle {
+			occupy(workers[i], "other", i, need(8), 1, 0, false)
+		}
+		u := unit("lasting", 2, workload.Step{Need: need(8), DataRack: "r0"}, 1)
+		u.LongRunning = c.longRunning
+		if got := HasAmpleCapacity(workers, u); got != c.ample {
+			t.Errorf("long-running %v, %d of 12 workers idle: ample %v, want %v", c.longRunning, c.idle, got, c.ample)
+		}
+	}
+}
+
 func TestTasksLeaveTheirDataOnlyIfTheyMayRunAnywhere(t *testing.T) {
 	for _, anyRack := range []bool{false, true} {
 		workers := racks(2)
