dispatch: show a job as running only once a task has begun

Cause: the plan of the first task set the job's phase, and nothing took it back.

Found by reading.

Change: a worker's report of a run sets the phase: the answer to a start, a listing, or an end. It costs one more record for each job.

--- a/pkg/dispatch/apply.go
+++ b/pkg/dispatch/apply.go
@@ -119,13 +119,19 @@
 		w.runs[t.id] = r
 		w.used = w.used.Add(r.need)
 	}
-	if j := u.job; j.progress.Phase == "" || j.progress.Phase == ledger.Queued {
-		j.progress.Phase = ledger.Running
-		e.startWaits.Update(float64(e.UnixMS()-j.spec.SubmittedMS) / 1000)
-	}
 	u.job.unsaved = true
 }
 
+// markRunning sets the job's phase once a worker has reported a run of it. A plan may come to
+// nothing.
+func (e *Engine) markRunning(j *job) {
+	if j.progress.Phase != "" && j.progress.Phase != ledger.Queued {
+		return
+	}
+	j.progress.Phase, j.unsaved = ledger.Running, true
+	e.startWaits.Update(float64(e.UnixMS()-j.spec.SubmittedMS) / 1000)
+}
+
 const planOutdated = "the plan is out of date"
 
 // startPlanned starts planned runs, or removes those that may no longer start. A
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -50,9 +50,10 @@
 	return t.unit.job.progress.Crashes[t.number].Total > 0
 }
 
-// noteSurvival records that the worker has reported the run as active at clockMS on its own
-// clock: a report may reach a leader that was paused long after it was made.
-func (e *Engine) noteSurvival(r *run, clockMS int64) {
+// noteReported records that the worker has reported the run as active at clockMS on its own
+// clock, and whether the run has survived. The clock is the worker's, since a report may reach a leader that was paused long after it was made.
+func (e *Engine) noteReported(r *run, clockMS int64) {
+	e.markRunning(r.task.unit.job)
 	if r.firstSeenClockMS == 0 {
 		r.firstSeenClockMS = clockMS
 	}
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -73,7 +73,7 @@
 		if r.phase == runStarting {
 			r.activate(0, now)
 		}
-		e.noteSurvival(r, clockMS)
+		e.noteReported(r, clockMS)
 		e.renewNow(w)
 		return
 	}
@@ -155,7 +155,7 @@
 		if r.phase == runUnresolved || r.phase == runStarting {
 			r.activate(0, now)
 		}
-		e.noteSurvival(r, w.listingClockMS)
+		e.noteReported(r, w.listingClockMS)
 		r.load = a.Load
 		e.recordProgress(r, a.Percent, now)
 		e.noteCheckpoint(r.task, a.Checkpoint)
@@ -172,7 +172,7 @@
 	r = &run{id: a.Run, task: t, worker: w, need: t.unit.step.Demand(), orderedAt: now, inherited: true, throttlePercent: fullSpeedPercent}
 	r.beganAt = now - e.expectedRunTime(t.unit)*time.Duration(a.Percent)/100
 	r.activate(a.Percent, now)
-	e.noteSurvival(r, w.listingClockMS)
+	e.noteReported(r, w.listingClockMS)
 	t.run = r
 	w.runs[t.id] = r
 	w.used = w.used.Add(r.need)
@@ -214,6 +214,7 @@
 	klog.InfoS("dispatch: end listed", "job", end.Run.Task.Job, "task", end.Run.Task.UnitID.String(), "index", end.Run.Task.Index, "run", end.Run.Number, "worker", w.info.ID, "outcome", end.Outcome, "known", r != nil)
 	metrics.GetOrCreateCounter(`shallotpin_run_ends_total{outcome="` + string(end.Outcome) + `"}`).Inc()
 	if t != nil {
+		e.markRunning(t.unit.job)
 		e.noteCheckpoint(t, end.Checkpoint)
 		switch end.Outcome {
 		case backend.OutcomeDone:
