dispatch: keep the records of large jobs within the limits of the log

Cause: the job's record names the tasks that may run on each worker. It grew beyond what the store takes; the write was refused, and that ends a leader's term, again and again.

Change: a record beyond the limit leaves out which tasks may run where, then the checkpoints, which a later leader can do without. A write takes as many jobs as fit into one call; ends are acknowledged once all jobs that they have changed are written.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -121,6 +121,10 @@
 	klog.SetOutput(sink)
 }
 
+// maxBatchBytes bounds the keys and values of one call to the store: half of the platform's
+// limit leaves room for their encoding.
+func maxBatchBytes(s *platform.Settings) int { return s.Store.CallBytes / 2 }
+
 // dispatchSettings derives the settings of dispatch and election from the platform's
 // limits.
 func dispatchSettings(s *platform.Settings) dispatch.Settings {
@@ -129,6 +133,7 @@
 		MaxConfigAge: maxViewAge(s.Bounds.EvacuateMS), MaxWorkersAge: maxViewAge(s.Bounds.DrainMS), MaxLedgerAge: maxViewAge(s.Bounds.CancelMS),
 		LeaseDuration: platform.Millis(s.Bounds.HoldMaxMS), LeaseWindow: max(leaseWindow, platform.Millis(s.Bounds.HoldMaxMS)), ClockDrift: clockDrift, GangStartTimeout: platform.Millis(s.Bounds.GangMS),
 		MaxStopTime: platform.Millis(s.Bounds.StopMS), MaxReclaimTime: platform.Millis(s.Bounds.ReclaimMS), CheckpointInterval: platform.Seconds(s.Bounds.SaveS), EndedJobRetention: platform.Seconds(s.Bounds.StatusS),
+		MaxRecordBytes: s.MaxRecordBytes(), MaxWriteBytes: maxBatchBytes(s),
 		Election: election.Settings{FailAfter: failAfter, MaxReadGap: entry.MaxReadDuration, Stagger: failAfter / 50, SuspectAfter: failAfter / 5, LogSettleTime: failAfter * 3 / 4, StartWindow: failAfter, RenewWindow: 3 * failAfter, HeartbeatInterval: failAfter / 4},
 	}
 }
@@ -160,7 +165,7 @@
 	if s.Advice != "" {
 		adviser = &platform.Adviser{Base: "http://" + s.Advice, Client: orders}
 	}
-	node, err := entry.New(entry.Settings{Name: s.NodeName, Incarnation: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s), MaxBatchBytes: s.Store.CallBytes / 2, LinkRate: int(s.Limits.LinkMbps * 1e6 / 8), Cores: s.Limits.CPUShare * max(1, s.Limits.Cores), MemoryMB: s.Limits.MemoryMB, Now: steady.Now, UnixMS: unixMS},
+	node, err := entry.New(entry.Settings{Name: s.NodeName, Incarnation: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s), MaxBatchBytes: maxBatchBytes(s), LinkRate: int(s.Limits.LinkMbps * 1e6 / 8), Cores: s.Limits.CPUShare * max(1, s.Limits.Cores), MemoryMB: s.Limits.MemoryMB, Now: steady.Now, UnixMS: unixMS},
 		entry.Platform{Ledger: topic(platform.LedgerTopic), OperatorConfig: topic(platform.OperatorTopic), Workers: topic(platform.WorkerTopic),
 			Orders: &platform.Orders{Client: orders}, Adviser: adviser, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker, Peers: peers})
 	if err != nil {
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -341,18 +341,17 @@
 	}
 	var records []backend.KeyedRecord
 	var planned []*run
+	size, complete := 0, true
 	for id, j := range e.jobs {
 		if j.unsaved {
+			changed, bytes := e.recordsOf(j)
+			if limit := e.Settings.MaxWriteBytes; limit > 0 && size > 0 && size+bytes > limit {
+				complete = false
+				continue
+			}
 			j.unsaved = false
-			p := j.progress
-			p.Term = e.Term.Number
-			p.SetTasksByWorker(j.tasksByWorker())
+			records, size = append(records, changed...), size+bytes
 			planned = j.appendPlanned(planned)
-			if p.Phase.Ended() {
-				records = append(records, ledger.EndJob(id, &p)...)
-			} else {
-				records = append(records, ledger.ProgressRecord(id, &p))
-			}
 		} else if j.endRecorded && !j.hasRuns() {
 			delete(e.jobs, id)
 			e.endedAt[id] = e.Now()
@@ -365,9 +364,10 @@
 	if len(records) == 0 {
 		records = append(records, ledger.TermRecord(e.Term))
 	}
+	// Ends are recorded once all jobs that they have changed are.
 	handled := map[*worker]int64{}
 	for _, w := range e.workers {
-		if w.endsRecorded < w.endsHandled {
+		if complete && w.endsRecorded < w.endsHandled {
 			handled[w] = w.endsHandled
 		}
 	}
@@ -396,6 +396,27 @@
 	}()
 }
 
+// recordsOf returns the records that store the job's present state, and their size in bytes.
+func (e *Engine) recordsOf(j *job) (records []backend.KeyedRecord, bytes int) {
+	p := j.progress
+	p.Term = e.Term.Number
+	p.SetTasksByWorker(j.tasksByWorker())
+	if p.Phase.Ended() {
+		records = ledger.EndJob(j.spec.ID, &p)
+	} else {
+		r, shortened := ledger.ProgressRecordWithin(j.spec.ID, &p, e.Settings.MaxRecordBytes)
+		if shortened && !j.shortenedLogged {
+			j.shortenedLogged = true
+			klog.InfoS("dispatch: record of a job shortened", "job", j.spec.ID, "bytes", len(r.Value), "limit", e.Settings.MaxRecordBytes, "workers", len(p.Workers), "checkpoints", len(p.Checkpoints))
+		}
+		records = append(records, r)
+	}
+	for _, r := range records {
+		bytes += len(r.Key) + len(r.Value)
+	}
+	return records, bytes
+}
+
 // tasksByWorker returns the workers on which the job has runs, including planned and
 // possible inherited ones, with the numbers of their tasks; a nil set stands for all.
 func (j *job) tasksByWorker() map[string]ledger.Bitmap {
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -23,6 +23,8 @@
 	// overQuotaLogged is set once it has been logged that the account's limit holds the job
 	// back.
 	overQuotaLogged bool
+	// shortenedLogged is set once it has been logged that the job's record is shortened.
+	shortenedLogged bool
 	// endRecorded means that the ledger is known to hold the job's end.
 	endRecorded bool
 	// unsaved means that progress differs from the ledger.
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -35,6 +35,9 @@
 	// nothing more may start in a zone out of service, on a draining worker, or for a
 	// cancelled job.
 	MaxConfigAge, MaxWorkersAge, MaxLedgerAge time.Duration
+	// MaxRecordBytes limits a record of the ledger, MaxWriteBytes the records of one write; 0
+	// means no limit.
+	MaxRecordBytes, MaxWriteBytes int
 	// EndedJobRetention is how long the state of an ended job can be queried.
 	EndedJobRetention time.Duration
 	// Election configures the leader lease.
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -1,7 +1,9 @@
 package ledger
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
@@ -179,3 +181,38 @@
 		}
 	})
 }
+
+// A record that is too large must lose what a later leader can do without, and no more.
+func TestProgressRecordIsShortenedToTheLimit(t *testing.T) {
+	p := &Progress{Term: 1, Phase: Running, Done: Bitmap(nil).With(3), Failures: map[int][]int64{1: {7}}, Crashes: map[int]CrashCount{2: {Total: 1}}, Checkpoints: map[int]string{}}
+	tasks := map[string]Bitmap{}
+	for i := range 40 {
+		tasks[fmt.Sprintf("worker-%d@1", i)] = Bitmap(nil).With(500 + i)
+		p.Checkpoints[i] = "0123456789abcdef"
+	}
+	p.SetTasksByWorker(tasks)
+	whole, shortened := ProgressRecordWithin("id", p, 0)
+	if shortened || !bytes.Equal(whole.Value, ProgressRecord("id", p).Value) {
+		t.Error("the record is shortened without a limit")
+	}
+	size := len(whole.Key) + len(whole.Value)
+	for _, c := range []struct {
+		limit                    int
+		workerTasks, checkpoints bool
+	}{{size, true, true}, {size - 1, false, true}, {1900, false, true}, {1500, false, false}} {
+		r, shortened := ProgressRecordWithin("id", p, c.limit)
+		var got Progress
+		if err := json.Unmarshal(r.Value, &got); err != nil {
+			t.Fatal(err)
+		}
+		if len(r.Key)+len(r.Value) > c.limit || shortened == c.workerTasks || got.WorkerTasks != nil != c.workerTasks || got.Checkpoints != nil != c.checkpoints {
+			t.Errorf("limit %d: %d bytes, shortened %v, tasks of workers %v, checkpoints %v", c.limit, len(r.Key)+len(r.Value), shortened, got.WorkerTasks != nil, got.Checkpoints != nil)
+		}
+		if len(got.Workers) != 40 || !got.Done.Has(3) || len(got.Failures) != 1 || len(got.Crashes) != 1 {
+			t.Errorf("limit %d: the record lacks workers, ends, failures or crashes: %+v", c.limit, got)
+		}
+	}
+	if p.WorkerTasks == nil || p.Checkpoints == nil {
+		t.Error("the job's own progress has changed")
+	}
+}
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -110,6 +110,23 @@
 // ProgressRecord returns the record that stores a job's progress.
 func ProgressRecord(id string, p *Progress) backend.KeyedRecord { return record(progressPrefix+id, p) }
 
+// ProgressRecordWithin returns the record that stores a job's progress, key and value of at most
+// maxBytes together; 0 means no limit. If need be, it leaves out what a later leader can do
+// without, and reports true: first which tasks may run on which worker, so that any may run on
+// each, then the checkpoints.
+func ProgressRecordWithin(id string, p *Progress, maxBytes int) (r backend.KeyedRecord, shortened bool) {
+	short := *p
+	for _, leaveOut := range []func(){func() {}, func() { short.WorkerTasks = nil }, func() { short.Checkpoints = nil }} {
+		leaveOut()
+		r = ProgressRecord(id, &short)
+		if maxBytes == 0 || len(r.Key)+len(r.Value) <= maxBytes {
+			return r, shortened
+		}
+		shortened = true
+	}
+	return r, shortened
+}
+
 // TermRecord returns the record that stores the current term.
 func TermRecord(t Term) backend.KeyedRecord { return record(termKey, t) }
 
--- a/pkg/simsite/log.go
+++ b/pkg/simsite/log.go
@@ -55,6 +55,9 @@
 	// claims counts the received appends that begin an epoch of a producer, by the
 	// producer's name.
 	claims map[string]int
+	// maxRecordBytes and maxCallBytes limit a record and the records of one append; 0 means no
+	// limit.
+	maxRecordBytes, maxCallBytes int
 	// Appends is the number of executed appends, without repeats of a producer's sequence number.
 	Appends int
 }
@@ -78,6 +81,26 @@
 	l.pageSize = records
 }
 
+// SetLimits limits the size of each record, with its key, and of the records of one append.
+func (l *Log) SetLimits(record, call int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maxRecordBytes, l.maxCallBytes = record, call
+}
+
+// tooLarge reports whether an append exceeds the limits. It must be called with mu held.
+func (l *Log) tooLarge(records []backend.KeyedRecord) bool {
+	sum := 0
+	for _, r := range records {
+		size := len(r.Key) + len(r.Value)
+		sum += size
+		if l.maxRecordBytes > 0 && size > l.maxRecordBytes {
+			return true
+		}
+	}
+	return l.maxCallBytes > 0 && sum > l.maxCallBytes
+}
+
 func (l *Log) slowed(d time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -289,6 +312,9 @@
 func (l *Log) append(a backend.KeyedAppend) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.tooLarge(a.Records) {
+		return 0, &backend.LogError{Kind: backend.LogInvalid, Verdict: api.NotRun, Cause: errors.New("too large")}
+	}
 	if a.ExpectedEnd >= 0 && a.ExpectedEnd != l.end() {
 		return l.end(), &backend.LogError{Kind: backend.LogEndMismatch, Verdict: api.NotRun}
 	}
