dispatch: do not measure a transferred run's survival by a late answer

The answer to a start may arrive after the run was transferred to the worker's next incarnation, and come from the old one. Its clock would then be compared with the new one's: the run would not count as having survived for as long as the old incarnation had lasted, and nothing would start beside a suspected one.

Change: only the answer to a start that was not transferred counts as a report. TestAnswerToStartIsNoListing failed before.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -50,8 +50,9 @@
 	return t.unit.job.progress.Crashes[t.number].Total > 0
 }
 
-// noteReported records that the worker has reported the run as active at clockMS on its own
-// clock, and whether the run has survived. The clock is the worker's, since a report may reach a leader that was paused long after it was made.
+// noteReported records that the worker has reported the run as active at clockMS, and whether
+// the run has survived. The clock is the worker's: a report may reach a leader that was paused
+// long after it was made.
 func (e *Engine) noteReported(r *run, clockMS int64) {
 	e.markRunning(r.task.unit.job)
 	if r.firstSeenClockMS == 0 {
--- a/pkg/dispatch/pages_test.go
+++ b/pkg/dispatch/pages_test.go
@@ -56,6 +56,9 @@
 	if r.worker.fenced {
 		t.Error("the runs of the new incarnation count as known without a listing")
 	}
+	if r.firstSeenClockMS != 0 {
+		t.Error("the run's survival is measured on a clock that may be the old incarnation's")
+	}
 }
 
 // A new leader must not take a worker's runs for known, nor start anything there, before it has
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -73,7 +73,10 @@
 		if r.phase == runStarting {
 			r.activate(0, now)
 		}
-		e.noteReported(r, clockMS)
+		// The answer to the start of a transferred run may come from the old incarnation.
+		if r.phase != runUnresolved {
+			e.noteReported(r, clockMS)
+		}
 		e.renewNow(w)
 		return
 	}
