--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -173,7 +173,8 @@
 func TestSuspectStartsOnlyOnAnsweringWorker(t *testing.T) {
 	for _, answers := range []bool{true, false} {
 		s := newManualSite(t, 2)
-		s.Orders = listingOrders{unansweredStarts{s.orders}, answers}
+		orders := listingOrders{unansweredStarts{s.orders}, answers, make(chan struct{}, 9)}
+		s.Orders = orders
 		u := s.job("u", workload.Step{Count: 1})
 		s.start(u, 0, "w0")
 		s.crash("w0")
@@ -187,6 +188,9 @@
 		// Another record of the job is written meanwhile.
 		s.startPlanned([]*run{r})
 		(<-s.events)()
+		if got := len(orders.calls); got != 1 {
+			t.Errorf("answers %v: %d requests for a listing before the start, want 1", answers, got)
+		}
 		if started := r.phase != runPlanned; started != answers {
 			t.Errorf("answers %v: started %v", answers, started)
 		}
@@ -207,7 +211,7 @@
 // A leader that was paused while the worker answered must not rely on that answer.
 func TestSuspectDoesNotStartOnOldAnswer(t *testing.T) {
 	s := newManualSite(t, 2)
-	s.Orders = listingOrders{unansweredStarts{s.orders}, true}
+	s.Orders = listingOrders{unansweredStarts{s.orders}, true, make(chan struct{}, 9)}
 	u := s.job("u", workload.Step{Count: 1})
 	s.start(u, 0, "w0")
 	s.crash("w0")
@@ -226,12 +230,17 @@
 type listingOrders struct {
 	unansweredStarts
 	answers bool
+	// calls receives a value for each call for w1.
+	calls chan struct{}
 }
 
 func (o listingOrders) Renew(ctx context.Context, w backend.WorkerRef, _ backend.RenewOrder) (backend.Listing, error) {
 	if w.ID != "w1" {
 		<-ctx.Done()
 	}
+	if w.ID == "w1" {
+		o.calls <- struct{}{}
+	}
 	if w.ID != "w1" || !o.answers {
 		return backend.Listing{}, &backend.OrderError{Kind: backend.OrderUnanswered}
 	}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -339,25 +339,14 @@
 	if e.writeInFlight || e.ctx == nil {
 		return
 	}
-	var records []backend.KeyedRecord
-	var planned []*run
-	size, complete := 0, true
+	now := e.Now()
 	for id, j := range e.jobs {
-		if j.unsaved {
-			changed, bytes := e.recordsOf(j)
-			if limit := e.Settings.MaxWriteBytes; limit > 0 && size > 0 && size+bytes > limit {
-				complete = false
-				continue
-			}
-			j.unsaved = false
-			records, size = append(records, changed...), size+bytes
-			planned = j.appendPlanned(planned)
-		} else if j.endRecorded && !j.hasRuns() {
+		if !j.unsaved && j.endRecorded && !j.hasRuns() {
 			delete(e.jobs, id)
-			e.endedAt[id] = e.Now()
+			e.endedAt[id] = now
 		}
 	}
-	now := e.Now()
+	records, planned, complete := e.takeChanges()
 	if len(records) == 0 && now-e.lastWriteAt < e.Settings.Election.HeartbeatInterval {
 		return
 	}
@@ -366,10 +355,8 @@
 	}
 	// Ends are recorded once all jobs that they have changed are.
 	handled := map[*worker]int64{}
-	for _, w := range e.workers {
-		if complete && w.endsRecorded < w.endsHandled {
-			handled[w] = w.endsHandled
-		}
+	if complete {
+		handled = e.handledEnds()
 	}
 	e.writeInFlight, e.lastWriteAt = true, now
 	go func() {
@@ -396,6 +383,39 @@
 	}()
 }
 
+// takeChanges returns the records of the jobs that differ from the ledger, as many as fit into one
+// write but at least those of one job, and the planned runs of these jobs. It reports whether
+// none is left.
+func (e *Engine) takeChanges() (records []backend.KeyedRecord, planned []*run, complete bool) {
+	size, complete := 0, true
+	for _, j := range e.jobs {
+		if !j.unsaved {
+			continue
+		}
+		changed, bytes := e.recordsOf(j)
+		if limit := e.Settings.MaxWriteBytes; limit > 0 && size > 0 && size+bytes > limit {
+			complete = false
+			continue
+		}
+		j.unsaved = false
+		records, size = append(records, changed...), size+bytes
+		planned = j.appendPlanned(planned)
+	}
+	return records, planned, complete
+}
+
+// handledEnds returns the number of the last handled end of each worker of which not all are
+// recorded.
+func (e *Engine) handledEnds() map[*worker]int64 {
+	handled := map[*worker]int64{}
+	for _, w := range e.workers {
+		if w.endsRecorded < w.endsHandled {
+			handled[w] = w.endsHandled
+		}
+	}
+	return handled
+}
+
 // recordsOf returns the records that store the job's present state, and their size in bytes.
 func (e *Engine) recordsOf(j *job) (records []backend.KeyedRecord, bytes int) {
 	p := j.progress
--- a/pkg/entry/large_test.go
+++ b/pkg/entry/large_test.go
@@ -13,7 +13,7 @@
 // start any more. Later leaders read the shortened records.
 func TestLargeJobsDoNotEndTheLeadersTerm(t *testing.T) {
 	settings := testSettings()
-	settings.MaxRecordBytes, settings.MaxWriteBytes = 1500, 2500
+	settings.MaxRecordBytes, settings.MaxWriteBytes = 1500, 1600
 	runSiteWith(t, settings, 4, 24, func(s *site) {
 		leader := s.leader()
 		s.ledgerTopic.SetLimits(settings.MaxRecordBytes, settings.MaxWriteBytes)
