dispatch: write the phase of a job along with what is written anyway

Cause: since a job is shown as running only once a task has begun, its phase caused a write of its own right after the start, which delayed the record of the next plan, and so the next job's start.

TestPhasesAreWrittenAlong is new. TestSuspectStartsOnlyOnAnsweringWorker was flaky (seen once): it also counted a renewal that follows the answer; it counts before the answer now, in a synctest bubble, and fails without the check in 5 of 5.

--- a/pkg/dispatch/apply.go
+++ b/pkg/dispatch/apply.go
@@ -128,7 +128,7 @@
 	if j.progress.Phase != "" && j.progress.Phase != ledger.Queued {
 		return
 	}
-	j.progress.Phase, j.unsaved = ledger.Running, true
+	j.progress.Phase, j.phaseUnsaved = ledger.Running, true
 	e.startWaits.Update(float64(e.UnixMS()-j.spec.SubmittedMS) / 1000)
 }
 
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
@@ -172,40 +173,45 @@
 // though the answer to the start is lost, and a worker that is gone costs no attempt.
 func TestSuspectStartsOnlyOnAnsweringWorker(t *testing.T) {
 	for _, answers := range []bool{true, false} {
-		s := newManualSite(t, 2)
-		orders := listingOrders{unansweredStarts{s.orders}, answers, make(chan struct{}, 9)}
-		s.Orders = orders
-		u := s.job("u", workload.Step{Count: 1})
-		s.start(u, 0, "w0")
-		s.crash("w0")
-		s.now += 10 * time.Second
-		s.startUnit(u, map[int]*worker{0: s.workers["w1"]}, s.now)
-		r := u.tasks[0].run
-		s.startPlanned([]*run{r})
-		if r.phase != runPlanned {
-			t.Fatalf("answers %v: the suspected task is %s before its worker has answered", answers, r.phase)
-		}
-		// Another record of the job is written meanwhile.
-		s.startPlanned([]*run{r})
-		(<-s.events)()
-		if got := len(orders.calls); got != 1 {
-			t.Errorf("answers %v: %d requests for a listing before the start, want 1", answers, got)
-		}
-		if started := r.phase != runPlanned; started != answers {
-			t.Errorf("answers %v: started %v", answers, started)
-		}
-		if !answers {
-			if u.tasks[0].run != nil || s.workers["w1"].quarantinedUntil <= s.now {
-				t.Error("the worker that does not answer keeps the task, or is offered again at once")
-			}
-			continue
+		synctest.Test(t, func(t *testing.T) { testSuspectStart(t, answers) })
+	}
+}
+
+func testSuspectStart(t *testing.T, answers bool) {
+	s := newManualSite(t, 2)
+	orders := listingOrders{unansweredStarts{s.orders}, answers, make(chan struct{}, 9)}
+	s.Orders = orders
+	u := s.job("u", workload.Step{Count: 1})
+	s.start(u, 0, "w0")
+	s.crash("w0")
+	s.now += 10 * time.Second
+	s.startUnit(u, map[int]*worker{0: s.workers["w1"]}, s.now)
+	r := u.tasks[0].run
+	s.startPlanned([]*run{r})
+	if r.phase != runPlanned {
+		t.Fatalf("answers %v: the suspected task is %s before its worker has answered", answers, r.phase)
+	}
+	// Another record of the job is written meanwhile.
+	s.startPlanned([]*run{r})
+	synctest.Wait()
+	if got := len(orders.calls); got != 1 {
+		t.Errorf("answers %v: %d requests for a listing before the start, want 1", answers, got)
+	}
+	(<-s.events)()
+	if started := r.phase != runPlanned; started != answers {
+		t.Errorf("answers %v: started %v", answers, started)
+	}
+	if !answers {
+		if u.tasks[0].run != nil || s.workers["w1"].quarantinedUntil <= s.now {
+			t.Error("the worker that does not answer keeps the task, or is offered again at once")
 		}
-		s.now += startTimeout
-		s.onStartReply(r, 0, &backend.OrderError{Kind: backend.OrderUnanswered})
-		s.now += 3 * time.Second
-		s.crash("w1")
-		s.expectCount(u, 0, 2, 2)
+		return
 	}
+	s.now += startTimeout
+	s.onStartReply(r, 0, &backend.OrderError{Kind: backend.OrderUnanswered})
+	s.now += 3 * time.Second
+	s.crash("w1")
+	s.expectCount(u, 0, 2, 2)
 }
 
 // A leader that was paused while the worker answered must not rely on that answer.
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -350,6 +350,7 @@
 	if len(records) == 0 && now-e.lastWriteAt < e.Settings.Election.HeartbeatInterval {
 		return
 	}
+	records = append(records, e.takePhases(sizeOf(records))...)
 	if len(records) == 0 {
 		records = append(records, ledger.TermRecord(e.Term))
 	}
@@ -392,18 +393,49 @@
 		if !j.unsaved {
 			continue
 		}
-		changed, bytes := e.recordsOf(j)
-		if limit := e.Settings.MaxWriteBytes; limit > 0 && size > 0 && size+bytes > limit {
+		changed := e.recordsOf(j)
+		if !e.fitsWrite(size, sizeOf(changed)) {
 			complete = false
 			continue
 		}
-		j.unsaved = false
-		records, size = append(records, changed...), size+bytes
+		j.unsaved, j.phaseUnsaved = false, false
+		records, size = append(records, changed...), size+sizeOf(changed)
 		planned = j.appendPlanned(planned)
 	}
 	return records, planned, complete
 }
 
+// takePhases returns the records of the jobs of which only the phase differs from the ledger, as
+// many as fit into a write that has size bytes already.
+func (e *Engine) takePhases(size int) (records []backend.KeyedRecord) {
+	for _, j := range e.jobs {
+		if !j.phaseUnsaved || j.unsaved {
+			continue
+		}
+		if changed := e.recordsOf(j); e.fitsWrite(size, sizeOf(changed)) {
+			j.phaseUnsaved = false
+			records, size = append(records, changed...), size+sizeOf(changed)
+		}
+	}
+	return records
+}
+
+// fitsWrite reports whether records of the given size may be added to a write that has size bytes
+// already.
+func (e *Engine) fitsWrite(size, added int) bool {
+	limit := e.Settings.MaxWriteBytes
+	return limit == 0 || size == 0 || size+added <= limit
+}
+
+// sizeOf returns the size of records, in bytes.
+func sizeOf(records []backend.KeyedRecord) int {
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	return size
+}
+
 // handledEnds returns the number of the last handled end of each worker of which not all are
 // recorded.
 func (e *Engine) handledEnds() map[*worker]int64 {
@@ -416,25 +448,20 @@
 	return handled
 }
 
-// recordsOf returns the records that store the job's present state, and their size in bytes.
-func (e *Engine) recordsOf(j *job) (records []backend.KeyedRecord, bytes int) {
+// recordsOf returns the records that store the job's present state.
+func (e *Engine) recordsOf(j *job) []backend.KeyedRecord {
 	p := j.progress
 	p.Term = e.Term.Number
 	p.SetTasksByWorker(j.tasksByWorker())
 	if p.Phase.Ended() {
-		records = ledger.EndJob(j.spec.ID, &p)
-	} else {
-		r, shortened := ledger.ProgressRecordWithin(j.spec.ID, &p, e.Settings.MaxRecordBytes)
-		if shortened && !j.shortenedLogged {
-			j.shortenedLogged = true
-			klog.InfoS("dispatch: record of a job shortened", "job", j.spec.ID, "bytes", len(r.Value), "limit", e.Settings.MaxRecordBytes, "workers", len(p.Workers), "checkpoints", len(p.Checkpoints))
-		}
-		records = append(records, r)
+		return ledger.EndJob(j.spec.ID, &p)
 	}
-	for _, r := range records {
-		bytes += len(r.Key) + len(r.Value)
+	r, shortened := ledger.ProgressRecordWithin(j.spec.ID, &p, e.Settings.MaxRecordBytes)
+	if shortened && !j.shortenedLogged {
+		j.shortenedLogged = true
+		klog.InfoS("dispatch: record of a job shortened", "job", j.spec.ID, "bytes", len(r.Value), "limit", e.Settings.MaxRecordBytes, "workers", len(p.Workers), "checkpoints", len(p.Checkpoints))
 	}
-	return records, bytes
+	return []backend.KeyedRecord{r}
 }
 
 // tasksByWorker returns the workers on which the job has runs, including planned and
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -29,7 +29,10 @@
 	endRecorded bool
 	// unsaved means that progress differs from the ledger.
 	unsaved bool
-	units   []*unit
+	// phaseUnsaved means that at least the phase differs from the ledger. It is added to the next
+	// write, and needs none of its own: a write would delay that of the next plan.
+	phaseUnsaved bool
+	units        []*unit
 	// policy is the queue's in the newest configuration that has the queue, or else
 	// that of the submission.
 	policy workload.Policy
