review: case 10, hopeless jobs keep a lasting task from being started again

LOST, shown by a script: the plans search for stops for the same eight units each time, though none can help them. A lasting task whose executor has left is not started again on a full service. It takes the place of the task that crashes its executors late, which review/5 shows already.

--- a/review/standins-2/executor.go
+++ b/review/standins-2/executor.go
@@ -41,6 +41,8 @@
 	seq     int
 	changed chan struct{}
 	lastPut time.Time
+	// draining is set once the executor has said that it will leave.
+	draining bool
 	// loseEnd loses the answer of the next hold that lists an end.
 	loseEnd bool
 	conns   map[net.Conn]bool
@@ -122,12 +124,15 @@
 
 // crash ends the incarnation; all that runs is gone. The connections are reset, unless the
 // executor is cut off.
-func (e *executor) crash() {
+func (e *executor) crash() { e.down("crash") }
+
+// down ends the incarnation, and all its runs as given.
+func (e *executor) down(how string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.up = false
 	for task, r := range e.runs {
-		e.site.ended(e, task, r.number, "crash")
+		e.site.ended(e, task, r.number, how)
 	}
 	e.runs = map[string]*execRun{}
 	if !e.cut {
@@ -187,8 +192,25 @@
 // put writes the executor's entry. It must be called with mu held.
 func (e *executor) put() {
 	e.seq++
-	e.site.store.put("keyed.servers", e.id, map[string]any{"Service": "svc1", "Addr": e.addr, "Zone": e.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0,
-		"Capacity": map[string]int{"Cpu": 64000, "MemMb": 262144, "Gpu": 8}, "Labels": []string{e.label, e.rack}, "ClockMs": e.clockMS(), "Seq": e.seq, "born": e.born})
+	entry := map[string]any{"Service": "svc1", "Addr": e.addr, "Zone": e.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0,
+		"Capacity": map[string]int{"Cpu": 64000, "MemMb": 262144, "Gpu": 8}, "Labels": []string{e.label, e.rack}, "ClockMs": e.clockMS(), "Seq": e.seq, "born": e.born}
+	if e.draining {
+		entry["State"], entry["RemainingMs"] = "draining", 2000
+	}
+	e.site.store.put("keyed.servers", e.id, entry)
+}
+
+// leave empties the executor and takes it away, after DrainMs and a little more.
+func (e *executor) leave() {
+	e.mu.Lock()
+	e.draining, e.lastPut = true, time.Now()
+	e.put()
+	e.mu.Unlock()
+	e.site.note("executor %s is draining", e.id)
+	time.Sleep(2500 * time.Millisecond)
+	e.down("left")
+	e.site.store.put("keyed.servers", e.id, nil)
+	e.site.note("executor %s has left", e.id)
 }
 
 // end ends a run and lists its end. It must be called with mu held.
--- a/review/standins-2/site.go
+++ b/review/standins-2/site.go
@@ -319,6 +319,7 @@
 	DependsOn     []int  `json:",omitempty"`
 	RequiredLabel string `json:",omitempty"`
 	MaxPerServer  int    `json:",omitempty"`
+	LongRunning   bool   `json:",omitempty"`
 }
 
 // submit hands a job in at a live node, with retries, and fails the case if none takes it.
