review: the scripts check each condition and excuse of their rules

Case 9 now asks that SeenUpto has reached the end and that no lease has lapsed in between; cases 6 and 7 that there is room for the work twice over and that under half of the GPUs are in use.

--- a/review/standins-2/executor.go
+++ b/review/standins-2/executor.go
@@ -41,6 +41,10 @@
 	seq     int
 	changed chan struct{}
 	lastPut time.Time
+	// lapsedAt is when the lease was last found to have lapsed.
+	lapsedAt time.Time
+	// requests counts the orders that were carried out or refused.
+	requests int
 	// draining is set once the executor has said that it will leave.
 	draining bool
 	// loseEnd loses the answer of the next hold that lists an end.
@@ -155,6 +159,7 @@
 		now := time.Now()
 		crash := false
 		if e.up {
+			e.checkLease()
 			for task, r := range e.runs {
 				switch {
 				case e.clockMS() > e.leaseMS:
@@ -189,6 +194,13 @@
 	}
 }
 
+// checkLease records a lapse of the lease. It must be called with mu held.
+func (e *executor) checkLease() {
+	if e.leaseMS > 0 && e.clockMS() > e.leaseMS {
+		e.lapsedAt = time.Now()
+	}
+}
+
 // put writes the executor's entry. It must be called with mu held.
 func (e *executor) put() {
 	e.seq++
@@ -263,6 +275,8 @@
 		return
 	}
 	e.fence = o.Fence
+	e.requests++
+	e.checkLease()
 	grant := func() { e.leaseMS = max(e.leaseMS, min(o.UntilMs, e.clockMS()+holdMax.Milliseconds())) }
 	switch r.URL.Path {
 	case "/api/run-start":
@@ -293,7 +307,7 @@
 			grant()
 		}
 		for len(e.ended) > 0 && int64(e.ended[0][0].(int)) <= o.SeenUpto {
-			e.site.note("SeenUpto %d reaches end %v of %v run %v on %s", o.SeenUpto, e.ended[0][0], e.ended[0][1], e.ended[0][2], e.id)
+			e.site.noted(e, o.SeenUpto, e.ended[0])
 			e.ended = e.ended[1:]
 		}
 		deadline := time.Now().Add(time.Duration(min(o.WaitMs, 2000)) * time.Millisecond)
--- a/review/standins-2/long.go
+++ b/review/standins-2/long.go
@@ -66,7 +66,13 @@
 			s.note("all tasks of the job have ended done")
 			break
 		}
-		if working > 0 {
+		room, underHalf := s.capacity(8, func(task string) int {
+			if jobOf(task) == long {
+				return 8
+			}
+			return 1
+		})
+		if working > 0 || room < 2*4 || !underHalf {
 			if reported {
 				s.note("the job has a run again after %.1f s", time.Since(idleSince).Seconds())
 			}
@@ -75,7 +81,7 @@
 		}
 		if !reported && time.Since(idleSince) > maxIdle {
 			reported = true
-			s.breaks("for 3 s the accepted job has nothing running, though its task's turn has come and all %d executors are idle", capacity)
+			s.breaks("for 3 s the accepted job has nothing running, though its tasks' turn has come, %d executors have room for one of its 4 tasks each, and under half of the capacity is in use", room)
 		}
 	}
 	s.note("the job is shown as %s", s.state(s.nodes[1], "/appraise/", long))
--- a/review/standins-2/seen.go
+++ b/review/standins-2/seen.go
@@ -73,12 +73,15 @@
 				continue
 			}
 			if !done.IsZero() && r.began.After(done) {
-				s.breaks("run %d of task %s was started on %s, %.1f s after a run of it had ended done and SeenUpto had reached that end", r.number, second, r.executor, r.began.Sub(done).Seconds())
+				s.breaks("run %d of task %s was started on %s, %.1f s after a run of it had ended done; SeenUpto has reached that end, and no lease lapsed in between", r.number, second, r.executor, r.began.Sub(done).Seconds())
+				idle.mu.Lock()
+				s.note("executor %s has carried out or refused %d orders in this case; the answer to one was lost", idle.id, idle.requests)
+				idle.mu.Unlock()
 				time.Sleep(time.Second)
 				s.note("the job is shown as %s", s.state(s.nodes[1], "/appraise/", job))
 				return
 			}
-			if r.how == "done" {
+			if r.how == "done" && r.noted {
 				done = r.ended
 			}
 		}
--- a/review/standins-2/site.go
+++ b/review/standins-2/site.go
@@ -52,6 +52,8 @@
 	began          time.Time
 	ended          time.Time
 	how            string
+	// noted means that SeenUpto has reached the end, with no lapse of the lease in between.
+	noted bool
 }
 
 type node struct {
@@ -125,6 +127,42 @@
 	}
 }
 
+// noted records that SeenUpto has reached an end. It is called with the executor's lock held.
+func (s *site) noted(e *executor, seenUpto int64, end []any) {
+	task, number := end[1].(string), end[2].(int64)
+	lapsed := false
+	s.mu.Lock()
+	for _, r := range s.runs {
+		if r.task == task && r.number == number && r.executor == e.id && !r.ended.IsZero() {
+			lapsed = e.lapsedAt.After(r.ended)
+			r.noted = !lapsed
+		}
+	}
+	s.mu.Unlock()
+	s.note("SeenUpto %d reaches end %v of %s run %d on %s; lease lapsed in between: %v", seenUpto, end[0], task, number, e.id, lapsed)
+}
+
+// capacity returns how many executors that are up have at least the given GPUs free, by the runs
+// that they have, and whether under half of all GPUs are in use.
+func (s *site) capacity(gpus int, need func(task string) int) (room int, underHalf bool) {
+	used, total := 0, 0
+	for _, e := range s.executors {
+		e.mu.Lock()
+		if e.up && !e.cut {
+			free := 8
+			for task := range e.runs {
+				free -= need(task)
+			}
+			used, total = used+8-free, total+8
+			if free >= gpus {
+				room++
+			}
+		}
+		e.mu.Unlock()
+	}
+	return room, 2*used < total
+}
+
 // runsOf returns copies of the runs of a job's tasks.
 func (s *site) runsOf(job string) []runRecord {
 	s.mu.Lock()
--- a/review/standins-2/zone.go
+++ b/review/standins-2/zone.go
@@ -79,21 +79,22 @@
 	s.note("finish_s after the end of the traffic; from here on the job is watched")
 	idleSince := time.Now()
 	for began := time.Now(); time.Since(began) < watch; time.Sleep(20 * time.Millisecond) {
+		room, underHalf := s.capacity(8, func(task string) int {
+			if jobOf(task) == job {
+				return 8
+			}
+			return 1
+		})
+		if room < 2 || !underHalf {
+			idleSince = time.Now()
+		}
 		for _, r := range s.runsOf(job) {
 			if r.ended.IsZero() {
 				idleSince = time.Now()
 			}
 		}
 		if time.Since(idleSince) > 3*time.Second {
-			idle := 0
-			for _, e := range s.executors {
-				e.mu.Lock()
-				if e.up && len(e.runs) == 0 {
-					idle++
-				}
-				e.mu.Unlock()
-			}
-			s.breaks("for 3 s the accepted job has nothing running, though its task's turn has come, %d executors with room for it are idle, and 4 of 48 GPUs are in use", idle)
+			s.breaks("for 3 s the accepted job has nothing running, though its task's turn has come, %d executors have room for it, and under half of the capacity is in use", room)
 			break
 		}
 	}
