dispatch: a later incarnation of a worker has to list its runs, too

Cause: orders are addressed to an ID, and the start of a task had been carried out by a later incarnation of the worker than the one in the job's record. The next leader called the earlier one, got the answer of the later one, gave the earlier one up as replaced, and took its runs for known: loseWorker set fenced, and accountInherited dropped the wait for it. It dropped the wait as well as soon as the platform listed a later incarnation, asked or not.

Ruled out: an order of the former leader that arrived late (the start had been answered); a lease that had ended (the run went on under it).

Change: pkg/dispatch/incarnation.go has what may be concluded of one incarnation from what is known of another. A wait for an inherited run ends when the latest known incarnation of the ID, not an earlier one than in the record, has listed what it runs, or when the leases have ended. The answer of a later incarnation is handled as its listing, so that the run is taken over at once. An ID whose address another worker has taken is accounted for as before.

Related paths: the former leader's belief may be newer than the platform's list, or older; both are in the tests.

--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -500,7 +500,7 @@
 	u := s.job("u", workload.Step{Count: 1})
 	r := s.start(u, 0, "w0")
 	r.survived, r.phase = true, runUnresolved
-	s.transferRuns(s.workers["w0"], 2)
+	s.supersede(s.workers["w0"], 2, "it has crashed")
 	if r.survived || r.firstSeenClockMS != 0 {
 		t.Error("the run counts as having survived on the new incarnation")
 	}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -72,8 +72,10 @@
 	// endedAt is when jobs that have ended were removed from jobs. A submission that
 	// arrives late must not start them again.
 	endedAt map[string]time.Duration
-	workers map[string]*worker
-	view    View
+	// workers are the known incarnations of workers by their keys, latest the one of each ID that
+	// started last.
+	workers, latest map[string]*worker
+	view            View
 	// lastJobAt is when the last new job arrived, or the term began.
 	lastJobAt time.Duration
 	// inheritedLeasesEnd is when every lease that an earlier leader granted has ended.
@@ -110,7 +112,7 @@
 
 // New returns an engine for one term.
 func New(in Inputs) *Engine {
-	return &Engine{Inputs: in, events: make(chan func(), eventQueueSize), jobs: map[string]*job{}, endedAt: map[string]time.Duration{}, workers: map[string]*worker{},
+	return &Engine{Inputs: in, events: make(chan func(), eventQueueSize), jobs: map[string]*job{}, endedAt: map[string]time.Duration{}, workers: map[string]*worker{}, latest: map[string]*worker{},
 		lease: election.NewLease(in.Settings.Election, in.ClaimedAt), lastWriteAt: in.ClaimedAt, runTimes: map[string]*runTime{}, crashes: map[string]crashTimes{},
 		planDurations: metrics.GetOrCreateHistogram("shallotpin_plan_seconds"),
 		startWaits:    metrics.GetOrCreateHistogram("shallotpin_start_wait_seconds")}
@@ -553,15 +555,7 @@
 	for key, w := range e.workers {
 		other, known := e.view.Workers[w.info.ID]
 		if known && workerKey(other) != key && other.StartedMS > incarnationStartMS(key) {
-			e.recordCrash(w)
-			e.transferRuns(w, other.StartedMS)
-			e.loseWorker(w, "another incarnation of the worker is listed")
+			e.supersede(w, other.StartedMS, "another incarnation of the worker is listed")
 		}
 	}
 }
-
-func (e *Engine) addWorker(key string, info catalog.Worker) *worker {
-	w := &worker{key: key, info: info, runs: map[workload.TaskID]*run{}, orphans: map[backend.RunID]bool{}, speed: 1, answeredAt: e.Now()}
-	e.workers[key] = w
-	return w
-}
--- /dev/null
+++ b/pkg/dispatch/incarnation.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/catalog"
+)
+
+// An order is addressed to the ID of a worker, which all of its incarnations share: the one that
+// receives the order carries it out, and only a listing shows which one that was. This file has
+// the conclusions that the engine draws for one incarnation from what is known of another.
+
+// workerKey returns the key of an incarnation of a worker: the ID, which all its
+// incarnations share, and the start time.
+func workerKey(w catalog.Worker) string { return w.ID + "@" + strconv.FormatInt(w.StartedMS, 10) }
+
+// workerID returns the ID in a worker key. The ID may contain any character.
+func workerID(key string) string { return key[:max(0, strings.LastIndex(key, "@"))] }
+
+// incarnationStartMS returns the start time in a worker key, in Unix milliseconds; 0 if
+// the platform did not report it.
+func incarnationStartMS(key string) int64 {
+	// The conversion cannot fail, since workerKey makes all keys.
+	n, _ := strconv.ParseInt(key[strings.LastIndex(key, "@")+1:], 10, 64)
+	return n
+}
+
+// addWorker adds an incarnation of a worker.
+func (e *Engine) addWorker(key string, info catalog.Worker) *worker {
+	w := newWorker(key, info, e.Now())
+	e.workers[key] = w
+	if latest := e.latest[info.ID]; latest == nil || latest.startMS() < w.startMS() {
+		e.latest[info.ID] = w
+	}
+	return w
+}
+
+// deleteWorker forgets an incarnation of a worker.
+func (e *Engine) deleteWorker(w *worker) {
+	delete(e.workers, w.key)
+	if e.latest[w.info.ID] == w {
+		delete(e.latest, w.info.ID)
+	}
+}
+
+func (w *worker) startMS() int64 { return incarnationStartMS(w.key) }
+
+// isSuperseded reports whether a later incarnation of the worker is known.
+func (e *Engine) isSuperseded(w *worker) bool {
+	latest := e.latest[w.info.ID]
+	return latest != nil && latest != w
+}
+
+// isListedEarlier reports whether the platform still lists an earlier incarnation in the place of
+// this one, which has answered.
+func (e *Engine) isListedEarlier(w *worker) bool {
+	listed, known := e.view.Workers[w.info.ID]
+	return known && listed.StartedMS < w.startMS()
+}
+
+// isAccounted reports whether all runs are known that earlier leaders may have started on the
+// incarnation with the given key or, under the same ID, on a later one. The listing of the latest
+// known incarnation shows so, since an earlier one has ended with all that it ran. That a later
+// incarnation exists does not: it may have carried out starts that were meant for the earlier one.
+func (e *Engine) isAccounted(key string) bool {
+	latest := e.latest[workerID(key)]
+	return latest != nil && latest.startMS() >= incarnationStartMS(key) && latest.fenced
+}
+
+// accountInherited removes from j.inherited the workers whose runs are known by now, and all once
+// the leases that earlier leaders granted have ended.
+func (e *Engine) accountInherited(j *job, now time.Duration) {
+	leasesEnded := now > e.inheritedLeasesEnd
+	for key := range j.inherited {
+		if leasesEnded || e.isAccounted(key) {
+			klog.V(1).InfoS("dispatch: tasks of an earlier leader accounted for", "job", j.spec.ID, "worker", key, "leases_ended", leasesEnded)
+			delete(j.inherited, key)
+		}
+	}
+}
+
+// supersede gives up an incarnation of a worker, since one that started at startMS is known to
+// have taken its place, and returns the latest that is known.
+func (e *Engine) supersede(w *worker, startMS int64, why string) *worker {
+	info := w.info
+	info.StartedMS = startMS
+	key := workerKey(info)
+	next := e.workers[key]
+	if next == nil {
+		next = e.addWorker(key, info)
+	}
+	if latest := e.latest[w.info.ID]; latest.startMS() > startMS {
+		next = latest
+	}
+	e.recordCrash(w)
+	e.transferRuns(w, next)
+	e.loseWorker(w, why)
+	return next
+}
+
+// markDisplaced gives up a worker at whose address a worker with another ID has answered: nothing
+// runs there under the ID, and no order to it will be carried out.
+func (e *Engine) markDisplaced(w *worker) {
+	w.replaced = true
+	e.recordCrash(w)
+	e.loseWorker(w, "another worker answered in its place")
+	w.fenced = true
+}
+
+// transferRuns moves the runs of a worker that may have started on a later incarnation
+// to that incarnation. The answer to a start does not identify the
+// incarnation, so runs whose start was answered since the last listing are moved, too.
+func (e *Engine) transferRuns(w, next *worker) {
+	now := e.Now()
+	for _, r := range w.runs {
+		if r.phase == runPlanned || r.phase != runStarting && r.phase != runUnresolved && r.activeAt <= w.listingAt {
+			continue
+		}
+		klog.InfoS("dispatch: run may be on another incarnation", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", w.info.ID, "born", next.startMS(), "phase", r.phase)
+		delete(w.runs, r.task.id)
+		w.used = w.used.Sub(r.need)
+		r.worker, next.runs[r.task.id] = next, r
+		next.used = next.used.Add(r.need)
+		next.leaseEnd = max(next.leaseEnd, w.leaseEnd)
+		if r.phase != runStopping {
+			r.phase, r.orderedAt = runUnresolved, now
+		}
+		r.stopConfirmedAt = 0
+		r.firstSeenClockMS, r.survived = 0, false
+		e.requestListing(next)
+	}
+}
+
+// loseWorker gives up an incarnation of a worker for good.
+func (e *Engine) loseWorker(w *worker, why string) {
+	e.loseRuns(w, why)
+	w.endsRecorded, w.endsAcknowledged = w.endsHandled, w.endsHandled
+	if current, known := e.view.Workers[w.info.ID]; !known || workerKey(current) != w.key {
+		w.listed = false
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/incarnation_test.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/catalog"
+	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/workload"
+)
+
+// inherit makes a job one that an earlier leader may have started on the worker w0, from which
+// this leader has no listing yet.
+func (s *manualSite) inherit(u *unit) {
+	w := s.workers["w0"]
+	w.fenced = false
+	u.job.inherited = map[string]ledger.Bitmap{w.key: nil}
+	s.inheritedLeasesEnd = s.now + 12*time.Second
+}
+
+// waits reports whether all tasks of a unit are kept from being started.
+func (s *manualSite) waits(u *unit) bool {
+	s.accountInherited(u.job, s.now)
+	return len(s.startable(u, s.now)) == 0
+}
+
+// relist makes the platform list another incarnation of a worker.
+func (s *manualSite) relist(worker string, startMS int64) {
+	s.setRecord(worker, func(info *catalog.Worker) { info.StartedMS = startMS })
+	s.updateView()
+}
+
+// answer delivers an answer of an incarnation of a worker to a call that was meant for another.
+func (s *manualSite) answer(w *worker, startMS int64, active ...backend.RunID) {
+	reply := backend.Listing{ClockMS: 1, IncarnationStartMS: startMS}
+	for _, id := range active {
+		reply.Active = append(reply.Active, backend.ActiveRun{Run: id})
+	}
+	s.onRenewalReply(w, backend.RenewOrder{}, s.now, reply, nil)
+	w.renewalInFlight = false
+}
+
+// Guards against a second run of a task whose start was carried out by a later incarnation of its
+// worker than the job's record names, while the leader changed.
+func TestNewLeaderAsksTheIncarnationThatMayRunATask(t *testing.T) {
+	for name, appears := range map[string]func(s *manualSite, active ...backend.RunID){
+		"it answers in place of the earlier one": func(s *manualSite, active ...backend.RunID) {
+			s.answer(s.workers["w0"], 2, active...)
+		},
+		"the platform lists it": func(s *manualSite, active ...backend.RunID) {
+			s.relist("w0", 2)
+			u := s.jobs["u"].units[0]
+			if !s.waits(u) {
+				s.t.Error("the task may start before the incarnation has been asked")
+			}
+			s.answer(s.Engine.workers["w0@2"], 2, active...)
+		},
+		"it answers, and restarts before it is asked again": func(s *manualSite, active ...backend.RunID) {
+			s.relist("w0", 2)
+			s.answer(s.Engine.workers["w0@2"], 3, active...)
+		},
+		"the first one has answered a call that has been lost": func(s *manualSite, active ...backend.RunID) {
+			s.onRenewalReply(s.workers["w0"], backend.RenewOrder{}, s.now, backend.Listing{}, &backend.OrderError{Kind: backend.OrderUnanswered})
+			s.answer(s.workers["w0"], 2, active...)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, runs := range []bool{true, false} {
+				s := newManualSite(t, 2)
+				u := s.job("u", workload.Step{Count: 1})
+				s.inherit(u)
+				id := backend.RunID{Task: u.tasks[0].id, Number: 7}
+				if !s.waits(u) {
+					t.Fatal("the task may start before anything is known of the worker")
+				}
+				if runs {
+					appears(s, id)
+				} else {
+					appears(s)
+				}
+				r := u.tasks[0].run
+				if runs && (r == nil || r.id != id) {
+					t.Errorf("run %+v of the task, want the one that the later incarnation lists", r)
+				}
+				if !runs && s.waits(u) {
+					t.Error("the task waits, although the later incarnation has listed what it runs")
+				}
+			}
+		})
+	}
+}
+
+// A wait for an incarnation that does not answer must end with the leases.
+func TestWaitForALaterIncarnationEnds(t *testing.T) {
+	s := newManualSite(t, 1)
+	u := s.job("u", workload.Step{Count: 1})
+	s.inherit(u)
+	s.relist("w0", 2)
+	s.now = s.inheritedLeasesEnd
+	if !s.waits(u) {
+		t.Error("the task may start before the leases have ended")
+	}
+	s.now++
+	if s.waits(u) {
+		t.Error("the task waits after the leases have ended")
+	}
+}
+
+// The listing of an earlier incarnation than the record names accounts for nothing: the platform's
+// list may be older than the record.
+func TestEarlierIncarnationAccountsForNothing(t *testing.T) {
+	s := newManualSite(t, 1)
+	u := s.job("u", workload.Step{Count: 1})
+	s.inherit(u)
+	u.job.inherited = map[string]ledger.Bitmap{"w0@2": nil}
+	s.answer(s.workers["w0"], 1)
+	if !s.waits(u) {
+		t.Error("the task may start, although the incarnation that may run it has not answered")
+	}
+	s.answer(s.workers["w0"], 2)
+	if s.waits(u) {
+		t.Error("the task waits, although the incarnation has listed what it runs")
+	}
+}
--- a/pkg/dispatch/manual_test.go
+++ b/pkg/dispatch/manual_test.go
@@ -105,7 +105,7 @@
 
 // crash replaces a worker by another incarnation.
 func (s *manualSite) crash(worker string) {
-	s.markReplaced(s.workers[worker])
+	s.markDisplaced(s.workers[worker])
 	info := s.workers[worker].info
 	info.StartedMS++
 	w := s.addWorker(workerKey(info), info)
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -178,8 +178,8 @@
 	// fenced means that the worker has answered in this term and listed all that it has: it
 	// rejects calls of earlier leaders, and its runs and ends are known.
 	fenced bool
-	// replaced means that another incarnation has answered in the worker's place. The
-	// platform may list the old one for a while.
+	// replaced means that another incarnation, or a worker with another ID, has answered in the
+	// worker's place. The platform may list the old one for a while.
 	replaced bool
 	// crashed means that recordCrash has handled the end of the incarnation.
 	crashed bool
@@ -228,6 +228,10 @@
 	listingAt time.Duration
 }
 
+func newWorker(key string, info catalog.Worker, now time.Duration) *worker {
+	return &worker{key: key, info: info, runs: map[workload.TaskID]*run{}, orphans: map[backend.RunID]bool{}, speed: 1, answeredAt: now}
+}
+
 // silence is a time in which a worker answers no call.
 type silence struct {
 	// since is the worker's unansweredSince.
--- a/pkg/dispatch/pages_test.go
+++ b/pkg/dispatch/pages_test.go
@@ -51,7 +51,7 @@
 	s.startUnit(u, map[int]*worker{0: s.workers["w0"]}, s.now)
 	r := u.tasks[0].run
 	r.phase = runStarting
-	s.transferRuns(s.workers["w0"], 2)
+	s.supersede(s.workers["w0"], 2, "it has crashed")
 	s.onStartReply(r, s.now.Milliseconds(), nil)
 	if r.worker.fenced {
 		t.Error("the runs of the new incarnation count as known without a listing")
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -3,37 +3,19 @@
 import (
 	"context"
 	"errors"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
-	"github.com/shallotpin/shallotpin/pkg/catalog"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
-// workerKey returns the key of an incarnation of a worker: the ID, which all its
-// incarnations share, and the start time.
-func workerKey(w catalog.Worker) string { return w.ID + "@" + strconv.FormatInt(w.StartedMS, 10) }
-
-// workerID returns the ID in a worker key. The ID may contain any character.
-func workerID(key string) string { return key[:max(0, strings.LastIndex(key, "@"))] }
-
-// incarnationStartMS returns the start time in a worker key, in Unix milliseconds; 0 if
-// the platform did not report it.
-func incarnationStartMS(key string) int64 {
-	// The conversion cannot fail, since workerKey makes all keys.
-	n, _ := strconv.ParseInt(key[strings.LastIndex(key, "@")+1:], 10, 64)
-	return n
-}
-
 // checkWorkers renews leases that are due, ends the runs of unresponsive workers whose leases
 // have ended, and deletes workers that are gone.
 func (e *Engine) checkWorkers(now time.Duration) {
-	for key, w := range e.workers {
+	for _, w := range e.workers {
 		if w.isUnresponsive(now) && !w.silenceLogged {
 			w.silenceLogged = true
 			klog.InfoS("dispatch: worker does not answer", "worker", w.info.ID, "address", w.info.Address, "silent", now-w.answeredAt, "runs", len(w.runs), "err", w.lastError)
@@ -42,21 +24,8 @@
 			e.loseRuns(w, "its leases have ended and it does not answer")
 		}
 		e.renewIfDue(w, now)
-		if !w.listed && len(w.runs) == 0 && (w.endsAcknowledged >= w.endsHandled || w.isUnresponsive(now)) {
-			delete(e.workers, key)
-		}
-	}
-}
-
-// accountInherited removes from j.inherited the workers whose runs are known by now: those
-// that have answered in this term, that another incarnation has replaced, or whose leases
-// have ended.
-func (e *Engine) accountInherited(j *job, now time.Duration) {
-	for key := range j.inherited {
-		w := e.workers[key]
-		listed, known := e.view.Workers[workerID(key)]
-		if now > e.inheritedLeasesEnd || w != nil && w.fenced || known && listed.StartedMS > incarnationStartMS(key) {
-			delete(j.inherited, key)
+		if !w.listed && !e.isListedEarlier(w) && len(w.runs) == 0 && (w.endsAcknowledged >= w.endsHandled || w.isUnresponsive(now)) {
+			e.deleteWorker(w)
 		}
 	}
 }
@@ -232,10 +201,13 @@
 		e.onOrderError(w, err)
 		return
 	}
-	if startMS := incarnationStartMS(w.key); reply.IncarnationStartMS != 0 && startMS != 0 && reply.IncarnationStartMS != startMS {
-		e.recordCrash(w)
-		e.transferRuns(w, reply.IncarnationStartMS)
-		e.markReplaced(w)
+	if startMS := reply.IncarnationStartMS; startMS != 0 && w.startMS() != 0 && startMS != w.startMS() {
+		w.replaced = true
+		if next := e.supersede(w, startMS, "another incarnation answered in its place"); next.startMS() == startMS {
+			// The acknowledged ends were those of the earlier incarnation.
+			order.SeenUpTo = 0
+			e.onRenewalReply(next, order, sent, reply, nil)
+		}
 		return
 	}
 	if w.isUnresponsive(now) {
@@ -334,50 +306,12 @@
 		klog.InfoS("dispatch: worker has accepted a later term", "worker", w.info.ID, "term", e.Term.Number)
 		e.endTerm(errFenced)
 	case backend.OrderWrongIncarnation:
-		e.markReplaced(w)
+		e.markDisplaced(w)
 	case backend.OrderUnhealthy:
 		w.quarantinedUntil = max(w.quarantinedUntil, e.Now()+quarantineTime)
 	}
 }
 
-// markReplaced gives up a worker in whose place another incarnation has answered.
-func (e *Engine) markReplaced(w *worker) {
-	w.replaced = true
-	e.recordCrash(w)
-	e.loseWorker(w, "another incarnation answered in its place")
-}
-
-// transferRuns moves the runs of a worker that may have started on another incarnation
-// with the same ID to that incarnation. The answer to a start does not identify the
-// incarnation, so runs whose start was answered since the last listing are moved, too.
-func (e *Engine) transferRuns(w *worker, startMS int64) {
-	now := e.Now()
-	info := w.info
-	info.StartedMS = startMS
-	key := workerKey(info)
-	for _, r := range w.runs {
-		if r.phase == runPlanned || r.phase != runStarting && r.phase != runUnresolved && r.activeAt <= w.listingAt {
-			continue
-		}
-		next := e.workers[key]
-		if next == nil {
-			next = e.addWorker(key, info)
-		}
-		klog.InfoS("dispatch: run may be on another incarnation", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", w.info.ID, "born", startMS, "phase", r.phase)
-		delete(w.runs, r.task.id)
-		w.used = w.used.Sub(r.need)
-		r.worker, next.runs[r.task.id] = next, r
-		next.used = next.used.Add(r.need)
-		next.leaseEnd = max(next.leaseEnd, w.leaseEnd)
-		if r.phase != runStopping {
-			r.phase, r.orderedAt = runUnresolved, now
-		}
-		r.stopConfirmedAt = 0
-		r.firstSeenClockMS, r.survived = 0, false
-		e.requestListing(next)
-	}
-}
-
 // loseRuns treats all runs of a worker as ended. The worker may still be there: what it lists
 // once it answers counts.
 func (e *Engine) loseRuns(w *worker, why string) {
@@ -390,16 +324,6 @@
 	e.needsPlan = true
 }
 
-// loseWorker gives up a worker for good, since another incarnation is in its place.
-func (e *Engine) loseWorker(w *worker, why string) {
-	e.loseRuns(w, why)
-	w.fenced = true
-	w.endsRecorded, w.endsAcknowledged = w.endsHandled, w.endsHandled
-	if current, known := e.view.Workers[w.info.ID]; !known || workerKey(current) != w.key {
-		w.listed = false
-	}
-}
-
 // removeRun releases the resources of a run that has ended or never began.
 func (e *Engine) removeRun(r *run, why string) {
 	w, t := r.worker, r.task
--- a/pkg/entry/site_test.go
+++ b/pkg/entry/site_test.go
@@ -136,6 +136,9 @@
 	time.Sleep(5 * time.Second)
 }
 
+// workerRecordInterval is the time between two records of a worker.
+const workerRecordInterval = 1500 * time.Millisecond
+
 // publishWorkers writes the records of the workers periodically, without those of workers
 // that do not answer.
 func (s *site) publishWorkers() {
@@ -149,7 +152,7 @@
 			}
 		})
 		s.workerTopic.Put(records...)
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(workerRecordInterval)
 	}
 }
 
--- a/pkg/simsite/workers.go
+++ b/pkg/simsite/workers.go
@@ -98,8 +98,9 @@
 	// Replaced makes another incarnation reply to orders, although the catalog still
 	// lists the worker.
 	Replaced bool
-	// LosesStartReplies makes the worker execute starts without replying.
-	LosesStartReplies bool
+	// LosesStartReplies makes the worker execute starts without replying, LosesListings
+	// renewals.
+	LosesStartReplies, LosesListings bool
 	// backAt is when a crashed worker comes back; zero if it has not crashed.
 	backAt time.Time
 	// earlier are capacities that the worker has had lately.
@@ -454,7 +455,7 @@
 		f.mu.Unlock()
 		return backend.Listing{}, errCrashed
 	}
-	if w.CutOff || w.Silent {
+	if w.CutOff || w.Silent || w.LosesListings {
 		f.mu.Unlock()
 		<-ctx.Done()
 		return backend.Listing{}, &backend.OrderError{Kind: backend.OrderUnanswered, Cause: errNoReply}
