dispatch: acknowledge ends only to the incarnation that listed them

Cause: each call to a worker carried the number of the last recorded end as SeenUpTo, also after it had been acknowledged. The numbers begin anew with each incarnation. A start had been carried out by a later incarnation, the answer that listed its end, number 1, was lost, and the next call made the worker forget it with the number of the earlier incarnation. The run was then in no listing, and the task was started again.

Ruled out: checkMissing, which concludes rightly from the listings that it gets; a lapsed lease.

Change: an end is acknowledged until one call that does so has been answered, and not again. No acknowledgement is sent while the worker has a planned run or one that it has not listed: only a listing shows that a start was not carried out by a later incarnation. The worker is asked at once then, instead of with a long poll. A worker that may have more ends than fit into its listing is excepted, since it lists them only after an acknowledgement.

Related paths: renewals and requests for listings; runs that are being stopped, and those that were transferred to a later incarnation, are held to the same rule.

--- a/pkg/dispatch/incarnation.go
+++ b/pkg/dispatch/incarnation.go
@@ -83,6 +83,33 @@
 	}
 }
 
+// seenUpTo returns the number up to which the worker may forget its ends, 0 if a call is not to
+// acknowledge any. A later incarnation that receives the call numbers its ends anew, so that it
+// could forget one that nobody has seen: no acknowledgement is sent a second time, nor while a run
+// of the worker may be on a later incarnation.
+func (w *worker) seenUpTo() int64 {
+	if w.endsAcknowledged >= w.endsRecorded || w.withholdsAcknowledgement() {
+		return 0
+	}
+	return w.endsRecorded
+}
+
+// withholdsAcknowledgement reports whether the acknowledgement of ends waits for the worker to
+// list all of its runs. A worker that may have more ends lists them only once these are acknowledged.
+func (w *worker) withholdsAcknowledgement() bool {
+	return w.endsAcknowledged < w.endsRecorded && !w.moreEnds && w.hasUnlistedRuns()
+}
+
+// hasUnlistedRuns reports whether the worker has planned runs, or others that it has not listed.
+func (w *worker) hasUnlistedRuns() bool {
+	for _, r := range w.runs {
+		if !r.listed {
+			return true
+		}
+	}
+	return false
+}
+
 // supersede gives up an incarnation of a worker, since one that started at startMS is known to
 // have taken its place, and returns the latest that is known.
 func (e *Engine) supersede(w *worker, startMS int64, why string) *worker {
@@ -129,7 +156,7 @@
 		if r.phase != runStopping {
 			r.phase, r.orderedAt = runUnresolved, now
 		}
-		r.stopConfirmedAt = 0
+		r.stopConfirmedAt, r.listed = 0, false
 		r.firstSeenClockMS, r.survived = 0, false
 		e.requestListing(next)
 	}
--- a/pkg/dispatch/incarnation_test.go
+++ b/pkg/dispatch/incarnation_test.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
@@ -123,3 +125,77 @@
 		t.Error("the task waits, although the incarnation has listed what it runs")
 	}
 }
+
+// acknowledgingOrders answers no order, and passes on which ends each renewal acknowledges.
+type acknowledgingOrders struct {
+	unansweredStarts
+	seenUpTo chan int64
+}
+
+func (o acknowledgingOrders) Renew(_ context.Context, _ backend.WorkerRef, order backend.RenewOrder) (backend.Listing, error) {
+	o.seenUpTo <- order.SeenUpTo
+	return backend.Listing{}, &backend.OrderError{Kind: backend.OrderUnanswered}
+}
+
+// Guards against a second start of a task that has ended as done on a later incarnation of its
+// worker, which forgot the end on an acknowledgement that was meant for the earlier one.
+func TestAcknowledgementIsNotForALaterIncarnation(t *testing.T) {
+	for name, c := range map[string]struct {
+		// happens may start the second task, after the first one has ended on the worker.
+		happens func(s *manualSite, w *worker, u *unit)
+		want    int64
+	}{
+		"the end is recorded": {func(*manualSite, *worker, *unit) {}, 1},
+		"it has been acknowledged": {func(s *manualSite, w *worker, u *unit) {
+			w.endsAcknowledged = 1
+			s.start(u, 1, "w0")
+			s.list("w0", s.now)
+		}, 0},
+		"a start is planned": {func(s *manualSite, w *worker, u *unit) {
+			s.startUnit(u, map[int]*worker{1: w}, s.now)
+		}, 0},
+		"a start is not answered": {func(s *manualSite, _ *worker, u *unit) {
+			s.unansweredStart(u, 1, "w0")
+		}, 0},
+		"a start is answered": {func(s *manualSite, _ *worker, u *unit) {
+			s.start(u, 1, "w0")
+		}, 0},
+		"a stop is confirmed of a run that was not listed": {func(s *manualSite, _ *worker, u *unit) {
+			s.unansweredStart(u, 1, "w0")
+			u.tasks[1].run.phase = runStopping
+			s.onStopReply(u.tasks[1].run, nil)
+		}, 0},
+		"the run is listed": {func(s *manualSite, _ *worker, u *unit) {
+			s.start(u, 1, "w0")
+			s.list("w0", s.now)
+		}, 1},
+		"the worker may have more ends than it lists": {func(s *manualSite, w *worker, u *unit) {
+			s.start(u, 1, "w0")
+			s.listEnds("w0", true)
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newManualSite(t, 1)
+				u, w := s.job("u", workload.Step{Count: 2}), s.workers["w0"]
+				s.start(u, 0, "w0")
+				s.listEnds("w0", false, backend.EndedRun{Number: 1, Run: u.tasks[0].run.id, Outcome: backend.OutcomeDone})
+				w.endsRecorded = 1
+				c.happens(s, w, u)
+				// Earlier calls have been sent.
+				synctest.Wait()
+				orders := acknowledgingOrders{unansweredStarts{s.orders}, make(chan int64, 1)}
+				for _, call := range []func(*worker){s.renewNow, s.requestListing} {
+					s.Orders, w.renewalInFlight, w.listingInFlight = orders, false, false
+					if !w.needsRenewal() {
+						continue
+					}
+					call(w)
+					if got := <-orders.seenUpTo; got != c.want {
+						t.Errorf("ends up to %d are acknowledged, want %d", got, c.want)
+					}
+				}
+			})
+		})
+	}
+}
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -152,6 +152,9 @@
 	// not. survived means that it still did crashWindow later.
 	firstSeenClockMS int64
 	survived         bool
+	// listed means that the worker, which is one incarnation, has listed the run as active. The
+	// answer to a start does not tell which incarnation has carried it out.
+	listed bool
 	// awaitsAnswer means that the start waits for an answer of the worker.
 	awaitsAnswer bool
 	// crashCounted means that a crash has been counted for the run.
@@ -210,6 +213,8 @@
 	// endsRecorded the last one in the ledger, endsAcknowledged the last one that the
 	// worker may forget.
 	endsHandled, endsRecorded, endsAcknowledged int64
+	// moreEnds means that the newest listing may lack some ends; see backend.Listing.
+	moreEnds bool
 	// quarantinedUntil is when new tasks may start on the worker again. failures counts
 	// the failures since a task last completed there, up to maxQuarantineFactor.
 	quarantinedUntil time.Duration
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -159,6 +159,7 @@
 			r.activate(0, now)
 		}
 		e.noteReported(r, w.listingClockMS)
+		r.listed = true
 		r.load = a.Load
 		e.recordProgress(r, a.Percent, now)
 		e.noteCheckpoint(r.task, a.Checkpoint)
@@ -172,7 +173,7 @@
 		e.stopOrphan(w, a.Run)
 		return
 	}
-	r = &run{id: a.Run, task: t, worker: w, need: t.unit.step.Demand(), orderedAt: now, inherited: true, throttlePercent: fullSpeedPercent}
+	r = &run{id: a.Run, task: t, worker: w, need: t.unit.step.Demand(), orderedAt: now, inherited: true, listed: true, throttlePercent: fullSpeedPercent}
 	r.beganAt = now - e.expectedRunTime(t.unit)*time.Duration(a.Percent)/100
 	r.activate(a.Percent, now)
 	e.noteReported(r, w.listingClockMS)
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -81,12 +81,12 @@
 	if isFirstCall {
 		e.takeFirstCallSlot(w)
 	}
-	order := backend.RenewOrder{Term: e.Term.Number, SeenUpTo: w.endsRecorded, Wait: renewalWait}
+	order := backend.RenewOrder{Term: e.Term.Number, SeenUpTo: w.seenUpTo(), Wait: renewalWait}
 	unanswered := w.unansweredSince != 0 && now-w.unansweredSince > renewalStopTimeout
 	w.noteCall(now)
 	// The worker answers at once if the call is to learn its clock, whether it responds, or
-	// which runs it has.
-	if !w.clockKnown || unanswered || len(w.runs) == 0 || w.hasOnlyUnresolved() {
+	// which runs it has. It does so, too, while it has ends that are not acknowledged.
+	if !w.clockKnown || unanswered || len(w.runs) == 0 || w.hasOnlyUnresolved() || w.withholdsAcknowledgement() {
 		order.Wait = 0
 	}
 	if order.Wait > 0 && w.isMixed() {
@@ -173,7 +173,7 @@
 // sendListing makes a call for a listing of the worker's runs. It handles the answer, and
 // then calls done with the time at which the call was sent.
 func (e *Engine) sendListing(w *worker, timeout time.Duration, done func(sent time.Duration, err error)) {
-	order := backend.RenewOrder{Term: e.Term.Number, SeenUpTo: w.endsRecorded}
+	order := backend.RenewOrder{Term: e.Term.Number, SeenUpTo: w.seenUpTo()}
 	sent := e.Now()
 	w.noteCall(sent)
 	go func() {
@@ -222,7 +222,7 @@
 	// Listings may arrive out of order; an older one does not show what runs now.
 	isNewest := reply.ClockMS >= w.listingClockMS
 	if isNewest {
-		w.listingClockMS, w.listingAt = reply.ClockMS, now
+		w.listingClockMS, w.listingAt, w.moreEnds = reply.ClockMS, now, reply.MoreEnds
 		clear(w.orphans)
 	}
 	for _, a := range reply.Active {
@@ -256,7 +256,7 @@
 	if w.endsRecorded < w.endsHandled {
 		w.renewalDue = now + renewalRetryDelay
 		e.flush()
-	} else if order.Wait == 0 && (len(w.runs) > 0 || len(w.orphans) > 0) && w.hasOnlyUnresolved() {
+	} else if w.withholdsAcknowledgement() || order.Wait == 0 && (len(w.runs) > 0 || len(w.orphans) > 0) && w.hasOnlyUnresolved() {
 		w.renewalDue = now + renewalRetryDelay
 	}
 	e.needsPlan = true
--- a/pkg/entry/restart_test.go
+++ b/pkg/entry/restart_test.go
@@ -59,7 +59,7 @@
 // again after its end was acknowledged.
 func TestStartOnALaterIncarnation(t *testing.T) {
 	const noChange = -1
-	for _, work := range []time.Duration{4 * time.Second} {
+	for _, work := range []time.Duration{50 * time.Millisecond, 600 * time.Millisecond, 4 * time.Second} {
 		for _, lost := range []string{"no answer", "starts", "listings"} {
 			for _, change := range []time.Duration{noChange, 0, 20 * time.Millisecond, 200 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
 				for _, restartsAgain := range []bool{false, true} {
