dispatch: keep every run that a later incarnation may have

What callers would see: a task runs twice at once (TWICE).

Cause: when a later incarnation of a worker was known, a run was taken to have ended with the earlier one if it had never been active and was being stopped, or if a listing had arrived after the answer to its start, also one that had been made before it. Either start may have been carried out by the later incarnation. A stop that the earlier incarnation had confirmed, while its answer was on the way, counted for the later one, as did the clock, the throttle percent and the silence of the earlier one.

Change: only a listing shows that a run was on an incarnation (run.listed). All others are moved to the later incarnation until that has listed its runs, and answers count only for the incarnation that was thought to be there when the call was sent.

--- a/pkg/dispatch/incarnation.go
+++ b/pkg/dispatch/incarnation.go
@@ -138,13 +138,12 @@
 	w.fenced = true
 }
 
-// transferRuns moves the runs of a worker that may have started on a later incarnation
-// to that incarnation. The answer to a start does not identify the
-// incarnation, so runs whose start was answered since the last listing are moved, too.
+// transferRuns moves the runs of an incarnation that may have started on a later one to that one:
+// all that the earlier one has not listed.
 func (e *Engine) transferRuns(w, next *worker) {
 	now := e.Now()
 	for _, r := range w.runs {
-		if r.phase == runPlanned || r.phase != runStarting && r.phase != runUnresolved && r.activeAt <= w.listingAt {
+		if r.phase == runPlanned || r.listed {
 			continue
 		}
 		klog.InfoS("dispatch: run may be on another incarnation", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", w.info.ID, "born", next.startMS(), "phase", r.phase)
@@ -156,7 +155,10 @@
 		if r.phase != runStopping {
 			r.phase, r.orderedAt = runUnresolved, now
 		}
-		r.stopConfirmedAt, r.listed = 0, false
+		// What the earlier incarnation has confirmed does not hold for the later one.
+		r.transferred = true
+		r.stopConfirmedAt = 0
+		r.throttlePercent, r.throttleConfirmed = fullSpeedPercent, false
 		r.firstSeenClockMS, r.survived = 0, false
 		e.requestListing(next)
 	}
--- a/pkg/dispatch/incarnation_test.go
+++ b/pkg/dispatch/incarnation_test.go
@@ -163,7 +163,7 @@
 		"a stop is confirmed of a run that was not listed": {func(s *manualSite, _ *worker, u *unit) {
 			s.unansweredStart(u, 1, "w0")
 			u.tasks[1].run.phase = runStopping
-			s.onStopReply(u.tasks[1].run, nil)
+			s.onStopReply(u.tasks[1].run, s.workers["w0"], nil)
 		}, 0},
 		"the run is listed": {func(s *manualSite, _ *worker, u *unit) {
 			s.start(u, 1, "w0")
@@ -199,3 +199,77 @@
 		})
 	}
 }
+
+// Guards against a second run of a task whose start may have been carried out by a later
+// incarnation of its worker: until that one has listed its runs, only a listing of the earlier one
+// shows that the run has ended with it.
+func TestRunThatWasNotListedMayBeOnALaterIncarnation(t *testing.T) {
+	for name, c := range map[string]struct {
+		happens func(s *manualSite, u *unit)
+		keeps   bool
+	}{
+		"its start is in flight": {func(s *manualSite, u *unit) {
+			s.startUnit(u, map[int]*worker{0: s.workers["w0"]}, s.now)
+			u.tasks[0].run.phase = runStarting
+		}, true},
+		"its start is not answered": {func(s *manualSite, u *unit) {
+			s.unansweredStart(u, 0, "w0")
+		}, true},
+		"its start is not answered, and it is being stopped": {func(s *manualSite, u *unit) {
+			s.unansweredStart(u, 0, "w0")
+			s.stopRun(u.tasks[0].run, stopUnconfirmed)
+		}, true},
+		"its start is answered": {func(s *manualSite, u *unit) {
+			s.start(u, 0, "w0")
+		}, true},
+		"a listing arrives that was made before its start": {func(s *manualSite, u *unit) {
+			requested := s.now
+			s.now++
+			s.start(u, 0, "w0")
+			s.now++
+			s.onRenewalReply(s.workers["w0"], backend.RenewOrder{}, requested, backend.Listing{ClockMS: s.now.Milliseconds(), IncarnationStartMS: 1}, nil)
+		}, true},
+		"it is listed": {func(s *manualSite, u *unit) {
+			s.start(u, 0, "w0")
+			s.list("w0", s.now)
+		}, false},
+		"it is only planned": {func(s *manualSite, u *unit) {
+			s.startUnit(u, map[int]*worker{0: s.workers["w0"]}, s.now)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seen, appears := range map[string]func(s *manualSite){
+				"answers": func(s *manualSite) { s.answer(s.workers["w0"], 2) },
+				"listed":  func(s *manualSite) { s.relist("w0", 2) },
+			} {
+				s := newManualSite(t, 1)
+				s.Orders = unansweredStarts{s.orders}
+				u := s.job("u", workload.Step{Count: 1})
+				c.happens(s, u)
+				appears(s)
+				if got := u.tasks[0].run != nil; got != c.keeps {
+					t.Errorf("%s: the task keeps its run: %v, want %v", seen, got, c.keeps)
+				}
+			}
+		})
+	}
+}
+
+// An answer of an earlier incarnation must not count for the run on a later one.
+func TestAnswerOfAnEarlierIncarnationIsNotForALaterOne(t *testing.T) {
+	s := newManualSite(t, 1)
+	s.Orders = unansweredStarts{s.orders}
+	u := s.job("u", workload.Step{Count: 1})
+	s.unansweredStart(u, 0, "w0")
+	earlier, r := s.workers["w0"], u.tasks[0].run
+	s.stopRun(r, stopUnconfirmed)
+	s.answer(earlier, 2)
+	s.onStopReply(r, earlier, nil)
+	if r.stopConfirmedAt != 0 {
+		t.Error("the stop counts as confirmed by the later incarnation")
+	}
+	s.onStopReply(r, r.worker, nil)
+	if r.stopConfirmedAt == 0 {
+		t.Error("the stop does not count as confirmed")
+	}
+}
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -155,6 +155,9 @@
 	// listed means that the worker, which is one incarnation, has listed the run as active. The
 	// answer to a start does not tell which incarnation has carried it out.
 	listed bool
+	// transferred means that the start was sent when an earlier incarnation of the worker was
+	// thought to be there.
+	transferred bool
 	// awaitsAnswer means that the start waits for an answer of the worker.
 	awaitsAnswer bool
 	// crashCounted means that a crash has been counted for the run.
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -68,15 +68,17 @@
 		return
 	}
 	if err == nil {
+		if r.transferred {
+			// The answer may come from the earlier incarnation.
+			e.requestListing(w)
+			return
+		}
 		w.noteAnswer(now)
 		e.updateClockOffset(w, clockMS)
 		if r.phase == runStarting {
 			r.activate(0, now)
 		}
-		// The answer to the start of a transferred run may come from the old incarnation.
-		if r.phase != runUnresolved {
-			e.noteReported(r, clockMS)
-		}
+		e.noteReported(r, clockMS)
 		e.renewNow(w)
 		return
 	}
@@ -87,7 +89,7 @@
 	}
 	klog.InfoS("dispatch: start not confirmed", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", w.info.ID, "err", err)
 	if kind == backend.OrderUnanswered {
-		if orderErr != nil {
+		if orderErr != nil && !r.transferred {
 			w.noteError(orderErr, now)
 		}
 		if r.phase == runStarting {
@@ -124,16 +126,17 @@
 		return
 	}
 	r.stopInFlight = true
+	w := r.worker
 	go func() {
 		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
 		defer cancel()
-		_, err := e.Orders.Stop(ctx, r.worker.ref(), r.id, e.Term.Number)
-		e.post(func() { e.onStopReply(r, err) })
+		_, err := e.Orders.Stop(ctx, w.ref(), r.id, e.Term.Number)
+		e.post(func() { e.onStopReply(r, w, err) })
 	}()
 }
 
-// onStopReply handles the answer to a stop call.
-func (e *Engine) onStopReply(r *run, err error) {
+// onStopReply handles the answer to a stop call that was sent while the run was taken to be on w.
+func (e *Engine) onStopReply(r *run, w *worker, err error) {
 	r.stopInFlight = false
 	if !r.isCurrent() {
 		return
@@ -141,7 +144,10 @@
 	var orderErr *backend.OrderError
 	// OrderStale confirms the stop: the run has ended or can no longer start.
 	if err != nil && (!errors.As(err, &orderErr) || orderErr.Kind != backend.OrderStale) {
-		e.onOrderError(r.worker, err)
+		e.onOrderError(w, err)
+		return
+	}
+	if r.worker != w {
 		return
 	}
 	r.stopConfirmedAt = e.Now()
--- a/pkg/dispatch/throttle.go
+++ b/pkg/dispatch/throttle.go
@@ -84,19 +84,23 @@
 // throttleRun asks a worker to run a task at a percentage of its full speed.
 func (e *Engine) throttleRun(r *run, percent int, load float64) {
 	r.throttleInFlight = true
+	w := r.worker
 	klog.InfoS("dispatch: pace", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", r.worker.info.ID, "from", r.throttlePercent, "to", percent, "load", load)
 	metrics.GetOrCreateCounter("shallotpin_pace_orders_total").Inc()
 	go func() {
 		ctx, cancel := context.WithTimeout(e.ctx, startTimeout)
 		defer cancel()
-		_, err := e.Orders.Throttle(ctx, r.worker.ref(), r.id, percent, e.Term.Number)
+		_, err := e.Orders.Throttle(ctx, w.ref(), r.id, percent, e.Term.Number)
 		e.post(func() {
 			r.throttleInFlight = false
 			if err != nil {
 				// The present throttle percent is unknown; the next listing sets it again.
-				klog.InfoS("dispatch: throttle not confirmed", "job", r.task.id.Job, "run", r.id.Number, "worker", r.worker.info.ID, "err", err)
+				klog.InfoS("dispatch: throttle not confirmed", "job", r.task.id.Job, "run", r.id.Number, "worker", w.info.ID, "err", err)
 				r.throttleConfirmed = false
-				e.onOrderError(r.worker, err)
+				e.onOrderError(w, err)
+				return
+			}
+			if r.worker != w {
 				return
 			}
 			r.throttlePercent, r.throttleConfirmed = percent, true
