dispatch: a late listing of an earlier incarnation is not the later one's

What callers would see: a run that works on a later incarnation of its worker is stopped, or a task waits for a run that ended with the earlier one.

Cause: while the platform's list already showed a later incarnation, an answer of the earlier one to a call in flight was handled as if that one were still there. A run in it that had been moved to the later incarnation was taken for an orphan and stopped by its ID, which reaches the later incarnation; another one was taken over on the incarnation that had ended.

Evidence: TestLateListingOfAnEarlierIncarnation failed before.

Change: what such a listing has, active or ended, was on the earlier incarnation and has ended with it; ends as done count, nothing is stopped or taken over. The log has "dispatch: listing of an earlier incarnation".

Ruled out: to drop such listings whole, which would lose ends as done.

--- a/pkg/dispatch/incarnation.go
+++ b/pkg/dispatch/incarnation.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/catalog"
 )
 
@@ -164,6 +165,32 @@
 	}
 }
 
+// onLateListing handles a listing of an incarnation that a later one has superseded. What it has
+// listed, active or ended, is not on the later one.
+func (e *Engine) onLateListing(w *worker, reply backend.Listing) {
+	latest := e.latest[w.info.ID]
+	remove := func(id backend.RunID, why string) {
+		if r := latest.runs[id.Task]; r != nil && r.id == id && !r.listed {
+			e.removeRun(r, why)
+		}
+	}
+	klog.InfoS("dispatch: listing of an earlier incarnation", "worker", w.info.ID, "born", w.startMS(), "active", len(reply.Active), "ended", len(reply.Ended))
+	for _, end := range reply.Ended {
+		if end.Number > w.endsHandled {
+			e.onRunEnded(w, end)
+			remove(end.Run, string(end.Outcome))
+		}
+	}
+	for _, end := range reply.Ended {
+		w.endsHandled = max(w.endsHandled, end.Number)
+	}
+	w.endsRecorded, w.endsAcknowledged = w.endsHandled, w.endsHandled
+	for _, a := range reply.Active {
+		remove(a.Run, workerLostPrefix+"an earlier incarnation had it")
+	}
+	e.needsPlan = true
+}
+
 // loseWorker gives up an incarnation of a worker for good.
 func (e *Engine) loseWorker(w *worker, why string) {
 	e.loseRuns(w, why)
--- a/pkg/dispatch/incarnation_test.go
+++ b/pkg/dispatch/incarnation_test.go
@@ -273,3 +273,45 @@
 		t.Error("the stop does not count as confirmed")
 	}
 }
+
+// A listing may arrive after another incarnation has become known: what ran on the earlier one has
+// ended with it, must not be stopped on the later one, and is not taken over.
+func TestLateListingOfAnEarlierIncarnation(t *testing.T) {
+	for name, c := range map[string]struct {
+		listing func(id backend.RunID) backend.Listing
+		done    bool
+	}{
+		"active": {func(id backend.RunID) backend.Listing {
+			return backend.Listing{Active: []backend.ActiveRun{{Run: id}}}
+		}, false},
+		"ended as done": {func(id backend.RunID) backend.Listing {
+			return backend.Listing{Ended: []backend.EndedRun{{Number: 1, Run: id, Outcome: backend.OutcomeDone}}}
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, known := range []bool{true, false} {
+				s := newManualSite(t, 1)
+				s.Orders = unansweredStarts{s.orders}
+				u, w := s.job("u", workload.Step{Count: 1}), s.workers["w0"]
+				id := backend.RunID{Task: u.tasks[0].id, Number: 7}
+				if known {
+					s.unansweredStart(u, 0, "w0")
+					id = u.tasks[0].run.id
+				}
+				s.relist("w0", 2)
+				reply := c.listing(id)
+				reply.ClockMS, reply.IncarnationStartMS = s.now.Milliseconds(), 1
+				s.onRenewalReply(w, backend.RenewOrder{}, s.now, reply, nil)
+				if r := u.tasks[0].run; r != nil {
+					t.Errorf("run known %v: the task has a run on %s", known, r.worker.key)
+				}
+				if len(w.orphans) > 0 {
+					t.Errorf("run known %v: a stop was sent to the later incarnation", known)
+				}
+				if u.tasks[0].done != c.done {
+					t.Errorf("run known %v: the task is done: %v, want %v", known, u.tasks[0].done, c.done)
+				}
+			}
+		})
+	}
+}
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -210,6 +210,10 @@
 		}
 		return
 	}
+	if e.isSuperseded(w) {
+		e.onLateListing(w, reply)
+		return
+	}
 	if w.isUnresponsive(now) {
 		klog.InfoS("dispatch: worker answers again", "worker", w.info.ID, "silent", now-w.answeredAt)
 		w.endSilence()
