dispatch: count leases on a later incarnation from when orders arrive

What callers would see: a task runs twice at once (TWICE) after its worker was given up.

Cause: the end of a lease is a time on the clock of one incarnation. For a later one, whose clock began anew, it is far ahead, so that the lease is the longest one, counted from when the order is carried out. The engine counted it from when the order was sent, also for a run that it had moved to the later incarnation seconds after that. While the log was out of reach, leases granted to such a run could outlast the lease window, for which a later leader waits: with leases of 10 s, a window of 12 s and renewals that go on for 6 s, by 4 s.

Evidence: TestLeaseOnALaterIncarnation and TestLeaseWindowHoldsOnALaterIncarnation failed before.

Change: a run that may be on a later incarnation is held until the longest lease has ended that an order carried out by now can have given. No lease is granted to a worker with such a run if the longest one would outlast the lease window.

Ruled out: a longer wait of later leaders, which all jobs of silent workers would pay for. Not covered: an order without an answer that is carried out seconds later by a later incarnation that does not answer either.

--- a/pkg/dispatch/incarnation.go
+++ b/pkg/dispatch/incarnation.go
@@ -98,19 +98,36 @@
 // withholdsAcknowledgement reports whether the acknowledgement of ends waits for the worker to
 // list all of its runs. A worker that may have more ends lists them only once these are acknowledged.
 func (w *worker) withholdsAcknowledgement() bool {
-	return w.endsAcknowledged < w.endsRecorded && !w.moreEnds && w.hasUnlistedRuns()
+	return w.endsAcknowledged < w.endsRecorded && !w.moreEnds && w.hasRun(func(r *run) bool { return !r.listed })
 }
 
-// hasUnlistedRuns reports whether the worker has planned runs, or others that it has not listed.
-func (w *worker) hasUnlistedRuns() bool {
+// mayBeOnLaterIncarnation reports whether the run, if it was started, may be on a later incarnation
+// than that of its worker.
+func (r *run) mayBeOnLaterIncarnation() bool { return r.phase != runPlanned && !r.listed }
+
+// hasRun reports whether a run of the worker meets a condition.
+func (w *worker) hasRun(condition func(*run) bool) bool {
 	for _, r := range w.runs {
-		if !r.listed {
+		if condition(r) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayGrantLease reports whether a lease may be granted to the worker now. A later incarnation
+// has a clock that is behind, so that an order gives it the longest lease, whatever time is in the
+// order; that must not outlast the lease window, for which later leaders wait.
+func (e *Engine) mayGrantLease(w *worker, now time.Duration) bool {
+	return now+e.Settings.LeaseDuration <= e.lease.ConfirmedAt()+e.Settings.LeaseWindow || !w.hasRun((*run).mayBeOnLaterIncarnation)
+}
+
+// longestLeaseEnd returns until when a lease may last that a worker of any incarnation has been
+// granted up to now.
+func (e *Engine) longestLeaseEnd(now time.Duration) time.Duration {
+	return now + e.Settings.LeaseDuration + e.maxLeaseError()
+}
+
 // supersede gives up an incarnation of a worker, since one that started at startMS is known to
 // have taken its place, and returns the latest that is known.
 func (e *Engine) supersede(w *worker, startMS int64, why string) *worker {
@@ -144,7 +161,7 @@
 func (e *Engine) transferRuns(w, next *worker) {
 	now := e.Now()
 	for _, r := range w.runs {
-		if r.phase == runPlanned || r.listed {
+		if !r.mayBeOnLaterIncarnation() {
 			continue
 		}
 		klog.InfoS("dispatch: run may be on another incarnation", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", w.info.ID, "born", next.startMS(), "phase", r.phase)
@@ -152,7 +169,7 @@
 		w.used = w.used.Sub(r.need)
 		r.worker, next.runs[r.task.id] = next, r
 		next.used = next.used.Add(r.need)
-		next.leaseEnd = max(next.leaseEnd, w.leaseEnd)
+		next.leaseEnd = max(next.leaseEnd, w.leaseEnd, e.longestLeaseEnd(now))
 		if r.phase != runStopping {
 			r.phase, r.orderedAt = runUnresolved, now
 		}
--- a/pkg/dispatch/incarnation_test.go
+++ b/pkg/dispatch/incarnation_test.go
@@ -315,3 +315,70 @@
 		})
 	}
 }
+
+// The lease of a run on a later incarnation is the longest one, counted from when the start was
+// carried out: a run that may be there is not given up before that has ended.
+func TestLeaseOnALaterIncarnation(t *testing.T) {
+	s := newManualSite(t, 1)
+	s.Orders = unansweredStarts{s.orders}
+	u := s.job("u", workload.Step{Count: 1})
+	s.unansweredStart(u, 0, "w0")
+	s.now += 3 * time.Second
+	s.relist("w0", 2)
+	w := u.tasks[0].run.worker
+	w.noteCall(s.now)
+	s.now += s.Settings.LeaseDuration
+	s.checkWorkers(s.now)
+	if u.tasks[0].run == nil {
+		t.Fatal("the run was given up, although its lease may not have ended")
+	}
+	s.now += s.maxLeaseError() + 1
+	s.checkWorkers(s.now)
+	if u.tasks[0].run != nil {
+		t.Error("the run was not given up after its lease")
+	}
+}
+
+// leaseOrders answers no order, and passes on the lease that each renewal grants.
+type leaseOrders struct {
+	unansweredStarts
+	leases chan int64
+}
+
+func (o leaseOrders) Renew(_ context.Context, _ backend.WorkerRef, order backend.RenewOrder) (backend.Listing, error) {
+	o.leases <- order.LeaseUntilMS
+	return backend.Listing{}, &backend.OrderError{Kind: backend.OrderUnanswered}
+}
+
+// While the log is out of reach, no lease may outlast the lease window: on a later incarnation it
+// would last as long as leases may, whatever the order says.
+func TestLeaseWindowHoldsOnALaterIncarnation(t *testing.T) {
+	for name, c := range map[string]struct {
+		outage         time.Duration
+		listed, grants bool
+	}{
+		"listed, long outage":      {4 * time.Second, true, true},
+		"not listed, short outage": {time.Second, false, true},
+		"not listed, long outage":  {4 * time.Second, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newManualSite(t, 1)
+				s.Settings.LeaseDuration = 10 * time.Second
+				s.start(s.job("u", workload.Step{Count: 1}), 0, "w0")
+				if c.listed {
+					s.list("w0", s.now)
+				}
+				synctest.Wait()
+				w := s.workers["w0"]
+				orders := leaseOrders{unansweredStarts{s.orders}, make(chan int64, 1)}
+				s.Orders, w.renewalInFlight, w.unansweredSince = orders, false, 0
+				s.now += c.outage
+				s.renewNow(w)
+				if got := <-orders.leases > 0; got != c.grants {
+					t.Errorf("lease granted: %v, want %v", got, c.grants)
+				}
+			})
+		})
+	}
+}
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -75,6 +75,7 @@
 		}
 		w.noteAnswer(now)
 		e.updateClockOffset(w, clockMS)
+		w.leaseEnd = max(w.leaseEnd, e.longestLeaseEnd(now))
 		if r.phase == runStarting {
 			r.activate(0, now)
 		}
@@ -186,7 +187,7 @@
 	t.run = r
 	w.runs[t.id] = r
 	w.used = w.used.Add(r.need)
-	w.leaseEnd = max(w.leaseEnd, min(now+e.Settings.LeaseDuration+e.maxLeaseError(), e.inheritedLeasesEnd))
+	w.leaseEnd = max(w.leaseEnd, min(e.longestLeaseEnd(now), e.inheritedLeasesEnd))
 	t.unit.gangRun, t.unit.gangStartedAt = a.Run.Number, now
 	e.noteCheckpoint(t, a.Checkpoint)
 	klog.InfoS("dispatch: run inherited", "job", t.id.Job, "task", t.unit.id.String(), "index", t.id.Index, "run", a.Run.Number, "worker", w.info.ID, "percent", a.Percent)
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -92,7 +92,7 @@
 	if order.Wait > 0 && w.isMixed() {
 		order.Wait = mixedRenewalWait
 	}
-	if w.clockKnown && len(w.runs) > 0 && !unanswered {
+	if w.clockKnown && len(w.runs) > 0 && !unanswered && e.mayGrantLease(w, now) {
 		order.LeaseUntilMS = e.extendLease(w, now)
 	}
 	w.renewalInFlight = true
