dispatch: a run on the next incarnation did not crash the one before

What callers would see: a job is shown as failed, or its tasks start one at a time, for crashes that they did not cause.

Cause: when a worker was found to have crashed, each run that had started shortly before was counted as a suspect at once, also one whose start had been carried out by the incarnation that came after.

Evidence: 7 rows of TestRunOnALaterIncarnationIsNoSuspect failed before.

Change: a suspect that the crashed incarnation has not listed is counted once it is known not to be on the later one; what was known at the time of the crash decides how. The task has no other run until then, so that it does not start again uncounted.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -166,10 +166,20 @@
 		e.crashes[w.info.Address] = c
 	}
 	for _, r := range suspects {
-		e.countCrash(r, alone, byItself)
+		r.crash = &crashEvidence{alone: alone, byItself: byItself, begun: r.mayHaveBegun()}
+		if r.listed {
+			e.countCrash(r)
+		}
 	}
 }
 
+// crashEvidence is what was known of a run when its worker was found to have crashed.
+type crashEvidence struct {
+	// alone means that the run was the only suspect, byItself that the worker had crashed without
+	// one shortly before, begun that something showed that the start of the run had arrived.
+	alone, byItself, begun bool
+}
+
 // crashTimes are the times of the last crashes of the workers at one address: of any, and
 // of one without a suspect, 0 if there was none.
 type crashTimes struct{ at, withoutSuspectAt time.Duration }
@@ -203,11 +213,13 @@
 
 // countCrash counts a crash that the run may have caused, and ends the job as failed after too
 // many of one task. A run counts once, though it may be on a further incarnation of its
-// worker. alone means that the run was the only suspect, byItself that the worker had crashed
-// without one shortly before. A run that may never have begun is not the only possible cause.
-func (e *Engine) countCrash(r *run, alone, byItself bool) {
-	u, j := r.task.unit, r.task.unit.job
-	if j.progress.Phase.Ended() || r.crashCounted {
+// worker. A run that may never have begun is not the only possible cause. One that the crashed
+// incarnation has not listed may have started on a later one: it is counted once it is known not to
+// be there, see removeRun.
+func (e *Engine) countCrash(r *run) {
+	u, j, evidence := r.task.unit, r.task.unit.job, r.crash
+	r.crash = nil
+	if evidence == nil || j.progress.Phase.Ended() || r.crashCounted {
 		return
 	}
 	r.crashCounted = true
@@ -216,14 +228,13 @@
 	}
 	count := j.progress.Crashes[r.task.number]
 	count.Total++
-	begun := r.mayHaveBegun()
-	alone = alone && begun && (!byItself || count.Total > maxExcusedCrashes)
+	alone := evidence.alone && evidence.begun && (!evidence.byItself || count.Total > maxExcusedCrashes)
 	if alone {
 		count.Alone++
 	}
 	j.progress.Crashes[r.task.number] = count
 	j.unsaved = true
-	klog.InfoS("dispatch: task may have crashed its worker", "job", j.spec.ID, "task", u.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", r.worker.info.ID, "begun", begun, "alone", alone, "crashes", count.Total, "crashes_alone", count.Alone)
+	klog.InfoS("dispatch: task may have crashed its worker", "job", j.spec.ID, "task", u.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", r.worker.info.ID, "begun", evidence.begun, "alone", alone, "crashes", count.Total, "crashes_alone", count.Alone)
 	if count.Total >= maxCrashes && count.Alone >= minCrashesAlone {
 		e.endJob(j, ledger.Failed, "a task crashed each worker that started it")
 	}
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -505,3 +505,47 @@
 		t.Error("the run counts as having survived on the new incarnation")
 	}
 }
+
+// A run that started on the next incarnation of its worker has not caused the crash of the one
+// before; one that is not there has been on the one before, or was never carried out.
+func TestRunOnALaterIncarnationIsNoSuspect(t *testing.T) {
+	for name, c := range map[string]struct {
+		happens func(s *manualSite, r *run)
+		count   int
+	}{
+		"it is listed": {func(s *manualSite, r *run) {
+			s.answer(r.worker, 2, r.id)
+		}, 0},
+		"its end is listed": {func(s *manualSite, r *run) {
+			s.onRenewalReply(r.worker, backend.RenewOrder{}, s.now, backend.Listing{ClockMS: 1, IncarnationStartMS: 2, Ended: []backend.EndedRun{{Number: 1, Run: r.id, Outcome: backend.OutcomeStopped}}}, nil)
+		}, 0},
+		"its start was refused": {func(s *manualSite, r *run) {
+			s.onStartReply(r, 0, &backend.OrderError{Kind: backend.OrderNoCapacity})
+		}, 0},
+		"it had ended before the crash": {func(s *manualSite, r *run) {
+			s.onRenewalReply(s.workers["w0"], backend.RenewOrder{}, s.now, backend.Listing{ClockMS: 1, IncarnationStartMS: 1, Ended: []backend.EndedRun{{Number: 1, Run: r.id, Outcome: backend.OutcomeStopped}}}, nil)
+		}, 0},
+		"the crashed incarnation had listed it": {func(s *manualSite, r *run) {
+			s.onRenewalReply(s.workers["w0"], backend.RenewOrder{}, s.now, backend.Listing{ClockMS: 1, IncarnationStartMS: 1, Active: []backend.ActiveRun{{Run: r.id}}}, nil)
+		}, 1},
+		"it is not there": {func(s *manualSite, r *run) {
+			s.onStopReply(r, r.worker, nil)
+			s.now++
+			s.answer(r.worker, 2)
+		}, 1},
+		"the next incarnation is lost before it answers": {func(s *manualSite, r *run) {
+			s.loseRuns(r.worker, "test")
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newManualSite(t, 1)
+			s.Orders = unansweredStarts{s.orders}
+			u := s.job("u", workload.Step{Count: 1})
+			r := s.start(u, 0, "w0")
+			s.relist("w0", 2)
+			s.expectCount(u, 0, 0, 0)
+			c.happens(s, r)
+			s.expectCount(u, 0, c.count, c.count)
+		})
+	}
+}
--- a/pkg/dispatch/incarnation.go
+++ b/pkg/dispatch/incarnation.go
@@ -186,8 +186,12 @@
 // listed, active or ended, is not on the later one.
 func (e *Engine) onLateListing(w *worker, reply backend.Listing) {
 	latest := e.latest[w.info.ID]
-	remove := func(id backend.RunID, why string) {
+	remove := func(id backend.RunID, hadEnded bool, why string) {
 		if r := latest.runs[id.Task]; r != nil && r.id == id && !r.listed {
+			if hadEnded {
+				// It cannot have caused the crash of the incarnation.
+				r.crash = nil
+			}
 			e.removeRun(r, why)
 		}
 	}
@@ -195,7 +199,7 @@
 	for _, end := range reply.Ended {
 		if end.Number > w.endsHandled {
 			e.onRunEnded(w, end)
-			remove(end.Run, string(end.Outcome))
+			remove(end.Run, true, string(end.Outcome))
 		}
 	}
 	for _, end := range reply.Ended {
@@ -203,7 +207,7 @@
 	}
 	w.endsRecorded, w.endsAcknowledged = w.endsHandled, w.endsHandled
 	for _, a := range reply.Active {
-		remove(a.Run, workerLostPrefix+"an earlier incarnation had it")
+		remove(a.Run, false, workerLostPrefix+"an earlier incarnation had it")
 	}
 	e.needsPlan = true
 }
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -160,6 +160,8 @@
 	transferred bool
 	// awaitsAnswer means that the start waits for an answer of the worker.
 	awaitsAnswer bool
+	// crash is the evidence of a crash that is not counted yet, nil if there is none.
+	crash *crashEvidence
 	// crashCounted means that a crash has been counted for the run.
 	crashCounted bool
 }
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -107,6 +107,7 @@
 	if kind != backend.OrderWrongIncarnation {
 		w.quarantinedUntil = max(w.quarantinedUntil, now+retryDelay)
 	}
+	r.crash = nil
 	e.removeRun(r, "start refused: "+string(kind))
 	e.onOrderError(w, err)
 }
@@ -166,7 +167,7 @@
 			r.activate(0, now)
 		}
 		e.noteReported(r, w.listingClockMS)
-		r.listed = true
+		r.listed, r.crash = true, nil
 		r.load = a.Load
 		e.recordProgress(r, a.Percent, now)
 		e.noteCheckpoint(r.task, a.Checkpoint)
@@ -236,6 +237,7 @@
 		}
 	}
 	if r != nil {
+		r.crash = nil
 		e.removeRun(r, string(end.Outcome))
 	}
 	if t != nil && t.checkpoint != "" && !t.done && !t.unit.job.progress.Phase.Ended() {
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -349,6 +349,7 @@
 	if u.idle() {
 		u.aborting = false
 	}
+	e.countCrash(r)
 	if r.phase != runPlanned {
 		// The job's record must not name the worker any longer than needed: a later leader
 		// would wait for it.
