dispatch: keep the adviser's tickets for one incarnation of a worker

What callers would see: a task of an advised queue waits until its unit's other tickets expire, and starts are rejected for want of a ticket.

Cause: tickets hold for one incarnation of a worker, and were kept by its ID. After a restart, the ticket of the earlier incarnation was used, and rejected; the ID then counted as one that the adviser had been asked about, so that it was not asked about the later incarnation.

Evidence: TestTicketIsForOneIncarnation fails with tickets by ID: the adviser is not asked again.

Change: tickets, and the workers that the adviser was asked about, are kept by incarnation.

--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -36,12 +36,10 @@
 }
 
 // ticketKeys returns the keys of the workers for which the unit has tickets.
-func (e *Engine) ticketKeys(u *unit) map[string]bool {
+func (u *unit) ticketKeys() map[string]bool {
 	keys := map[string]bool{}
-	for key, w := range e.workers {
-		if u.tickets[w.info.ID] != "" {
-			keys[key] = true
-		}
+	for key := range u.tickets {
+		keys[key] = true
 	}
 	return keys
 }
@@ -64,7 +62,7 @@
 	}
 	var candidates []*worker
 	for _, w := range e.workers {
-		if w.info.Service == u.job.policy.Service && !u.advisedWorkers[w.info.ID] && e.isSchedulable(w, now) && u.step.Demand().Fits(w.info.Capacity) &&
+		if w.info.Service == u.job.policy.Service && !u.advisedWorkers[w.key] && e.isSchedulable(w, now) && u.step.Demand().Fits(w.info.Capacity) &&
 			(u.step.Label == "" || w.info.HasLabel(u.step.Label)) {
 			candidates = append(candidates, w)
 		}
@@ -83,8 +81,9 @@
 			cmp.Compare(b.info.Capacity.Sub(b.used).Accelerators, a.info.Capacity.Sub(a.used).Accelerators),
 			cmp.Compare(a.key, b.key))
 	})
+	candidates = candidates[:min(len(candidates), maxWorkersPerAdvice)]
 	var ids []string
-	for _, w := range candidates[:min(len(candidates), maxWorkersPerAdvice)] {
+	for _, w := range candidates {
 		ids = append(ids, w.info.ID)
 	}
 	e.adviceInFlight = true
@@ -92,7 +91,7 @@
 		ctx, cancel := context.WithTimeout(e.ctx, adviceTimeout)
 		defer cancel()
 		advice, err := e.Adviser.Advise(ctx, u.id, ids)
-		e.post(func() { e.onAdvice(u, ids, advice, err) })
+		e.post(func() { e.onAdvice(u, candidates, advice, err) })
 	}()
 }
 
@@ -104,11 +103,12 @@
 	return 1
 }
 
-// onAdvice stores the tickets of the adviser's answer.
-func (e *Engine) onAdvice(u *unit, ids []string, advice backend.Advice, err error) {
+// onAdvice stores the tickets of the adviser's answer. A ticket holds for the incarnation that was
+// there when the adviser was asked.
+func (e *Engine) onAdvice(u *unit, asked []*worker, advice backend.Advice, err error) {
 	now := e.Now()
 	e.adviceInFlight, e.needsPlan = false, true
-	klog.InfoS("dispatch: advice", "job", u.id.Job, "task", u.id.String(), "asked", len(ids), "good", len(advice.Tickets), "valid", advice.ValidFor, "err", err)
+	klog.InfoS("dispatch: advice", "job", u.id.Job, "task", u.id.String(), "asked", len(asked), "good", len(advice.Tickets), "valid", advice.ValidFor, "err", err)
 	if err != nil {
 		u.notBefore = now + retryDelay
 		return
@@ -118,10 +118,10 @@
 		u.ticketsUntil = now + advice.ValidFor
 	}
 	u.ticketsUntil = min(u.ticketsUntil, now+advice.ValidFor)
-	for _, id := range ids {
-		u.advisedWorkers[id] = true
-	}
-	for id, ticket := range advice.Tickets {
-		u.tickets[id] = ticket
+	for _, w := range asked {
+		u.advisedWorkers[w.key] = true
+		if ticket := advice.Tickets[w.info.ID]; ticket != "" {
+			u.tickets[w.key] = ticket
+		}
 	}
 }
--- a/pkg/dispatch/incarnation_test.go
+++ b/pkg/dispatch/incarnation_test.go
@@ -382,3 +382,43 @@
 		})
 	}
 }
+
+// A ticket holds for one incarnation of a worker: the next one needs another, and may get it.
+func TestTicketIsForOneIncarnation(t *testing.T) {
+	s := newManualSite(t, 1)
+	s.Orders = unansweredStarts{s.orders}
+	adviser := &countingAdviser{asked: make(chan []string, 10)}
+	s.Adviser = adviser
+	u := s.job("u", workload.Step{Count: 1})
+	u.job.policy.Advised = true
+	for range 2 {
+		present := s.latest["w0"].key
+		if u.ticketKeys()[present] {
+			t.Fatalf("the unit has a ticket for %s before the adviser was asked", present)
+		}
+		s.adviseUnplaced([]workload.UnitID{u.id})
+		if got := <-adviser.asked; len(got) != 1 || got[0] != "w0" {
+			t.Fatalf("asked about %v, want w0", got)
+		}
+		for s.adviceInFlight {
+			(<-s.events)()
+		}
+		if !u.ticketKeys()[present] {
+			t.Errorf("no ticket for %s", present)
+		}
+		s.relist("w0", 2)
+		s.latest["w0"].fenced = true
+	}
+}
+
+// countingAdviser gives a ticket for each worker.
+type countingAdviser struct{ asked chan []string }
+
+func (a *countingAdviser) Advise(_ context.Context, _ workload.UnitID, workers []string) (backend.Advice, error) {
+	a.asked <- workers
+	advice := backend.Advice{Tickets: map[string]string{}, ValidFor: time.Minute}
+	for _, id := range workers {
+		advice.Tickets[id] = "ticket"
+	}
+	return advice, nil
+}
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -68,7 +68,7 @@
 	// when a suspected task may be placed again before others.
 	suspectSurvived bool
 	nextSuspectAt   time.Duration
-	// tickets are the adviser's, by worker ID, and valid until ticketsUntil.
+	// tickets are the adviser's, by worker key, and valid until ticketsUntil.
 	// advisedWorkers are the workers that it was asked about for this set of tickets.
 	tickets        map[string]string
 	ticketsUntil   time.Duration
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -324,7 +324,7 @@
 			pu.AnyRack = u.ampleCapacitySince != 0 && now-u.ampleCapacitySince > maxLocalityWait
 			pu.MayUseHeadroom = unixMS > begin+objective.Milliseconds() || pu.AnyRack || e.blockedByHeadroom(u)
 			if j.policy.Advised {
-				pu.AllowedWorkers = e.ticketKeys(u)
+				pu.AllowedWorkers = u.ticketKeys()
 			}
 			pu.MustStart = unixMS-begin >= e.maxReclaimWait().Milliseconds()
 			if suspected {
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -37,7 +37,7 @@
 		order.Checkpoint = u.checkpoint
 	}
 	if u.job.policy.Advised {
-		order.Ticket = u.tickets[w.info.ID]
+		order.Ticket = u.tickets[w.key]
 	}
 	r.resumed = order.Checkpoint != ""
 	klog.InfoS("dispatch: start", "job", t.id.Job, "task", u.id.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "zone", w.info.Zone, "rack", w.info.Rack,
@@ -102,7 +102,7 @@
 	}
 	r.task.unit.notBefore = now + retryDelay
 	if kind == backend.OrderNoTicket {
-		delete(r.task.unit.tickets, w.info.ID)
+		delete(r.task.unit.tickets, w.key)
 	}
 	if kind != backend.OrderWrongIncarnation {
 		w.quarantinedUntil = max(w.quarantinedUntil, now+retryDelay)
