dispatch: a worker's clock that went back shows a later incarnation

Cause: only a listing names the incarnation that answers. The answer to a start carries the worker's clock, which begins anew with an incarnation, and the engine took it for that of the earlier one.

Change: if the clock in the answer is behind that of a listing before the start, the worker is asked for its runs at once and gets no further task until it has listed them. The log has "dispatch: worker's clock went back".

Evidence: TestClockThatWentBackShowsALaterIncarnation failed before: the worker was offered, and not asked for a listing.

--- a/pkg/dispatch/incarnation.go
+++ b/pkg/dispatch/incarnation.go
@@ -128,6 +128,15 @@
 	return now + e.Settings.LeaseDuration + e.maxLeaseError()
 }
 
+// onClockWentBack handles an answer to a start with a clock behind that of a listing before the
+// start: only a later incarnation, which the platform may not list yet, can have answered. It is
+// asked at once for its runs and its start time; until then, no task starts on it.
+func (e *Engine) onClockWentBack(w *worker, r *run, clockMS int64) {
+	klog.InfoS("dispatch: worker's clock went back", "worker", w.info.ID, "born", w.startMS(), "clock", clockMS, "before", r.clockBeforeStartMS, "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number)
+	w.clockWentBack = true
+	e.requestListing(w)
+}
+
 // supersede gives up an incarnation of a worker, since one that started at startMS is known to
 // have taken its place, and returns the latest that is known.
 func (e *Engine) supersede(w *worker, startMS int64, why string) *worker {
--- a/pkg/dispatch/incarnation_test.go
+++ b/pkg/dispatch/incarnation_test.go
@@ -422,3 +422,36 @@
 	}
 	return advice, nil
 }
+
+// An answer with a clock behind that of an earlier listing is from a later incarnation: it must be
+// asked for its runs at once, and get nothing else before it has listed them.
+func TestClockThatWentBackShowsALaterIncarnation(t *testing.T) {
+	for name, c := range map[string]struct {
+		clock    time.Duration
+		wentBack bool
+	}{"ahead": {time.Second, false}, "behind": {-time.Second, true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newManualSite(t, 1)
+				s.Orders = unansweredStarts{s.orders}
+				s.list("w0", s.now)
+				u := s.job("u", workload.Step{Count: 2})
+				s.startUnit(u, map[int]*worker{0: s.workers["w0"]}, s.now)
+				r := u.tasks[0].run
+				s.startRun(r, s.now)
+				s.onStartReply(r, (s.now + c.clock).Milliseconds(), nil)
+				synctest.Wait()
+				if got := s.offers("w0"); got == c.wentBack {
+					t.Errorf("the worker is offered: %v", got)
+				}
+				if got := s.workers["w0"].listingInFlight; got != c.wentBack {
+					t.Errorf("a listing is requested: %v, want %v", got, c.wentBack)
+				}
+				s.answer(s.workers["w0"], 2, r.id)
+				if r.worker.key != "w0@2" || r.phase != runActive {
+					t.Errorf("the run is %s on %s, want active on w0@2", r.phase, r.worker.key)
+				}
+			})
+		})
+	}
+}
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -160,6 +160,8 @@
 	transferred bool
 	// awaitsAnswer means that the start waits for an answer of the worker.
 	awaitsAnswer bool
+	// clockBeforeStartMS is the worker's clock in its newest listing when the start was sent.
+	clockBeforeStartMS int64
 	// crash is the evidence of a crash that is not counted yet, nil if there is none.
 	crash *crashEvidence
 	// crashCounted means that a crash has been counted for the run.
@@ -189,6 +191,9 @@
 	// replaced means that another incarnation, or a worker with another ID, has answered in the
 	// worker's place. The platform may list the old one for a while.
 	replaced bool
+	// clockWentBack means that the clock in an answer to a start was behind that of an earlier
+	// listing, so that a later incarnation must have answered.
+	clockWentBack bool
 	// crashed means that recordCrash has handled the end of the incarnation.
 	crashed bool
 	runs    map[workload.TaskID]*run
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -28,6 +28,7 @@
 	t, w := r.task, r.worker
 	u := t.unit
 	r.phase, r.orderedAt, r.beganAt = runStarting, now, now
+	r.clockBeforeStartMS = w.listingClockMS
 	w.noteCall(now)
 	if !u.step.Gang || u.isFirstStart(r) {
 		u.gangStartedAt = now
@@ -73,6 +74,9 @@
 			e.requestListing(w)
 			return
 		}
+		if clockMS != 0 && clockMS < r.clockBeforeStartMS {
+			e.onClockWentBack(w, r, clockMS)
+		}
 		w.noteAnswer(now)
 		e.updateClockOffset(w, clockMS)
 		w.leaseEnd = max(w.leaseEnd, e.longestLeaseEnd(now))
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -227,6 +227,7 @@
 	isNewest := reply.ClockMS >= w.listingClockMS
 	if isNewest {
 		w.listingClockMS, w.listingAt, w.moreEnds = reply.ClockMS, now, reply.MoreEnds
+		w.clockWentBack = false
 		clear(w.orphans)
 	}
 	for _, a := range reply.Active {
