dispatch: a suspected task does not wait for workers that are in use

Cause: a task under which a worker crashed starts on workers that have not crashed within a minute, if there are any, and the set was binding. Only their capacity was compared, not what is free of it, so that the task waited for tasks that went on for a minute, while its own worker and another were back and idle.

Evidence: TestSuspectStartsWhereThereIsRoom failed before.

Change: if none of the workers that have not crashed has room for the task, all without new runs may be used. A worker counts as without room, too, if it has as many tasks of the step as it may.

Failed try: to leave sound workers without free room out of the set.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -330,9 +330,10 @@
 // workersForSuspect returns the keys of the workers on which a suspected unit may start,
 // out of allowed, where nil means all: those without new runs, preferably ones that have not
 // crashed lately, where a crash tells most, and of these idle ones, where nothing else is
-// lost with a crash.
+// lost with a crash. If those that have not crashed lately are in use, it does not wait for them.
 func (e *Engine) workersForSuspect(u *unit, allowed map[string]bool, now time.Duration) map[string]bool {
 	var apart, sound, idle map[string]bool
+	soundRoom := false
 	for key, w := range e.workers {
 		if allowed != nil && !allowed[key] || w.hasNewRuns() || !e.isSchedulable(w, now) || !u.step.Demand().Fits(w.info.Capacity) || u.step.Label != "" && !w.info.HasLabel(u.step.Label) {
 			continue
@@ -341,6 +342,7 @@
 		if e.hasCrashed(w, now) {
 			continue
 		}
+		soundRoom = soundRoom || u.hasRoomOn(w)
 		sound = withKey(sound, key)
 		if len(w.runs) == 0 {
 			idle = withKey(idle, key)
@@ -349,7 +351,7 @@
 	switch {
 	case len(idle) > 0 && !u.step.Gang:
 		return idle
-	case len(sound) > 0 && !u.step.Gang:
+	case soundRoom && !u.step.Gang:
 		return sound
 	case len(apart) > 0:
 		return apart
@@ -357,6 +359,20 @@
 	return allowed
 }
 
+// hasRoomOn reports whether a further task of the unit may start on the worker beside what is there.
+func (u *unit) hasRoomOn(w *worker) bool {
+	if !u.step.Demand().Fits(w.info.Capacity.Sub(w.used)) {
+		return false
+	}
+	limit, count := u.step.MaxPerWorker, 0
+	for _, t := range u.tasks {
+		if t.run != nil && t.run.worker == w {
+			count++
+		}
+	}
+	return limit == 0 || count < limit
+}
+
 // addCrashedWorkers returns keys with those of the workers that have crashed lately. Gangs
 // use these last: whole racks may have none that has not crashed.
 func (e *Engine) addCrashedWorkers(keys map[string]bool, now time.Duration) map[string]bool {
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -549,3 +549,25 @@
 		})
 	}
 }
+
+// Guards against a suspected task that waits, beside idle workers that have crashed lately, for one
+// that has not and is in use: it must start where there is room.
+func TestSuspectStartsWhereThereIsRoom(t *testing.T) {
+	s := newManualSite(t, 2)
+	u, others := s.job("u", workload.Step{Count: 1}), s.job("others", workload.Step{Count: 8})
+	for i := range others.tasks {
+		s.start(others, i, "w1")
+	}
+	s.now += 3 * time.Second
+	s.list("w1", s.now)
+	s.start(u, 0, "w0")
+	s.crash("w0")
+	allowed := s.workersForSuspect(u, nil, s.now)
+	if !allowed[s.workers["w0"].key] {
+		t.Errorf("workers %v, want w0 among them, the only one with room", allowed)
+	}
+	s.removeRun(others.tasks[0].run, string(backend.OutcomeDone))
+	if allowed := s.workersForSuspect(u, nil, s.now); len(allowed) != 1 || !allowed[s.workers["w1"].key] {
+		t.Errorf("workers %v, want only w1, which has not crashed and has room", allowed)
+	}
+}
