dispatch: sound long tasks are not stopped as stalled without an end

Cause: a run counted as stalled when its progress, a whole percent, had not changed for 1.1 s or 8 % of the mean run time of its queue, which was preferred to the job's own estimate. A task of 150 s needs 1.5 s for a percent. Each such stop quarantined the worker, however often the task had been stopped elsewhere.

Change: the limit is 8 % of the longer of the two times, and doubles with each run of the task that was stopped as stalled, up to 32 times, since an estimate may be wrong, too. A worker is quarantined only for a task that has not stalled elsewhere.

Ruled out: a longer limit for all, with which workers that hang would be noticed later.

--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -87,6 +87,8 @@
 	done       bool
 	checkpoint string
 	run        *run
+	// stalls is how many runs of the task, or of its gang, were stopped as stalled.
+	stalls int
 }
 
 type runPhase string
--- a/pkg/dispatch/progress.go
+++ b/pkg/dispatch/progress.go
@@ -49,7 +49,7 @@
 	if r.percent >= 100 || r.task.unit.step.LongRunning || r.throttlePercent < fullSpeedPercent || r.worker.isUnresponsive(now) {
 		return false
 	}
-	limit := max(stallTimeout, stallPercent*e.expectedRunTime(r.task.unit)/100)
+	limit := max(stallTimeout, stallPercent*max(e.expectedRunTime(r.task.unit), r.task.unit.step.Estimate())/100) << min(r.stalledTask().stalls, maxStallDoublings)
 	if r.resumed || r.percent == 0 && !r.gangWorks() {
 		// The task may still read its checkpoint, or wait for its gang.
 		limit += startupAllowance
@@ -58,6 +58,36 @@
 	return now-r.percentAt > limit && r.worker.listingAt-r.percentAt > limit*3/4
 }
 
+// stalledTask returns the task that counts the stalled runs: the run's, or the first one of its gang.
+func (r *run) stalledTask() *task {
+	if r.task.unit.step.Gang {
+		return r.task.unit.tasks[0]
+	}
+	return r.task
+}
+
+// stopStalledRun stops a run without progress. The worker is quarantined only if the task has not
+// stalled elsewhere: otherwise the task, or the limit for it, is the likely cause, and each further
+// run has twice the time.
+func (e *Engine) stopStalledRun(r *run, now time.Duration) {
+	t := r.stalledTask()
+	if t.stalls == 0 {
+		e.quarantine(r.worker, now)
+	}
+	t.stalls++
+	e.stopSlowRun(r)
+}
+
+// stopSlowRun stops a run, and its gang, so that it starts on another worker.
+func (e *Engine) stopSlowRun(r *run) {
+	u := r.task.unit
+	u.avoid[r.worker.info.ID] = true
+	e.stopRun(r, stopStalled)
+	if u.step.Gang && !u.aborting {
+		e.abortGang(u, stopGangStalled)
+	}
+}
+
 // gangWorks reports whether another member of the run's gang has made progress, so that the
 // gang is complete and no member waits for others.
 func (r *run) gangWorks() bool {
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -347,7 +347,6 @@
 	for _, w := range e.workers {
 		e.evacuateDraining(w, now)
 		for _, r := range w.runs {
-			u := r.task.unit
 			switch {
 			case r.phase == runStopping && r.stopConfirmedAt == 0:
 				e.stopRun(r, r.stopReason)
@@ -357,13 +356,11 @@
 				e.stopRun(r, stopUnconfirmed)
 			case r.phase == runActive && r.awaitsSurvival(now) && now-w.listingAt > renewalRetryDelay:
 				e.requestListing(w)
-			case r.phase == runActive && (e.isStalled(r, now) || e.restartIsFaster(r)):
+			case r.phase == runActive && e.isStalled(r, now):
+				e.stopStalledRun(r, now)
+			case r.phase == runActive && e.restartIsFaster(r):
 				e.quarantine(w, now)
-				u.avoid[w.info.ID] = true
-				e.stopRun(r, stopStalled)
-				if u.step.Gang && !u.aborting {
-					e.abortGang(u, stopGangStalled)
-				}
+				e.stopSlowRun(r)
 			}
 		}
 	}
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -103,6 +103,9 @@
 	// stallPercent is the same limit for longer tasks, in percent of the expected run
 	// time. Tasks outside the rack of their data take three times as long.
 	stallPercent = 8
+	// maxStallDoublings limits the time without progress of tasks that have stalled before: to
+	// 35 s for short ones.
+	maxStallDoublings = 5
 	// startupAllowance extends the stall limit while a run may still wait for its gang
 	// or read its checkpoint.
 	startupAllowance = 1500 * time.Millisecond
