placement: units passed over in the search for preemptions have their turn

Cause: a plan searches for stops for the first eight units only that could not be placed. The rest "have their turn in later plans", but each plan takes the units in the same order, so that eight units for which no stops make room used up the searches of every plan.

Change: four searches more in each plan go to the units that have been passed over for longest. The first eight are as before, so that urgent units are searched for in each plan.

Ruled out: to skip units whose tasks exceed each worker, since gangs and labels can be as hopeless; to rotate all searches, which delays urgent units.

--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -54,6 +54,9 @@
 	// ampleCapacitySince is when the unit began to wait although free capacity is ample;
 	// 0 if it does not.
 	ampleCapacitySince time.Duration
+	// passedOverSince is since when plans have made no search for a preemption for the unit, 0 if
+	// the last one did or needed none.
+	passedOverSince time.Duration
 	// reserved maps task indices to the workers whose capacity is reserved for them.
 	reserved      map[int]*worker
 	reservedUntil time.Duration
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -100,7 +100,9 @@
 				u.MayNotPreempt = !u.MustStart
 			}
 		}
+		e.markSearchDue(waiting)
 		plan := placement.Decide(pool, waiting, e.headroom(pool, now))
+		e.noteSearches(waiting, plan, now)
 		e.trackAmpleCapacity(pool, waiting, plan, now)
 		e.adviseUnplaced(plan.Unplaced)
 		e.logOverQuota(plan.OverQuota, quotas)
@@ -108,6 +110,37 @@
 	}
 }
 
+// markSearchDue gives a search for a preemption to the units that earlier plans have passed over for
+// longest.
+func (e *Engine) markSearchDue(waiting []*placement.Unit) {
+	var passedOver []*placement.Unit
+	for _, pu := range waiting {
+		if e.unitOf(pu.ID).passedOverSince != 0 {
+			passedOver = append(passedOver, pu)
+		}
+	}
+	slices.SortStableFunc(passedOver, func(a, b *placement.Unit) int {
+		return cmp.Compare(e.unitOf(a.ID).passedOverSince, e.unitOf(b.ID).passedOverSince)
+	})
+	for _, pu := range passedOver[:min(len(passedOver), placement.MaxDueSearches)] {
+		pu.SearchDue = true
+	}
+}
+
+// noteSearches records which units the plan has passed over in the search for preemptions.
+func (e *Engine) noteSearches(waiting []*placement.Unit, plan placement.Plan, now time.Duration) {
+	for _, pu := range waiting {
+		u := e.unitOf(pu.ID)
+		switch {
+		case !slices.Contains(plan.Unsearched, pu.ID):
+			u.passedOverSince = 0
+		case u.passedOverSince == 0:
+			u.passedOverSince = now
+			klog.V(1).InfoS("dispatch: no search for a preemption in this plan", "job", pu.ID.Job, "task", pu.ID.String(), "passed_over", len(plan.Unsearched))
+		}
+	}
+}
+
 // isSettled reports whether the engine knows what runs on the site: all listed workers have
 // answered in this term, or it has lasted for takeoverSettleTime. Before that, room may be
 // free that is not known, and what seems cheap to stop may be part of a gang whose other
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -93,6 +93,8 @@
 	AllowedWorkers map[string]bool
 	// Avoid are the IDs of workers on which the unit's tasks failed; they are used last.
 	Avoid map[string]bool
+	// SearchDue units are searched for a preemption although others have used up the searches.
+	SearchDue bool
 	// StartsApart units start on workers where the plan starts nothing else.
 	StartsApart bool
 }
@@ -123,6 +125,9 @@
 	// Unplaced are the units of which not all tasks can start. OverQuota are those of them
 	// that the limit of their account holds back.
 	Unplaced, OverQuota []workload.UnitID
+	// Unsearched are the units that may preempt others and were passed over, since the searches
+	// were used up.
+	Unsearched []workload.UnitID
 }
 
 // planner is one decision in progress.
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -7,9 +7,13 @@
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
-// maxSearches limits the searches for a preemption in one plan. The remaining units have
-// their turn in later plans.
-const maxSearches = 8
+// maxSearches limits the searches for a preemption in one plan, which go to the first units in
+// order. MaxDueSearches more go to units that have been passed over for longest, see Unit.SearchDue:
+// those before them may be ones for which no stops make room.
+const (
+	maxSearches    = 8
+	MaxDueSearches = 4
+)
 
 // An urgent unit that need not start yet preempts others only while the lost work, in
 // core-seconds, is worth less than completing late: the larger of
@@ -73,9 +77,11 @@
 // work fills the racks. Tasks that are costly to stop are left to end by themselves until
 // the unit must start.
 func (p *planner) preempt(u *Unit, waiting []int, pools [][]*Worker) {
-	if p.searches++; p.searches > maxSearches {
+	if p.searches >= maxSearches && !u.SearchDue {
+		p.plan.Unsearched = append(p.plan.Unsearched, u.ID)
 		return
 	}
+	p.searches++
 	waiting = waiting[:min(len(waiting), u.Quota.fitting(u.Step.Need))]
 	limit := u.PreemptionCostLimit()
 	if u.MustStart && (u.Guaranteed || u.LongRunning) {
