dispatch: order incarnations by answers where start times mislead

What callers would see: a worker that restarted with its time of day set back gets no work until the next term.

Evidence: TestLaterIncarnationMayHaveAnEarlierStartTime failed on the commit before.

Change: an incarnation that answers a call which was sent when another one was known is later than that one, whatever the start times say. A later incarnation is not taken to be draining because the earlier one was.

Tests: a listing in TestStartsThatReachNoWorkerEndNoJob, and those of manualSite.list, had the start time of the first incarnation also after restarts, which no worker sends; they have their own now.

--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -126,7 +126,7 @@
 		"not listed since": func(s *manualSite, r *run) {
 			r.phase = runUnresolved
 			s.now += 2 * startTimeout
-			s.onRenewalReply(r.worker, backend.RenewOrder{}, s.now, backend.Listing{ClockMS: s.now.Milliseconds(), IncarnationStartMS: 1}, nil)
+			s.onRenewalReply(r.worker, backend.RenewOrder{}, s.now, backend.Listing{ClockMS: s.now.Milliseconds(), IncarnationStartMS: r.worker.startMS()}, nil)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/dispatch/incarnation.go
+++ b/pkg/dispatch/incarnation.go
@@ -30,7 +30,8 @@
 	return n
 }
 
-// addWorker adds an incarnation of a worker.
+// addWorker adds an incarnation of a worker. By its start time it is the latest one or not; an answer
+// may show otherwise, see onRenewalReply.
 func (e *Engine) addWorker(key string, info catalog.Worker) *worker {
 	w := newWorker(key, info, e.Now())
 	e.workers[key] = w
@@ -50,17 +51,11 @@
 
 func (w *worker) startMS() int64 { return incarnationStartMS(w.key) }
 
-// isSuperseded reports whether a later incarnation of the worker is known.
-func (e *Engine) isSuperseded(w *worker) bool {
-	latest := e.latest[w.info.ID]
-	return latest != nil && latest != w
-}
-
-// isListedEarlier reports whether the platform still lists an earlier incarnation in the place of
-// this one, which has answered.
-func (e *Engine) isListedEarlier(w *worker) bool {
+// awaitsListing reports whether the worker is the latest incarnation, and the platform still lists
+// another one in its place.
+func (e *Engine) awaitsListing(w *worker) bool {
 	listed, known := e.view.Workers[w.info.ID]
-	return known && listed.StartedMS < w.startMS()
+	return known && e.latest[w.info.ID] == w && workerKey(listed) != w.key
 }
 
 // isAccounted reports whether all runs are known that earlier leaders may have started on the
@@ -137,17 +132,18 @@
 	e.requestListing(w)
 }
 
-// supersede gives up an incarnation of a worker, since one that started at startMS is known to
+// supersede gives up an incarnation of a worker, since another one, started at startMS, is known to
 // have taken its place, and returns the latest that is known.
 func (e *Engine) supersede(w *worker, startMS int64, why string) *worker {
 	info := w.info
-	info.StartedMS = startMS
-	key := workerKey(info)
-	next := e.workers[key]
+	info.StartedMS, info.Draining, info.Remaining = startMS, false, 0
+	next := e.workers[workerKey(info)]
 	if next == nil {
-		next = e.addWorker(key, info)
+		next = e.addWorker(workerKey(info), info)
 	}
-	if latest := e.latest[w.info.ID]; latest.startMS() > startMS {
+	if latest := e.latest[info.ID]; latest == w {
+		e.latest[info.ID] = next
+	} else {
 		next = latest
 	}
 	e.recordCrash(w)
--- a/pkg/dispatch/incarnation_test.go
+++ b/pkg/dispatch/incarnation_test.go
@@ -339,6 +339,44 @@
 	}
 }
 
+// A worker may start again with its time of day set back, and so with an earlier start time: it must
+// get work again, and what ran on the earlier incarnation has ended.
+func TestLaterIncarnationMayHaveAnEarlierStartTime(t *testing.T) {
+	for name, appears := range map[string]func(s *manualSite){
+		"it answers": func(s *manualSite) {
+			s.answer(s.workers["w0"], 3)
+			s.checkWorkers(s.now)
+			s.relist("w0", 3)
+		},
+		"the platform lists it": func(s *manualSite) {
+			s.relist("w0", 3)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newManualSite(t, 1)
+			s.Orders = unansweredStarts{s.orders}
+			s.relist("w0", 5)
+			s.workers["w0"] = s.latest["w0"]
+			s.workers["w0"].fenced = true
+			u := s.job("u", workload.Step{Count: 2})
+			s.start(u, 0, "w0")
+			s.onRenewalReply(s.workers["w0"], backend.RenewOrder{}, s.now, backend.Listing{ClockMS: 1, IncarnationStartMS: 5, Active: []backend.ActiveRun{{Run: u.tasks[0].run.id}}}, nil)
+			s.now += time.Second
+			appears(s)
+			s.now += time.Second
+			s.answer(s.Engine.workers["w0@3"], 3)
+			s.updateView()
+			s.workers["w0"] = s.latest["w0"]
+			if s.workers["w0"].key != "w0@3" || !s.offers("w0") {
+				t.Errorf("the latest incarnation is %s, offered: %v", s.workers["w0"].key, s.offers("w0"))
+			}
+			if r := u.tasks[0].run; r != nil {
+				t.Errorf("the task has a run on %s", r.worker.key)
+			}
+		})
+	}
+}
+
 // leaseOrders answers no order, and passes on the lease that each renewal grants.
 type leaseOrders struct {
 	unansweredStarts
--- a/pkg/dispatch/manual_test.go
+++ b/pkg/dispatch/manual_test.go
@@ -96,7 +96,7 @@
 // list delivers a listing of all runs of a worker, made when its clock read clock.
 func (s *manualSite) list(worker string, clock time.Duration) {
 	w := s.workers[worker]
-	reply := backend.Listing{ClockMS: clock.Milliseconds(), IncarnationStartMS: 1}
+	reply := backend.Listing{ClockMS: clock.Milliseconds(), IncarnationStartMS: w.startMS()}
 	for _, r := range w.runs {
 		reply.Active = append(reply.Active, backend.ActiveRun{Run: r.id})
 	}
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -188,6 +188,8 @@
 type worker struct {
 	key  string
 	info catalog.Worker
+	// knownAt is when the incarnation became known, by the platform's list or by an answer.
+	knownAt time.Duration
 	// listed means that the platform's list has the worker.
 	listed bool
 	// fenced means that the worker has answered in this term and listed all that it has: it
@@ -248,8 +250,9 @@
 	listingAt time.Duration
 }
 
+// newWorker returns an incarnation that becomes known now.
 func newWorker(key string, info catalog.Worker, now time.Duration) *worker {
-	return &worker{key: key, info: info, runs: map[workload.TaskID]*run{}, orphans: map[backend.RunID]bool{}, speed: 1, answeredAt: now}
+	return &worker{key: key, info: info, knownAt: now, runs: map[workload.TaskID]*run{}, orphans: map[backend.RunID]bool{}, speed: 1, answeredAt: now}
 }
 
 // silence is a time in which a worker answers no call.
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -24,7 +24,7 @@
 			e.loseRuns(w, "its leases have ended and it does not answer")
 		}
 		e.renewIfDue(w, now)
-		if !w.listed && !e.isListedEarlier(w) && len(w.runs) == 0 && (w.endsAcknowledged >= w.endsHandled || w.isUnresponsive(now)) {
+		if !w.listed && !e.awaitsListing(w) && len(w.runs) == 0 && (w.endsAcknowledged >= w.endsHandled || w.isUnresponsive(now)) {
 			e.deleteWorker(w)
 		}
 	}
@@ -210,9 +210,14 @@
 		}
 		return
 	}
-	if e.isSuperseded(w) {
-		e.onLateListing(w, reply)
-		return
+	if latest := e.latest[w.info.ID]; latest != w {
+		if sent <= latest.knownAt {
+			e.onLateListing(w, reply)
+			return
+		}
+		// It has answered a call that was sent when the other one was known, so it is the later one:
+		// the time of day, from which start times are taken, may have been set back.
+		e.supersede(latest, w.startMS(), "an incarnation with an earlier start time answered in its place")
 	}
 	if w.isUnresponsive(now) {
 		klog.InfoS("dispatch: worker answers again", "worker", w.info.ID, "silent", now-w.answeredAt)
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -7,13 +7,12 @@
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
-// maxSearches limits the searches for a preemption in one plan, which go to the first units in
-// order. MaxDueSearches more go to units that have been passed over for longest, see Unit.SearchDue:
-// those before them may be ones for which no stops make room.
-const (
-	maxSearches    = 8
-	MaxDueSearches = 4
-)
+// maxSearches limits the searches for a preemption in one plan, which go to the first units in order.
+const maxSearches = 8
+
+// MaxDueSearches is how many units with SearchDue a plan may have. They are searched for besides: the
+// units before them may be ones for which no stops make room.
+const MaxDueSearches = 4
 
 // An urgent unit that need not start yet preempts others only while the lost work, in
 // core-seconds, is worth less than completing late: the larger of
