dispatch: renew after the answer to a start, not beside it

Cause: since acknowledgements wait for the listing of runs that start, the renewal that follows the record of an end was sent just before the next start on the worker, and its answer did not have the run. The next call came 0.3 s later, and an end within that time was noticed late.

Change: such a renewal waits for the answer to the start, which makes it due, 0.3 s at most.

Evidence: TestWithheldAcknowledgementFollowsTheStart failed before: the renewal was sent first. The rows of TestAcknowledgementIsNotForALaterIncarnation advance the clock by 0.3 s before the call, since a planned start postpones it; what a call may acknowledge is checked as before.

--- a/pkg/dispatch/incarnation.go
+++ b/pkg/dispatch/incarnation.go
@@ -100,6 +100,9 @@
 // than that of its worker.
 func (r *run) mayBeOnLaterIncarnation() bool { return r.phase != runPlanned && !r.listed }
 
+// awaitsStart reports whether the start of the run is planned or not answered yet.
+func (r *run) awaitsStart() bool { return r.phase == runPlanned || r.phase == runStarting }
+
 // hasRun reports whether a run of the worker meets a condition.
 func (w *worker) hasRun(condition func(*run) bool) bool {
 	for _, r := range w.runs {
--- a/pkg/dispatch/incarnation_test.go
+++ b/pkg/dispatch/incarnation_test.go
@@ -182,8 +182,9 @@
 				s.listEnds("w0", false, backend.EndedRun{Number: 1, Run: u.tasks[0].run.id, Outcome: backend.OutcomeDone})
 				w.endsRecorded = 1
 				c.happens(s, w, u)
-				// Earlier calls have been sent.
+				// Earlier calls have been sent, and the next renewal is due.
 				synctest.Wait()
+				s.now += renewalRetryDelay
 				orders := acknowledgingOrders{unansweredStarts{s.orders}, make(chan int64, 1)}
 				for _, call := range []func(*worker){s.renewNow, s.requestListing} {
 					s.Orders, w.renewalInFlight, w.listingInFlight = orders, false, false
@@ -200,6 +201,28 @@
 	}
 }
 
+// A renewal that withholds an acknowledgement for a start waits for the start's answer, which makes
+// it due: until then the worker would list the same again, and after it no end may go unnoticed.
+func TestWithheldAcknowledgementFollowsTheStart(t *testing.T) {
+	s := newManualSite(t, 1)
+	s.Orders = unansweredStarts{s.orders}
+	u, w := s.job("u", workload.Step{Count: 2}), s.workers["w0"]
+	s.start(u, 0, "w0")
+	s.listEnds("w0", false, backend.EndedRun{Number: 1, Run: u.tasks[0].run.id, Outcome: backend.OutcomeDone})
+	w.endsRecorded, w.renewalInFlight = 1, false
+	s.startUnit(u, map[int]*worker{1: w}, s.now)
+	s.renewNow(w)
+	if w.renewalInFlight {
+		t.Error("a renewal is sent before the start")
+	}
+	s.now += 10 * time.Millisecond
+	u.tasks[1].run.phase = runStarting
+	s.onStartReply(u.tasks[1].run, s.now.Milliseconds(), nil)
+	if !w.renewalInFlight {
+		t.Error("no renewal is sent once the start is answered")
+	}
+}
+
 // Guards against a second run of a task whose start may have been carried out by a later
 // incarnation of its worker: until that one has listed its runs, only a listing of the earlier one
 // shows that the run has ended with it.
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -74,6 +74,11 @@
 	if w.renewalInFlight || now < w.renewalDue || !w.needsRenewal() || !e.lease.MayRenew(now) {
 		return
 	}
+	if w.withholdsAcknowledgement() && w.hasRun((*run).awaitsStart) && now < w.listingAt+renewalRetryDelay {
+		// The worker would list the same again. The answer to the start makes the renewal due.
+		w.renewalDue = w.listingAt + renewalRetryDelay
+		return
+	}
 	isFirstCall := !w.fenced && len(w.runs) == 0
 	if isFirstCall && e.firstCallSlotsUsed >= maxFirstCalls {
 		return
