dispatch: orders do not read a worker's record beside the engine

What callers could see: an order to a wrong address, or the end of the leader's process.

Cause: the goroutine of each order read the worker's ID and address from its record, which the engine replaces whenever the platform lists the worker anew: a data race on strings.

Change: the reference is taken before the goroutine starts.

--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -43,10 +43,11 @@
 	r.resumed = order.Checkpoint != ""
 	klog.InfoS("dispatch: start", "job", t.id.Job, "task", u.id.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "zone", w.info.Zone, "rack", w.info.Rack,
 		"view_age", e.view.age(now), "worker_age", now-w.answeredAt, "resumes", order.Checkpoint != "")
+	ref := w.ref()
 	go func() {
 		ctx, cancel := context.WithTimeout(e.ctx, startTimeout)
 		defer cancel()
-		clockMS, err := e.Orders.Start(ctx, w.ref(), order)
+		clockMS, err := e.Orders.Start(ctx, ref, order)
 		e.post(func() { e.onStartReply(r, clockMS, err) })
 	}()
 }
@@ -132,11 +133,11 @@
 		return
 	}
 	r.stopInFlight = true
-	w := r.worker
+	w, ref := r.worker, r.worker.ref()
 	go func() {
 		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
 		defer cancel()
-		_, err := e.Orders.Stop(ctx, w.ref(), r.id, e.Term.Number)
+		_, err := e.Orders.Stop(ctx, ref, r.id, e.Term.Number)
 		e.post(func() { e.onStopReply(r, w, err) })
 	}()
 }
@@ -203,11 +204,12 @@
 func (e *Engine) stopOrphan(w *worker, id backend.RunID) {
 	klog.InfoS("dispatch: stopping an orphan run", "job", id.Task.Job, "task", id.Task.UnitID.String(), "index", id.Task.Index, "run", id.Number, "worker", w.info.ID)
 	w.orphans[id] = true
+	ref := w.ref()
 	go func() {
 		ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
 		defer cancel()
-		if _, err := e.Orders.Stop(ctx, w.ref(), id, e.Term.Number); err != nil {
-			klog.InfoS("dispatch: orphan run not stopped", "job", id.Task.Job, "run", id.Number, "worker", w.info.ID, "err", err)
+		if _, err := e.Orders.Stop(ctx, ref, id, e.Term.Number); err != nil {
+			klog.InfoS("dispatch: orphan run not stopped", "job", id.Task.Job, "run", id.Number, "worker", ref.ID, "err", err)
 		}
 	}()
 }
--- a/pkg/dispatch/throttle.go
+++ b/pkg/dispatch/throttle.go
@@ -84,13 +84,13 @@
 // throttleRun asks a worker to run a task at a percentage of its full speed.
 func (e *Engine) throttleRun(r *run, percent int, load float64) {
 	r.throttleInFlight = true
-	w := r.worker
+	w, ref := r.worker, r.worker.ref()
 	klog.InfoS("dispatch: pace", "job", r.task.id.Job, "task", r.task.unit.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", r.worker.info.ID, "from", r.throttlePercent, "to", percent, "load", load)
 	metrics.GetOrCreateCounter("shallotpin_pace_orders_total").Inc()
 	go func() {
 		ctx, cancel := context.WithTimeout(e.ctx, startTimeout)
 		defer cancel()
-		_, err := e.Orders.Throttle(ctx, w.ref(), r.id, percent, e.Term.Number)
+		_, err := e.Orders.Throttle(ctx, ref, r.id, percent, e.Term.Number)
 		e.post(func() {
 			r.throttleInFlight = false
 			if err != nil {
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -101,7 +101,7 @@
 		order.LeaseUntilMS = e.extendLease(w, now)
 	}
 	w.renewalInFlight = true
-	go e.sendRenewal(w, order, now)
+	go e.sendRenewal(w, w.ref(), order, now)
 }
 
 // takeFirstCallSlot counts a first call to a worker, for at most firstCallSlotTime: calls
@@ -140,10 +140,10 @@
 }
 
 // sendRenewal makes a renewal call and posts the answer to the engine.
-func (e *Engine) sendRenewal(w *worker, order backend.RenewOrder, sent time.Duration) {
+func (e *Engine) sendRenewal(w *worker, ref backend.WorkerRef, order backend.RenewOrder, sent time.Duration) {
 	ctx, cancel := context.WithTimeout(e.ctx, order.Wait+orderTimeout)
 	defer cancel()
-	reply, err := e.Orders.Renew(ctx, w.ref(), order)
+	reply, err := e.Orders.Renew(ctx, ref, order)
 	e.post(func() {
 		w.renewalInFlight = false
 		e.onRenewalReply(w, order, sent, reply, err)
@@ -181,10 +181,11 @@
 	order := backend.RenewOrder{Term: e.Term.Number, SeenUpTo: w.seenUpTo()}
 	sent := e.Now()
 	w.noteCall(sent)
+	ref := w.ref()
 	go func() {
 		ctx, cancel := context.WithTimeout(e.ctx, timeout)
 		defer cancel()
-		reply, err := e.Orders.Renew(ctx, w.ref(), order)
+		reply, err := e.Orders.Renew(ctx, ref, order)
 		e.post(func() {
 			e.onRenewalReply(w, order, sent, reply, err)
 			done(sent, err)
