cmd/shallotpin: callers of a test load are not in step

The callers had started at once and stayed in step. The program under test is not changed by this work.

--- a/cmd/shallotpin/load_test.go
+++ b/cmd/shallotpin/load_test.go
@@ -48,6 +48,8 @@
 	for i := range callers {
 		c := client.New("http://" + args[1])
 		l.wg.Go(func() {
+			// Callers in step would all be between two requests at the same moments.
+			time.Sleep(time.Duration(i) * requestInterval)
 			for n := range requests {
 				if !l.request(c, fmt.Sprintf("%s-%d-%d", args[0], i, n)) {
 					return
