shallotpin-entry: the lease window covers starts on later incarnations

What callers would see: a task runs twice at once (TWICE) on a site with long leases, after a change of the leader while its worker cannot be reached.

Cause: a later incarnation of a worker takes the time in a start for one far ahead, and holds the longest lease from when it carries the start out.

Evidence: TestLeaseWindowCoversStartsOnLaterIncarnations failed before for leases of 10 and 30 s.

Ruled out: a shorter start window, since writes to a slow log take seconds.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -129,9 +129,12 @@
 // limits.
 func dispatchSettings(s *platform.Settings) dispatch.Settings {
 	failAfter := platform.Millis(s.Bounds.ContactMS) * 2 / 3
+	leaseDuration := platform.Millis(s.Bounds.HoldMaxMS)
 	return dispatch.Settings{
 		MaxConfigAge: maxViewAge(s.Bounds.EvacuateMS), MaxWorkersAge: maxViewAge(s.Bounds.DrainMS), MaxLedgerAge: maxViewAge(s.Bounds.CancelMS),
-		LeaseDuration: platform.Millis(s.Bounds.HoldMaxMS), LeaseWindow: max(leaseWindow, platform.Millis(s.Bounds.HoldMaxMS)), ClockDrift: clockDrift, GangStartTimeout: platform.Millis(s.Bounds.GangMS),
+		// A start that a later incarnation of its worker carries out has the longest lease, also at
+		// the end of the start window.
+		LeaseDuration: leaseDuration, LeaseWindow: max(leaseWindow, failAfter+leaseDuration), ClockDrift: clockDrift, GangStartTimeout: platform.Millis(s.Bounds.GangMS),
 		MaxStopTime: platform.Millis(s.Bounds.StopMS), MaxReclaimTime: platform.Millis(s.Bounds.ReclaimMS), CheckpointInterval: platform.Seconds(s.Bounds.SaveS), EndedJobRetention: platform.Seconds(s.Bounds.StatusS),
 		MaxRecordBytes: s.MaxRecordBytes(), MaxWriteBytes: maxBatchBytes(s),
 		Election: election.Settings{FailAfter: failAfter, MaxReadGap: entry.MaxReadDuration, Stagger: failAfter / 50, SuspectAfter: failAfter / 5, LogSettleTime: failAfter * 3 / 4, StartWindow: failAfter, RenewWindow: 3 * failAfter, HeartbeatInterval: failAfter / 4},
--- a/cmd/shallotpin-entry/settings_test.go
+++ b/cmd/shallotpin-entry/settings_test.go
@@ -51,3 +51,16 @@
 		}
 	}
 }
+
+// Guards against a lease that a later leader does not wait for: a later incarnation of a worker may
+// carry out a start at the end of the start window, and then holds the longest lease.
+func TestLeaseWindowCoversStartsOnLaterIncarnations(t *testing.T) {
+	for _, c := range []struct{ contactMS, holdMaxMS int64 }{{3000, 6000}, {4000, 6000}, {5000, 10_000}, {3000, 30_000}} {
+		var s platform.Settings
+		s.Bounds.ContactMS, s.Bounds.HoldMaxMS = c.contactMS, c.holdMaxMS
+		d := dispatchSettings(&s)
+		if least := d.Election.StartWindow + d.LeaseDuration; d.LeaseWindow < least {
+			t.Errorf("contact %d ms, longest lease %d ms: lease window %s, want at least %s", c.contactMS, c.holdMaxMS, d.LeaseWindow, least)
+		}
+	}
+}
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -17,7 +17,9 @@
 	LeaseDuration time.Duration
 	// LeaseWindow is how long after the leader sent its last confirmed write to the log
 	// leases may last. It is the longest log outage that running tasks survive, and
-	// bounds how long a later leader waits for tasks that it cannot see.
+	// bounds how long a later leader waits for tasks that it cannot see. It is at least
+	// Election.StartWindow and LeaseDuration together: a later incarnation of a worker takes a
+	// start for one with the longest lease.
 	LeaseWindow time.Duration
 	// ClockDrift is the largest fraction by which a worker's clock may run slow.
 	ClockDrift float64
