--- a/pkg/dispatch/incarnation_test.go
+++ b/pkg/dispatch/incarnation_test.go
@@ -126,17 +126,26 @@
 	}
 }
 
-// acknowledgingOrders answers no order, and passes on which ends each renewal acknowledges.
-type acknowledgingOrders struct {
+// recordedRenewals answers no order, and passes on each renewal.
+type recordedRenewals struct {
 	unansweredStarts
-	seenUpTo chan int64
+	renewals chan backend.RenewOrder
 }
 
-func (o acknowledgingOrders) Renew(_ context.Context, _ backend.WorkerRef, order backend.RenewOrder) (backend.Listing, error) {
-	o.seenUpTo <- order.SeenUpTo
+func (o recordedRenewals) Renew(_ context.Context, _ backend.WorkerRef, order backend.RenewOrder) (backend.Listing, error) {
+	o.renewals <- order
 	return backend.Listing{}, &backend.OrderError{Kind: backend.OrderUnanswered}
 }
 
+// recordRenewals waits until earlier calls to the worker have been sent, and records the later ones.
+func (s *manualSite) recordRenewals(w *worker) chan backend.RenewOrder {
+	synctest.Wait()
+	renewals := make(chan backend.RenewOrder, 1)
+	s.Orders = recordedRenewals{unansweredStarts{s.orders}, renewals}
+	w.renewalInFlight, w.listingInFlight, w.unansweredSince = false, false, 0
+	return renewals
+}
+
 // Guards against a second start of a task that has ended as done on a later incarnation of its
 // worker, which forgot the end on an acknowledgement that was meant for the earlier one.
 func TestAcknowledgementIsNotForALaterIncarnation(t *testing.T) {
@@ -182,17 +191,15 @@
 				s.listEnds("w0", false, backend.EndedRun{Number: 1, Run: u.tasks[0].run.id, Outcome: backend.OutcomeDone})
 				w.endsRecorded = 1
 				c.happens(s, w, u)
-				// Earlier calls have been sent, and the next renewal is due.
-				synctest.Wait()
+				renewals := s.recordRenewals(w)
+				// The next renewal is due.
 				s.now += renewalRetryDelay
-				orders := acknowledgingOrders{unansweredStarts{s.orders}, make(chan int64, 1)}
 				for _, call := range []func(*worker){s.renewNow, s.requestListing} {
-					s.Orders, w.renewalInFlight, w.listingInFlight = orders, false, false
 					if !w.needsRenewal() {
 						continue
 					}
 					call(w)
-					if got := <-orders.seenUpTo; got != c.want {
+					if got := (<-renewals).SeenUpTo; got != c.want {
 						t.Errorf("ends up to %d are acknowledged, want %d", got, c.want)
 					}
 				}
@@ -278,22 +285,71 @@
 	}
 }
 
-// An answer of an earlier incarnation must not count for the run on a later one.
+// Guards against a run on a later incarnation that counts as stopped, or throttled, since the earlier
+// one has confirmed it.
 func TestAnswerOfAnEarlierIncarnationIsNotForALaterOne(t *testing.T) {
-	s := newManualSite(t, 1)
-	s.Orders = unansweredStarts{s.orders}
-	u := s.job("u", workload.Step{Count: 1})
-	s.unansweredStart(u, 0, "w0")
-	earlier, r := s.workers["w0"], u.tasks[0].run
-	s.stopRun(r, stopUnconfirmed)
-	s.answer(earlier, 2)
-	s.onStopReply(r, earlier, nil)
-	if r.stopConfirmedAt != 0 {
-		t.Error("the stop counts as confirmed by the later incarnation")
+	for name, c := range map[string]struct {
+		before, after func(s *manualSite, r *run, earlier *worker)
+	}{
+		"stop confirmed before": {before: func(s *manualSite, r *run, earlier *worker) { s.onStopReply(r, earlier, nil) }},
+		"stop confirmed after":  {after: func(s *manualSite, r *run, earlier *worker) { s.onStopReply(r, earlier, nil) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newManualSite(t, 1)
+			s.Orders = unansweredStarts{s.orders}
+			u := s.job("u", workload.Step{Count: 1})
+			s.unansweredStart(u, 0, "w0")
+			earlier, r := s.workers["w0"], u.tasks[0].run
+			s.stopRun(r, stopUnconfirmed)
+			if c.before != nil {
+				c.before(s, r, earlier)
+			}
+			s.answer(earlier, 2)
+			if c.after != nil {
+				c.after(s, r, earlier)
+			}
+			if r.stopConfirmedAt != 0 {
+				t.Error("the stop counts as confirmed by the later incarnation")
+			}
+			s.onStopReply(r, r.worker, nil)
+			if r.stopConfirmedAt == 0 {
+				t.Error("the stop does not count as confirmed")
+			}
+		})
 	}
-	s.onStopReply(r, r.worker, nil)
-	if r.stopConfirmedAt == 0 {
-		t.Error("the stop does not count as confirmed")
+}
+
+// throttledOrders confirms throttle orders and answers nothing else.
+type throttledOrders struct{ unansweredStarts }
+
+func (throttledOrders) Throttle(context.Context, backend.WorkerRef, backend.RunID, int, int64) (int64, error) {
+	return 1, nil
+}
+
+// A throttle that the earlier incarnation has confirmed must not count for the later one, on which the
+// task started at full speed, wherever the answer is when that one becomes known.
+func TestThrottleOfAnEarlierIncarnationIsNotForALaterOne(t *testing.T) {
+	for name, answeredBefore := range map[string]bool{"confirmed before": true, "confirmed after": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newManualSite(t, 1)
+			s.Orders = throttledOrders{unansweredStarts{s.orders}}
+			u := s.job("u", workload.Step{Count: 1})
+			r, earlier := s.start(u, 0, "w0"), s.workers["w0"]
+			s.throttleRun(r, 50, 1)
+			confirm := func() {
+				for r.throttleInFlight {
+					(<-s.events)()
+				}
+			}
+			if answeredBefore {
+				confirm()
+			}
+			s.answer(earlier, 2)
+			confirm()
+			if r.throttlePercent != fullSpeedPercent || r.throttleConfirmed {
+				t.Errorf("throttled to %d %%, confirmed %v; want full speed, not confirmed", r.throttlePercent, r.throttleConfirmed)
+			}
+		})
 	}
 }
 
@@ -400,17 +456,6 @@
 	}
 }
 
-// leaseOrders answers no order, and passes on the lease that each renewal grants.
-type leaseOrders struct {
-	unansweredStarts
-	leases chan int64
-}
-
-func (o leaseOrders) Renew(_ context.Context, _ backend.WorkerRef, order backend.RenewOrder) (backend.Listing, error) {
-	o.leases <- order.LeaseUntilMS
-	return backend.Listing{}, &backend.OrderError{Kind: backend.OrderUnanswered}
-}
-
 // While the log is out of reach, no lease may outlast the lease window: on a later incarnation it
 // would last as long as leases may, whatever the order says.
 func TestLeaseWindowHoldsOnALaterIncarnation(t *testing.T) {
@@ -430,13 +475,11 @@
 				if c.listed {
 					s.list("w0", s.now)
 				}
-				synctest.Wait()
 				w := s.workers["w0"]
-				orders := leaseOrders{unansweredStarts{s.orders}, make(chan int64, 1)}
-				s.Orders, w.renewalInFlight, w.unansweredSince = orders, false, 0
+				renewals := s.recordRenewals(w)
 				s.now += c.outage
 				s.renewNow(w)
-				if got := <-orders.leases > 0; got != c.grants {
+				if got := (<-renewals).LeaseUntilMS > 0; got != c.grants {
 					t.Errorf("lease granted: %v, want %v", got, c.grants)
 				}
 			})
--- a/pkg/simsite/workers.go
+++ b/pkg/simsite/workers.go
@@ -101,6 +101,8 @@
 	// LosesStartReplies makes the worker execute starts without replying, LosesListings
 	// renewals.
 	LosesStartReplies, LosesListings bool
+	// ListingDelay is by how much replies to renewals are late.
+	ListingDelay time.Duration
 	// backAt is when a crashed worker comes back; zero if it has not crashed.
 	backAt time.Time
 	// earlier are capacities that the worker has had lately.
@@ -460,7 +462,19 @@
 		<-ctx.Done()
 		return backend.Listing{}, &backend.OrderError{Kind: backend.OrderUnanswered, Cause: errNoReply}
 	}
-	defer f.mu.Unlock()
+	reply := w.listing()
+	delay := w.ListingDelay
+	f.mu.Unlock()
+	time.Sleep(delay)
+	if err := ctx.Err(); err != nil {
+		return backend.Listing{}, &backend.OrderError{Kind: backend.OrderUnanswered, Cause: err}
+	}
+	return reply, nil
+}
+
+// listing returns the worker's present listing.
+func (w *Worker) listing() backend.Listing {
+	f := w.fleet
 	reply := backend.Listing{ClockMS: w.clock(), IncarnationStartMS: w.Info.StartedMS, Ended: slices.Clone(w.ended)}
 	if limit := f.EndsPerListing; limit > 0 && len(reply.Ended) >= limit {
 		reply.Ended, reply.MoreEnds = reply.Ended[:limit], true
@@ -468,7 +482,7 @@
 	for _, r := range w.runs {
 		reply.Active = append(reply.Active, backend.ActiveRun{Run: r.id, Percent: r.progressPercent, Load: w.load(r)})
 	}
-	return reply, nil
+	return reply
 }
 
 // advance applies one tick of progress to all runs, and ends those that are due.
