--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -26,6 +26,7 @@
 	"github.com/shallotpin/shallotpin/pkg/dispatch"
 	"github.com/shallotpin/shallotpin/pkg/election"
 	"github.com/shallotpin/shallotpin/pkg/entry"
+	"github.com/shallotpin/shallotpin/pkg/features"
 	"github.com/shallotpin/shallotpin/pkg/logsink"
 	"github.com/shallotpin/shallotpin/pkg/peer"
 	"github.com/shallotpin/shallotpin/pkg/steady"
@@ -79,6 +80,7 @@
 	SettingsFile string `long:"settings" env:"SHALLOTPIN_NODE_FILE" required:"true" description:"path of the platform's settings file (YAML)"`
 	Metrics      string `long:"metrics" env:"SHALLOTPIN_METRICS" default:":7001" description:"address that serves /metrics"`
 	PeerPort     int    `long:"peer-port" env:"SHALLOTPIN_PEER_PORT" default:"7002" description:"port for calls between the nodes, one of the platform's range"`
+	Features     string `long:"features" env:"SHALLOTPIN_FEATURES" description:"optional parts to switch on or off, such as stops=off,speeds=on; the settings decide about the others"`
 	Verbosity    int    `long:"verbosity" env:"SHALLOTPIN_VERBOSITY" default:"0" description:"log verbosity, 0 to 5"`
 }
 
@@ -98,6 +100,10 @@
 		fmt.Fprintln(os.Stderr, "shallotpin-entry: "+err.Error())
 		return exitUsage
 	}
+	if _, err := defaultFeatures(settings).Override(opts.Features); err != nil {
+		fmt.Fprintln(os.Stderr, "shallotpin-entry: "+err.Error())
+		return exitUsage
+	}
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	setUpLogs(sink, opts.Verbosity)
@@ -127,7 +133,9 @@
 
 // dispatchSettings derives the settings of dispatch and election from the platform's
 // limits.
-func dispatchSettings(s *platform.Settings) dispatch.Settings {
+func dispatchSettings(s *platform.Settings, overrides string) dispatch.Settings {
+	// The overrides were checked at the start.
+	enabled, _ := defaultFeatures(s).Override(overrides)
 	failAfter := platform.Millis(s.Bounds.ContactMS) * 2 / 3
 	leaseDuration := platform.Millis(s.Bounds.HoldMaxMS)
 	return dispatch.Settings{
@@ -136,11 +144,15 @@
 		// the end of the start window.
 		LeaseDuration: leaseDuration, LeaseWindow: max(leaseWindow, failAfter+leaseDuration), ClockDrift: clockDrift, GangStartTimeout: platform.Millis(s.Bounds.GangMS),
 		MaxStopTime: platform.Millis(s.Bounds.StopMS), MaxReclaimTime: platform.Millis(s.Bounds.ReclaimMS), CheckpointInterval: platform.Seconds(s.Bounds.SaveS), EndedJobRetention: platform.Seconds(s.Bounds.StatusS),
+		RestoreTime: platform.Millis(s.Bounds.RestoreMS), Features: enabled,
 		MaxRecordBytes: s.MaxRecordBytes(), MaxWriteBytes: maxBatchBytes(s),
 		Election: election.Settings{FailAfter: failAfter, MaxReadGap: entry.MaxReadDuration, Stagger: failAfter / 50, SuspectAfter: failAfter / 5, LogSettleTime: failAfter * 3 / 4, StartWindow: failAfter, RenewWindow: 3 * failAfter, HeartbeatInterval: failAfter / 4},
 	}
 }
 
+// defaultFeatures returns the optional parts that a deployment uses by its settings.
+func defaultFeatures(*platform.Settings) features.Set { return features.Set{} }
+
 // maxViewAge returns the greatest age of a view at which tasks are started, given the time
 // within which a change must take effect, in milliseconds; 0 means unknown. A quarter of the
 // time remains for the order.
@@ -168,7 +180,7 @@
 	if s.Advice != "" {
 		adviser = &platform.Adviser{Base: "http://" + s.Advice, Client: orders}
 	}
-	node, err := entry.New(entry.Settings{Name: s.NodeName, Incarnation: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s), MaxBatchBytes: maxBatchBytes(s), LinkRate: int(s.Limits.LinkMbps * 1e6 / 8), Cores: s.Limits.CPUShare * max(1, s.Limits.Cores), MemoryMB: s.Limits.MemoryMB, Now: steady.Now, UnixMS: unixMS},
+	node, err := entry.New(entry.Settings{Name: s.NodeName, Incarnation: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s, opts.Features), MaxBatchBytes: maxBatchBytes(s), LinkRate: int(s.Limits.LinkMbps * 1e6 / 8), Cores: s.Limits.CPUShare * max(1, s.Limits.Cores), MemoryMB: s.Limits.MemoryMB, Now: steady.Now, UnixMS: unixMS},
 		entry.Platform{Ledger: topic(platform.LedgerTopic), OperatorConfig: topic(platform.OperatorTopic), Workers: topic(platform.WorkerTopic),
 			Orders: &platform.Orders{Client: orders}, Adviser: adviser, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker, Peers: peers})
 	if err != nil {
@@ -180,7 +192,7 @@
 		return err
 	}
 	node.Start(ctx)
-	klog.InfoS("shallotpin-entry: started", "node", s.NodeName, "zone", s.Zone, "front", s.Listen.Front, "settings", opts.SettingsFile)
+	klog.InfoS("shallotpin-entry: started", "node", s.NodeName, "zone", s.Zone, "front", s.Listen.Front, "settings", opts.SettingsFile, "features", dispatchSettings(s, opts.Features).Features.String())
 
 	var draining atomic.Bool
 	jobs := &platform.JobHandler{Intake: node.Intake, CurrentConfig: node.CurrentConfig, UnixMS: unixMS}
@@ -199,7 +211,7 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	watcher := &settingsWatcher{path: opts.SettingsFile, current: *s, apply: func(s *platform.Settings) { node.UpdateSettings(dispatchSettings(s)) }}
+	watcher := &settingsWatcher{path: opts.SettingsFile, current: *s, apply: func(s *platform.Settings) { node.UpdateSettings(dispatchSettings(s, opts.Features)) }}
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 	for running := true; running; {
--- a/cmd/shallotpin-entry/settings_test.go
+++ b/cmd/shallotpin-entry/settings_test.go
@@ -33,7 +33,7 @@
 		t.Fatal(err)
 	}
 	var applied []time.Duration
-	w := &settingsWatcher{path: path, current: *first, apply: func(s *platform.Settings) { applied = append(applied, dispatchSettings(s).MaxStopTime) }}
+	w := &settingsWatcher{path: path, current: *first, apply: func(s *platform.Settings) { applied = append(applied, dispatchSettings(s, "").MaxStopTime) }}
 	for _, step := range []struct {
 		text, cause string
 		want        []time.Duration
@@ -58,7 +58,7 @@
 	for _, c := range []struct{ contactMS, holdMaxMS int64 }{{3000, 6000}, {4000, 6000}, {5000, 10_000}, {3000, 30_000}} {
 		var s platform.Settings
 		s.Bounds.ContactMS, s.Bounds.HoldMaxMS = c.contactMS, c.holdMaxMS
-		d := dispatchSettings(&s)
+		d := dispatchSettings(&s, "")
 		if least := d.Election.StartWindow + d.LeaseDuration; d.LeaseWindow < least {
 			t.Errorf("contact %d ms, longest lease %d ms: lease window %s, want at least %s", c.contactMS, c.holdMaxMS, d.LeaseWindow, least)
 		}
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/election"
+	"github.com/shallotpin/shallotpin/pkg/features"
 )
 
-// Settings are the engine's time limits. All but Election are limits of the platform.
+// Settings are the engine's time limits and optional parts. All but Features and Election are
+// limits of the platform.
 type Settings struct {
 	// LeaseDuration is how long a worker keeps running tasks without a renewal: the
 	// longest lease that the platform grants.
@@ -42,6 +44,10 @@
 	MaxRecordBytes, MaxWriteBytes int
 	// EndedJobRetention is how long the state of an ended job can be queried.
 	EndedJobRetention time.Duration
+	// RestoreTime is how long a task takes to resume from a checkpoint; 0 means unknown.
+	RestoreTime time.Duration
+	// Features are the optional parts in use.
+	Features features.Set
 	// Election configures the leader lease.
 	Election election.Settings
 }
