interference: tasks that slow each other down are found and kept apart

Cause: only one case was known, best-effort beside latency-sensitive tasks, which was throttled after the harm was done and forgotten with the leader. Placement knew of no pair.

Change: pkg/interference learns from listings which kinds of tasks slow which others down; placement prefers workers without such pairs, then those with the least harm, among those that fit; the throttle counts known harm of what has just started.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -200,6 +201,7 @@
 	ready := &http.Server{Handler: readinessHandler(&draining, node), ReadHeaderTimeout: headerTimeout}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("/interference", func(w http.ResponseWriter, _ *http.Request) { writeInterference(w, node) })
 	metricsServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 3)
 	for address, server := range map[string]*http.Server{s.Listen.Front: front, s.Listen.Ready: ready, opts.Metrics: metricsServer} {
@@ -271,3 +273,16 @@
 		}
 	})
 }
+
+// writeInterference answers with the pairs of tasks that slow each other down, as a JSON array.
+func writeInterference(w http.ResponseWriter, node *entry.Node) {
+	pairs, err := node.Interference()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(append([]dispatch.LearnedPair{}, pairs...)); err != nil {
+		klog.V(1).InfoS("shallotpin-entry: answer not written", "err", err)
+	}
+}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -106,14 +106,16 @@
 	// rackBeyondHeadroom is how many accelerators of a rack the headroom leaves, on
 	// average.
 	rackBeyondHeadroom int
-	termErr            error
-	startWaits         *metrics.Histogram
+	// interference is what is known of tasks that slow each other down.
+	interference *interferenceWatch
+	termErr      error
+	startWaits   *metrics.Histogram
 }
 
 // New returns an engine for one term.
 func New(in Inputs) *Engine {
 	return &Engine{Inputs: in, events: make(chan func(), eventQueueSize), jobs: map[string]*job{}, endedAt: map[string]time.Duration{}, workers: map[string]*worker{}, latest: map[string]*worker{},
-		lease: election.NewLease(in.Settings.Election, in.ClaimedAt), lastWriteAt: in.ClaimedAt, runTimes: map[string]*runTime{}, crashes: map[string]crashTimes{},
+		lease: election.NewLease(in.Settings.Election, in.ClaimedAt), lastWriteAt: in.ClaimedAt, runTimes: map[string]*runTime{}, crashes: map[string]crashTimes{}, interference: newInterferenceWatch(),
 		planDurations: metrics.GetOrCreateHistogram("shallotpin_plan_seconds"),
 		startWaits:    metrics.GetOrCreateHistogram("shallotpin_start_wait_seconds")}
 }
@@ -125,6 +127,7 @@
 	e.view = e.View()
 	e.lastJobAt = now
 	e.inheritedLeasesEnd = e.EarlierWritesAt + e.Settings.LeaseWindow + e.maxLeaseError()
+	e.inheritInterference(state.Learned[InterferenceKey])
 	for id, entry := range state.Jobs {
 		if entry.Job != nil {
 			e.recordUrgentDemand(entry.Job, now)
@@ -356,6 +359,7 @@
 	if len(records) == 0 {
 		records = append(records, ledger.TermRecord(e.Term))
 	}
+	records = append(records, e.interferenceRecords(now)...)
 	// Ends are recorded once all jobs that they have changed are.
 	handled := map[*worker]int64{}
 	if complete {
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -102,6 +102,7 @@
 		}
 		e.markSearchDue(waiting)
 		plan := placement.Decide(pool, waiting, e.headroom(pool, now))
+		e.logInterference(plan, waiting)
 		e.noteSearches(waiting, plan, now)
 		e.trackAmpleCapacity(pool, waiting, plan, now)
 		e.adviseUnplaced(plan.Unplaced)
@@ -214,7 +215,7 @@
 			}
 			pw.Running = append(pw.Running, placement.RunningTask{Unit: id.UnitID, Index: id.Index, Need: r.need,
 				Priority: u.job.policy.Priority, Guaranteed: u.job.guaranteed || u.step.MaxUnavailable > 0, Gang: u.step.Gang, LostWork: e.lostWork(r, now), Ending: e.isEnding(r, now),
-				LongRunning: u.step.LongRunning, LatencySensitive: r.isLatencySensitive(), BestEffort: r.isBestEffort(), Quota: quotas[u.job.spec.Account]})
+				LongRunning: u.step.LongRunning, LatencySensitive: r.isLatencySensitive(), BestEffort: r.isBestEffort(), Quota: quotas[u.job.spec.Account], Kind: e.kindForPlan(u)})
 		}
 		slices.SortFunc(pw.Running, func(a, b placement.RunningTask) int {
 			return cmp.Or(cmp.Compare(a.Unit.Job, b.Unit.Job), cmp.Compare(a.Unit.Step, b.Unit.Step), cmp.Compare(a.Index, b.Index))
@@ -359,6 +360,7 @@
 			if j.policy.Advised {
 				pu.AllowedWorkers = u.ticketKeys()
 			}
+			e.markInterference(pu, u)
 			pu.MustStart = unixMS-begin >= e.maxReclaimWait().Milliseconds()
 			if suspected {
 				pu.AllowedWorkers = e.workersForSuspect(u, pu.AllowedWorkers, now)
--- a/pkg/dispatch/throttle.go
+++ b/pkg/dispatch/throttle.go
@@ -71,6 +71,7 @@
 			load = max(load, r.load/float64(r.task.unit.step.LatencyTargetMS))
 		}
 	}
+	load = e.expectedLoad(w, load, e.Now())
 	for _, r := range w.runs {
 		if !r.isBestEffort() || r.phase != runActive || r.throttleInFlight {
 			continue
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -258,6 +258,7 @@
 			e.checkMissing(w, listed, sent)
 		}
 		e.throttleBestEffort(w)
+		e.observeInterference(w, now)
 	}
 	if reply.MoreEnds {
 		klog.InfoS("dispatch: worker may have more ends to list", "worker", w.info.ID, "active", len(reply.Active), "ended", len(reply.Ended), "runs", len(w.runs))
@@ -348,6 +349,7 @@
 	}
 	cause, lost := e.recordLostWork(r, why, e.Now())
 	delete(w.runs, t.id)
+	e.takeSamples(e.interference.recorder.Ended(r.id))
 	w.used = w.used.Sub(r.need)
 	if t.run == r {
 		t.run = nil
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -198,3 +198,9 @@
 
 // Leading reports whether the node leads.
 func (n *Node) Leading() bool { return n.leader.Leading() }
+
+// Interference returns the pairs of tasks that slow each other down, as the leader has last
+// recorded them. Any node has them.
+func (n *Node) Interference() ([]dispatch.LearnedPair, error) {
+	return dispatch.DecodeInterference(n.replica.Learned(dispatch.InterferenceKey))
+}
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -24,7 +24,9 @@
 	nodePrefix     = "n/"
 	// candidatePrefix marks the nodes that have enough CPU to lead.
 	candidatePrefix = "l/"
-	termKey         = "term"
+	// learnedPrefix marks what a leader has learned of the site, for later ones.
+	learnedPrefix = "k/"
+	termKey       = "term"
 )
 
 // Phase is the phase of a job.
@@ -152,6 +154,12 @@
 	return records
 }
 
+// LearnedRecord returns the record that stores what a leader has learned under a name. It must be
+// small: each node keeps it.
+func LearnedRecord(name string, value any) backend.KeyedRecord {
+	return record(learnedPrefix+name, value)
+}
+
 // record encodes a value of one of the types above, all of which can be encoded.
 func record(key string, value any) backend.KeyedRecord {
 	data, err := json.Marshal(value)
@@ -201,11 +209,13 @@
 	Nodes map[string]string
 	// Candidates are the names of the entry VMs that have enough CPU to lead.
 	Candidates map[string]bool
+	// Learned is what leaders have learned, by name, as the JSON text that they wrote.
+	Learned map[string][]byte
 }
 
 // NewState returns the state of an empty topic.
 func NewState() *State {
-	return &State{Jobs: map[string]*JobEntry{}, Nodes: map[string]string{}, Candidates: map[string]bool{}}
+	return &State{Jobs: map[string]*JobEntry{}, Nodes: map[string]string{}, Candidates: map[string]bool{}, Learned: map[string][]byte{}}
 }
 
 // Change is the effect of a record on the State.
@@ -251,6 +261,9 @@
 	case candidatePrefix:
 		s.Candidates[id] = true
 		return Change{}, nil
+	case learnedPrefix:
+		s.Learned[id] = r.Value
+		return Change{}, nil
 	case termKey:
 		var t Term
 		if err := json.Unmarshal(r.Value, &t); err != nil {
@@ -299,6 +312,8 @@
 		delete(s.Nodes, id)
 	case candidatePrefix:
 		delete(s.Candidates, id)
+	case learnedPrefix:
+		delete(s.Learned, id)
 	}
 	return Change{}
 }
--- a/pkg/ledger/replica.go
+++ b/pkg/ledger/replica.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -145,6 +146,14 @@
 	return r.state.Nodes[name] == address && r.state.Candidates[name] == candidate
 }
 
+// Learned returns what leaders have learned under a name, as the JSON text that they wrote; nil if
+// nothing.
+func (r *Replica) Learned(name string) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Learned[name]
+}
+
 // Pending returns the number of a queue's jobs of which no task has started. Jobs with
 // scheduled occurrences are not counted.
 func (r *Replica) Pending(queue string) int {
@@ -174,12 +183,12 @@
 	return ids
 }
 
-// State returns a copy of the jobs and the term. The workload.Jobs are shared and must not
-// be changed.
+// State returns a copy of the jobs, the term and what leaders have learned. The workload.Jobs and
+// the texts of Learned are shared and must not be changed.
 func (r *Replica) State() *State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := &State{Jobs: map[string]*JobEntry{}, Term: r.state.Term}
+	s := &State{Jobs: map[string]*JobEntry{}, Term: r.state.Term, Learned: maps.Clone(r.state.Learned)}
 	for id, e := range r.state.Jobs {
 		c := *e
 		s.Jobs[id] = &c
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -30,6 +30,8 @@
 	Running []RunningTask
 	// startsFor is the last unit of which the plan starts a task here.
 	startsFor *Unit
+	// startedKinds are the kinds of the tasks that the plan starts here.
+	startedKinds []string
 }
 
 func (w *Worker) hasLabel(label string) bool { return slices.Contains(w.Labels, label) }
@@ -56,6 +58,8 @@
 	Quota *Quota
 	// Ending tasks are expected to end by themselves within the time of a stop.
 	Ending bool
+	// Kind names tasks that behave alike; see package interference.
+	Kind string
 }
 
 // Unit is a step of one round of a job with tasks to place.
@@ -97,6 +101,10 @@
 	SearchDue bool
 	// StartsApart units start on workers where the plan starts nothing else.
 	StartsApart bool
+	// Kind names tasks that behave alike. Harm is by which fraction of their time tasks of the unit
+	// and of another kind slow each other down on one worker; it lacks those that do not.
+	Kind string
+	Harm map[string]float64
 }
 
 // mayPreempt reports whether running tasks may be stopped for the unit.
@@ -111,6 +119,8 @@
 type Assignment struct {
 	Task   workload.TaskID
 	Worker string
+	// Harm is by which fraction of their time the task and others there slow each other down.
+	Harm float64
 }
 
 // Plan is a placement decision.
@@ -304,6 +314,7 @@
 	return cmp.Or(
 		compareBool(u.Avoid[a.ID], u.Avoid[b.ID]),
 		cmp.Compare(a.Penalty, b.Penalty),
+		cmp.Compare(harmStep(u, a), harmStep(u, b)),
 		compareBool(wouldMix(u, a), wouldMix(u, b)),
 		compareSpeed(u, a, b),
 		cmp.Compare(a.Free.Accelerators, b.Free.Accelerators),
@@ -321,6 +332,38 @@
 	})
 }
 
+// harmStepWidth is the width of the steps in which harm is compared; smaller differences do not
+// matter.
+const harmStepWidth = 0.1
+
+// harmStep returns how much a task of the unit and those on the worker would slow each other down,
+// in steps. It keeps pairs apart that harm each other while there is room, and where there is none,
+// lets those share that harm each other least.
+func harmStep(u *Unit, w *Worker) int { return int(harmOn(u, w) / harmStepWidth) }
+
+// harmOn returns by which fraction of their time a task of the unit and those on the worker would
+// slow each other down.
+func harmOn(u *Unit, w *Worker) float64 {
+	if len(u.Harm) == 0 {
+		return 0
+	}
+	harm := 0.0
+	seen := map[string]bool{}
+	add := func(kind string) {
+		if !seen[kind] {
+			seen[kind] = true
+			harm += u.Harm[kind]
+		}
+	}
+	for i := range w.Running {
+		add(w.Running[i].Kind)
+	}
+	for _, kind := range w.startedKinds {
+		add(kind)
+	}
+	return harm
+}
+
 // speedWeight is how many leftover accelerators weigh as much as doubling the unit's run
 // time.
 func speedWeight(u *Unit) float64 {
@@ -350,9 +393,13 @@
 	}
 	w.Free = w.Free.Sub(u.Step.Demand())
 	w.startsFor = u
+	harm := harmOn(u, w)
+	if u.Kind != "" {
+		w.startedKinds = append(w.startedKinds, u.Kind)
+	}
 	u.Quota.take(u.Step.Need)
 	u.PerWorker[w.ID]++
-	p.plan.Start = append(p.plan.Start, Assignment{Task: workload.TaskID{UnitID: u.ID, Index: index}, Worker: w.ID})
+	p.plan.Start = append(p.plan.Start, Assignment{Task: workload.TaskID{UnitID: u.ID, Index: index}, Worker: w.ID, Harm: harm})
 }
 
 // placeGang places all waiting tasks of a gang or none.
--- a/pkg/simsite/workers.go
+++ b/pkg/simsite/workers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -34,6 +35,9 @@
 	// the sum of the throttle percents of the best-effort tasks on its worker. It is
 	// nil for other tasks.
 	Latency func(bestEffortPercent int) float64
+	// SlowedBy returns by which fraction of its time the task takes longer beside another one; nil
+	// means not at all.
+	SlowedBy func(other workload.TaskID) float64
 }
 
 // Fleet is an in-memory set of workers. It implements backend.Orders and
@@ -501,7 +505,7 @@
 			if r.behaviour.LongRunning {
 				r.progressPercent = 100
 			} else if r.working && !w.TasksHang && r.behaviour.Work > 0 {
-				r.workDone += time.Duration(float64(tickInterval) / max(1, w.Slowdown) * float64(r.throttlePercent) / 100)
+				r.workDone += time.Duration(float64(tickInterval) / max(1, w.Slowdown) * float64(r.throttlePercent) / 100 / w.disturbance(r))
 				r.progressPercent = min(100, int(100*r.workDone/r.behaviour.Work))
 			}
 			switch {
@@ -528,6 +532,19 @@
 	}
 }
 
+// disturbance returns the factor by which a run is slowed down by the others on its worker.
+func (w *Worker) disturbance(r *activeRun) float64 {
+	factor := 1.0
+	if r.behaviour.SlowedBy != nil {
+		for id, other := range w.runs {
+			if other != r && other.working {
+				factor += r.behaviour.SlowedBy(id)
+			}
+		}
+	}
+	return factor
+}
+
 // finishGang ends the runs of a gang as done if the work of all of them is complete.
 func (f *Fleet) finishGang(r *activeRun) {
 	members := f.gangs[gangKey{r.id.Task.UnitID, r.id.Number}]
@@ -667,3 +684,6 @@
 // IsRunning reports whether the worker runs a task. It must be called within
 // Fleet.Update.
 func (w *Worker) IsRunning(id workload.TaskID) bool { return w.runs[id] != nil }
+
+// Tasks returns the tasks that run on the worker. It must be called within Fleet.Update.
+func (w *Worker) Tasks() []workload.TaskID { return slices.Collect(maps.Keys(w.runs)) }
