interference: only runs of one step of a job are compared

Change: samples are compared within one step of a job, worker speed and set of other neighbours; the effect is the median of all differences; members of gangs, which end together, give none.

--- a/pkg/dispatch/interference.go
+++ b/pkg/dispatch/interference.go
@@ -102,9 +102,8 @@
 	var running []interference.Running[backend.RunID]
 	for _, r := range w.runs {
 		u := r.task.unit
-		usual := e.expectedRunTime(u)
-		seen := interference.Running[backend.RunID]{ID: r.id, Kind: kindOf(u), Percent: r.percent, Usual: usual, Throttle: r.throttlePercent,
-			Incomparable: r.phase != runActive || u.step.DataRack != "" && w.info.Rack != u.step.DataRack || u.step.SameRack && r.percent > 0 && u.spansRacks()}
+		seen := interference.Running[backend.RunID]{ID: r.id, Kind: kindOf(u), Group: u.id.String(), Percent: r.percent, Throttle: r.throttlePercent,
+			Incomparable: r.phase != runActive || u.step.Gang || u.step.DataRack != "" && w.info.Rack != u.step.DataRack}
 		if r.isLatencySensitive() {
 			seen.Latency = r.load / float64(u.step.LatencyTargetMS)
 		}
@@ -113,21 +112,6 @@
 	e.takeSamples(e.interference.recorder.Listing(running, int(w.speed/speedClassWidth), now))
 }
 
-// spansRacks reports whether the unit's runs are on more than one rack.
-func (u *unit) spansRacks() bool {
-	rack := ""
-	for _, t := range u.tasks {
-		switch {
-		case t.run == nil:
-		case rack == "":
-			rack = t.run.worker.info.Rack
-		case rack != t.run.worker.info.Rack:
-			return true
-		}
-	}
-	return false
-}
-
 // takeSamples adds samples to the table.
 func (e *Engine) takeSamples(samples []interference.Sample) {
 	for _, s := range samples {
--- a/pkg/interference/interference.go
+++ b/pkg/interference/interference.go
@@ -18,11 +18,14 @@
 // Sample is how fast one run was during a span in which the kinds beside it stayed the same.
 type Sample struct {
 	Subject Kind
+	// Group holds runs of the same work, such as a step of a job: only samples of one group are
+	// compared, since the work of two may differ by as much as any neighbour does.
+	Group string
 	// Others are the kinds that worked beside the run, without repetitions.
 	Others []Kind
 	// SpeedClass is the class of the worker's speed: only samples of one class are compared.
 	SpeedClass int
-	// Slowdown is the run's time, or its latency, as a multiple of what is usual for its kind.
+	// Slowdown is the run's time, or its latency, in any unit that is the same for the group.
 	Slowdown float64
 	At       time.Duration
 }
@@ -42,10 +45,7 @@
 	// conclusion needs.
 	MinObservations = 16
 	// samplesPerEvaluation is how many samples of a kind are taken between two evaluations.
-	samplesPerEvaluation = 8
-	// minGroup is how many samples each side of a comparison needs for a median that one outlier
-	// does not set.
-	minGroup = 3
+	samplesPerEvaluation = 16
 	// minHarm is the slowdown from which a pair is kept apart, as a fraction: less does not show
 	// beside the usual differences between tasks.
 	minHarm = 0.1
@@ -81,6 +81,7 @@
 
 // sample is a Sample in the form in which it is kept.
 type sample struct {
+	group       string
 	others      uint64
 	speedClass  int
 	logSlowdown float64
@@ -124,7 +125,7 @@
 		subj = &subject{}
 		t.subjects[s.Subject] = subj
 	}
-	kept := sample{speedClass: s.SpeedClass, logSlowdown: math.Log(s.Slowdown), at: s.At}
+	kept := sample{group: s.Group, speedClass: s.SpeedClass, logSlowdown: math.Log(s.Slowdown), at: s.At}
 	for _, other := range s.Others {
 		bit := subj.bit(other)
 		if bit == 0 {
@@ -186,11 +187,12 @@
 // standard score of the hypothesis that it has one, and the number of compared pairs of samples.
 //
 // Samples are compared only with those that differ in this kind alone: a kind that is always
-// beside a harmful one, or on slow workers, is not taken for harmful itself. Medians and ranks
-// keep tasks that take many times as long as others from deciding. The score is that of the
-// stratified rank sum test (van Elteren).
+// beside a harmful one, or on slow workers, or beside long work, is not taken for harmful itself.
+// The median of all differences (Hodges and Lehmann) and ranks keep tasks that take many times as
+// long as others from deciding. The score is that of the stratified rank sum test (van Elteren).
 func compare(samples []sample, bit uint64) (effect, score float64, observations int) {
 	type key struct {
+		group      string
 		others     uint64
 		speedClass int
 	}
@@ -198,7 +200,7 @@
 	var keys []key
 	groups := map[key]*group{}
 	for _, s := range samples {
-		k := key{s.others &^ bit, s.speedClass}
+		k := key{s.group, s.others &^ bit, s.speedClass}
 		g := groups[k]
 		if g == nil {
 			g = &group{}
@@ -211,17 +213,21 @@
 		}
 	}
 	rankSum, variance := 0.0, 0.0
+	var differences []float64
 	for _, k := range keys {
 		g := groups[k]
 		with, without := len(g.with), len(g.without)
-		if with < minGroup || without < minGroup {
+		if with == 0 || without == 0 {
 			continue
 		}
 		slices.Sort(g.with)
 		slices.Sort(g.without)
-		pairs := min(with, without)
-		effect += float64(pairs) * (median(g.with) - median(g.without))
-		observations += pairs
+		observations += min(with, without)
+		for _, a := range g.with {
+			for _, b := range g.without {
+				differences = append(differences, a-b)
+			}
+		}
 		total := float64(with + without + 1)
 		rankSum += (greaterPairs(g.with, g.without) - float64(with*without)/2) / total
 		variance += float64(with*without) / total / 12
@@ -229,7 +235,8 @@
 	if observations == 0 {
 		return 0, 0, 0
 	}
-	return effect / float64(observations), rankSum / math.Sqrt(variance), observations
+	slices.Sort(differences)
+	return median(differences), rankSum / math.Sqrt(variance), observations
 }
 
 // median returns the median of sorted values.
--- a/pkg/interference/interference_test.go
+++ b/pkg/interference/interference_test.go
@@ -18,6 +18,8 @@
 	harm map[pair]float64
 	// speedsKnown means that the samples tell the speeds of the workers.
 	speedsKnown bool
+	// units are the steps of which tasks run, by kind: tasks of one take about as long as each other.
+	units map[Kind]*unit
 	// avoided is a kind that runs on slow workers only.
 	avoided Kind
 	// together are kinds of which the second only runs beside the first.
@@ -31,8 +33,29 @@
 	tailFactor = 7
 )
 
+// unit is a step of a job with some tasks left, whose work is a multiple of the usual one.
+type unit struct {
+	name string
+	left int
+	work float64
+}
+
+// unitOf returns the unit of the next task of a kind.
+func (f *fleet) unitOf(kind Kind) *unit {
+	u := f.units[kind]
+	if u == nil || u.left == 0 {
+		u = &unit{fmt.Sprint(kind, f.now), 4 + f.rng.IntN(30), math.Exp(0.5 * f.rng.NormFloat64())}
+		if f.rng.Float64() < tailShare {
+			u.work *= tailFactor
+		}
+		f.units[kind] = u
+	}
+	u.left--
+	return u
+}
+
 func newFleet(seed uint64, kinds int) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), harm: map[pair]float64{}, speedsKnown: true}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), harm: map[pair]float64{}, units: map[Kind]*unit{}, speedsKnown: true}
 	for i := range kinds {
 		f.kinds = append(f.kinds, Kind(fmt.Sprintf("k%d", i)))
 	}
@@ -63,7 +86,8 @@
 	if slow {
 		speed = 0.55
 	}
-	s.Slowdown = math.Exp(0.3 * f.rng.NormFloat64())
+	u := f.unitOf(s.Subject)
+	s.Group, s.Slowdown = u.name, u.work*math.Exp(0.2*f.rng.NormFloat64())
 	if f.rng.Float64() < tailShare {
 		s.Slowdown *= tailFactor
 	}
--- a/pkg/interference/recorder.go
+++ b/pkg/interference/recorder.go
@@ -21,29 +21,29 @@
 type Running[ID comparable] struct {
 	ID   ID
 	Kind Kind
+	// Group holds runs of the same work.
+	Group string
 	// Percent is the run's progress.
 	Percent int
 	// Latency is the run's latency as a fraction of its objective; 0 if it is not
 	// latency-sensitive.
 	Latency float64
-	// Usual is the usual time of a run of this kind; 0 if it is not known.
-	Usual time.Duration
 	// Throttle is the percentage of full speed at which the run works, and disturbs others.
 	Throttle int
 	// Incomparable runs are slow or fast for reasons of their own: they are far from their data,
-	// or wait for other members of their gang.
+	// or members of a gang, which ends with its slowest one.
 	Incomparable bool
 }
 
 // span is a time in which a run and the kinds beside it stayed the same.
 type span struct {
 	kind        Kind
+	group       string
 	others      []Kind
 	speedClass  int
 	began, last time.Duration
 	// percent and lastPercent are the progress at the two times.
 	percent, lastPercent int
-	usual                time.Duration
 	latencySum           float64
 	latencies            int
 }
@@ -68,7 +68,7 @@
 			continue
 		}
 		if s == nil {
-			s = &span{kind: run.Kind, others: others, speedClass: speedClass, began: now, last: now, percent: run.Percent, lastPercent: run.Percent, usual: run.Usual}
+			s = &span{kind: run.Kind, group: run.Group, others: others, speedClass: speedClass, began: now, last: now, percent: run.Percent, lastPercent: run.Percent}
 			r.spans[run.ID] = s
 			continue
 		}
@@ -116,12 +116,13 @@
 	if s == nil {
 		return samples
 	}
-	sample := Sample{Subject: s.kind, Others: s.others, SpeedClass: s.speedClass, At: s.last}
+	sample := Sample{Subject: s.kind, Group: s.group, Others: s.others, SpeedClass: s.speedClass, At: s.last}
 	switch {
 	case s.latencies > 0:
 		sample.Slowdown = s.latencySum / float64(s.latencies)
-	case s.last-s.began >= minSpan && s.lastPercent-s.percent >= minProgress && s.usual > 0:
-		sample.Slowdown = (s.last - s.began).Seconds() / s.usual.Seconds() * 100 / float64(s.lastPercent-s.percent)
+	case s.last-s.began >= minSpan && s.lastPercent-s.percent >= minProgress:
+		// The time that the whole run would take, in seconds.
+		sample.Slowdown = (s.last - s.began).Seconds() * 100 / float64(s.lastPercent-s.percent)
 	default:
 		return samples
 	}
