interference: runs are compared within their step first; learning is tested to its end

Change: runs of one step are compared with each other, and a step of which no run can be compared so counts as one sample beside other steps. 512 samples of a kind are kept. The site test keeps the load up until the pair is recorded, ten minutes at most, and then checks as before.

--- a/pkg/dispatch/interference.go
+++ b/pkg/dispatch/interference.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -21,8 +22,9 @@
 	// learnedWriteInterval is the least time between two writes of the record, which go along with
 	// other records of the leader. A new leader lacks at most what was learned in it.
 	learnedWriteInterval = 5 * time.Second
-	// speedClassWidth is the width of the classes of workers within which tasks are compared.
-	speedClassWidth = 0.15
+	// speedClassRatio is the ratio of the speeds of two neighbouring classes of workers within which
+	// tasks are compared: the estimates of workers of one kind differ by less.
+	speedClassRatio = 1.5
 	// loadFigureSpan is the time that a load figure covers: what has just started does not show
 	// in it yet.
 	loadFigureSpan = 500 * time.Millisecond
@@ -102,16 +104,26 @@
 	var running []interference.Running[backend.RunID]
 	for _, r := range w.runs {
 		u := r.task.unit
-		seen := interference.Running[backend.RunID]{ID: r.id, Kind: kindOf(u), Group: u.id.String(), Percent: r.percent, Throttle: r.throttlePercent,
+		seen := interference.Running[backend.RunID]{ID: r.id, Kind: kindOf(u), Group: u.id.String(), Usual: e.expectedRunTime(u), Percent: r.percent, Throttle: r.throttlePercent,
 			Incomparable: r.phase != runActive || u.step.Gang || u.step.DataRack != "" && w.info.Rack != u.step.DataRack}
 		if r.isLatencySensitive() {
+			// Its samples are of different times, in which its load differs.
+			seen.Group = ""
 			seen.Latency = r.load / float64(u.step.LatencyTargetMS)
 		}
 		running = append(running, seen)
 	}
-	e.takeSamples(e.interference.recorder.Listing(running, int(w.speed/speedClassWidth), now))
+	e.takeSamples(e.interference.recorder.Listing(running, speedClass(w.speed), now))
 }
 
+// speedClass returns the class of a worker's relative speed; that of the usual speed is 0.
+func speedClass(speed float64) int {
+	return int(math.Round(math.Log(max(speed, minSpeed)) / math.Log(speedClassRatio)))
+}
+
+// minSpeed is the least relative speed that is told apart from others.
+const minSpeed = 0.05
+
 // takeSamples adds samples to the table.
 func (e *Engine) takeSamples(samples []interference.Sample) {
 	for _, s := range samples {
--- a/pkg/entry/interference_test.go
+++ b/pkg/entry/interference_test.go
@@ -85,6 +85,25 @@
 	return beside, all
 }
 
+// learn keeps the site busy until the leader has recorded a pair, and fails the test if it has
+// recorded none, or another one, after ten minutes.
+func (s *interferenceSite) learn() {
+	for range 20 {
+		s.load(30 * time.Second)
+		pairs, err := s.leader().Interference()
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		if len(pairs) > 0 {
+			if p := pairs[0]; len(pairs) != 1 || p.Subject != disturbedImage || p.Other != disturbingImage {
+				s.t.Fatalf("learned %v", pairs)
+			}
+			return
+		}
+	}
+	s.t.Fatal("nothing was learned")
+}
+
 // Tasks that slow each other down are kept apart once enough of them have run, by the leader that
 // has learned it and by the next one from its first plan on.
 func TestTasksThatSlowEachOtherDownAreKeptApart(t *testing.T) {
@@ -101,7 +120,7 @@
 						}
 					}
 				})
-				is.load(120 * time.Second)
+				is.learn()
 				beside, all := is.load(20 * time.Second)
 				if all == 0 || 4*beside > all {
 					t.Errorf("%d of %d tasks run beside others that slow them down", beside, all)
--- a/pkg/interference/interference.go
+++ b/pkg/interference/interference.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -18,22 +19,22 @@
 // Sample is how fast one run was during a span in which the kinds beside it stayed the same.
 type Sample struct {
 	Subject Kind
-	// Group holds runs of the same work, such as a step of a job: only samples of one group are
-	// compared, since the work of two may differ by as much as any neighbour does.
+	// Group names runs of the same work, such as those of one step of a job. Samples without a group
+	// are independent of all others.
 	Group string
 	// Others are the kinds that worked beside the run, without repetitions.
 	Others []Kind
 	// SpeedClass is the class of the worker's speed: only samples of one class are compared.
 	SpeedClass int
-	// Slowdown is the run's time, or its latency, in any unit that is the same for the group.
+	// Slowdown is the run's time, or its latency, as a multiple of what is usual for its kind.
 	Slowdown float64
 	At       time.Duration
 }
 
 const (
-	// maxSubjects and maxSamples limit the memory: some 10 KB for each subject.
+	// maxSubjects and maxSamples limit the memory: some 30 KB for each subject.
 	maxSubjects = 64
-	maxSamples  = 128
+	maxSamples  = 512
 	// maxOthers limits the kinds that a sample may have beside it: with more, hardly any two
 	// samples differ in one kind alone.
 	maxOthers = 6
@@ -45,7 +46,7 @@
 	// conclusion needs.
 	MinObservations = 16
 	// samplesPerEvaluation is how many samples of a kind are taken between two evaluations.
-	samplesPerEvaluation = 16
+	samplesPerEvaluation = 24
 	// minHarm is the slowdown from which a pair is kept apart, as a fraction: less does not show
 	// beside the usual differences between tasks.
 	minHarm = 0.1
@@ -183,82 +184,113 @@
 	return nil, nil
 }
 
+// comparison accumulates differences between samples with a kind beside them and without.
+type comparison struct {
+	differences       []float64
+	rankSum, variance float64
+	// observations is the number of compared pairs.
+	observations int
+}
+
+// sides are the logarithms of slowdowns with a kind beside and without it, all else being equal.
+type sides struct{ with, without []float64 }
+
+// add compares all values of one side with all of the other.
+func (c *comparison) add(s *sides) {
+	with, without := len(s.with), len(s.without)
+	if with == 0 || without == 0 {
+		return
+	}
+	greater := 0.0
+	for _, a := range s.with {
+		for _, b := range s.without {
+			c.differences = append(c.differences, a-b)
+			greater += float64(cmp.Compare(a, b)+1) / 2
+		}
+	}
+	c.observations += min(with, without)
+	// The weights are those of van Elteren's stratified rank sum test.
+	total := float64(with + without + 1)
+	c.rankSum += (greater - float64(with*without)/2) / total
+	c.variance += float64(with*without) / total / 12
+}
+
 // compare returns the effect of the kind with the given bit on the logarithm of the slowdown, the
 // standard score of the hypothesis that it has one, and the number of compared pairs of samples.
 //
 // Samples are compared only with those that differ in this kind alone: a kind that is always
-// beside a harmful one, or on slow workers, or beside long work, is not taken for harmful itself.
-// The median of all differences (Hodges and Lehmann) and ranks keep tasks that take many times as
-// long as others from deciding. The score is that of the stratified rank sum test (van Elteren).
+// beside a harmful one, or on slow workers, is not taken for harmful itself. Runs of one group are
+// compared with each other, since the work of two groups may differ by more than a neighbour
+// harms; a group of which no run can be compared so counts as one sample beside other groups. The
+// median of all differences (Hodges and Lehmann) and ranks keep tasks that take many times as long
+// as others from deciding.
 func compare(samples []sample, bit uint64) (effect, score float64, observations int) {
-	type key struct {
-		group      string
+	type conditions struct {
 		others     uint64
 		speedClass int
 	}
-	type group struct{ with, without []float64 }
-	var keys []key
-	groups := map[key]*group{}
-	for _, s := range samples {
-		k := key{s.group, s.others &^ bit, s.speedClass}
-		g := groups[k]
-		if g == nil {
-			g = &group{}
-			groups[k], keys = g, append(keys, k)
+	type cell struct {
+		group string
+		conditions
+	}
+	within, between := map[cell]*sides{}, map[conditions]*sides{}
+	for i, s := range samples {
+		c := cell{s.group, conditions{s.others &^ bit, s.speedClass}}
+		if s.group == "" {
+			c.group = independentGroup + strconv.Itoa(i)
 		}
-		if s.others&bit != 0 {
-			g.with = append(g.with, s.logSlowdown)
-		} else {
-			g.without = append(g.without, s.logSlowdown)
+		if within[c] == nil {
+			within[c] = &sides{}
 		}
+		within[c].put(s.others&bit != 0, s.logSlowdown)
 	}
-	rankSum, variance := 0.0, 0.0
-	var differences []float64
-	for _, k := range keys {
-		g := groups[k]
-		with, without := len(g.with), len(g.without)
-		if with == 0 || without == 0 {
+	var total comparison
+	for c, s := range within {
+		if len(s.with) > 0 && len(s.without) > 0 {
+			total.add(s)
 			continue
 		}
-		slices.Sort(g.with)
-		slices.Sort(g.without)
-		observations += min(with, without)
-		for _, a := range g.with {
-			for _, b := range g.without {
-				differences = append(differences, a-b)
-			}
+		if between[c.conditions] == nil {
+			between[c.conditions] = &sides{}
 		}
-		total := float64(with + without + 1)
-		rankSum += (greaterPairs(g.with, g.without) - float64(with*without)/2) / total
-		variance += float64(with*without) / total / 12
+		between[c.conditions].put(len(s.with) > 0, mean(s.with, s.without))
+	}
+	for _, s := range between {
+		total.add(s)
 	}
-	if observations == 0 {
+	if total.observations == 0 {
 		return 0, 0, 0
 	}
-	slices.Sort(differences)
-	return median(differences), rankSum / math.Sqrt(variance), observations
+	slices.Sort(total.differences)
+	return median(total.differences), total.rankSum / math.Sqrt(total.variance), total.observations
 }
 
-// median returns the median of sorted values.
-func median(sorted []float64) float64 {
-	n := len(sorted)
-	return (sorted[(n-1)/2] + sorted[n/2]) / 2
+// independentGroup begins the names of groups of one sample; no other group begins so.
+const independentGroup = "\x00"
+
+func (s *sides) put(with bool, value float64) {
+	if with {
+		s.with = append(s.with, value)
+	} else {
+		s.without = append(s.without, value)
+	}
 }
 
-// greaterPairs returns for how many pairs of a value of a and one of b, both sorted, the former is
-// greater; equal ones count half.
-func greaterPairs(a, b []float64) float64 {
-	count, below, upTo := 0.0, 0, 0
-	for _, v := range a {
-		for below < len(b) && b[below] < v {
-			below++
-		}
-		for upTo < len(b) && b[upTo] <= v {
-			upTo++
+// mean returns the mean of the values of both lists.
+func mean(a, b []float64) float64 {
+	sum := 0.0
+	for _, values := range [...][]float64{a, b} {
+		for _, v := range values {
+			sum += v
 		}
-		count += float64(below+upTo) / 2
 	}
-	return count
+	return sum / float64(len(a)+len(b))
+}
+
+// median returns the median of sorted values.
+func median(sorted []float64) float64 {
+	n := len(sorted)
+	return (sorted[(n-1)/2] + sorted[n/2]) / 2
 }
 
 // Harm returns by which fraction the subject takes longer beside the other kind; 0 if that is not
--- a/pkg/interference/recorder.go
+++ b/pkg/interference/recorder.go
@@ -21,8 +21,10 @@
 type Running[ID comparable] struct {
 	ID   ID
 	Kind Kind
-	// Group holds runs of the same work.
+	// Group names runs that are not independent; see Sample.
 	Group string
+	// Usual is the usual time of a run of this kind; 0 if it is not known.
+	Usual time.Duration
 	// Percent is the run's progress.
 	Percent int
 	// Latency is the run's latency as a fraction of its objective; 0 if it is not
@@ -44,6 +46,7 @@
 	began, last time.Duration
 	// percent and lastPercent are the progress at the two times.
 	percent, lastPercent int
+	usual                time.Duration
 	latencySum           float64
 	latencies            int
 }
@@ -68,7 +71,7 @@
 			continue
 		}
 		if s == nil {
-			s = &span{kind: run.Kind, group: run.Group, others: others, speedClass: speedClass, began: now, last: now, percent: run.Percent, lastPercent: run.Percent}
+			s = &span{kind: run.Kind, group: run.Group, others: others, speedClass: speedClass, began: now, last: now, percent: run.Percent, lastPercent: run.Percent, usual: run.Usual}
 			r.spans[run.ID] = s
 			continue
 		}
@@ -120,9 +123,8 @@
 	switch {
 	case s.latencies > 0:
 		sample.Slowdown = s.latencySum / float64(s.latencies)
-	case s.last-s.began >= minSpan && s.lastPercent-s.percent >= minProgress:
-		// The time that the whole run would take, in seconds.
-		sample.Slowdown = (s.last - s.began).Seconds() * 100 / float64(s.lastPercent-s.percent)
+	case s.last-s.began >= minSpan && s.lastPercent-s.percent >= minProgress && s.usual > 0:
+		sample.Slowdown = (s.last - s.began).Seconds() / s.usual.Seconds() * 100 / float64(s.lastPercent-s.percent)
 	default:
 		return samples
 	}
--- a/pkg/interference/recorder_test.go
+++ b/pkg/interference/recorder_test.go
@@ -12,7 +12,7 @@
 // runs that are throttled, incomparable or beside others at part of their speed.
 func TestRecorder(t *testing.T) {
 	batch := func(id string, percent int) Running[string] {
-		return Running[string]{ID: id, Kind: Kind(id[:1]), Percent: percent, Throttle: fullSpeed}
+		return Running[string]{ID: id, Kind: Kind(id[:1]), Percent: percent, Usual: 10 * second, Throttle: fullSpeed}
 	}
 	latency := func(id string, fraction float64) Running[string] {
 		return Running[string]{ID: id, Kind: Kind(id[:1]), Latency: fraction, Throttle: fullSpeed}
@@ -28,11 +28,11 @@
 	}{
 		"neighbour leaves": {
 			[]listing{{0, []Running[string]{batch("a1", 5), batch("b1", 5)}}, {2 * second, []Running[string]{batch("a1", 15), batch("b1", 25)}}, {3 * second, []Running[string]{batch("a1", 20)}}, {4 * second, []Running[string]{batch("a1", 40)}}},
-			[]Sample{{Subject: "a", Others: []Kind{"b"}, Slowdown: 20, At: 2 * second}, {Subject: "a", Slowdown: 5, At: 4 * second}},
+			[]Sample{{Subject: "a", Others: []Kind{"b"}, Slowdown: 2, At: 2 * second}, {Subject: "a", Slowdown: 0.5, At: 4 * second}},
 		},
 		"a gang that waits is not slow": {
 			[]listing{{0, []Running[string]{batch("a1", 0)}}, {5 * second, []Running[string]{batch("a1", 10)}}, {6 * second, []Running[string]{batch("a1", 20)}}},
-			[]Sample{{Subject: "a", Slowdown: 10, At: 6 * second}},
+			[]Sample{{Subject: "a", Slowdown: 1, At: 6 * second}},
 		},
 		"little progress": {
 			[]listing{{0, []Running[string]{batch("a1", 5)}}, {2 * second, []Running[string]{batch("a1", 9)}}}, nil,
@@ -42,7 +42,7 @@
 		},
 		"suspended neighbours do not count": {
 			[]listing{{0, []Running[string]{batch("a1", 5), throttled(batch("b1", 5), 0)}}, {2 * second, []Running[string]{batch("a1", 25), throttled(batch("b1", 5), 0)}}},
-			[]Sample{{Subject: "a", Slowdown: 10, At: 2 * second}},
+			[]Sample{{Subject: "a", Slowdown: 1, At: 2 * second}},
 		},
 		"latency settles first": {
 			[]listing{{0, []Running[string]{latency("a1", 0.1), batch("b1", 0)}}, {second / 2, []Running[string]{latency("a1", 0.1), batch("b1", 0)}}, {2 * second, []Running[string]{latency("a1", 0.8), batch("b1", 0)}}, {4 * second, []Running[string]{latency("a1", 1.0), batch("b1", 0)}}},
