ingress: a gate bounds what callers make a node hold

Cause: bodies and headers of callers were read and decoded without a bound on their sum; one body of 262 KB of empty steps took some 50 MB to decode.

A budget in bytes for connections, headers and bodies, shared among client accounts; bodies ask as they grow; connections are bounded by the descriptors; the operator's limits for headers and idle connections are in force at once. Lists of a submission are counted before they are decoded.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -27,6 +27,7 @@
 	"github.com/shallotpin/shallotpin/pkg/election"
 	"github.com/shallotpin/shallotpin/pkg/entry"
 	"github.com/shallotpin/shallotpin/pkg/features"
+	"github.com/shallotpin/shallotpin/pkg/ingress"
 	"github.com/shallotpin/shallotpin/pkg/logsink"
 	"github.com/shallotpin/shallotpin/pkg/peer"
 	"github.com/shallotpin/shallotpin/pkg/steady"
@@ -59,10 +60,12 @@
 	// connBufferBytes is the size of each buffer of a connection. Orders and most replies
 	// fit; with the default of 4 KiB, buffers are a third of a leader's memory.
 	connBufferBytes = 1 << 10
-	// headerTimeout limits the time to read a request's header.
-	headerTimeout = 3 * time.Second
-	// callerIdleTimeout is how long idle connections of callers are kept open.
-	callerIdleTimeout = 15 * time.Second
+	// headerTimeout limits the time to read the header of a readiness check or of a request for
+	// metrics, and probeIdleTimeout is how long their idle connections are kept open.
+	headerTimeout    = 3 * time.Second
+	probeIdleTimeout = 15 * time.Second
+	// probeHeaderBytes limits their headers.
+	probeHeaderBytes = 8 << 10
 	// softMemoryShare is the share of the memory limit that is the runtime's soft limit,
 	// near which the garbage collector runs more often.
 	softMemoryShare = 0.5
@@ -81,7 +84,8 @@
 	Metrics      string `long:"metrics" env:"SHALLOTPIN_METRICS" default:":7001" description:"address that serves /metrics"`
 	PeerPort     int    `long:"peer-port" env:"SHALLOTPIN_PEER_PORT" default:"7002" description:"port for calls between the nodes, one of the platform's range"`
 	Features     string `long:"features" env:"SHALLOTPIN_FEATURES" description:"optional parts to switch on or off, such as stops=off,speeds=on; the settings decide about the others"`
-	Verbosity    int    `long:"verbosity" env:"SHALLOTPIN_VERBOSITY" default:"0" description:"log verbosity, 0 to 5"`
+	ingress.Options
+	Verbosity int `long:"verbosity" env:"SHALLOTPIN_VERBOSITY" default:"0" description:"log verbosity, 0 to 5"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -104,11 +108,19 @@
 		fmt.Fprintln(os.Stderr, "shallotpin-entry: "+err.Error())
 		return exitUsage
 	}
+	if problems := opts.Problems(); len(problems) > 0 {
+		for _, p := range problems {
+			fmt.Fprintln(os.Stderr, "shallotpin-entry: "+p)
+		}
+		return exitUsage
+	}
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	setUpLogs(sink, opts.Verbosity)
 	defer klog.Flush()
-	debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * softMemoryShare * (1 << 20)))
+	if settings.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * softMemoryShare * (1 << 20)))
+	}
 	if err := serve(settings, opts); err != nil {
 		klog.ErrorS(err, "shallotpin-entry: cannot serve")
 		return exitFailed
@@ -195,18 +207,24 @@
 	klog.InfoS("shallotpin-entry: started", "node", s.NodeName, "zone", s.Zone, "front", s.Listen.Front, "settings", opts.SettingsFile, "features", dispatchSettings(s, opts.Features).Features.String())
 
 	var draining atomic.Bool
-	jobs := &platform.JobHandler{Intake: node.Intake, CurrentConfig: node.CurrentConfig, UnixMS: unixMS}
-	front := &http.Server{Handler: closeWhenDraining(&draining, jobs), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
-	ready := &http.Server{Handler: readinessHandler(&draining, node), ReadHeaderTimeout: headerTimeout}
+	gate := ingress.New(opts.Options, ingress.Machine{MemoryBytes: int64(s.Limits.MemoryMB) << 20, Descriptors: s.Limits.MaxFDs})
+	gate.RegisterMetrics(metrics.GetDefaultSet())
+	jobs := &platform.JobHandler{Intake: node.Intake, CurrentConfig: node.CurrentConfig, UnixMS: unixMS, Ingress: gate}
+	front := &http.Server{Handler: closeWhenDraining(&draining, jobs)}
+	gate.Prepare(front)
+	ready := &http.Server{Handler: readinessHandler(&draining, node), ReadHeaderTimeout: headerTimeout, IdleTimeout: probeIdleTimeout, MaxHeaderBytes: probeHeaderBytes}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	metricsServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	metricsServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: probeIdleTimeout, MaxHeaderBytes: probeHeaderBytes}
 	failed := make(chan error, 3)
 	for address, server := range map[string]*http.Server{s.Listen.Front: front, s.Listen.Ready: ready, opts.Metrics: metricsServer} {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return err
 		}
+		if server == front {
+			listener = gate.Listener(listener)
+		}
 		go func() { failed <- server.Serve(listener) }()
 	}
 	signals := make(chan os.Signal, 4)
@@ -220,6 +238,10 @@
 			return err
 		case <-poll.C:
 			watcher.check("poll")
+			if config, _, _ := node.OperatorConfig.Current(); config != nil {
+				gate.SetLimits(config.Callers)
+			}
+			gate.Sweep()
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
 				watcher.check("SIGHUP")
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/shallotpin/shallotpin/pkg/ingress"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
@@ -66,6 +67,8 @@
 	Accounts []Account
 	// MaxBodyBytes limits the body of a request; 0 means no limit.
 	MaxBodyBytes int64
+	// Callers are the other limits on what callers send.
+	Callers ingress.Limits
 
 	queuesByName  map[string]*Queue
 	accountsByKey map[string]*Account
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"time"
+	"unsafe"
 )
 
 // Resources is what a task needs or a worker offers.
@@ -172,14 +173,25 @@
 // Limits on what a job may contain.
 const (
 	maxPayloadBytes = 4000
-	maxSteps        = 256
-	maxTasks        = 20_000
-	maxRounds       = 10_000
+	// MaxSteps limits the steps, and the steps that one depends on.
+	MaxSteps  = 256
+	maxTasks  = 20_000
+	maxRounds = 10_000
 	// maxRoundTasks limits the tasks of all rounds together, each of which takes memory of
 	// the leader.
 	maxRoundTasks = 100_000
 )
 
+// MemoryBytes returns about how much memory the job takes.
+func (j *Job) MemoryBytes() int64 {
+	size := int64(unsafe.Sizeof(*j)) + int64(len(j.Payload)) + int64(cap(j.Steps))*int64(unsafe.Sizeof(Step{}))
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		size += int64(cap(s.DependsOn))*int64(unsafe.Sizeof(0)) + int64(len(s.Label)+len(s.DataRack)+len(s.Image))
+	}
+	return size
+}
+
 // Validate returns an error that describes the first invalid field of the job. Its text
 // is shown to callers.
 func (j *Job) Validate() error {
@@ -188,8 +200,8 @@
 		return fmt.Errorf("the job ID %q is not 16 hexadecimal digits", j.ID)
 	case len(j.Payload) > maxPayloadBytes:
 		return fmt.Errorf("the payload has %d bytes, the limit is %d", len(j.Payload), maxPayloadBytes)
-	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
-		return fmt.Errorf("%d steps are not between 1 and %d", len(j.Steps), maxSteps)
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
+		return fmt.Errorf("%d steps are not between 1 and %d", len(j.Steps), MaxSteps)
 	case j.Occurrences < 0 || j.Occurrences > maxRounds || j.IntervalMS < 0:
 		return fmt.Errorf("the schedule of %d occurrences, %d ms apart, is out of bounds", j.Occurrences, j.IntervalMS)
 	}
@@ -217,6 +229,9 @@
 	if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
 		return fmt.Errorf("a negative amount")
 	}
+	if len(s.DependsOn) > MaxSteps {
+		return fmt.Errorf("depends on %d steps, the limit is %d", len(s.DependsOn), MaxSteps)
+	}
 	for _, d := range s.DependsOn {
 		if d < 0 || d >= number {
 			return fmt.Errorf("depends on step %d, which is not an earlier one", d)
