crowd, platform, shallotpind: tests of clients that hold what they can

Each starts a node as a process on a loopback address with 64 MB of memory and 400 descriptors in its settings, and lets some 300 clients send to it; a client opens another connection when one is closed. Checked are that the node lives, that its resident memory (VmHWM) stays under 64 MB and its sockets and pipes under 400 - 200 reserved, and that an ordinary job is accepted before, beside (five times) and after the clients. No times, no shares. The clients and the bounds stay as they are from here on.

--- /dev/null
+++ b/pkg/crowd/crowd.go
@@ -0,0 +1,239 @@
+// Package crowd has HTTP clients that occupy a server without keeping to the usual course of
+// a request, and a monitor of a server process. It is for tests that start a server as a
+// process on a loopback address.
+package crowd
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Pattern is how a client sends its requests.
+type Pattern int
+
+const (
+	// Whole sends a whole request, reads the answer and keeps the connection open.
+	Whole Pattern = iota
+	// Unfinished sends all of a body with a length but its last byte.
+	Unfinished
+	// Pieces is Unfinished with a pause between the pieces of the body.
+	Pieces
+	// LargeChunks sends a body in large chunks without the last, empty one.
+	LargeChunks
+	// TinyChunks sends a body in chunks of one byte without the last, empty one.
+	TinyChunks
+	// Headers sends header lines by the piece and never ends the header.
+	Headers
+	// Silent sends nothing.
+	Silent
+	// Unread sends many requests on its connection and reads no answer.
+	Unread
+)
+
+const (
+	// pieceBytes is the size of a piece of a body or a header, and of a large chunk.
+	pieceBytes = 16 << 10
+	// pieceInterval is the pause between two pieces of pattern Pieces.
+	pieceInterval = 100 * time.Millisecond
+	// headerBytes is the size of an unfinished header: half of net/http's usual limit.
+	headerBytes = 512 << 10
+	// unreadRequests is the number of requests of pattern Unread on one connection.
+	unreadRequests = 500
+	// unreadBufferBytes is the receive buffer of a client that does not read.
+	unreadBufferBytes = 4 << 10
+	// reconnectDelay is the time between the end of a connection and the next one.
+	reconnectDelay = 500 * time.Millisecond
+	dialTimeout    = 5 * time.Second
+)
+
+// Request is what a client sends.
+type Request struct {
+	// Head is the request line and the headers, without those that frame the body; each line
+	// ends with CRLF.
+	Head string
+	// Body is not changed.
+	Body []byte
+}
+
+// Crowd is a number of clients of one server. Each client opens another connection after the
+// server has closed one.
+type Crowd struct {
+	address string
+	pattern Pattern
+	done    chan struct{}
+	clients sync.WaitGroup
+	arrived sync.WaitGroup
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+// Start starts clients that send requests to a server; request returns that of client i.
+func Start(address string, clients int, p Pattern, request func(i int) Request) *Crowd {
+	c := &Crowd{address: address, pattern: p, done: make(chan struct{}), conns: map[net.Conn]bool{}}
+	c.arrived.Add(clients)
+	for i := range clients {
+		c.clients.Go(func() { c.run(request(i)) })
+	}
+	return c
+}
+
+// AwaitArrival waits until each client has sent all that it is to send, with pattern Whole
+// until it has an answer, or until the server has closed its first connection. It returns
+// false after the timeout.
+func (c *Crowd) AwaitArrival(timeout time.Duration) bool {
+	arrived := make(chan struct{})
+	go func() {
+		c.arrived.Wait()
+		close(arrived)
+	}()
+	select {
+	case <-arrived:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
+// Close closes all connections and waits until the clients have ended.
+func (c *Crowd) Close() {
+	close(c.done)
+	c.mu.Lock()
+	for conn := range c.conns {
+		conn.Close()
+	}
+	c.mu.Unlock()
+	c.clients.Wait()
+}
+
+func (c *Crowd) run(r Request) {
+	arrive := sync.OnceFunc(c.arrived.Done)
+	defer arrive()
+	for {
+		c.connect(r, arrive)
+		arrive()
+		select {
+		case <-c.done:
+			return
+		case <-time.After(reconnectDelay):
+		}
+	}
+}
+
+// connect opens a connection, sends the request and keeps the connection until the server or
+// Close closes it.
+func (c *Crowd) connect(r Request, arrive func()) {
+	conn, err := net.DialTimeout("tcp", c.address, dialTimeout)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if !c.track(conn) {
+		return
+	}
+	defer c.untrack(conn)
+	if c.pattern == Unread {
+		_ = conn.(*net.TCPConn).SetReadBuffer(unreadBufferBytes)
+		whole := fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", r.Head, len(r.Body), r.Body)
+		for range unreadRequests {
+			if _, err := conn.Write(whole); err != nil {
+				return
+			}
+			arrive()
+		}
+		<-c.done
+		return
+	}
+	go func() {
+		if c.send(conn, r) == nil && c.pattern != Whole {
+			arrive()
+		}
+	}()
+	answer := make([]byte, 512)
+	for {
+		n, err := conn.Read(answer)
+		if err != nil {
+			return
+		}
+		if n > 0 && c.pattern == Whole {
+			arrive()
+		}
+	}
+}
+
+// track registers a connection; it returns false after Close.
+func (c *Crowd) track(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case <-c.done:
+		return false
+	default:
+		c.conns[conn] = true
+		return true
+	}
+}
+
+func (c *Crowd) untrack(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.conns, conn)
+}
+
+// send sends a request by the crowd's pattern.
+func (c *Crowd) send(conn net.Conn, r Request) error {
+	switch c.pattern {
+	case Whole:
+		_, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", r.Head, len(r.Body), r.Body)
+		return err
+	case Unfinished, Pieces:
+		if _, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", r.Head, len(r.Body)); err != nil {
+			return err
+		}
+		return c.sendPieces(conn, r.Body[:len(r.Body)-1], pieceBytes)
+	case LargeChunks, TinyChunks:
+		if _, err := io.WriteString(conn, r.Head+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
+			return err
+		}
+		size := pieceBytes
+		if c.pattern == TinyChunks {
+			size = 1
+		}
+		return c.sendPieces(conn, chunked(r.Body, size), pieceBytes)
+	case Headers:
+		head := r.Head + strings.Repeat("X-Note: "+strings.Repeat("x", 1000)+"\r\n", headerBytes/1000)
+		return c.sendPieces(conn, []byte(head), pieceBytes)
+	default:
+		return nil
+	}
+}
+
+func (c *Crowd) sendPieces(w io.Writer, data []byte, size int) error {
+	for len(data) > 0 {
+		n := min(size, len(data))
+		if _, err := w.Write(data[:n]); err != nil {
+			return err
+		}
+		data = data[n:]
+		if c.pattern == Pieces {
+			time.Sleep(pieceInterval)
+		}
+	}
+	return nil
+}
+
+// chunked encodes a body in chunks of the given size, without the last, empty chunk.
+func chunked(body []byte, size int) []byte {
+	var out bytes.Buffer
+	for len(body) > 0 {
+		n := min(size, len(body))
+		fmt.Fprintf(&out, "%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	return out.Bytes()
+}
