replies, platform: bounds on what the replies of other services hold

Cause: every client of the platform read a reply to its end, whatever its size, with io.ReadAll. A worker, the adviser, or whatever answers at their address, could end the leader; a record larger than the pages permit was held in full.

Change: pkg/replies limits each reply and the replies of one kind of service together. What exceeds a limit counts as unanswered, with a bounded log line and shallotpin_replies_cut_total. A page of records or of a listing that is too large is used as far as it goes and continued; a too large record or value is passed over, so that it does not hide those after it.

Not covered: many small records of other writers in one listing (docs/design/replies.md).

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -29,6 +29,7 @@
 	"github.com/shallotpin/shallotpin/pkg/features"
 	"github.com/shallotpin/shallotpin/pkg/logsink"
 	"github.com/shallotpin/shallotpin/pkg/peer"
+	"github.com/shallotpin/shallotpin/pkg/replies"
 	"github.com/shallotpin/shallotpin/pkg/steady"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 	"github.com/shallotpin/shallotpin/platform"
@@ -165,8 +166,10 @@
 
 func serve(s *platform.Settings, opts options) error {
 	store := &http.Client{Transport: newTransport()}
+	memory := int64(s.Limits.MemoryMB) << 20
+	storeReplies := replies.NewBudget("store", memory, platform.StoreHeldPerByte)
 	topic := func(name string) *platform.Topic {
-		return &platform.Topic{Base: "http://" + s.Store.Addr, Name: name, Client: store}
+		return &platform.Topic{Base: "http://" + s.Store.Addr, Name: name, Client: store, Replies: storeReplies}
 	}
 	unixMS := func() int64 { return time.Now().UnixMilli() }
 	host, _, err := net.SplitHostPort(s.Listen.Front)
@@ -178,11 +181,11 @@
 	orders := &http.Client{Transport: newTransport()}
 	var adviser backend.Adviser
 	if s.Advice != "" {
-		adviser = &platform.Adviser{Base: "http://" + s.Advice, Client: orders}
+		adviser = &platform.Adviser{Base: "http://" + s.Advice, Client: orders, Replies: replies.NewBudget("adviser", memory, platform.OrderHeldPerByte)}
 	}
 	node, err := entry.New(entry.Settings{Name: s.NodeName, Incarnation: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s, opts.Features), MaxBatchBytes: maxBatchBytes(s), LinkRate: int(s.Limits.LinkMbps * 1e6 / 8), Cores: s.Limits.CPUShare * max(1, s.Limits.Cores), MemoryMB: s.Limits.MemoryMB, Now: steady.Now, UnixMS: unixMS},
 		entry.Platform{Ledger: topic(platform.LedgerTopic), OperatorConfig: topic(platform.OperatorTopic), Workers: topic(platform.WorkerTopic),
-			Orders: &platform.Orders{Client: orders}, Adviser: adviser, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker, Peers: peers})
+			Orders: &platform.Orders{Client: orders, Replies: replies.NewBudget("workers", memory, platform.OrderHeldPerByte)}, Adviser: adviser, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker, Peers: peers})
 	if err != nil {
 		return err
 	}
