ingress: docs; a third of the descriptors for callers

A leader of 299 nodes held 3,781 connections of 8,192 descriptors; half of them for callers, and an eighth more for new ones, would leave it 3,497.

--- a/pkg/ingress/settings.go
+++ b/pkg/ingress/settings.go
@@ -29,9 +29,10 @@
 	minMemory = 4 << 20
 	// reservedDescriptors are the descriptors that the platform reserves for files.
 	reservedDescriptors = 200
-	// descriptorShare is the part of the other descriptors for callers. The rest is for the
-	// calls of a leader: some 3,700 to 540 workers and 299 nodes, where a leader has 8,192.
-	descriptorShare = 2
+	// descriptorShare is the part of the other descriptors for callers. The rest is for a
+	// leader's connections to workers and nodes: some 3,700 on a site of 299 nodes, where a
+	// leader has 8,192 descriptors.
+	descriptorShare = 3
 	// minConnections is the least number of connections that descriptors may allow.
 	minConnections = 16
 	// decoders is the number of large bodies that are decoded at a time. Decoding does not block,
@@ -42,7 +43,7 @@
 // Options are the limits that an operator of the process may set.
 type Options struct {
 	MemoryMB       int           `long:"caller-memory" env:"SHALLOTPIN_CALLER_MEMORY" default:"0" description:"memory in MB for connections, headers and bodies of callers, 4 to 65536; 0: a fifth of the process's memory, or 64"`
-	MaxConnections int           `long:"caller-connections" env:"SHALLOTPIN_CALLER_CONNECTIONS" default:"0" description:"most connections of callers, 16 to 1000000; 0: half of the process's descriptors, or no limit"`
+	MaxConnections int           `long:"caller-connections" env:"SHALLOTPIN_CALLER_CONNECTIONS" default:"0" description:"most connections of callers, 16 to 1000000; 0: a third of the process's descriptors, or no limit"`
 	BodyTimeout    time.Duration `long:"body-timeout" env:"SHALLOTPIN_BODY_TIMEOUT" default:"10s" description:"longest time for a request's body, 1s to 10m"`
 	HeaderTimeout  time.Duration `long:"header-timeout" env:"SHALLOTPIN_HEADER_TIMEOUT" default:"3s" description:"longest time for a request's header unless the configuration has one, 100ms to 1m"`
 	IdleTimeout    time.Duration `long:"idle-timeout" env:"SHALLOTPIN_IDLE_TIMEOUT" default:"15s" description:"how long idle connections of callers stay open unless the configuration says so, 1s to 10m"`
