--- a/cmd/shallotpin/operations_doc_test.go
+++ b/cmd/shallotpin/operations_doc_test.go
@@ -32,7 +32,7 @@
 			source.Write(text)
 		}
 	}
-	lines := regexp.MustCompile("`((?:intake|front|feed|leader|dispatch|logsink|shallotpin-entry): [a-z][a-z ]*|shallotpin_[a-z_]+)").FindAllStringSubmatch(string(page), -1)
+	lines := regexp.MustCompile("`((?:intake|front|feed|leader|dispatch|logsink|ingress|shallotpin-entry): [a-z][a-z ]*|shallotpin_[a-z_]+)").FindAllStringSubmatch(string(page), -1)
 	if len(lines) < 30 {
 		t.Errorf("found %d lines and metrics, expected them all", len(lines))
 	}
--- a/pkg/ingress/gate.go
+++ b/pkg/ingress/gate.go
@@ -98,6 +98,7 @@
 	if h.phase == phaseBody {
 		// The handler's read fails, and it answers.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	} else {
 		_ = c.Conn.Close()
 	}
@@ -215,12 +216,14 @@
 
 // becomeIdle frees what the request of a connection held.
 func (g *Gate) becomeIdle(c *conn) {
-	g.enter(&c.holder, phaseIdle)
-	g.release(&c.holder, connBytes)
 	c.idle.Store(true)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.holder.leaving {
+	h := &c.holder
+	h.phase, h.since = phaseIdle, g.now()
+	g.budget.free(h, connBytes)
+	g.signal()
+	if h.leaving {
 		// The request ended before it was told to leave.
 		_ = c.Conn.Close()
 	}
