ingress: connections whose bodies nobody reads give way, too

Clients with an unknown key and a body without an end held their connections for a second each, in a phase that does not give way: at the limit, ordinary callers were closed at the accept (TestServerBesideACrowd/PUT).

--- a/pkg/ingress/budget.go
+++ b/pkg/ingress/budget.go
@@ -18,11 +18,14 @@
 	// phaseServing is the rest of a handler's run, and the answer. Unless the caller does not read
 	// the answer, it ends by itself soon, and what the connection holds cannot be freed sooner.
 	phaseServing
+	// phaseDiscard lasts while a body that the handler did not read is passed over, and while its
+	// connection ends.
+	phaseDiscard
 	// phaseIdle is the time between two requests.
 	phaseIdle
 )
 
-func (p phase) String() string { return [...]string{"header", "body", "serving", "idle"}[p] }
+func (p phase) String() string { return [...]string{"header", "body", "serving", "discard", "idle"}[p] }
 
 // holder is a connection, or a request that came without one, as the budget sees it. All times
 // are on the gate's clock.
@@ -43,6 +46,8 @@
 	writing atomic.Int64
 	// leaving means that the holder has been told to free what it holds.
 	leaving bool
+	// closed means that its connection has been closed, and only its memory is left to free.
+	closed bool
 	// cause is why it was told so.
 	cause reason
 }
@@ -60,10 +65,11 @@
 	maxHolders int
 
 	total, leaving int64
-	// leavingCount is the number of the holders that are leaving.
-	leavingCount int
-	numbers      uint64
-	holders      map[*holder]struct{}
+	// leavingCount is the number of the holders that are leaving, and closedCount that of those
+	// whose connection has been closed.
+	leavingCount, closedCount int
+	numbers                   uint64
+	holders                   map[*holder]struct{}
 	// shares is the total of each account, without what is leaving.
 	shares map[string]int64
 }
@@ -97,7 +103,7 @@
 func (b *budget) admit(h *holder, bytes int64, now time.Duration) (verdict, *holder) {
 	h.since = now
 	h.progress.Store(int64(now))
-	if b.total+bytes > b.maxBytes+b.maxBytes/overshoot || b.maxHolders > 0 && len(b.holders) >= b.maxHolders+b.maxHolders/overshoot {
+	if b.total+bytes > b.maxBytes+b.maxBytes/overshoot || b.maxHolders > 0 && len(b.holders)-b.closedCount >= b.maxHolders+b.maxHolders/overshoot {
 		return refused, nil
 	}
 	over := b.total-b.leaving+bytes > b.maxBytes || b.maxHolders > 0 && len(b.holders)-b.leavingCount >= b.maxHolders
@@ -229,6 +235,14 @@
 	b.leavingCount++
 }
 
+// markClosed notes that the connection of a holder that is leaving has been closed.
+func (b *budget) markClosed(h *holder) {
+	if !h.closed {
+		h.closed = true
+		b.closedCount++
+	}
+}
+
 // remove removes a holder and frees what it holds.
 func (b *budget) remove(h *holder) {
 	if _, known := b.holders[h]; !known {
@@ -238,6 +252,9 @@
 	if h.leaving {
 		b.leavingCount--
 	}
+	if h.closed {
+		b.closedCount--
+	}
 	delete(b.holders, h)
 }
 
--- a/pkg/ingress/gate.go
+++ b/pkg/ingress/gate.go
@@ -99,9 +99,11 @@
 		// The handler's read fails, and it answers.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	} else {
-		_ = c.Conn.Close()
+		return
 	}
+	// net/http may take half a second to notice. The descriptor is free at once.
+	_ = c.Conn.Close()
+	g.budget.markClosed(h)
 }
 
 // admit adds a connection, for which others may be closed.
@@ -395,12 +397,15 @@
 	})
 }
 
-// limitDiscard limits the time for which net/http reads the rest of a body. If the connection is
-// to leave, its reads fail already.
+// limitDiscard limits the time for which net/http reads the rest of a body, and lets the connection
+// give way meanwhile. If it is to leave, its reads fail already.
 func (g *Gate) limitDiscard(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !c.holder.leaving {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	h := &c.holder
+	if h.leaving {
+		return
 	}
+	h.phase, h.since = phaseDiscard, g.now()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(discardTimeout))
 }
