--- a/pkg/crowd/crowd.go
+++ b/pkg/crowd/crowd.go
@@ -77,8 +77,20 @@
 func Start(address string, clients int, p Pattern, request func(i int) Request) *Crowd {
 	c := &Crowd{address: address, pattern: p, done: make(chan struct{}), conns: map[net.Conn]bool{}}
 	c.arrived.Add(clients)
+	// Clients that send the same body share its encoded form.
+	encoded := map[*byte][]byte{}
 	for i := range clients {
-		c.clients.Go(func() { c.run(request(i)) })
+		r := request(i)
+		m := message{head: r.Head}
+		if len(r.Body) == 0 {
+			m = c.encode(r)
+		} else if same, found := encoded[&r.Body[0]]; found {
+			m.body = same
+		} else {
+			m = c.encode(r)
+			encoded[&r.Body[0]] = m.body
+		}
+		c.clients.Go(func() { c.run(m) })
 	}
 	return c
 }
@@ -111,11 +123,11 @@
 	c.clients.Wait()
 }
 
-func (c *Crowd) run(r Request) {
+func (c *Crowd) run(m message) {
 	arrive := sync.OnceFunc(c.arrived.Done)
 	defer arrive()
 	for {
-		c.connect(r, arrive)
+		c.connect(m, arrive)
 		arrive()
 		select {
 		case <-c.done:
@@ -127,7 +139,7 @@
 
 // connect opens a connection, sends the request and keeps the connection until the server or
 // Close closes it.
-func (c *Crowd) connect(r Request, arrive func()) {
+func (c *Crowd) connect(m message, arrive func()) {
 	conn, err := net.DialTimeout("tcp", c.address, dialTimeout)
 	if err != nil {
 		return
@@ -139,7 +151,7 @@
 	defer c.untrack(conn)
 	if c.pattern == Unread {
 		_ = conn.(*net.TCPConn).SetReadBuffer(unreadBufferBytes)
-		whole := fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", r.Head, len(r.Body), r.Body)
+		whole := append([]byte(m.head), m.body...)
 		for range unreadRequests {
 			if _, err := conn.Write(whole); err != nil {
 				return
@@ -150,7 +162,7 @@
 		return
 	}
 	go func() {
-		if c.send(conn, r) == nil && c.pattern != Whole {
+		if c.send(conn, m) == nil && c.pattern != Whole {
 			arrive()
 		}
 	}()
@@ -185,32 +197,43 @@
 	delete(c.conns, conn)
 }
 
-// send sends a request by the crowd's pattern.
-func (c *Crowd) send(conn net.Conn, r Request) error {
+// message is a request as it is sent.
+type message struct {
+	head string
+	// body is the rest of the header, and the body as far as it is sent.
+	body []byte
+}
+
+// encode encodes the body of a request by the crowd's pattern.
+func (c *Crowd) encode(r Request) message {
 	switch c.pattern {
-	case Whole:
-		_, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", r.Head, len(r.Body), r.Body)
-		return err
+	case Whole, Unread:
+		return message{r.Head, fmt.Appendf(nil, "Content-Length: %d\r\n\r\n%s", len(r.Body), r.Body)}
 	case Unfinished, Pieces:
-		if _, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", r.Head, len(r.Body)); err != nil {
-			return err
-		}
-		return c.sendPieces(conn, r.Body[:len(r.Body)-1], pieceBytes)
+		return message{r.Head, fmt.Appendf(nil, "Content-Length: %d\r\n\r\n%s", len(r.Body), r.Body[:len(r.Body)-1])}
 	case LargeChunks, TinyChunks:
-		if _, err := io.WriteString(conn, r.Head+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
-			return err
-		}
 		size := pieceBytes
 		if c.pattern == TinyChunks {
 			size = 1
 		}
-		return c.sendPieces(conn, chunked(r.Body, size), pieceBytes)
-	case Headers:
-		head := r.Head + strings.Repeat("X-Note: "+strings.Repeat("x", 1000)+"\r\n", headerBytes/1000)
-		return c.sendPieces(conn, []byte(head), pieceBytes)
+		return message{r.Head, append([]byte("Transfer-Encoding: chunked\r\n\r\n"), chunked(r.Body, size)...)}
 	default:
+		return message{head: r.Head}
+	}
+}
+
+// send sends a message by the crowd's pattern.
+func (c *Crowd) send(conn net.Conn, m message) error {
+	if c.pattern == Silent {
 		return nil
 	}
+	if _, err := io.WriteString(conn, m.head); err != nil {
+		return err
+	}
+	if c.pattern == Headers {
+		return c.sendPieces(conn, unfinishedHeader, pieceBytes)
+	}
+	return c.sendPieces(conn, m.body, pieceBytes)
 }
 
 func (c *Crowd) sendPieces(w io.Writer, data []byte, size int) error {
@@ -227,6 +250,9 @@
 	return nil
 }
 
+// unfinishedHeader is a header of headerBytes without its end.
+var unfinishedHeader = []byte(strings.Repeat("X-Note: "+strings.Repeat("x", 1000)+"\r\n", headerBytes/1000))
+
 // chunked encodes a body in chunks of the given size, without the last, empty chunk.
 func chunked(body []byte, size int) []byte {
 	var out bytes.Buffer
