--- a/cmd/shallotpind/main.go
+++ b/cmd/shallotpind/main.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -26,6 +27,14 @@
 	exitUsage  = 2
 )
 
+// softMemoryShare is the share of the memory limit that is the runtime's soft limit, near which
+// the garbage collector runs more often.
+const softMemoryShare = 0.5
+
+// callerDefaults are the defaults of limits on callers that differ from those on the users'
+// platform, whose callers keep connections for a shorter time.
+var callerDefaults = map[string]string{"header-timeout": "5s", "idle-timeout": "1m"}
+
 type options struct {
 	node.Settings
 	Verbosity int `long:"verbosity" env:"SHALLOTPIN_VERBOSITY" default:"0" description:"log verbosity, 0 to 5"`
@@ -35,7 +44,11 @@
 
 func run(args []string) int {
 	var opts options
-	if _, err := flags.ParseArgs(&opts, args); err != nil {
+	parser := flags.NewParser(&opts, flags.Default)
+	for name, value := range callerDefaults {
+		parser.FindOptionByLongName(name).Default = []string{value}
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
 		return usageExit(err)
 	}
 	if problems := opts.Problems(); len(problems) > 0 {
@@ -44,6 +57,9 @@
 		}
 		return exitUsage
 	}
+	if opts.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(opts.MemoryMB) * softMemoryShare * (1 << 20)))
+	}
 	setVerbosity(opts.Verbosity)
 	defer klog.Flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- a/cmd/shallotpind/main_test.go
+++ b/cmd/shallotpind/main_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/shallotpin/shallotpin/pkg/ingress"
 	"github.com/shallotpin/shallotpin/pkg/node"
 )
 
@@ -16,7 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, typ := range []reflect.Type{reflect.TypeFor[node.Settings](), reflect.TypeFor[options]()} {
+	for _, typ := range []reflect.Type{reflect.TypeFor[node.Settings](), reflect.TypeFor[ingress.Options](), reflect.TypeFor[options]()} {
 		for i := range typ.NumField() {
 			tag := typ.Field(i).Tag
 			if tag.Get("long") == "" {
@@ -31,9 +32,9 @@
 }
 
 func TestWrongSettingsAreAllNamed(t *testing.T) {
-	s := node.Settings{HTTP: "localhost:7400", Peer: "127.0.0.1", Log: "https://127.0.0.1:1", VMs: "http://log:1", ClockDrift: 1}
+	s := node.Settings{HTTP: "localhost:7400", Peer: "127.0.0.1", Log: "https://127.0.0.1:1", VMs: "http://log:1", ClockDrift: 1, MemoryMB: 1, MaxFDs: 5, Options: ingress.Options{HeaderBytes: 1}}
 	problems := strings.Join(s.Problems(), "\n")
-	for _, flag := range []string{"--id", "--zone", "--http", "--peer", "--log", "--vms", "--drain-timeout", "--lease-ttl", "--start-within", "--clock-drift"} {
+	for _, flag := range []string{"--id", "--zone", "--http", "--peer", "--log", "--vms", "--drain-timeout", "--lease-ttl", "--start-within", "--clock-drift", "--memory", "--max-fds", "--body-timeout", "--header-timeout", "--idle-timeout", "--header-bytes"} {
 		if !strings.Contains(problems, flag+":") {
 			t.Errorf("no problem reported for %s in:\n%s", flag, problems)
 		}
--- a/pkg/api/api_test.go
+++ b/pkg/api/api_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -90,3 +91,35 @@
 		})
 	}
 }
+
+// A document of empty parts takes many times its size when it is decoded, and as many messages
+// when all of its parts are invalid.
+func TestDocumentsOfManyPartsAreRefused(t *testing.T) {
+	type list struct {
+		Specs []JobSpec `json:"specs"`
+	}
+	const size = 1 << 20
+	for name, c := range map[string]struct {
+		part  string
+		valid bool
+	}{
+		"empty objects":     {`{}`, false},
+		"numbers":           {`0`, false},
+		"strings":           {`"["`, false},
+		"shortest objects":  {`{"per_task":{"cores":1}}`, true},
+		"names of brackets": {`{"account":"[[[[{{{{,,,,"}`, true},
+	} {
+		text := `{"specs":[` + strings.Repeat(c.part+",", size/(len(c.part)+1)-8) + c.part + `]}`
+		err := DecodeStrict([]byte(text), size, &list{})
+		if c.valid && err != nil || !c.valid && (err == nil || !strings.Contains(err.Error(), "more lists")) {
+			t.Errorf("%s: error %v, want valid %v", name, err, c.valid)
+		}
+	}
+	var p Problems
+	for i := range 100 * maxProblems {
+		p.Require(false, fmt.Sprint("specs[", i, "]"), "must be set")
+	}
+	if len(p) != maxProblems+1 || p[maxProblems].Field != "body" {
+		t.Errorf("%d problems, the last %+v; want %d and one for all others", len(p), p[len(p)-1], maxProblems)
+	}
+}
--- a/pkg/api/job.go
+++ b/pkg/api/job.go
@@ -139,8 +139,33 @@
 	return p.Err()
 }
 
+// minBytesPerPart is the least number of bytes of a document for each list, object and further
+// member in it: the shortest object of any document is {"cores":1}. It limits the memory of a
+// decoded document, whose parts take much more than the text of an empty one.
+const minBytesPerPart = 5
+
+// partsAllowance is the number of parts that a document of any size may have.
+const partsAllowance = 64
+
+// hasTooManyParts reports whether a document has more parts than a valid one of its size.
+func hasTooManyParts(data []byte) bool {
+	parts, inString := 0, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case inString && c == '\\':
+			i++
+		case c == '"':
+			inString = !inString
+		case !inString && (c == '[' || c == '{' || c == ','):
+			parts++
+		}
+	}
+	return parts > partsAllowance+len(data)/minBytesPerPart
+}
+
 // DecodeStrict parses one JSON document into out. It rejects documents over
-// limit bytes, invalid UTF-8, unknown fields and trailing data.
+// limit bytes, invalid UTF-8, unknown fields, trailing data, and documents with more
+// parts than a valid one can have.
 func DecodeStrict(data []byte, limit int, out any) error {
 	if len(data) > limit {
 		return FieldErrorf("body", "%d bytes is over the limit of %d bytes", len(data), limit)
@@ -148,6 +173,9 @@
 	if !utf8.Valid(data) {
 		return FieldErrorf("body", "is not valid UTF-8")
 	}
+	if hasTooManyParts(data) {
+		return FieldErrorf("body", "has more lists, objects and members than a valid document of its size")
+	}
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(out); err != nil {
--- a/pkg/api/problems.go
+++ b/pkg/api/problems.go
@@ -13,8 +13,18 @@
 // reported at once.
 type Problems []Problem
 
-// Add records an invalid field.
+// maxProblems limits the invalid fields that are reported of one document, which may have
+// hundreds of thousands.
+const maxProblems = 1000
+
+// Add records an invalid field. Those after the first maxProblems are left out.
 func (p *Problems) Add(field, format string, args ...any) {
+	switch {
+	case len(*p) > maxProblems:
+		return
+	case len(*p) == maxProblems:
+		field, format, args = "body", "has further invalid fields", nil
+	}
 	*p = append(*p, Problem{field, fmt.Sprintf(format, args...)})
 }
 
--- a/pkg/frontdoor/callers.go
+++ b/pkg/frontdoor/callers.go
@@ -1,13 +1,17 @@
 package frontdoor
 
 import (
+	"encoding/json"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
 	"time"
 	"unicode/utf8"
+	"unsafe"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
+	"github.com/shallotpin/shallotpin/pkg/ingress"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -20,12 +24,12 @@
 	maxCallBytes = 4 << 10
 )
 
-func decodeCall(r *http.Request, out any) error {
-	data, err := readBody(r, maxCallBytes)
-	if err != nil {
-		return err
+func (s *Service) decodeCall(r *http.Request, out any) error {
+	body, err := s.decodeBody(r, maxCallBytes, func(data []byte) error { return api.DecodeStrict(data, maxCallBytes, out) })
+	if err == nil {
+		body.Close()
 	}
-	return api.DecodeStrict(data, maxCallBytes, out)
+	return err
 }
 
 // baseParam returns the query parameter base, the version that a change is based
@@ -51,16 +55,16 @@
 }
 
 func (s *Service) postJob(w http.ResponseWriter, r *http.Request) {
-	data, err := readBody(r, api.MaxJobBytes)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	spec, err := api.DecodeJobSpec(data)
+	var spec api.JobSpec
+	body, err := s.decodeBody(r, api.MaxJobBytes, func(data []byte) (err error) {
+		spec, err = api.DecodeJobSpec(data)
+		return err
+	})
 	if err != nil {
 		writeError(w, err)
 		return
 	}
+	defer body.Close()
 	key, err := keyHeader(r)
 	if err != nil {
 		writeError(w, err)
@@ -142,23 +146,46 @@
 	return d, nil
 }
 
+// listJobs replies with all jobs, one by one: callers that do not read hold one encoded job each.
 func (s *Service) listJobs(w http.ResponseWriter, _ *http.Request) {
 	type ordered struct {
 		order  int64
 		status api.JobStatus
 	}
-	var jobs []ordered
+	count, largest := 0, 0
+	s.journal.View(func(st *state.State) {
+		count = len(st.Jobs)
+		for _, j := range st.Jobs {
+			largest = max(largest, len(j.Spec.Payload))
+		}
+	})
+	// The encoder's buffer has up to twice the size of a job.
+	if err := hold(w, count*int(unsafe.Sizeof(ordered{}))+2*largest); err != nil {
+		writeError(w, err)
+		return
+	}
+	jobs := make([]ordered, 0, count)
 	s.journal.View(func(st *state.State) {
 		for _, j := range st.Jobs {
 			jobs = append(jobs, ordered{j.Order, j.Status()})
 		}
 	})
 	sort.Slice(jobs, func(i, k int) bool { return jobs[i].order < jobs[k].order })
-	out := make([]api.JobStatus, len(jobs))
+	writeHeader(w, http.StatusOK, api.Ran)
+	enc := json.NewEncoder(w)
+	// Escapes would make a job much larger than what was submitted.
+	enc.SetEscapeHTML(false)
+	separator := "["
 	for i := range jobs {
-		out[i] = jobs[i].status
+		if _, err := io.WriteString(w, separator); err != nil || enc.Encode(&jobs[i].status) != nil {
+			return
+		}
+		separator = ","
 	}
-	writeJSON(w, http.StatusOK, api.Ran, out)
+	if len(jobs) == 0 {
+		_, _ = io.WriteString(w, separator)
+	}
+	_, _ = io.WriteString(w, "]\n")
 }
 
 func (s *Service) deleteJob(w http.ResponseWriter, r *http.Request) {
@@ -171,11 +198,12 @@
 }
 
 func (s *Service) postRequest(w http.ResponseWriter, r *http.Request) {
-	req, err := decodeRequest(r)
+	req, body, err := s.decodeRequest(r)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
+	defer body.Close()
 	answer := s.requests.Do(r.Context(), req)
 	status := http.StatusOK
 	if answer.Error != nil {
@@ -185,21 +213,40 @@
 	writeJSON(w, status, answer.Verdict, answer)
 }
 
-func decodeRequest(r *http.Request) (*api.Request, error) {
-	body, err := readBody(r, api.MaxRequestBytes)
+// decodeRequest reads a short request. The caller must close the Body.
+func (s *Service) decodeRequest(r *http.Request) (*api.Request, *ingress.Body, error) {
+	req, err := requestHead(r)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	if !utf8.Valid(body) {
-		return nil, api.FieldErrorf("body", "is not valid UTF-8")
+	// A name that is not an account's own is not a share of its own.
+	account := ""
+	s.journal.View(func(st *state.State) {
+		if st.Config != nil && st.Config.Account(req.Account) != nil {
+			account = req.Account
+		}
+	})
+	body, err := s.readBody(r, account, api.MaxRequestBytes)
+	if err != nil {
+		return nil, nil, err
 	}
+	if !utf8.Valid(body.Bytes) {
+		body.Close()
+		return nil, nil, api.FieldErrorf("body", "is not valid UTF-8")
+	}
+	req.Body = body.Bytes
+	return req, body, nil
+}
+
+// requestHead returns a short request without its body.
+func requestHead(r *http.Request) (*api.Request, error) {
 	key, err := keyHeader(r)
 	if err != nil {
 		return nil, err
 	}
 	req := &api.Request{
 		Account: r.Header.Get(api.HeaderAccount), Service: r.PathValue("service"),
-		Class: r.Header.Get(api.HeaderClass), Key: key, Body: body,
+		Class: r.Header.Get(api.HeaderClass), Key: key,
 	}
 	if text := r.Header.Get(api.HeaderIdempotent); text != "" {
 		if req.Idempotent, err = strconv.ParseBool(text); err != nil {
--- a/pkg/frontdoor/frontdoor.go
+++ b/pkg/frontdoor/frontdoor.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotpin/shallotpin/pkg/fleet"
+	"github.com/shallotpin/shallotpin/pkg/ingress"
 	"github.com/shallotpin/shallotpin/pkg/journal"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/lifecycle"
@@ -38,6 +39,10 @@
 	address string
 	newID   func() string
 	metrics *metrics.Set
+	// Ingress bounds what callers hold; nil means that nothing does. It must be set before Start.
+	Ingress *ingress.Gate
+	// stopIngress ends the goroutine that closes connections whose time is up.
+	stopIngress context.CancelFunc
 
 	journal  *journal.Journal
 	members  *membership.Service
@@ -96,7 +101,7 @@
 	if s.requests, err = kernel.Lookup[*requests.Service](k, requests.ServiceName); err != nil {
 		return err
 	}
-	return s.listen(s.routes())
+	return s.listen(s.boundAnswers(s.routes()))
 }
 
 // listen opens the listener and serves h in the background.
@@ -107,6 +112,13 @@
 	}
 	s.listener, s.boundAddress = l, l.Addr().String()
 	s.server = &http.Server{Handler: s.closeWhileDraining(h), ReadHeaderTimeout: readHeaderTimeout, ConnState: s.open.track}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stopIngress = cancel
+	if s.Ingress != nil {
+		s.Ingress.Prepare(s.server)
+		go s.Ingress.Run(ctx)
+		l = s.Ingress.Listener(l)
+	}
 	go func() {
 		defer close(s.serveDone)
 		if err := s.server.Serve(l); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
--- a/pkg/frontdoor/metrics.go
+++ b/pkg/frontdoor/metrics.go
@@ -20,13 +20,18 @@
 }
 
 func (s *Service) getMetrics(w http.ResponseWriter, _ *http.Request) {
-	s.metrics.WritePrometheus(w)
-	s.writeNodeMetrics(w, time.Now())
 	// Buffered, so that the lock on the state is not held while a slow client reads.
 	var buf bytes.Buffer
+	s.metrics.WritePrometheus(&buf)
+	s.writeNodeMetrics(&buf, time.Now())
 	s.journal.View(func(st *state.State) { writeStateMetrics(&buf, st) })
+	metrics.WriteProcessMetrics(&buf)
+	// The buffer has up to twice the size of the text.
+	if err := hold(w, 2*buf.Len()); err != nil {
+		writeError(w, err)
+		return
+	}
 	buf.WriteTo(w)
-	metrics.WriteProcessMetrics(w)
 }
 
 // writeNodeMetrics writes the metrics that are specific to this node.
--- a/pkg/frontdoor/operators.go
+++ b/pkg/frontdoor/operators.go
@@ -60,16 +60,16 @@
 }
 
 func (s *Service) putConfig(w http.ResponseWriter, r *http.Request) {
-	data, err := readBody(r, config.MaxBytes)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	c, err := config.Decode(data)
+	var c *config.Config
+	body, err := s.decodeBody(r, config.MaxBytes, func(data []byte) (err error) {
+		c, err = config.Decode(data)
+		return err
+	})
 	if err != nil {
 		writeError(w, err)
 		return
 	}
+	defer body.Close()
 	base, err := baseParam(r)
 	if err != nil {
 		writeError(w, err)
@@ -97,7 +97,7 @@
 
 func (s *Service) putPreset(w http.ResponseWriter, r *http.Request) {
 	var call PresetCall
-	if err := decodeCall(r, &call); err != nil {
+	if err := s.decodeCall(r, &call); err != nil {
 		writeError(w, err)
 		return
 	}
@@ -107,7 +107,7 @@
 
 func (s *Service) putZone(w http.ResponseWriter, r *http.Request) {
 	var call ZoneCall
-	if err := decodeCall(r, &call); err != nil {
+	if err := s.decodeCall(r, &call); err != nil {
 		writeError(w, err)
 		return
 	}
--- a/pkg/frontdoor/reply.go
+++ b/pkg/frontdoor/reply.go
@@ -2,12 +2,12 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
 
+	"k8s.io/klog/v2"
+
 	"github.com/shallotpin/shallotpin/pkg/api"
 )
 
@@ -28,11 +28,31 @@
 	api.CodeFailed:      http.StatusBadGateway,
 }
 
-func writeJSON(w http.ResponseWriter, status int, verdict api.Verdict, body any) {
+func writeHeader(w http.ResponseWriter, status int, verdict api.Verdict) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(api.HeaderVerdict, verdict.String())
 	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(body)
+}
+
+// writeJSON answers with body. If the answer is large and callers hold as much as they may, a
+// request that changes nothing is refused instead.
+func writeJSON(w http.ResponseWriter, status int, verdict api.Verdict, body any) {
+	data, err := json.Marshal(body)
+	if err == nil && len(data) > smallAnswerBytes {
+		size := len(data)
+		// While this waits for room, the answer is not held.
+		data = nil
+		if err := hold(w, size); err != nil {
+			writeError(w, err)
+			return
+		}
+		data, err = json.Marshal(body)
+	}
+	if err != nil {
+		klog.Errorf("frontdoor: cannot encode an answer: %v", err)
+	}
+	writeHeader(w, status, verdict)
+	_, _ = w.Write(append(data, '\n'))
 }
 
 func writeError(w http.ResponseWriter, err error) {
@@ -57,16 +77,3 @@
 	seconds := max(1, int(math.Ceil(e.RetryAfter.Seconds())))
 	w.Header().Set("Retry-After", strconv.Itoa(seconds))
 }
-
-// readBody reads a request body. It returns an error if it exceeds limit bytes.
-func readBody(r *http.Request, limit int) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, int64(limit)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, api.FieldErrorf("body", "is over the limit of %d bytes", limit)
-	}
-	if err != nil {
-		return nil, api.FieldErrorf("body", "cannot be read: %v", err)
-	}
-	return data, nil
-}
--- a/pkg/frontdoor/stop.go
+++ b/pkg/frontdoor/stop.go
@@ -52,6 +52,7 @@
 	case <-ctx.Done():
 	}
 	s.drainConnections(ctx)
+	defer s.stopIngress()
 	if err := s.server.Shutdown(ctx); err != nil {
 		s.server.Close()
 		return fmt.Errorf("requests in flight were aborted: %w", err)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/fleet"
 	"github.com/shallotpin/shallotpin/pkg/frontdoor"
+	"github.com/shallotpin/shallotpin/pkg/ingress"
 	"github.com/shallotpin/shallotpin/pkg/journal"
 	"github.com/shallotpin/shallotpin/pkg/kernel"
 	"github.com/shallotpin/shallotpin/pkg/lifecycle"
@@ -43,8 +44,19 @@
 	StartWithin      time.Duration `long:"start-within" env:"SHALLOTPIN_START_WITHIN" default:"3s" description:"longest time from reservation to start on a worker's clock, 500ms to 4s"`
 	SnapshotInterval time.Duration `long:"snapshot-interval" env:"SHALLOTPIN_SNAPSHOT_INTERVAL" default:"10m" description:"greatest age of the newest snapshot in the log, under half of the log's retention, 10s to 24h"`
 	ClockDrift       float64       `long:"clock-drift" env:"SHALLOTPIN_CLOCK_DRIFT" default:"0.01" description:"assumed bound on the relative drift between two VMs' clocks, 0 to 0.2"`
+
+	MemoryMB int `long:"memory" env:"SHALLOTPIN_MEMORY_MB" default:"0" description:"memory that the process may use, in MB, 32 or more; 0: not known"`
+	MaxFDs   int `long:"max-fds" env:"SHALLOTPIN_MAX_FDS" default:"0" description:"descriptors that the process may open, 256 or more; 0: not known"`
+	// Options bound what callers hold; the zero value means ingress.DefaultOptions.
+	ingress.Options
 }
 
+// The least memory, in MB, and the fewest descriptors with which a node serves.
+const (
+	minMemoryMB = 32
+	minFDs      = 256
+)
+
 // Problems validates the settings. It returns one message for each invalid setting.
 func (s *Settings) Problems() []string {
 	var problems []string
@@ -83,9 +95,29 @@
 	if s.ClockDrift < 0 || s.ClockDrift > 0.2 {
 		add("--clock-drift: %g is not between 0 and 0.2", s.ClockDrift)
 	}
+	if s.MemoryMB != 0 && s.MemoryMB < minMemoryMB {
+		add("--memory: %d is neither 0 nor at least %d", s.MemoryMB, minMemoryMB)
+	}
+	if s.MaxFDs != 0 && s.MaxFDs < minFDs {
+		add("--max-fds: %d is neither 0 nor at least %d", s.MaxFDs, minFDs)
+	}
+	if s.Options != (ingress.Options{}) {
+		problems = append(problems, s.Options.Problems()...)
+	}
 	return problems
 }
 
+// gate returns the bounds on what callers hold.
+func (s *Settings) gate(set *metrics.Set) *ingress.Gate {
+	options := s.Options
+	if options == (ingress.Options{}) {
+		options = ingress.DefaultOptions()
+	}
+	g := ingress.New(options, ingress.Machine{MemoryBytes: int64(s.MemoryMB) << 20, Descriptors: s.MaxFDs})
+	g.RegisterMetrics(set)
+	return g
+}
+
 // minLeaseTTL is the shortest lease for which, in a site of a few nodes, another node
 // renews in time when a coordinator stops renewing (see lifecycle.TakeoverMargin).
 const minLeaseTTL = 7 * time.Second
@@ -162,6 +194,7 @@
 		Requests: requests.New(network, rng, set),
 		front:    frontdoor.New(network, s.HTTP, s.DrainDelay, set, p.NewID),
 	}
+	n.front.Ingress = s.gate(set)
 	services := []kernel.Service{
 		n.Journal, vms, peers, members, relays,
 		planner.New(rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))), jobs, n.Requests, n.front,
