--- a/cmd/shallotpind/crowd_test.go
+++ b/cmd/shallotpind/crowd_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -237,3 +238,33 @@
 	}
 	n.check(t)
 }
+
+// TestCrowdUnknownService checks that a short request that names no service or no account is
+// answered although its body does not end.
+func TestCrowdUnknownService(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "shallotpind")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("go build: %v\n%s", err, out)
+	}
+	n := startCrowdNode(t, program)
+	for _, head := range []string{
+		"POST /v1/services/other/requests HTTP/1.1\r\nHost: crowd\r\n" + api.HeaderAccount + ": calm\r\n",
+		"POST /v1/services/desk/requests HTTP/1.1\r\nHost: crowd\r\n" + api.HeaderAccount + ": unknown\r\n",
+	} {
+		conn, err := net.Dial("tcp", n.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := fmt.Fprintf(conn, "%sContent-Length: 200000\r\n\r\nx", head); err != nil {
+			t.Fatal(err)
+		}
+		const want = "HTTP/1.1 400"
+		answer := make([]byte, len(want))
+		conn.SetReadDeadline(time.Now().Add(crowdTimeout / 3))
+		if _, err := io.ReadFull(conn, answer); err != nil || string(answer) != want {
+			t.Errorf("%q: got %q, %v; want %s", head, answer, err, want)
+		}
+	}
+	n.check(t)
+}
--- a/pkg/frontdoor/callers.go
+++ b/pkg/frontdoor/callers.go
@@ -11,7 +11,7 @@
 	"unsafe"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
-	"github.com/shallotpin/shallotpin/pkg/ingress"
+	"github.com/shallotpin/shallotpin/pkg/requests"
 	"github.com/shallotpin/shallotpin/pkg/state"
 )
 
@@ -55,21 +55,21 @@
 }
 
 func (s *Service) postJob(w http.ResponseWriter, r *http.Request) {
+	key, err := keyHeader(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
 	var spec api.JobSpec
 	body, err := s.decodeBody(r, api.MaxJobBytes, func(data []byte) (err error) {
 		spec, err = api.DecodeJobSpec(data)
 		return err
 	})
 	if err != nil {
-		writeError(w, err)
+		writeError(w, unlessRepeated(err, key))
 		return
 	}
 	defer body.Close()
-	key, err := keyHeader(r)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
 	out, err := s.propose(r.Context(), state.Record{Submit: &state.SubmitJob{ID: s.newID(), Key: key, Spec: spec}})
 	if err != nil {
 		writeError(w, err)
@@ -82,6 +82,18 @@
 	writeJSON(w, http.StatusAccepted, status.Verdict, status)
 }
 
+// unlessRepeated returns the error for a job that was refused before its body was read. With a key,
+// an earlier submission may have been accepted.
+func unlessRepeated(err error, key string) error {
+	e := api.AsError(err, api.NotRun)
+	if key == "" || e.Code != api.CodeUnavailable {
+		return e
+	}
+	repeated := *e
+	repeated.Verdict = api.MayHaveRun
+	return &repeated
+}
+
 func (s *Service) job(id string) (status api.JobStatus, ok bool) {
 	s.journal.View(func(st *state.State) {
 		if j := st.Jobs[id]; j != nil {
@@ -198,13 +210,31 @@
 }
 
 func (s *Service) postRequest(w http.ResponseWriter, r *http.Request) {
-	req, body, err := s.decodeRequest(r)
+	req, err := requestHead(r)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
+	if answer, refused := s.requests.Refuse(req); refused {
+		writeAnswer(w, answer)
+		return
+	}
+	body, err := s.readBody(r, req.Account, api.MaxRequestBytes)
+	if err == nil && !utf8.Valid(body.Bytes) {
+		body.Close()
+		err = api.FieldErrorf("body", "is not valid UTF-8")
+	}
+	if err != nil {
+		// With a key, an earlier attempt at the request may have run.
+		writeAnswer(w, requests.RefuseUnread(req, err))
+		return
+	}
 	defer body.Close()
-	answer := s.requests.Do(r.Context(), req)
+	req.Body = body.Bytes
+	writeAnswer(w, s.requests.Do(r.Context(), req))
+}
+
+func writeAnswer(w http.ResponseWriter, answer api.Answer) {
 	status := http.StatusOK
 	if answer.Error != nil {
 		status = errorStatus(answer.Error)
@@ -213,31 +243,6 @@
 	writeJSON(w, status, answer.Verdict, answer)
 }
 
-// decodeRequest reads a short request. The caller must close the Body.
-func (s *Service) decodeRequest(r *http.Request) (*api.Request, *ingress.Body, error) {
-	req, err := requestHead(r)
-	if err != nil {
-		return nil, nil, err
-	}
-	// A name that is not an account's own is not a share of its own.
-	account := ""
-	s.journal.View(func(st *state.State) {
-		if st.Config != nil && st.Config.Account(req.Account) != nil {
-			account = req.Account
-		}
-	})
-	body, err := s.readBody(r, account, api.MaxRequestBytes)
-	if err != nil {
-		return nil, nil, err
-	}
-	if !utf8.Valid(body.Bytes) {
-		body.Close()
-		return nil, nil, api.FieldErrorf("body", "is not valid UTF-8")
-	}
-	req.Body = body.Bytes
-	return req, body, nil
-}
-
 // requestHead returns a short request without its body.
 func requestHead(r *http.Request) (*api.Request, error) {
 	key, err := keyHeader(r)
--- a/pkg/requests/requests.go
+++ b/pkg/requests/requests.go
@@ -166,6 +166,21 @@
 	return answer
 }
 
+// Refuse returns the answer to a request whose account, service or class does not exist. Its body
+// need not have been read; ok is false if all of them exist.
+func (s *Service) Refuse(r *api.Request) (answer api.Answer, ok bool) {
+	if r.ID == "" {
+		r.ID = uuid.NewString()
+	}
+	if _, err := s.resolveClass(r); err != nil {
+		return RefuseUnread(r, err), true
+	}
+	return api.Answer{}, false
+}
+
+// RefuseUnread returns the answer to a request whose body has not been read, for the reason err.
+func RefuseUnread(r *api.Request, err error) api.Answer { return withoutNotRun(r, refuse(r, err)) }
+
 // route runs a request, or forwards it to another node. hops counts how often it
 // was forwarded; marks are the refusal marks from when it reached an entry VM.
 func (s *Service) route(ctx context.Context, r *api.Request, hops int, marks refusalMarks) api.Answer {
