--- a/pkg/ingress/gate.go
+++ b/pkg/ingress/gate.go
@@ -98,9 +98,12 @@
 	if h.phase == phaseBody {
 		// The handler's read fails, and it answers.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-	} else {
-		_ = c.Conn.Close()
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		return
 	}
+	// net/http may take half a second to notice. The descriptor is free at once.
+	_ = c.Conn.Close()
+	g.budget.markClosed(h)
 }
 
 // admit adds a connection, for which others may be closed.
@@ -215,12 +218,14 @@
 
 // becomeIdle frees what the request of a connection held.
 func (g *Gate) becomeIdle(c *conn) {
-	g.enter(&c.holder, phaseIdle)
-	g.release(&c.holder, connBytes)
 	c.idle.Store(true)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.holder.leaving {
+	h := &c.holder
+	h.phase, h.since = phaseIdle, g.now()
+	g.budget.free(h, connBytes)
+	g.signal()
+	if h.leaving {
 		// The request ended before it was told to leave.
 		_ = c.Conn.Close()
 	}
@@ -392,12 +397,15 @@
 	})
 }
 
-// limitDiscard limits the time for which net/http reads the rest of a body. If the connection is
-// to leave, its reads fail already.
+// limitDiscard limits the time for which net/http reads the rest of a body, and lets the connection
+// give way meanwhile. If it is to leave, its reads fail already.
 func (g *Gate) limitDiscard(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !c.holder.leaving {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	h := &c.holder
+	if h.leaving {
+		return
 	}
+	h.phase, h.since = phaseDiscard, g.now()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(discardTimeout))
 }
