--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -102,8 +102,7 @@
 	if err := job.Validate(); err != nil {
 		return api.Errorf(api.CodeInvalid, "%v", err)
 	}
-	if e, known := s.replica.Job(job.ID); known && e.WasSubmitted() {
-		klog.InfoS("intake: submission repeated", "job", job.ID, "phase", e.Phase())
+	if s.Accepted(job.ID) {
 		return nil
 	}
 	err := s.write(ctx, ledger.JobRecord(job))
@@ -111,6 +110,17 @@
 	return err
 }
 
+// Accepted reports whether the ledger, as far as it is known here, has a submission of the job; a
+// further one changes nothing.
+func (s *Service) Accepted(id string) bool {
+	e, known := s.replica.Job(id)
+	if !known || !e.WasSubmitted() {
+		return false
+	}
+	klog.InfoS("intake: submission repeated", "job", id, "phase", e.Phase())
+	return true
+}
+
 // Cancel stores a job's cancellation, unless the job has ended, and reports whether the
 // job is known.
 func (s *Service) Cancel(ctx context.Context, id string) (bool, error) {
