--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -28,8 +28,10 @@
 	"github.com/shallotpin/shallotpin/pkg/election"
 	"github.com/shallotpin/shallotpin/pkg/entry"
 	"github.com/shallotpin/shallotpin/pkg/features"
+	"github.com/shallotpin/shallotpin/pkg/ingress"
 	"github.com/shallotpin/shallotpin/pkg/logsink"
 	"github.com/shallotpin/shallotpin/pkg/peer"
+	"github.com/shallotpin/shallotpin/pkg/replies"
 	"github.com/shallotpin/shallotpin/pkg/steady"
 	"github.com/shallotpin/shallotpin/pkg/transport"
 	"github.com/shallotpin/shallotpin/platform"
@@ -60,10 +62,12 @@
 	// connBufferBytes is the size of each buffer of a connection. Orders and most replies
 	// fit; with the default of 4 KiB, buffers are a third of a leader's memory.
 	connBufferBytes = 1 << 10
-	// headerTimeout limits the time to read a request's header.
-	headerTimeout = 3 * time.Second
-	// callerIdleTimeout is how long idle connections of callers are kept open.
-	callerIdleTimeout = 15 * time.Second
+	// headerTimeout limits the time to read the header of a readiness check or of a request for
+	// metrics, and probeIdleTimeout is how long their idle connections are kept open.
+	headerTimeout    = 3 * time.Second
+	probeIdleTimeout = 15 * time.Second
+	// probeHeaderBytes limits their headers.
+	probeHeaderBytes = 8 << 10
 	// softMemoryShare is the share of the memory limit that is the runtime's soft limit,
 	// near which the garbage collector runs more often.
 	softMemoryShare = 0.5
@@ -82,7 +86,8 @@
 	Metrics      string `long:"metrics" env:"SHALLOTPIN_METRICS" default:":7001" description:"address that serves /metrics"`
 	PeerPort     int    `long:"peer-port" env:"SHALLOTPIN_PEER_PORT" default:"7002" description:"port for calls between the nodes, one of the platform's range"`
 	Features     string `long:"features" env:"SHALLOTPIN_FEATURES" description:"optional parts to switch on or off, such as stops=off,speeds=on; the settings decide about the others"`
-	Verbosity    int    `long:"verbosity" env:"SHALLOTPIN_VERBOSITY" default:"0" description:"log verbosity, 0 to 5"`
+	ingress.Options
+	Verbosity int `long:"verbosity" env:"SHALLOTPIN_VERBOSITY" default:"0" description:"log verbosity, 0 to 5"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -105,11 +110,19 @@
 		fmt.Fprintln(os.Stderr, "shallotpin-entry: "+err.Error())
 		return exitUsage
 	}
+	if problems := opts.Problems(); len(problems) > 0 {
+		for _, p := range problems {
+			fmt.Fprintln(os.Stderr, "shallotpin-entry: "+p)
+		}
+		return exitUsage
+	}
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	setUpLogs(sink, opts.Verbosity)
 	defer klog.Flush()
-	debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * softMemoryShare * (1 << 20)))
+	if settings.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * softMemoryShare * (1 << 20)))
+	}
 	if err := serve(settings, opts); err != nil {
 		klog.ErrorS(err, "shallotpin-entry: cannot serve")
 		return exitFailed
@@ -166,8 +179,10 @@
 
 func serve(s *platform.Settings, opts options) error {
 	store := &http.Client{Transport: newTransport()}
+	memory := int64(s.Limits.MemoryMB) << 20
+	storeReplies := replies.NewBudget("store", memory, platform.StoreHeldPerByte)
 	topic := func(name string) *platform.Topic {
-		return &platform.Topic{Base: "http://" + s.Store.Addr, Name: name, Client: store}
+		return &platform.Topic{Base: "http://" + s.Store.Addr, Name: name, Client: store, Replies: storeReplies}
 	}
 	unixMS := func() int64 { return time.Now().UnixMilli() }
 	host, _, err := net.SplitHostPort(s.Listen.Front)
@@ -179,11 +194,11 @@
 	orders := &http.Client{Transport: newTransport()}
 	var adviser backend.Adviser
 	if s.Advice != "" {
-		adviser = &platform.Adviser{Base: "http://" + s.Advice, Client: orders}
+		adviser = &platform.Adviser{Base: "http://" + s.Advice, Client: orders, Replies: replies.NewBudget("adviser", memory, platform.OrderHeldPerByte)}
 	}
 	node, err := entry.New(entry.Settings{Name: s.NodeName, Incarnation: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s, opts.Features), MaxBatchBytes: maxBatchBytes(s), LinkRate: int(s.Limits.LinkMbps * 1e6 / 8), Cores: s.Limits.CPUShare * max(1, s.Limits.Cores), MemoryMB: s.Limits.MemoryMB, Now: steady.Now, UnixMS: unixMS},
 		entry.Platform{Ledger: topic(platform.LedgerTopic), OperatorConfig: topic(platform.OperatorTopic), Workers: topic(platform.WorkerTopic),
-			Orders: &platform.Orders{Client: orders}, Adviser: adviser, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker, Peers: peers})
+			Orders: &platform.Orders{Client: orders, Replies: replies.NewBudget("workers", memory, platform.OrderHeldPerByte)}, Adviser: adviser, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker, Peers: peers})
 	if err != nil {
 		return err
 	}
@@ -196,19 +211,25 @@
 	klog.InfoS("shallotpin-entry: started", "node", s.NodeName, "zone", s.Zone, "front", s.Listen.Front, "settings", opts.SettingsFile, "features", dispatchSettings(s, opts.Features).Features.String())
 
 	var draining atomic.Bool
-	jobs := &platform.JobHandler{Intake: node.Intake, CurrentConfig: node.CurrentConfig, UnixMS: unixMS}
-	front := &http.Server{Handler: closeWhenDraining(&draining, jobs), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
-	ready := &http.Server{Handler: readinessHandler(&draining, node), ReadHeaderTimeout: headerTimeout}
+	gate := ingress.New(opts.Options, ingress.Machine{MemoryBytes: int64(s.Limits.MemoryMB) << 20, Descriptors: s.Limits.MaxFDs})
+	gate.RegisterMetrics(metrics.GetDefaultSet())
+	jobs := &platform.JobHandler{Intake: node.Intake, CurrentConfig: node.CurrentConfig, UnixMS: unixMS, Ingress: gate}
+	front := &http.Server{Handler: closeWhenDraining(&draining, jobs)}
+	gate.Prepare(front)
+	ready := &http.Server{Handler: readinessHandler(&draining, node), ReadHeaderTimeout: headerTimeout, IdleTimeout: probeIdleTimeout, MaxHeaderBytes: probeHeaderBytes}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("/interference", func(w http.ResponseWriter, _ *http.Request) { writeInterference(w, node) })
-	metricsServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	metricsServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: probeIdleTimeout, MaxHeaderBytes: probeHeaderBytes}
 	failed := make(chan error, 3)
 	for address, server := range map[string]*http.Server{s.Listen.Front: front, s.Listen.Ready: ready, opts.Metrics: metricsServer} {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return err
 		}
+		if server == front {
+			listener = gate.Listener(listener)
+		}
 		go func() { failed <- server.Serve(listener) }()
 	}
 	signals := make(chan os.Signal, 4)
@@ -222,6 +243,10 @@
 			return err
 		case <-poll.C:
 			watcher.check("poll")
+			if config, _, _ := node.OperatorConfig.Current(); config != nil {
+				gate.SetLimits(config.Callers)
+			}
+			gate.Sweep()
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
 				watcher.check("SIGHUP")
