--- a/pkg/dispatch/apply.go
+++ b/pkg/dispatch/apply.go
@@ -27,6 +27,7 @@
 			if t.unit.step.Gang {
 				t.unit.aborting = true
 			}
+			t.preemptions++
 			e.stopRun(t.run, stopPreempted)
 		}
 	}
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -57,6 +57,8 @@
 	// passedOverSince is since when plans have made no search for a preemption for the unit, 0 if
 	// the last one did or needed none.
 	passedOverSince time.Duration
+	// stopVerdict is the last logged reason of the verdict on stops for the unit.
+	stopVerdict string
 	// reserved maps task indices to the workers whose capacity is reserved for them.
 	reserved      map[int]*worker
 	reservedUntil time.Duration
@@ -90,6 +92,8 @@
 	done       bool
 	checkpoint string
 	run        *run
+	// preemptions is how many runs of the task were stopped for other jobs in this term.
+	preemptions int
 	// stalls is how many runs of the task, or of its gang, were stopped as stalled.
 	stalls int
 }
@@ -139,6 +143,12 @@
 	// exceeded bestRate since.
 	bestRate, lastRate float64
 	slow               bool
+	// moveHeld means that a move to another worker would throw away too much so far.
+	moveHeld bool
+	// watchedAt is since when the run is watched before a move, 0 if it is not, and
+	// watchedPercent was its progress then.
+	watchedAt      time.Duration
+	watchedPercent int
 	// throttlePercent is the percentage of full speed at which the run works.
 	// throttleConfirmed means that the worker has confirmed it, wasThrottled that it was
 	// ever below 100.
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -95,17 +95,14 @@
 				waiting = append(waiting, u)
 			}
 		}
-		if !e.isSettled(now) {
-			for _, u := range waiting {
-				u.MayNotPreempt = !u.MustStart
-			}
-		}
+		verdicts := e.judgeStops(waiting, now)
 		e.markSearchDue(waiting)
 		plan := placement.Decide(pool, waiting, e.headroom(pool, now))
 		e.noteSearches(waiting, plan, now)
 		e.trackAmpleCapacity(pool, waiting, plan, now)
 		e.adviseUnplaced(plan.Unplaced)
 		e.logOverQuota(plan.OverQuota, quotas)
+		e.noteVerdicts(verdicts, plan, now)
 		e.apply(plan, byID, now)
 	}
 }
@@ -206,6 +203,7 @@
 		pw := &placement.Worker{ID: key, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity,
 			Free: w.info.Capacity.Sub(w.used).Sub(reserved[w]), Speed: w.speed, Schedulable: e.isSchedulable(w, now) && !w.onProbation()}
 		pw.Penalty = w.failures
+		pw.Doubtful = e.isDoubtful(w, now)
 		for id, r := range w.runs {
 			u := r.task.unit
 			if r.phase == runStopping {
@@ -213,7 +211,7 @@
 				continue
 			}
 			pw.Running = append(pw.Running, placement.RunningTask{Unit: id.UnitID, Index: id.Index, Need: r.need,
-				Priority: u.job.policy.Priority, Guaranteed: u.job.guaranteed || u.step.MaxUnavailable > 0, Gang: u.step.Gang, LostWork: e.lostWork(r, now), Ending: e.isEnding(r, now),
+				Priority: u.job.policy.Priority, Guaranteed: u.job.guaranteed || u.step.MaxUnavailable > 0 || e.isPartlyKnown(u, now), Gang: u.step.Gang, LostWork: e.stopLoss(r, now), Ending: e.isEnding(r, now),
 				LongRunning: u.step.LongRunning, LatencySensitive: r.isLatencySensitive(), BestEffort: r.isBestEffort(), Quota: quotas[u.job.spec.Account]})
 		}
 		slices.SortFunc(pw.Running, func(a, b placement.RunningTask) int {
@@ -292,7 +290,7 @@
 	if u.step.SavesProgress {
 		lost = min(lost, e.Settings.CheckpointInterval.Seconds()/2)
 	}
-	return lost * (float64(r.need.MilliCores)/1000 + acceleratorCores*float64(r.need.Accelerators))
+	return lost * coreEquivalents(r.need)
 }
 
 // markGuaranteed refreshes the policies of all jobs and marks the urgent jobs that fit
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -358,9 +358,9 @@
 				e.stopRun(r, stopUnconfirmed)
 			case r.phase == runActive && r.awaitsSurvival(now) && now-w.listingAt > renewalRetryDelay:
 				e.requestListing(w)
-			case r.phase == runActive && e.isStalled(r, now):
+			case r.phase == runActive && e.isStalled(r, now) && e.mayMove(r, true, now):
 				e.stopStalledRun(r, now)
-			case r.phase == runActive && e.restartIsFaster(r):
+			case r.phase == runActive && e.restartIsFaster(r) && e.mayMove(r, false, now):
 				e.quarantine(w, now)
 				e.stopSlowRun(r)
 			}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -22,6 +22,9 @@
 	Capacity  workload.Resources
 	// Schedulable workers accept new tasks.
 	Schedulable bool
+	// Doubtful workers have failed lately and not completed a task since. Gangs do not start there
+	// unless they are guaranteed: one member that fails ends them all.
+	Doubtful bool
 	// Penalty ranks workers: those with a higher penalty are used last.
 	Penalty int
 	// Speed is the worker's relative speed; 1 is usual.
@@ -39,8 +42,8 @@
 	Unit  workload.UnitID
 	Need  workload.Resources
 	Index int
-	// Priority and Guaranteed decide which units may preempt the task. Tasks with a
-	// disruption budget count as guaranteed.
+	// Priority and Guaranteed decide which units may preempt the task. Tasks with a disruption
+	// budget count as guaranteed, and so do gangs of which a new leader knows only a part.
 	Priority   int
 	Guaranteed bool
 	// LostWork is the work lost by a stop, in core-seconds.
@@ -74,6 +77,9 @@
 	Quota *Quota
 	// MayNotPreempt units wait for capacity to come free by itself.
 	MayNotPreempt bool
+	// MaxStopLoss is the largest cost of stops for the unit, in core-seconds of lost work; 0 means
+	// the usual one.
+	MaxStopLoss float64
 	// DeadlineMS orders units of one priority; it is a Unix time.
 	DeadlineMS int64
 	// LongRunning units run until their job is cancelled, and come before all but
@@ -209,6 +215,11 @@
 	return w.Schedulable && (u.AllowedWorkers == nil || u.AllowedWorkers[w.ID]) && (u.Step.Label == "" || w.hasLabel(u.Step.Label)) && u.Step.Demand().Fits(w.Capacity)
 }
 
+// mayStartNow reports whether the unit's tasks may start on the worker as it is known now.
+func mayStartNow(u *Unit, w *Worker) bool {
+	return eligible(u, w) && (!w.Doubtful || !u.Step.Gang || u.Guaranteed)
+}
+
 // idle reports whether nothing runs on the worker.
 func (w *Worker) idle() bool { return w.Free == w.Capacity }
 
@@ -448,7 +459,7 @@
 	taken := map[string]int{}
 	var order []*Worker
 	for _, w := range pool {
-		if eligible(u, w) && slots(u, w, w.Free) > 0 {
+		if mayStartNow(u, w) && slots(u, w, w.Free) > 0 {
 			order = append(order, w)
 		}
 	}
--- a/pkg/placement/preempt.go
+++ b/pkg/placement/preempt.go
@@ -26,6 +26,9 @@
 // PreemptionCostLimit returns the cost, in core-seconds of lost work, up to which others
 // are stopped for the unit before it must start.
 func (u *Unit) PreemptionCostLimit() float64 {
+	if u.MaxStopLoss > 0 {
+		return u.MaxStopLoss
+	}
 	return max(minPreemptionCostLimit, float64(preemptionCostPerAccelerator*len(u.Waiting)*u.Step.Need.Accelerators))
 }
 
@@ -131,7 +134,7 @@
 	var states []*searchState
 	byWorker := map[*Worker]*searchState{}
 	for _, w := range pool {
-		if eligible(u, w) {
+		if mayStartNow(u, w) {
 			s := &searchState{worker: w, free: w.Free.Add(w.Releasing)}
 			states = append(states, s)
 			byWorker[w] = s
