--- a/pkg/dispatch/eviction.go
+++ b/pkg/dispatch/eviction.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -13,8 +12,8 @@
 )
 
 // evictionCosts returns what stops cost on the platform.
-func (e *Engine) evictionCosts() *eviction.Costs {
-	return &eviction.Costs{StopTime: e.Settings.MaxStopTime, RestoreTime: e.Settings.RestoreTime, CheckpointInterval: e.Settings.CheckpointInterval}
+func (e *Engine) evictionCosts() eviction.Costs {
+	return eviction.Costs{StopTime: e.Settings.MaxStopTime, RestoreTime: e.Settings.RestoreTime, CheckpointInterval: e.Settings.CheckpointInterval}
 }
 
 // coreEquivalents returns resources as cores, with accelerators counted as acceleratorCores.
@@ -28,23 +27,28 @@
 		return e.lostWork(r, now)
 	}
 	u := r.task.unit
-	members, seen := 1, 1
-	if u.step.Gang {
-		members, seen = len(u.tasks), 0
-		for _, t := range u.tasks {
-			if t.run != nil || t.done {
-				seen++
-			}
+	stopped := eviction.Run{Cores: coreEquivalents(r.need), Ran: now - r.beganAt, SavesProgress: u.step.SavesProgress, EarlierStops: r.task.preemptions, Members: 1, Seen: 1}
+	if u.step.Gang && len(u.job.inherited) > 0 {
+		stopped.Members, stopped.Seen, stopped.Expected = len(u.tasks), u.seenMembers(), e.expectedRunTime(u)
+	}
+	return e.evictionCosts().Loss(stopped)
+}
+
+// seenMembers counts the tasks of a gang that are done or of which a run is known.
+func (u *unit) seenMembers() int {
+	seen := 0
+	for _, t := range u.tasks {
+		if t.run != nil || t.done {
+			seen++
 		}
 	}
-	return e.evictionCosts().Loss(eviction.Run{Cores: coreEquivalents(r.need), Ran: now - r.beganAt, SavesProgress: u.step.SavesProgress, EarlierStops: r.task.preemptions,
-		Members: members, Seen: seen, Expected: e.expectedRunTime(u)})
+	return seen
 }
 
 // isPartlyKnown reports whether the unit is a gang of which a new leader has not seen all members
 // yet: what seems cheap to stop there may be all but done.
 func (e *Engine) isPartlyKnown(u *unit, now time.Duration) bool {
-	return e.Settings.Features.Stops && u.step.Gang && !e.isSettled(now) && slices.ContainsFunc(u.tasks, func(t *task) bool { return t.run == nil && !t.done })
+	return e.Settings.Features.Stops && u.step.Gang && !e.isSettled(now) && u.seenMembers() < len(u.tasks)
 }
 
 // isDoubtful reports whether gangs keep off the worker: it has failed since it last completed a
@@ -77,7 +81,7 @@
 		work := float64(len(pu.Waiting)) * coreEquivalents(u.step.Need) * e.expectedRunTime(u).Seconds()
 		verdict := e.evictionCosts().Judge(eviction.Waiter{Guaranteed: pu.Guaranteed, LongRunning: pu.LongRunning, DueNow: pu.MustStart, Settled: e.isSettled(now), SinceClaim: now - e.ClaimedAt,
 			Slack: time.Duration(pu.DeadlineMS-unixMS)*time.Millisecond - e.chainTime(u), Work: work, UsualLimit: pu.PreemptionCostLimit()})
-		pu.MayNotPreempt, pu.MaxStopLoss = !verdict.Allowed, verdict.Limit
+		pu.MayNotPreempt, pu.MaxStopLoss = !verdict.Allowed || verdict.Limit <= 0, verdict.Limit
 		verdicts[pu.ID] = verdict
 	}
 	return verdicts
--- a/pkg/eviction/eviction.go
+++ b/pkg/eviction/eviction.go
@@ -19,7 +19,7 @@
 
 // resumeTime returns how long work takes to resume from a checkpoint. A stop writes one, so that
 // nothing else is lost.
-func (c *Costs) resumeTime() time.Duration {
+func (c Costs) resumeTime() time.Duration {
 	if c.RestoreTime > 0 {
 		return c.RestoreTime
 	}
@@ -47,7 +47,7 @@
 // listings of a new leader show a few members of gangs that are all but done. Work that was
 // stopped before costs more each time, so that a surge of urgent jobs does not stop the same
 // work again and again.
-func (c *Costs) Loss(r Run) float64 {
+func (c Costs) Loss(r Run) float64 {
 	lost := r.Ran
 	unseen := max(r.Ran, r.Expected)
 	if r.SavesProgress {
@@ -102,7 +102,7 @@
 // not known, nor what the runs that it knows are part of; and in a shortage, the urgent jobs that
 // have waited for too long come first and would stop work that they gain nothing by. For these,
 // no more is thrown away than they do themselves.
-func (c *Costs) Judge(w Waiter) Verdict {
+func (c Costs) Judge(w Waiter) Verdict {
 	switch {
 	case !w.Settled && !(w.DueNow && w.Guaranteed && w.SinceClaim >= firstAnswersTime):
 		return Verdict{Reason: ReasonUnsettled}
@@ -134,7 +134,7 @@
 // MustLeave decides whether a run is stopped now since its worker is going to be withdrawn. What
 // saves its progress runs on until just the time for a stop is left. What doesn't is lost in any
 // case unless it ends in time: it runs on if it may, and the wait costs less than its work.
-func (c *Costs) MustLeave(l Leaving) bool {
+func (c Costs) MustLeave(l Leaving) bool {
 	switch {
 	case l.SavesProgress:
 		return l.UntilGone <= c.StopTime && l.Left > l.UntilGone
@@ -200,7 +200,7 @@
 // decision in hindsight. Nothing is lost with work that has not progressed, so that it moves at
 // once. The load that it answers: many workers are slow for some seconds, so that every wide gang
 // has one of them, and would have one again after the move.
-func (c *Costs) JudgeMove(slow Progress, members []Progress, expected time.Duration) Move {
+func (c Costs) JudgeMove(slow Progress, members []Progress, expected time.Duration) Move {
 	usual := usualTime(slow, members, expected)
 	m := Move{Usual: usual}
 	gained := usual * time.Duration(slow.Gained) / 100
