eviction: gangs use doubtful workers rather than wait on an idle site

Cause, found by reading: a gang could keep off workers that have failed for longer than the platform lets work wait while capacity is ample; and a crash of many workers at once closed all of them to gangs for 6 s. Gangs that have waited beside ample capacity use such workers, and a recent crash only ranks a worker last.

--- a/pkg/dispatch/eviction.go
+++ b/pkg/dispatch/eviction.go
@@ -52,13 +52,21 @@
 }
 
 // isDoubtful reports whether gangs keep off the worker: it has failed since it last completed a
-// task, or crashed, and its quarantine, or one, has ended for less than it lasted.
+// task, and its quarantine has ended for less than it lasted.
 func (e *Engine) isDoubtful(w *worker, now time.Duration) bool {
-	if !e.Settings.Features.Stops {
-		return false
+	return e.Settings.Features.Stops && w.failures > 0 && now < w.quarantinedUntil+quarantineTime*time.Duration(w.failures)
+}
+
+// recentCrashTime is for how long after a crash a worker ranks last: workers that go down and up by
+// turns do so every few seconds.
+const recentCrashTime = 6 * time.Second
+
+// crashPenalty returns what is added to the penalty of a worker that has crashed lately.
+func (e *Engine) crashPenalty(w *worker, now time.Duration) int {
+	if c := e.crashes[w.info.Address]; e.Settings.Features.Stops && c.at != 0 && now-c.at < recentCrashTime {
+		return 1
 	}
-	crash := e.crashes[w.info.Address].at
-	return w.failures > 0 && now < w.quarantinedUntil+quarantineTime*time.Duration(w.failures) || crash != 0 && now-crash < 2*quarantineTime
+	return 0
 }
 
 // judgeStops decides for which of the waiting units others may be stopped, and at what cost.
--- a/pkg/dispatch/eviction_test.go
+++ b/pkg/dispatch/eviction_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/catalog"
+	"github.com/shallotpin/shallotpin/pkg/placement"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
@@ -229,6 +230,12 @@
 	if single.tasks[0].run == nil || single.tasks[1].run == nil {
 		t.Error("the worker is not tried with a task that runs by itself")
 	}
+	waiting := s.waitingUnit(gang)
+	waiting.AnyRack = true
+	pool, _ := s.snapshotWorkers(s.now, nil)
+	if plan := placement.Decide(pool, []*placement.Unit{waiting}, 0); len(plan.Start) != 2 {
+		t.Error("the gang keeps off the worker although free capacity is ample")
+	}
 	s.pass(quarantineTime)
 	s.plan()
 	if gang.tasks[0].run == nil {
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -202,7 +202,7 @@
 		}
 		pw := &placement.Worker{ID: key, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity,
 			Free: w.info.Capacity.Sub(w.used).Sub(reserved[w]), Speed: w.speed, Schedulable: e.isSchedulable(w, now) && !w.onProbation()}
-		pw.Penalty = w.failures
+		pw.Penalty = w.failures + e.crashPenalty(w, now)
 		pw.Doubtful = e.isDoubtful(w, now)
 		for id, r := range w.runs {
 			u := r.task.unit
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -22,8 +22,9 @@
 	Capacity  workload.Resources
 	// Schedulable workers accept new tasks.
 	Schedulable bool
-	// Doubtful workers have failed lately and not completed a task since. Gangs do not start there
-	// unless they are guaranteed: one member that fails ends them all.
+	// Doubtful workers have failed lately and not completed a task since. Gangs do not start there,
+	// since one member that fails ends them all, unless they are guaranteed or would wait although
+	// free capacity is ample.
 	Doubtful bool
 	// Penalty ranks workers: those with a higher penalty are used last.
 	Penalty int
@@ -217,7 +218,7 @@
 
 // mayStartNow reports whether the unit's tasks may start on the worker as it is known now.
 func mayStartNow(u *Unit, w *Worker) bool {
-	return eligible(u, w) && (!w.Doubtful || !u.Step.Gang || u.Guaranteed)
+	return eligible(u, w) && (!w.Doubtful || !u.Step.Gang || u.Guaranteed || u.AnyRack)
 }
 
 // idle reports whether nothing runs on the worker.
