--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -151,7 +151,12 @@
 }
 
 // defaultFeatures returns the optional parts that a deployment uses by its settings.
-func defaultFeatures(*platform.Settings) features.Set { return features.Set{} }
+func defaultFeatures(s *platform.Settings) features.Set {
+	return features.Set{
+		// They say what a stop costs.
+		Stops: s.Bounds.SaveS > 0 && s.Bounds.RestoreMS > 0,
+	}
+}
 
 // maxViewAge returns the greatest age of a view at which tasks are started, given the time
 // within which a change must take effect, in milliseconds; 0 means unknown. A quarter of the
