eviction: nothing new starts beside a run that stands still

Cause: a run that is kept for its work closed its worker for 3 s only, after which the worker took new tasks that stood still, too. Test: the standing member's worker is not offered.

--- a/pkg/dispatch/eviction.go
+++ b/pkg/dispatch/eviction.go
@@ -202,14 +202,24 @@
 		klog.InfoS("dispatch: move of a slow run judged", "job", r.task.id.Job, "task", u.id.String(), "index", r.task.id.Index, "run", r.id.Number, "worker", r.worker.info.ID,
 			"decision", decision, "percent", r.percent, "stands_still", standsStill, "behind", move.Behind, "lost", move.Lost, "usual", move.Usual, "members", len(members))
 	}
-	if !move.Pays && !r.moveHeld && r.stalledTask().stalls == 0 {
-		// Nothing new is to start there meanwhile.
-		e.quarantine(r.worker, now)
+	if !move.Pays && r.stalledTask().stalls == 0 {
+		e.closeBeside(r, standsStill, now)
 	}
 	r.moveHeld = !move.Pays
 	return move.Pays
 }
 
+// closeBeside keeps new tasks off the worker of a run that is kept though it is slow: for the time
+// of a quarantine, and for as long as the run stands still.
+func (e *Engine) closeBeside(r *run, standsStill bool, now time.Duration) {
+	switch {
+	case !r.moveHeld:
+		e.quarantine(r.worker, now)
+	case standsStill:
+		r.worker.quarantinedUntil = max(r.worker.quarantinedUntil, now+2*checkInterval)
+	}
+}
+
 // progress returns the run's progress in the form that package eviction takes.
 func (r *run) progress(now time.Duration) eviction.Progress {
 	p := eviction.Progress{Cores: coreEquivalents(r.need), Percent: r.percent, Gained: r.percent - r.basePercent, Span: r.percentAt - r.baseAt, Idle: now - r.percentAt, SavesProgress: r.task.unit.step.SavesProgress}
--- a/pkg/dispatch/eviction_test.go
+++ b/pkg/dispatch/eviction_test.go
@@ -200,6 +200,9 @@
 					task.run.worker.listingAt, task.run.worker.answeredAt, task.run.worker.unansweredSince = s.now, s.now, 0
 				}
 				s.checkRuns(s.now)
+				if standsSince != 0 && s.now-standsSince > 2*time.Second && s.offers("w3") {
+					t.Fatalf("new tasks may start beside a run that has stood still for %v", s.now-standsSince)
+				}
 				if n := gang.stopping(); n > 0 {
 					moved = s.now - standsSince
 					if n != 4 {
