--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -15,6 +15,7 @@
 	"github.com/shallotpin/shallotpin/pkg/catalog"
 	"github.com/shallotpin/shallotpin/pkg/election"
 	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/performance"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
@@ -95,6 +96,11 @@
 	writeInFlight    bool
 	lastWriteAt      time.Duration
 	runTimes         map[string]*runTime
+	// performance estimates the speeds of workers and the work of tasks; speedClasses are the
+	// classes of workers as of classifiedAt.
+	performance  *performance.Model
+	speedClasses []performance.Class
+	classifiedAt time.Duration
 	// crashes are the crashes of workers within crashMemory, by address.
 	crashes map[string]crashTimes
 	// adviceInFlight means that a call to the adviser is in flight.
@@ -113,7 +119,7 @@
 // New returns an engine for one term.
 func New(in Inputs) *Engine {
 	return &Engine{Inputs: in, events: make(chan func(), eventQueueSize), jobs: map[string]*job{}, endedAt: map[string]time.Duration{}, workers: map[string]*worker{}, latest: map[string]*worker{},
-		lease: election.NewLease(in.Settings.Election, in.ClaimedAt), lastWriteAt: in.ClaimedAt, runTimes: map[string]*runTime{}, crashes: map[string]crashTimes{},
+		lease: election.NewLease(in.Settings.Election, in.ClaimedAt), lastWriteAt: in.ClaimedAt, runTimes: map[string]*runTime{}, crashes: map[string]crashTimes{}, performance: performance.New(),
 		planDurations: metrics.GetOrCreateHistogram("shallotpin_plan_seconds"),
 		startWaits:    metrics.GetOrCreateHistogram("shallotpin_start_wait_seconds")}
 }
@@ -232,6 +238,7 @@
 	e.updateView()
 	e.checkWorkers(now)
 	e.checkRuns(now)
+	e.classifyWorkers(now)
 	maps.DeleteFunc(e.crashes, func(_ string, c crashTimes) bool { return now-c.at > crashMemory })
 	maps.DeleteFunc(e.endedAt, func(_ string, at time.Duration) bool { return now-at > lateSubmissionTime })
 	e.needsPlan = true
@@ -323,6 +330,7 @@
 	j.progress.Phase, j.progress.EndedMS, j.unsaved = phase, e.UnixMS(), true
 	j.progress.Checkpoints, j.progress.Failures, j.progress.Crashes = nil, nil, nil
 	for _, u := range j.units {
+		e.performance.EndUnit(u.id)
 		u.reserved = nil
 		for _, t := range u.tasks {
 			// The members of a completed gang end by themselves.
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -150,6 +150,8 @@
 	load float64
 	// speedSampled means that the run has been counted in its worker's speed.
 	speedSampled bool
+	// speedSamples is how many samples of the speed the run has given to package performance.
+	speedSamples int
 	// resumed means that the run began at a checkpoint, inherited that an earlier
 	// leader started it.
 	resumed, inherited bool
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -39,6 +39,9 @@
 
 // expectedRunTime returns the expected run time of a task of the unit.
 func (e *Engine) expectedRunTime(u *unit) time.Duration {
+	if learned, known := e.learnedRunTime(u); known {
+		return learned
+	}
 	if rt := e.runTimes[u.job.spec.Queue]; rt != nil && rt.samples >= minRunTimeSamples {
 		return time.Duration(rt.mean * float64(time.Second))
 	}
@@ -204,8 +207,9 @@
 			continue
 		}
 		pw := &placement.Worker{ID: key, Rack: w.info.Rack, Labels: w.info.Labels, Capacity: w.info.Capacity,
-			Free: w.info.Capacity.Sub(w.used).Sub(reserved[w]), Speed: w.speed, Schedulable: e.isSchedulable(w, now) && !w.onProbation()}
+			Free: w.info.Capacity.Sub(w.used).Sub(reserved[w]), Schedulable: e.isSchedulable(w, now) && !w.onProbation()}
 		pw.Penalty = w.failures
+		pw.Class, pw.Speed = e.speedOf(w)
 		for id, r := range w.runs {
 			u := r.task.unit
 			if r.phase == runStopping {
--- a/pkg/dispatch/progress.go
+++ b/pkg/dispatch/progress.go
@@ -118,6 +118,7 @@
 		r.lastRate = rate
 	}
 	r.percent, r.percentAt = percent, now
+	e.observeProgress(r, now)
 	if percent >= speedSamplePercent && !r.speedSampled && !r.slow {
 		r.speedSampled = true
 		e.sampleWorkerSpeed(r)
--- /dev/null
+++ b/pkg/dispatch/speeds.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/performance"
+)
+
+const (
+	// speedSampleGain is the progress, in percent, from which a run counts as a sample of its worker's
+	// speed: percentages are whole numbers, so the rate is off by a fifteenth at most.
+	speedSampleGain = 15
+	// secondSampleGain is the progress from which it counts a second time.
+	secondSampleGain = 50
+	// minSampleSpan is the least time over which a sample is taken: many times the delay of an answer.
+	minSampleSpan = 300 * time.Millisecond
+	// classifyInterval is the time between two divisions of the workers into classes.
+	classifyInterval = time.Second
+)
+
+// observeProgress adds the progress of a run to the estimates of its worker and its kind.
+func (e *Engine) observeProgress(r *run, now time.Duration) {
+	u := r.task.unit
+	if !e.Settings.Features.Speeds || r.slow || r.throttlePercent < fullSpeedPercent || r.percent >= 100 || u.step.LongRunning || u.step.BestEffort {
+		return
+	}
+	base := r.baseAt
+	if u.step.Gang && r.basePercent == 0 {
+		began, complete := u.gangActiveAt(r)
+		if !complete {
+			return
+		}
+		base = max(base, began)
+	}
+	gained, span := r.percent-r.basePercent, now-base
+	if least := []int{speedSampleGain, secondSampleGain}; r.speedSamples >= len(least) || gained < least[r.speedSamples] || span < minSampleSpan {
+		return
+	}
+	r.speedSamples++
+	if gained >= secondSampleGain {
+		r.speedSamples = 2
+	}
+	sample := performance.Sample{Worker: r.worker.key, Kind: u.job.spec.Queue, Unit: u.id, Rate: float64(gained) / span.Seconds()}
+	verdict := e.performance.Observe(sample, now)
+	metrics.GetOrCreateCounter(`shallotpin_speed_samples_total{verdict="` + string(verdict) + `"}`).Inc()
+	if speed, samples := e.performance.Speed(r.worker.key); verdict != performance.Usual {
+		klog.InfoS("dispatch: unexpected progress rate", "job", r.task.id.Job, "task", u.id.String(), "index", r.task.id.Index, "worker", r.worker.info.ID, "percent_per_s", sample.Rate, "verdict", verdict, "speed", speed, "samples", samples)
+	}
+}
+
+// gangActiveAt returns when the last member of the gang's present run was known to be active. It
+// reports false if some member is not.
+func (u *unit) gangActiveAt(r *run) (at time.Duration, complete bool) {
+	for _, t := range u.tasks {
+		if t.run == nil || t.run.phase != runActive || t.run.id.Number != r.id.Number {
+			return 0, false
+		}
+		at = max(at, t.run.activeAt)
+	}
+	return at, true
+}
+
+// classifyWorkers divides the workers into classes of like speed.
+func (e *Engine) classifyWorkers(now time.Duration) {
+	if !e.Settings.Features.Speeds || now-e.classifiedAt < classifyInterval {
+		return
+	}
+	e.classifiedAt = now
+	e.performance.KeepWorkers(func(key string) bool { return e.workers[key] != nil })
+	before := len(e.speedClasses)
+	e.speedClasses = e.performance.Classify(len(e.workers), now)
+	if len(e.speedClasses) != before {
+		klog.InfoS("dispatch: worker speed classes", "classes", e.speedClasses, "workers", len(e.workers), "term", e.Term.Number, "after", now-e.ClaimedAt, "long_units", e.performance.Tails())
+	}
+}
+
+// speedOf returns the speed class and the speed of a worker for placement.
+func (e *Engine) speedOf(w *worker) (class int, speed float64) {
+	if len(e.speedClasses) < 2 {
+		return 0, w.speed
+	}
+	return e.performance.ClassOf(w.key)
+}
+
+// learnedRunTime returns the run time of a task of the unit on a usual worker, and false if it is
+// not known.
+func (e *Engine) learnedRunTime(u *unit) (time.Duration, bool) {
+	if !e.Settings.Features.Speeds {
+		return 0, false
+	}
+	return e.performance.RunTime(u.job.spec.Queue, u.id, 1)
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/shallotpin/shallotpin/pkg/workload"
@@ -26,6 +27,8 @@
 	Penalty int
 	// Speed is the worker's relative speed; 1 is usual.
 	Speed float64
+	// Class is the worker's speed class, 0 for the slowest. All have class 0 where speeds are alike.
+	Class int
 	// Running are the worker's tasks that are not being stopped already.
 	Running []RunningTask
 	// startsFor is the last unit of which the plan starts a task here.
@@ -305,6 +308,7 @@
 		compareBool(u.Avoid[a.ID], u.Avoid[b.ID]),
 		cmp.Compare(a.Penalty, b.Penalty),
 		compareBool(wouldMix(u, a), wouldMix(u, b)),
+		compareClass(u, a, b),
 		compareSpeed(u, a, b),
 		cmp.Compare(a.Free.Accelerators, b.Free.Accelerators),
 		cmp.Compare(b.Speed, a.Speed),
@@ -355,6 +359,14 @@
 	p.plan.Start = append(p.plan.Start, Assignment{Task: workload.TaskID{UnitID: u.ID, Index: index}, Worker: w.ID})
 }
 
+// compareClass prefers fast workers for urgent units and leaves them to these otherwise.
+func compareClass(u *Unit, a, b *Worker) int {
+	if u.Priority == 0 {
+		return cmp.Compare(b.Class, a.Class)
+	}
+	return cmp.Compare(a.Class, b.Class)
+}
+
 // placeGang places all waiting tasks of a gang or none.
 func (p *planner) placeGang(u *Unit) {
 	if u.Quota.fitting(u.Step.Need) < len(u.Waiting) {
@@ -364,7 +376,7 @@
 	pools := p.gangPools(u)
 	var chosen []*Worker
 	bestScore := 0.0
-	for _, pool := range pools {
+	for _, pool := range p.byClass(u, pools) {
 		picks, score := p.pickWorkers(u, pool)
 		if picks != nil && (chosen == nil || score < bestScore) {
 			chosen, bestScore = picks, score
@@ -385,6 +397,55 @@
 	}
 }
 
+// byClass adds to pools of workers their parts of one speed class. A gang works at the speed of its
+// slowest member, so that one of several classes holds fast workers for nothing; mixedClassScore
+// ranks these last.
+func (p *planner) byClass(u *Unit, pools [][]*Worker) [][]*Worker {
+	all := slices.Clone(pools)
+	for _, pool := range pools {
+		parts := map[int][]*Worker{}
+		for _, w := range pool {
+			parts[w.Class] = append(parts[w.Class], w)
+		}
+		if len(parts) < 2 {
+			continue
+		}
+		for _, class := range slices.Sorted(maps.Keys(parts)) {
+			all = append(all, parts[class])
+		}
+	}
+	return all
+}
+
+// mixedClassScore is the score of a gang of workers of several speed classes: more than any
+// difference in leftover accelerators of one rack. fastClassScore is that of each class that a less
+// urgent unit takes above the slowest.
+const (
+	mixedClassScore = 300
+	fastClassScore  = 30
+)
+
+// classScore ranks gangs by the speed classes of their workers.
+func classScore(u *Unit, picks []*Worker) float64 {
+	lowest, highest := picks[0].Class, picks[0].Class
+	for _, w := range picks {
+		lowest, highest = min(lowest, w.Class), max(highest, w.Class)
+	}
+	score := 0.0
+	if lowest != highest {
+		score += mixedClassScore
+	}
+	if u.Priority != 0 {
+		score += fastClassScore * float64(highest)
+	}
+	return score
+}
+
+// severalClasses reports whether the workers are of more than one speed class.
+func severalClasses(workers []*Worker) bool {
+	return slices.ContainsFunc(workers, func(w *Worker) bool { return w.Class != workers[0].Class })
+}
+
 // gangPools returns the sets of workers among which a gang may be placed.
 func (p *planner) gangPools(u *Unit) [][]*Worker {
 	if u.RequiredRack != "" {
@@ -453,6 +514,12 @@
 		}
 	}
 	slices.SortFunc(order, func(a, b *Worker) int { return compareFit(u, a, b) })
+	if severalClasses(order) {
+		// The slowest member sets the speed, so that as few fast workers as possible are used.
+		slices.SortStableFunc(order, func(a, b *Worker) int {
+			return cmp.Or(compareBool(u.Avoid[a.ID], u.Avoid[b.ID]), cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(a.Class, b.Class))
+		})
+	}
 	slowest := 0.0
 	for _, w := range order {
 		if !p.leavesHeadroom(u, w, taken[w.Rack]) {
@@ -476,7 +543,7 @@
 			}
 		}
 		if len(picks) == len(u.Waiting) {
-			return picks, score + speedWeight(u)*slowest
+			return picks, score + speedWeight(u)*slowest + classScore(u, picks)
 		}
 	}
 	return nil, 0
