performance, dispatch, ledger: speeds fitted to recent units; a new leader starts with the recorded classes

Change: speeds and work are fitted in turn to the samples of recent units, by medians; the classes are written to the ledger with the leader's other writes, at most every 5 s, when they have changed. Units that would be late on slow workers prefer fast ones.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -97,10 +97,14 @@
 	lastWriteAt      time.Duration
 	runTimes         map[string]*runTime
 	// performance estimates the speeds of workers and the work of tasks; speedClasses are the
-	// classes of workers as of classifiedAt.
-	performance  *performance.Model
-	speedClasses []performance.Class
-	classifiedAt time.Duration
+	// classes of the workers, classifiedWorkers of them, as of classifiedAt.
+	performance       *performance.Model
+	speedClasses      []performance.Class
+	classifiedAt      time.Duration
+	classifiedWorkers int
+	// recordedSpeeds is the last record of the estimates, written at speedsRecordedAt.
+	recordedSpeeds   performance.Record
+	speedsRecordedAt time.Duration
 	// crashes are the crashes of workers within crashMemory, by address.
 	crashes map[string]crashTimes
 	// adviceInFlight means that a call to the adviser is in flight.
@@ -137,6 +141,7 @@
 		}
 		e.applyEntry(id, entry, true)
 	}
+	e.restoreSpeeds(state.Speeds)
 	e.syncWorkers()
 }
 
@@ -364,6 +369,7 @@
 	if len(records) == 0 {
 		records = append(records, ledger.TermRecord(e.Term))
 	}
+	records = append(records, e.takeSpeeds(sizeOf(records), now)...)
 	// Ends are recorded once all jobs that they have changed are.
 	handled := map[*worker]int64{}
 	if complete {
--- a/pkg/dispatch/incarnation.go
+++ b/pkg/dispatch/incarnation.go
@@ -35,6 +35,9 @@
 func (e *Engine) addWorker(key string, info catalog.Worker) *worker {
 	w := newWorker(key, info, e.Now())
 	e.workers[key] = w
+	if e.Settings.Features.Speeds {
+		e.performance.AddWorker(key)
+	}
 	if latest := e.latest[info.ID]; latest == nil || latest.startMS() < w.startMS() {
 		e.latest[info.ID] = w
 	}
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -363,6 +363,7 @@
 			if j.policy.Advised {
 				pu.AllowedWorkers = u.ticketKeys()
 			}
+			pu.NeedsFast = e.needsFastWorkers(u, time.Duration(pu.DeadlineMS-unixMS)*time.Millisecond)
 			pu.MustStart = unixMS-begin >= e.maxReclaimWait().Milliseconds()
 			if suspected {
 				pu.AllowedWorkers = e.workersForSuspect(u, pu.AllowedWorkers, now)
--- a/pkg/dispatch/speeds.go
+++ b/pkg/dispatch/speeds.go
@@ -1,11 +1,14 @@
 package dispatch
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/ledger"
 	"github.com/shallotpin/shallotpin/pkg/performance"
 )
 
@@ -19,6 +22,9 @@
 	minSampleSpan = 300 * time.Millisecond
 	// classifyInterval is the time between two divisions of the workers into classes.
 	classifyInterval = time.Second
+	// speedsRecordInterval is the least time between two records of the estimates: they change slowly,
+	// and every node reads them.
+	speedsRecordInterval = 5 * time.Second
 )
 
 // observeProgress adds the progress of a run to the estimates of its worker and its kind.
@@ -65,10 +71,11 @@
 
 // classifyWorkers divides the workers into classes of like speed.
 func (e *Engine) classifyWorkers(now time.Duration) {
-	if !e.Settings.Features.Speeds || now-e.classifiedAt < classifyInterval {
+	// A new leader has the recorded speeds of the workers as soon as these are listed.
+	if !e.Settings.Features.Speeds || now-e.classifiedAt < classifyInterval && len(e.workers) == e.classifiedWorkers {
 		return
 	}
-	e.classifiedAt = now
+	e.classifiedAt, e.classifiedWorkers = now, len(e.workers)
 	e.performance.KeepWorkers(func(key string) bool { return e.workers[key] != nil })
 	before := len(e.speedClasses)
 	e.speedClasses = e.performance.Classify(len(e.workers), now)
@@ -85,11 +92,54 @@
 	return e.performance.ClassOf(w.key)
 }
 
-// learnedRunTime returns the run time of a task of the unit on a usual worker, and false if it is
+// learnedRunTime returns the run time of a task of the unit on a worker of mean speed, and false if it is
 // not known.
 func (e *Engine) learnedRunTime(u *unit) (time.Duration, bool) {
 	if !e.Settings.Features.Speeds {
 		return 0, false
 	}
-	return e.performance.RunTime(u.job.spec.Queue, u.id, 1)
+	return e.performance.RunTime(u.job.spec.Queue, u.id)
+}
+
+// takeSpeeds returns the record of the estimates if it is due, has changed and fits into a write that
+// has size bytes already.
+func (e *Engine) takeSpeeds(size int, now time.Duration) []backend.KeyedRecord {
+	if !e.Settings.Features.Speeds || len(e.speedClasses) < 2 || e.speedsRecordedAt != 0 && now-e.speedsRecordedAt < speedsRecordInterval {
+		return nil
+	}
+	current, found := e.performance.Record()
+	if current.Term = e.Term.Number; !found || reflect.DeepEqual(current.Classes, e.recordedSpeeds.Classes) {
+		return nil
+	}
+	record := ledger.SpeedsRecord(current)
+	recordSize := len(record.Key) + len(record.Value)
+	if limit := e.Settings.MaxRecordBytes; limit > 0 && recordSize > limit || !e.fitsWrite(size, recordSize) {
+		return nil
+	}
+	e.recordedSpeeds, e.speedsRecordedAt = current, now
+	return []backend.KeyedRecord{record}
+}
+
+// restoreSpeeds starts the estimates with the record of an earlier leader.
+func (e *Engine) restoreSpeeds(recorded *performance.Record) {
+	if !e.Settings.Features.Speeds || recorded == nil {
+		return
+	}
+	e.recordedSpeeds = *recorded
+	e.performance.Restore(*recorded)
+	listed := 0
+	for _, c := range recorded.Classes {
+		listed += len(c.Workers)
+	}
+	klog.InfoS("dispatch: worker speeds of an earlier leader", "classes", len(recorded.Classes), "workers", listed, "kinds", len(recorded.Kinds), "of_term", recorded.Term, "term", e.Term.Number)
+}
+
+// needsFastWorkers reports whether a unit can complete within the time left on the fastest workers, and
+// not on the slowest.
+func (e *Engine) needsFastWorkers(u *unit, left time.Duration) bool {
+	if len(e.speedClasses) < 2 {
+		return false
+	}
+	mean := e.expectedRunTime(u)
+	return e.performance.RunTimeIn(0, mean) > left && e.performance.RunTimeIn(len(e.speedClasses)-1, mean) <= left
 }
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/performance"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
@@ -25,6 +26,8 @@
 	// candidatePrefix marks the nodes that have enough CPU to lead.
 	candidatePrefix = "l/"
 	termKey         = "term"
+	// speedsKey is that of the leader's estimates of the workers' speeds.
+	speedsKey = "speeds"
 )
 
 // Phase is the phase of a job.
@@ -130,6 +133,9 @@
 // TermRecord returns the record that stores the current term.
 func TermRecord(t Term) backend.KeyedRecord { return record(termKey, t) }
 
+// SpeedsRecord returns the record that stores the leader's estimates of the workers' speeds.
+func SpeedsRecord(r performance.Record) backend.KeyedRecord { return record(speedsKey, r) }
+
 // EndJob returns the records that store a job's end and delete its submission and
 // cancellation, so that starting nodes have little to read.
 func EndJob(id string, p *Progress) []backend.KeyedRecord {
@@ -201,6 +207,8 @@
 	Nodes map[string]string
 	// Candidates are the names of the entry VMs that have enough CPU to lead.
 	Candidates map[string]bool
+	// Speeds is nil if no leader has recorded any. It must not be changed.
+	Speeds *performance.Record
 }
 
 // NewState returns the state of an empty topic.
@@ -220,7 +228,7 @@
 // error means that the record was invalid and was not applied.
 func (s *State) Apply(r backend.KeyedRecord) (Change, error) {
 	kind, id, _ := strings.Cut(r.Key, "/")
-	if r.Key != termKey {
+	if r.Key != termKey && r.Key != speedsKey {
 		kind += "/"
 	}
 	if len(r.Value) == 0 {
@@ -251,6 +259,13 @@
 	case candidatePrefix:
 		s.Candidates[id] = true
 		return Change{}, nil
+	case speedsKey:
+		var speeds performance.Record
+		if err := json.Unmarshal(r.Value, &speeds); err != nil {
+			return Change{}, fmt.Errorf("ledger: record %q at offset %d: %w", r.Key, r.Offset, err)
+		}
+		s.Speeds = &speeds
+		return Change{FromLeader: speeds.Term == s.Term.Number}, nil
 	case termKey:
 		var t Term
 		if err := json.Unmarshal(r.Value, &t); err != nil {
@@ -299,6 +314,8 @@
 		delete(s.Nodes, id)
 	case candidatePrefix:
 		delete(s.Candidates, id)
+	case speedsKey:
+		s.Speeds = nil
 	}
 	return Change{}
 }
--- a/pkg/ledger/replica.go
+++ b/pkg/ledger/replica.go
@@ -179,7 +179,7 @@
 func (r *Replica) State() *State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := &State{Jobs: map[string]*JobEntry{}, Term: r.state.Term}
+	s := &State{Jobs: map[string]*JobEntry{}, Term: r.state.Term, Speeds: r.state.Speeds}
 	for id, e := range r.state.Jobs {
 		c := *e
 		s.Jobs[id] = &c
--- a/pkg/performance/classes.go
+++ b/pkg/performance/classes.go
@@ -8,20 +8,18 @@
 )
 
 const (
-	// minClassRatio is the least ratio of the mean speeds of two classes. Below it, a gang of both
+	// minClassRatio is the least ratio of the median speeds of two classes. Below it, a gang of both
 	// classes wastes less of the faster workers than the wait for like ones costs.
 	minClassRatio = 1.3
-	// minClassShare is the least share of the workers in a class, and minClassWorkers their least
-	// number: single workers that are off do not make a class.
-	minClassShare   = 0.08
+	// minClassShare is the least share of the known workers in a class, and minClassWorkers their
+	// least number: fewer have no room for gangs, and some workers may be off.
+	minClassShare   = 0.12
 	minClassWorkers = 4
-	// maxSpread is the greatest standard deviation of the logarithm of the speeds within two classes,
-	// as a fraction of the distance between their means: that of a uniform distribution is 0.29.
-	maxSpread = 0.22
+	// maxSpread is the greatest spread of the logarithm of the speeds within two classes, as a fraction
+	// of the distance between their means: that of a uniform distribution, without classes, is 0.37.
+	maxSpread = 0.25
 	// maxClasses limits the number of classes.
 	maxClasses = 4
-	// knownVariance is the greatest variance at which a worker counts as known.
-	knownVariance = 0.3 * 0.3
 	// minKnownShare is the least share of known workers for classes to be told apart.
 	minKnownShare = 0.2
 )
@@ -40,13 +38,14 @@
 	mean   float64
 }
 
-// Classify divides the workers into classes by their speeds, the slowest first. A worker that is not
+// Classify solves the model and divides the workers into classes by their speeds, the slowest first. A worker that is not
 // known is taken to be of the most common class. total is the number of workers of the site.
 func (m *Model) Classify(total int, now time.Duration) []Class {
+	m.Solve(now)
 	var sorted []known
-	for key := range m.workers {
-		if w := m.worker(key, now); w.speed.variance <= knownVariance {
-			sorted = append(sorted, known{w, w.speed.mean})
+	for _, w := range m.workers {
+		if w.isKnown() {
+			sorted = append(sorted, known{w, w.speed})
 		}
 	}
 	slices.SortFunc(sorted, func(a, b known) int { return cmp.Compare(a.mean, b.mean) })
@@ -57,17 +56,15 @@
 		}
 		return nil
 	}
-	m.reference = sorted[len(sorted)/2].mean
 	groups := split([][]known{sorted})
 	for i, g := range groups {
-		mean, _ := meanAndVariance(g)
-		m.classes = append(m.classes, Class{math.Exp(mean - m.reference), len(g)})
+		m.classes = append(m.classes, Class{math.Exp(medianOf(g)), len(g)})
 		for _, k := range g {
 			k.worker.class = i
 		}
 	}
 	for _, w := range m.workers {
-		if w.speed.variance > knownVariance {
+		if !w.isKnown() {
 			w.class = m.commonClass()
 		}
 	}
@@ -76,10 +73,11 @@
 
 // split divides the group whose division tells most, until none can be divided.
 func split(groups [][]known) [][]known {
+	least := max(minClassWorkers, int(minClassShare*float64(len(groups[0]))))
 	for len(groups) < maxClasses {
 		divided := false
 		for i, g := range groups {
-			if at := bestSplit(g); at > 0 {
+			if at := bestSplit(g, least); at > 0 {
 				groups = slices.Replace(slices.Clone(groups), i, i+1, g[:at], g[at:])
 				divided = true
 				break
@@ -92,9 +90,9 @@
 	return groups
 }
 
-// bestSplit returns the index at which the group falls into two classes, or 0 if it does not.
-func bestSplit(g []known) int {
-	least := max(minClassWorkers, int(minClassShare*float64(len(g))))
+// bestSplit returns the index at which the group falls into two classes of at least the given number
+// of workers, or 0 if it does not.
+func bestSplit(g []known, least int) int {
 	total, sum := 0.0, 0.0
 	for _, k := range g {
 		total += k.mean
@@ -113,23 +111,26 @@
 	if best == 0 {
 		return 0
 	}
-	low, lowVariance := meanAndVariance(g[:best])
-	high, highVariance := meanAndVariance(g[best:])
-	within := (lowVariance*float64(best) + highVariance*float64(len(g)-best)) / float64(len(g))
-	if high-low < math.Log(minClassRatio) || math.Sqrt(within) > maxSpread*(high-low) {
+	low, high := medianOf(g[:best]), medianOf(g[best:])
+	share := float64(best) / float64(len(g))
+	within := share*spread(g[:best]) + (1-share)*spread(g[best:])
+	if high-low < math.Log(minClassRatio) || within > maxSpread*(high-low) {
 		return 0
 	}
 	return best
 }
 
-func meanAndVariance(g []known) (mean, variance float64) {
-	for _, k := range g {
-		mean += k.mean / float64(len(g))
-	}
-	for _, k := range g {
-		variance += (k.mean - mean) * (k.mean - mean) / float64(len(g))
+// medianOf returns the median of the speeds of a sorted group.
+func medianOf(g []known) float64 { return (g[(len(g)-1)/2].mean + g[len(g)/2].mean) / 2 }
+
+// spread returns the spread of the speeds of a sorted group: the standard deviation if they are
+// normal, by their median deviation, so that single workers do not count.
+func spread(g []known) float64 {
+	deviations, middle := make([]float64, len(g)), medianOf(g)
+	for i, k := range g {
+		deviations[i] = math.Abs(k.mean - middle)
 	}
-	return mean, variance
+	return 1.48 * median(deviations)
 }
 
 // commonClass returns the class with the most workers.
@@ -155,3 +156,23 @@
 	}
 	return class, m.classes[class].Speed
 }
+
+// meanSpeed returns the mean speed of the workers relative to a usual one.
+func (m *Model) meanSpeed() float64 {
+	sum, workers := 0.0, 0
+	for _, c := range m.classes {
+		sum, workers = sum+c.Speed*float64(c.Workers), workers+c.Workers
+	}
+	if workers == 0 {
+		return 1
+	}
+	return sum / float64(workers)
+}
+
+// RunTimeIn returns the run time of a task in a class of workers, given that on a worker of mean speed.
+func (m *Model) RunTimeIn(class int, mean time.Duration) time.Duration {
+	if class < 0 || class >= len(m.classes) {
+		return mean
+	}
+	return time.Duration(float64(mean) * m.meanSpeed() / m.classes[class].Speed)
+}
--- a/pkg/performance/performance.go
+++ b/pkg/performance/performance.go
@@ -4,48 +4,43 @@
 //
 // The progress rate of a task is its worker's speed divided by its work. Tasks of one unit have
 // about the same work, so rates within a unit tell its workers' speeds apart, and a unit that is
-// long as a whole says nothing about its workers. Both quantities are kept as logarithms with a
-// variance, so that each sample counts as much as it tells. The package does no I/O and reads no
-// clock, and its types are not safe for concurrent use.
+// long as a whole says nothing about its workers. Solve fits the speeds and the work of the recent
+// units to the rates, all as logarithms; medians keep single tasks that are long, or that stand
+// still, from counting. The package does no I/O and reads no clock, and its types are not safe for
+// concurrent use.
 package performance
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
 const (
-	// taskVariance is the variance of the logarithm of the work of one unit's tasks, and of the
-	// disturbance by other tasks on the worker: a spread of a fifth.
-	taskVariance = 0.2 * 0.2
-	// speedVariance is that of the speeds of workers of which nothing is known. Two thirds of them
-	// lie within a factor of 1.6 of the usual one.
-	speedVariance = 0.5 * 0.5
-	// minSpeedVariance limits the certainty about a worker: tasks beside each other disturb each
-	// other, so that many samples of one worker are off in the same direction.
-	minSpeedVariance = 0.05 * 0.05
-	// ageingTime is how long it takes for a worker that is certain to become unknown again.
-	ageingTime = 5 * time.Minute
-	// unitVariance is the variance of the work of the units of a kind before it is known: the units
-	// of a queue differ by a factor of 2.
-	unitVariance = 0.7 * 0.7
-	// unknownWorkVariance is that of a unit whose kind is not known at all.
-	unknownWorkVariance = 3 * 3
+	// maxSamples is how many units the estimate of a worker covers.
+	maxSamples = 5
+	// maxUnits is how many units are kept: those of the last 20 s of a busy site.
+	maxUnits = 256
+	// sampleAge is the age from which a sample no longer counts.
+	sampleAge = 5 * time.Minute
+	// sweeps is how often Solve fits the speeds and the work in turn. It is called again soon, and
+	// begins with the last result.
+	sweeps = 4
+	// outlierFactor is the factor by which a sample deviates that is not believed at once: tasks of one
+	// unit differ by less, interference included.
+	outlierFactor = 1.8
+	// minComparisons is how many tasks on other workers a worker's tasks must have been compared with
+	// for its speed to be known.
+	minComparisons = 3
 	// kindMemory is how many units the estimate of a kind covers.
 	kindMemory = 30
-	// outlierDeviations and outlierFactor tell samples that are not believed at once: those that
-	// deviate by more standard deviations, and by more than the factor.
-	outlierDeviations = 3
-	outlierFactor     = 1.8
-	// confirmations is how many such samples in a row, of different units and in the same direction,
-	// show that a worker has changed its speed.
-	confirmations = 2
-	// tailFactor times the usual work of its kind, a unit is a long one.
-	tailFactor = 4
 	// minKindSamples is how many units must be known for the estimate of a kind to be used.
 	minKindSamples = 3
+	// tailFactor times the usual work of its kind, a unit is a long one.
+	tailFactor = 4
 )
 
 // Sample is a progress rate of a task that works at full speed.
@@ -63,62 +58,69 @@
 const (
 	// Usual samples agree with what is known, or add to it.
 	Usual Verdict = "usual"
-	// Outlier samples are far from what is known of their worker. They are not believed unless
-	// samples of other units confirm them, since the task may be the cause.
+	// Outlier samples are far from what is known of their worker. They do not count unless one of
+	// another unit confirms them, since the task may be the cause.
 	Outlier Verdict = "outlier"
-	// Changed samples confirm outliers: the worker has changed its speed.
+	// Changed samples confirm an outlier: the worker has changed its speed.
 	Changed Verdict = "changed"
 )
 
-// normal is an estimate of a logarithm.
-type normal struct{ mean, variance float64 }
-
-// combine returns the estimate from two independent ones.
-func (n normal) combine(o normal) normal {
-	gain := n.variance / (n.variance + o.variance)
-	return normal{n.mean + gain*(o.mean-n.mean), n.variance * (1 - gain)}
-}
-
 // worker is what is known of a worker.
 type worker struct {
-	speed normal
-	at    time.Duration
-	// samples counts the samples that were believed.
-	samples int
-	// outliers counts the last samples that were not, below minus zero and above plus; outlierUnit is
-	// the unit of the newest.
-	outliers    int
-	outlierUnit workload.UnitID
-	class       int
+	// speed is the logarithm of the speed relative to the usual worker.
+	speed float64
+	// samples are the newest ones, the oldest first.
+	samples []*sample
+	// prior is a speed known from elsewhere, nil if there is none.
+	prior *float64
+	class int
 }
 
-// unit is what is known of a unit with running tasks.
+// sample is what the tasks of one unit on one worker have shown.
+type sample struct {
+	unit *unit
+	// seconds is the logarithm of the run time of a task.
+	seconds float64
+	// work is the work of a task by this sample, others by those of the other workers.
+	work, others float64
+	at           time.Duration
+}
+
+// unit is what is known of a unit.
 type unit struct {
+	id   workload.UnitID
 	kind string
-	// shares hold what the tasks on each worker tell about the work of one task. They are kept
-	// apart, since those of a worker tell nothing about its own speed.
-	shares map[string]normal
+	// samples are by worker.
+	samples map[string]*sample
+	// work is the logarithm of the seconds that a task takes on a usual worker.
+	work float64
 	// counted means that the unit has been counted as a long one.
 	counted bool
 }
 
-// kind is what is known of a kind of task.
+// kind is what is known of the work of a kind of task.
 type kind struct {
-	// mean and variance are of the logarithm of the seconds that a task has on a usual worker.
-	mean, variance float64
-	samples        int
+	mean    float64
+	samples int
 }
 
 // Model holds the estimates. The zero value is not usable; see New.
 type Model struct {
 	workers map[string]*worker
 	units   map[workload.UnitID]*unit
+	// recent are the units, the oldest first.
+	recent  []*unit
 	kinds   map[string]*kind
 	classes []Class
-	// reference is the logarithm of the speed of a usual worker.
-	reference float64
-	// tails counts the units that were much longer than usual.
-	tails int
+	tails   int
+	// recorded holds the speeds in the record of an earlier leader, recordedUsual that of workers which
+	// it does not list; nil if there is no record.
+	recorded      map[string]float64
+	recordedUsual float64
+	// byWork is reused by fitWork.
+	byWork []*sample
+	// changed means that samples have come since the last Solve.
+	changed bool
 }
 
 // New returns a model that knows nothing.
@@ -126,134 +128,211 @@
 	return &Model{workers: map[string]*worker{}, units: map[workload.UnitID]*unit{}, kinds: map[string]*kind{}}
 }
 
-// worker returns the state of a worker with its variance as of now.
-func (m *Model) worker(key string, now time.Duration) *worker {
-	w := m.workers[key]
-	if w == nil {
-		w = &worker{speed: normal{m.reference, speedVariance}, at: now, class: m.commonClass()}
-		m.workers[key] = w
-	}
-	w.speed.variance = min(speedVariance, w.speed.variance+speedVariance*max(0, now-w.at).Seconds()/ageingTime.Seconds())
-	w.at = max(w.at, now)
-	return w
-}
-
 // Observe adds a sample.
 func (m *Model) Observe(s Sample, now time.Duration) Verdict {
 	if s.Rate <= 0 {
 		return Usual
 	}
-	w := m.worker(s.Worker, now)
+	w := m.worker(s.Worker)
 	u := m.units[s.Unit]
 	if u == nil {
-		u = &unit{kind: s.Kind, shares: map[string]normal{}}
+		u = &unit{id: s.Unit, kind: s.Kind, samples: map[string]*sample{}}
 		m.units[s.Unit] = u
+		if m.recent = append(m.recent, u); len(m.recent) > maxUnits {
+			delete(m.units, m.recent[0].id)
+			m.recent = slices.Delete(m.recent, 0, 1)
+		}
 	}
+	m.changed = true
 	seconds := math.Log(100 / s.Rate)
-	work := m.unitWork(u, s.Worker)
-	observed := normal{work.mean - seconds, work.variance + taskVariance}
-	verdict := w.observe(observed, s.Unit)
-	if verdict == Outlier {
-		// The task may be the cause, so that it must not count for its unit either.
-		return verdict
-	}
-	share := normal{seconds + w.speed.mean, w.speed.variance + taskVariance}
-	if earlier, known := u.shares[s.Worker]; known {
-		// The error of the worker's speed is common to its samples.
-		share = normal{(earlier.mean + share.mean) / 2, share.variance}
+	if known := u.samples[s.Worker]; known != nil {
+		known.seconds, known.at = (known.seconds+seconds)/2, now
+	} else {
+		added := &sample{unit: u, seconds: seconds, at: now}
+		u.samples[s.Worker] = added
+		if w.samples = append(w.samples, added); len(w.samples) > maxSamples {
+			w.samples = slices.Delete(w.samples, 0, 1)
+		}
 	}
-	u.shares[s.Worker] = share
+	m.fitWork(u)
 	m.countTail(u)
-	return verdict
+	return w.verdict(u)
 }
 
-// observe adds a sample of the worker's speed.
-func (w *worker) observe(o normal, id workload.UnitID) Verdict {
-	deviation := o.mean - w.speed.mean
-	limit := max(math.Log(outlierFactor), outlierDeviations*math.Sqrt(w.speed.variance+o.variance))
-	if math.Abs(deviation) <= limit {
-		w.outliers = 0
-		w.speed = w.speed.combine(o)
-		w.speed.variance = max(minSpeedVariance, w.speed.variance)
-		w.samples++
+// verdict says what the sample of the unit, which is the worker's newest or among these, shows.
+func (w *worker) verdict(u *unit) Verdict {
+	i := slices.IndexFunc(w.samples, func(s *sample) bool { return s.unit == u })
+	if i < 0 || !w.isKnown() {
 		return Usual
 	}
-	direction := 1
-	if deviation < 0 {
-		direction = -1
+	direction := w.samples[i].outlier(w.speed)
+	switch {
+	case direction == 0:
+		return Usual
+	case i > 0 && w.samples[i-1].outlier(w.speed) == direction:
+		return Changed
+	default:
+		return Outlier
 	}
+}
+
+// outlier returns 1 if the sample shows a much higher speed, -1 if a much lower one, else 0. A unit
+// on fewer than three workers does not tell which of them is off.
+func (s *sample) outlier(speed float64) int {
+	deviation := s.speed() - speed
 	switch {
-	case w.outliers*direction <= 0:
-		w.outliers = direction
-	case w.outlierUnit != id:
-		w.outliers += direction
+	case len(s.unit.samples) < 3 || math.Abs(deviation) < math.Log(outlierFactor):
+		return 0
+	case deviation < 0:
+		return -1
+	default:
+		return 1
 	}
-	w.outlierUnit = id
-	if w.outliers*direction < confirmations {
-		return Outlier
+}
+
+// speed returns the speed of the worker by the sample alone, compared with those of other workers.
+func (s *sample) speed() float64 { return s.others - s.seconds }
+
+// comparisons returns with how many tasks on other workers the worker's have been compared.
+func (w *worker) comparisons() int {
+	n := 0
+	for _, s := range w.samples {
+		n += len(s.unit.samples) - 1
+	}
+	return n
+}
+
+// isKnown reports whether there is enough evidence for the worker's speed.
+func (w *worker) isKnown() bool { return w.prior != nil || w.comparisons() >= minComparisons }
+
+// Solve fits the speeds of the workers and the work of the recent units to the samples.
+func (m *Model) Solve(now time.Duration) {
+	for _, w := range m.workers {
+		w.samples = slices.DeleteFunc(w.samples, func(s *sample) bool { return now-s.at > sampleAge })
+	}
+	if !m.changed {
+		return
+	}
+	m.changed = false
+	for range sweeps {
+		for _, u := range m.recent {
+			m.fitWork(u)
+		}
+		var speeds []float64
+		for _, w := range m.workers {
+			w.fit()
+			if w.isKnown() {
+				speeds = append(speeds, w.speed)
+			}
+		}
+		// Only ratios are known: the usual worker has the speed 1.
+		usual := median(speeds)
+		for _, w := range m.workers {
+			w.speed -= usual
+		}
+	}
+}
+
+// fit sets the worker's speed by its samples.
+func (w *worker) fit() {
+	var speeds []float64
+	if w.prior != nil {
+		speeds = append(speeds, *w.prior)
+	}
+	for _, s := range w.samples {
+		if len(s.unit.samples) > 1 {
+			speeds = append(speeds, s.speed())
+		}
+	}
+	n := len(speeds)
+	switch {
+	case n == 0:
+		w.speed = 0
+	case n == 2 && math.Abs(speeds[1]-speeds[0]) > math.Log(outlierFactor):
+		// A task can take much longer than others of its unit, not much less.
+		w.speed = max(speeds[0], speeds[1])
+	case n > 3 && w.hasChanged(speeds):
+		w.prior = nil
+		w.speed = (speeds[n-2] + speeds[n-1]) / 2
+	default:
+		w.speed = median(speeds)
 	}
-	w.outliers, w.samples = 0, 1
-	w.speed = normal{o.mean, min(speedVariance, o.variance)}
-	return Changed
 }
 
-// unitWork returns the estimate of the work of a task of the unit by its kind and its tasks on
-// workers other than the given one.
-func (m *Model) unitWork(u *unit, without string) normal {
-	work := m.kindWork(u.kind)
-	for key, share := range u.shares {
-		if key != without {
-			work = work.combine(share)
+// hasChanged reports whether the newest two of the speeds that samples show are far from the earlier
+// ones, and closer to each other than two thirds of that, which a single long task is not.
+func (w *worker) hasChanged(speeds []float64) bool {
+	n := len(speeds)
+	before := median(slices.Clone(speeds[:n-2]))
+	lower, higher := min(speeds[n-2], speeds[n-1])-before, max(speeds[n-2], speeds[n-1])-before
+	far := higher < -math.Log(outlierFactor) || lower > math.Log(outlierFactor)
+	return far && higher-lower < math.Abs(higher+lower)/3
+}
+
+// fitWork sets the work of a task of the unit by its samples.
+func (m *Model) fitWork(u *unit) {
+	sorted := m.byWork[:0]
+	for key, s := range u.samples {
+		s.work = s.seconds
+		if w := m.workers[key]; w != nil {
+			s.work += w.speed
+		}
+		sorted = append(sorted, s)
+	}
+	m.byWork = sorted
+	slices.SortFunc(sorted, func(a, b *sample) int { return cmp.Compare(a.work, b.work) })
+	n := len(sorted)
+	at := func(i int) float64 { return sorted[i].work }
+	u.work = (at((n-1)/2) + at(n/2)) / 2
+	for i, s := range sorted {
+		// The two in the middle of the others.
+		low, high := (n-2)/2, (n-1)/2
+		if i <= low {
+			low++
+		}
+		if i <= high {
+			high++
+		}
+		if n > 1 {
+			s.others = (at(low) + at(high)) / 2
 		}
 	}
-	return work
 }
 
-// kindWork returns the estimate of the work of a task of the kind.
-func (m *Model) kindWork(name string) normal {
-	k := m.kinds[name]
-	if k == nil || k.samples == 0 {
-		return normal{0, unknownWorkVariance}
+// median returns the median of values, 0 if there are none. It sorts them.
+func median(values []float64) float64 {
+	n := len(values)
+	if n == 0 {
+		return 0
 	}
-	return normal{k.mean, k.variance + unitVariance/float64(k.samples)}
+	slices.Sort(values)
+	return (values[(n-1)/2] + values[n/2]) / 2
 }
 
-// EndUnit adds the work of a unit that has ended to that of its kind and forgets the unit.
+// EndUnit adds the work of a unit that has ended to that of its kind.
 func (m *Model) EndUnit(id workload.UnitID) {
 	u := m.units[id]
 	if u == nil {
 		return
 	}
-	delete(m.units, id)
-	if len(u.shares) == 0 {
-		return
-	}
 	k := m.kinds[u.kind]
 	if k == nil {
-		k = &kind{variance: unitVariance}
+		k = &kind{}
 		m.kinds[u.kind] = k
 	}
-	work := m.unitWork(&unit{kind: "", shares: u.shares}, "")
-	k.samples++
-	weight := 1 / float64(min(k.samples, kindMemory))
-	deviation := work.mean - k.mean
-	if limit := math.Log(tailFactor); k.samples > minKindSamples {
+	m.fitWork(u)
+	deviation := u.work - k.mean
+	if limit := math.Log(tailFactor); k.samples >= minKindSamples {
 		// One long unit must not change what is expected of all others.
 		deviation = max(-limit, min(limit, deviation))
 	}
-	k.mean += weight * deviation
-	if k.samples > 1 {
-		k.variance += weight * (deviation*deviation - k.variance)
-	}
+	k.samples++
+	k.mean += deviation / float64(min(k.samples, kindMemory))
 }
 
 // countTail counts a unit whose work is much longer than that of its kind.
 func (m *Model) countTail(u *unit) {
-	k := m.kinds[u.kind]
-	if u.counted || k == nil || k.samples < minKindSamples {
-		return
-	}
-	if m.unitWork(&unit{shares: u.shares}, "").mean-k.mean > math.Log(tailFactor) {
+	if k := m.kinds[u.kind]; !u.counted && k != nil && k.samples >= minKindSamples && u.work-k.mean > math.Log(tailFactor) {
 		u.counted = true
 		m.tails++
 	}
@@ -271,27 +350,26 @@
 	}
 }
 
-// Speed returns the speed of a worker relative to a usual one, and of how many samples it is the
-// estimate.
+// Speed returns the speed of a worker relative to a usual one, and the number of units of which it is
+// the estimate.
 func (m *Model) Speed(key string) (speed float64, samples int) {
 	w := m.workers[key]
 	if w == nil {
 		return 1, 0
 	}
-	return math.Exp(w.speed.mean - m.reference), w.samples
+	return math.Exp(w.speed), len(w.samples)
 }
 
-// RunTime returns the run time of a task of the unit on a worker of the given speed, by the progress
-// of the unit's tasks or the usual run time of its kind. It reports false if neither is known.
-func (m *Model) RunTime(name string, id workload.UnitID, speed float64) (time.Duration, bool) {
-	work := m.kindWork(name)
-	k := m.kinds[name]
-	known := k != nil && k.samples >= minKindSamples
-	if u := m.units[id]; u != nil && len(u.shares) > 0 {
-		work, known = m.unitWork(u, ""), true
-	}
-	if !known || speed <= 0 {
+// RunTime returns the run time of a task of the unit on a worker of mean speed, by the progress of the
+// unit's tasks or the usual run time of its kind. It reports false if neither is known.
+func (m *Model) RunTime(name string, id workload.UnitID) (time.Duration, bool) {
+	work := 0.0
+	if u := m.units[id]; u != nil {
+		work = u.work
+	} else if k := m.kinds[name]; k != nil && k.samples >= minKindSamples {
+		work = k.mean
+	} else {
 		return 0, false
 	}
-	return time.Duration(math.Exp(work.mean-m.reference) / speed * float64(time.Second)), true
+	return time.Duration(math.Exp(work) / m.meanSpeed() * float64(time.Second)), true
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -96,6 +96,8 @@
 	AllowedWorkers map[string]bool
 	// Avoid are the IDs of workers on which the unit's tasks failed; they are used last.
 	Avoid map[string]bool
+	// NeedsFast units cannot complete in time on slow workers and can on fast ones.
+	NeedsFast bool
 	// SearchDue units are searched for a preemption although others have used up the searches.
 	SearchDue bool
 	// StartsApart units start on workers where the plan starts nothing else.
@@ -359,9 +361,12 @@
 	p.plan.Start = append(p.plan.Start, Assignment{Task: workload.TaskID{UnitID: u.ID, Index: index}, Worker: w.ID})
 }
 
-// compareClass prefers fast workers for urgent units and leaves them to these otherwise.
+// prefersFast reports whether fast workers are used first for the unit. Others leave them to it.
+func (u *Unit) prefersFast() bool { return u.Priority == 0 || u.NeedsFast }
+
+// compareClass prefers fast or slow workers.
 func compareClass(u *Unit, a, b *Worker) int {
-	if u.Priority == 0 {
+	if u.prefersFast() {
 		return cmp.Compare(b.Class, a.Class)
 	}
 	return cmp.Compare(a.Class, b.Class)
@@ -435,7 +440,7 @@
 	if lowest != highest {
 		score += mixedClassScore
 	}
-	if u.Priority != 0 {
+	if !u.prefersFast() {
 		score += fastClassScore * float64(highest)
 	}
 	return score
