--- a/pkg/dispatch/draining.go
+++ b/pkg/dispatch/draining.go
@@ -53,5 +53,5 @@
 	if left := r.remaining(now); left != unknownTime {
 		return left
 	}
-	return e.expectedRunTime(r.task.unit) * time.Duration(100-r.percent) / 100
+	return e.runTimeThere(r) * time.Duration(100-r.percent) / 100
 }
--- a/pkg/dispatch/speeds.go
+++ b/pkg/dispatch/speeds.go
@@ -134,6 +134,25 @@
 	klog.InfoS("dispatch: worker speeds of an earlier leader", "classes", len(recorded.Classes), "workers", listed, "kinds", len(recorded.Kinds), "of_term", recorded.Term, "term", e.Term.Number)
 }
 
+// runTimeThere returns the expected run time of a run's task on its worker, or in a gang on the
+// slowest of its workers.
+func (e *Engine) runTimeThere(r *run) time.Duration {
+	mean := e.expectedRunTime(r.task.unit)
+	if len(e.speedClasses) < 2 {
+		return mean
+	}
+	class, _ := e.speedOf(r.worker)
+	if r.task.unit.step.Gang {
+		for _, t := range r.task.unit.tasks {
+			if t.run != nil {
+				other, _ := e.speedOf(t.run.worker)
+				class = min(class, other)
+			}
+		}
+	}
+	return e.performance.RunTimeIn(class, mean)
+}
+
 // needsFastWorkers reports whether a unit can complete within the time left on the fastest workers, and
 // not on the slowest.
 func (e *Engine) needsFastWorkers(u *unit, left time.Duration) bool {
