--- a/pkg/dispatch/apply.go
+++ b/pkg/dispatch/apply.go
@@ -120,6 +120,7 @@
 		w.used = w.used.Add(r.need)
 	}
 	u.job.unsaved = true
+	e.noteClasses(u, targets)
 }
 
 // markRunning sets the job's phase once a worker has reported a run of it. A plan may come to
--- a/pkg/dispatch/speeds.go
+++ b/pkg/dispatch/speeds.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"reflect"
 	"time"
 
@@ -79,11 +80,38 @@
 	e.performance.KeepWorkers(func(key string) bool { return e.workers[key] != nil })
 	before := len(e.speedClasses)
 	e.speedClasses = e.performance.Classify(len(e.workers), now)
+	for i, c := range e.speedClasses {
+		metrics.GetOrCreateGauge(fmt.Sprintf(`shallotpin_speed_class_workers{class="%d"}`, i), nil).Set(float64(c.Workers))
+	}
+	metrics.GetOrCreateGauge("shallotpin_long_units", nil).Set(float64(e.performance.Tails()))
 	if len(e.speedClasses) != before {
 		klog.InfoS("dispatch: worker speed classes", "classes", e.speedClasses, "workers", len(e.workers), "term", e.Term.Number, "after", now-e.ClaimedAt, "long_units", e.performance.Tails())
 	}
 }
 
+// noteClasses counts the starts of a unit by the speed classes of the workers, and logs a gang whose
+// workers are of several.
+func (e *Engine) noteClasses(u *unit, chosen map[int]*worker) {
+	if len(e.speedClasses) < 2 {
+		return
+	}
+	counts, used := make([]int, len(e.speedClasses)), 0
+	for _, w := range chosen {
+		class, _ := e.speedOf(w)
+		if counts[class] == 0 {
+			used++
+		}
+		counts[class]++
+	}
+	for class, n := range counts {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`shallotpin_starts_by_speed_total{class="%d",urgent="%t"}`, class, u.job.policy.Priority == 0)).Add(n)
+	}
+	if u.step.Gang && used > 1 {
+		metrics.GetOrCreateCounter("shallotpin_mixed_gangs_total").Inc()
+		klog.InfoS("dispatch: gang on workers of several speeds", "job", u.id.Job, "task", u.id.String(), "starts_by_class", counts, "classes", e.speedClasses)
+	}
+}
+
 // speedOf returns the speed class and the speed of a worker for placement.
 func (e *Engine) speedOf(w *worker) (class int, speed float64) {
 	if len(e.speedClasses) < 2 {
