--- a/pkg/performance/classes.go
+++ b/pkg/performance/classes.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// minClassRatio is the least ratio of the median speeds of two classes. Below it, a gang of both
-	// classes wastes less of the faster workers than the wait for like ones costs.
-	minClassRatio = 1.3
+	// minClassRatio is the least ratio of the median speeds of two classes: below it, a gang of both
+	// classes wastes less than 30 percent of its faster workers.
+	minClassRatio = 1.4
 	// minClassShare is the least share of the known workers in a class, and minClassWorkers their
 	// least number: fewer have no room for gangs, and some workers may be off.
 	minClassShare   = 0.12
