--- a/pkg/dispatch/speeds.go
+++ b/pkg/dispatch/speeds.go
@@ -121,9 +121,9 @@
 }
 
 // learnedRunTime returns the run time of a task of the unit on a worker of mean speed, and false if it is
-// not known.
+// not known or speeds are alike.
 func (e *Engine) learnedRunTime(u *unit) (time.Duration, bool) {
-	if !e.Settings.Features.Speeds {
+	if len(e.speedClasses) < 2 {
 		return 0, false
 	}
 	return e.performance.RunTime(u.job.spec.Queue, u.id)
--- a/pkg/performance/classes.go
+++ b/pkg/performance/classes.go
@@ -38,8 +38,9 @@
 	mean   float64
 }
 
-// Classify solves the model and divides the workers into classes by their speeds, the slowest first. A worker that is not
-// known is taken to be of the most common class. total is the number of workers of the site.
+// Classify solves the model and divides the workers into classes by their speeds, the slowest first. A
+// worker that is not known is taken to be of the most common class. total is the number of workers of
+// the site.
 func (m *Model) Classify(total int, now time.Duration) []Class {
 	m.Solve(now)
 	var sorted []known
@@ -71,7 +72,7 @@
 	return m.classes
 }
 
-// split divides the group whose division tells most, until none can be divided.
+// split divides groups of workers, sorted by speed, until none falls into two classes.
 func split(groups [][]known) [][]known {
 	least := max(minClassWorkers, int(minClassShare*float64(len(groups[0]))))
 	for len(groups) < maxClasses {
