--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -210,9 +210,6 @@
 			Free: w.info.Capacity.Sub(w.used).Sub(reserved[w]), Schedulable: e.isSchedulable(w, now) && !w.onProbation()}
 		pw.Penalty = w.failures
 		pw.Class, pw.Speed = e.speedOf(w)
-		if e.Settings.Features.Speeds && w.onTrial(now) {
-			pw.OnTrial, pw.Schedulable = true, pw.Schedulable && !w.hasRun(w.isTrial)
-		}
 		for id, r := range w.runs {
 			u := r.task.unit
 			if r.phase == runStopping {
--- a/pkg/dispatch/progress.go
+++ b/pkg/dispatch/progress.go
@@ -33,17 +33,6 @@
 	}
 }
 
-// onTrial reports whether the worker has failed a task, and no task that started after its quarantine
-// has shown yet that it works.
-func (w *worker) onTrial(now time.Duration) bool {
-	return w.failures > 0 && now < w.quarantinedUntil+trialTime && !w.hasRun(func(r *run) bool {
-		return w.isTrial(r) && r.phase == runActive && w.listingAt-r.activeAt >= trialSurvival
-	})
-}
-
-// isTrial reports whether the run started after the worker's last quarantine.
-func (w *worker) isTrial(r *run) bool { return r.orderedAt >= w.quarantinedUntil }
-
 // failedElsewhere reports whether the unit has failed on a worker other than w.
 func (u *unit) failedElsewhere(w *worker) bool {
 	for id := range u.avoid {
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -136,11 +136,6 @@
 	// quarantineTime is how long a worker is quarantined after a first failure:
 	// about the run time of the shortest tasks.
 	quarantineTime = 3 * time.Second
-	// trialTime is how long after its quarantine a worker is on trial, at most: as long as a first
-	// quarantine. trialSurvival is how long a task must run there to end the trial: workers that fail
-	// what they start do so within a renewal.
-	trialTime     = quarantineTime
-	trialSurvival = renewalWait
 	// maxQuarantineFactor limits a quarantine to a multiple of quarantineTime: 12 s,
 	// which outlasts most faults.
 	maxQuarantineFactor = 4
--- a/pkg/dispatch/speeds_test.go
+++ b/pkg/dispatch/speeds_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/ledger"
-	"github.com/shallotpin/shallotpin/pkg/placement"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
@@ -151,29 +150,3 @@
 		t.Errorf("expected time %v of a gang on workers of both classes, want %v", got, slow)
 	}
 }
-
-// Load: a worker fails whatever it starts, and is tried again after its quarantine. It must get one
-// task at a time then, and no member of a gang, until a task there has run for a second.
-func TestFailingWorkerIsTriedWithOneTask(t *testing.T) {
-	s := newUnevenSite(t, true)
-	w, single := s.workers["w0"], s.job("single", workload.Step{Count: 2})
-	offered := func() (schedulable, onTrial bool) {
-		pool, _ := s.snapshotWorkers(s.now, nil)
-		i := slices.IndexFunc(pool, func(pw *placement.Worker) bool { return pw.ID == w.key })
-		return pool[i].Schedulable, pool[i].OnTrial
-	}
-	s.quarantine(w, s.now)
-	s.now = w.quarantinedUntil
-	if schedulable, onTrial := offered(); !schedulable || !onTrial {
-		t.Errorf("after the quarantine: schedulable %v, on trial %v", schedulable, onTrial)
-	}
-	s.start(single, 0, "w0")
-	if schedulable, _ := offered(); schedulable {
-		t.Error("a second task may start beside the trial")
-	}
-	s.now += trialSurvival
-	s.list("w0", s.now)
-	if schedulable, onTrial := offered(); !schedulable || onTrial {
-		t.Errorf("after a second of work: schedulable %v, on trial %v", schedulable, onTrial)
-	}
-}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -29,9 +29,6 @@
 	Speed float64
 	// Class is the worker's speed class, 0 for the slowest. All have class 0 where speeds are alike.
 	Class int
-	// OnTrial workers have failed tasks and not shown since that they work: they get one task that is
-	// not of a gang.
-	OnTrial bool
 	// Running are the worker's tasks that are not being stopped already.
 	Running []RunningTask
 	// startsFor is the last unit of which the plan starts a task here.
@@ -214,9 +211,6 @@
 	if other := w.startsFor; other != nil && other != u && (u.StartsApart || other.StartsApart) {
 		return false
 	}
-	if w.OnTrial && (w.startsFor != nil || u.Step.Gang && u.Step.Count > 1) {
-		return false
-	}
 	return w.Schedulable && (u.AllowedWorkers == nil || u.AllowedWorkers[w.ID]) && (u.Step.Label == "" || w.hasLabel(u.Step.Label)) && u.Step.Demand().Fits(w.Capacity)
 }
 
--- a/pkg/placement/speeds_test.go
+++ b/pkg/placement/speeds_test.go
@@ -61,19 +61,3 @@
 		})
 	}
 }
-
-// A worker on trial gets one task, and no member of a gang.
-func TestTrialIsOneTask(t *testing.T) {
-	for name, step := range map[string]struct {
-		gang bool
-		want int
-	}{"gang": {true, 0}, "tasks": {false, 1}} {
-		workers := racks(1)[:1]
-		workers[0].OnTrial = true
-		u := unit("j", 3, gang(1), 1)
-		u.Step.Gang = step.gang
-		if plan := Decide(workers, []*Unit{u}, 0); len(plan.Start) != step.want {
-			t.Errorf("%s: %d starts on a worker on trial, want %d", name, len(plan.Start), step.want)
-		}
-	}
-}
