performance: classes by the ratio of their medians alone (1.35)

Change: no test of the spread; workers that are alike, or of which a third is 1.3 times as fast, have one class.

--- a/pkg/performance/classes.go
+++ b/pkg/performance/classes.go
@@ -9,15 +9,13 @@
 
 const (
 	// minClassRatio is the least ratio of the median speeds of two classes: below it, a gang of both
-	// classes wastes less than 30 percent of its faster workers.
-	minClassRatio = 1.4
+	// classes wastes less than a quarter of its faster workers, and the halves of workers that are alike
+	// differ by up to 1.2.
+	minClassRatio = 1.35
 	// minClassShare is the least share of the known workers in a class, and minClassWorkers their
 	// least number: fewer have no room for gangs, and some workers may be off.
 	minClassShare   = 0.12
 	minClassWorkers = 4
-	// maxSpread is the greatest spread of the logarithm of the speeds within two classes, as a fraction
-	// of the distance between their means: that of a uniform distribution, without classes, is 0.37.
-	maxSpread = 0.25
 	// maxClasses limits the number of classes.
 	maxClasses = 4
 	// minKnownShare is the least share of known workers for classes to be told apart.
@@ -112,10 +110,7 @@
 	if best == 0 {
 		return 0
 	}
-	low, high := medianOf(g[:best]), medianOf(g[best:])
-	share := float64(best) / float64(len(g))
-	within := share*spread(g[:best]) + (1-share)*spread(g[best:])
-	if high-low < math.Log(minClassRatio) || within > maxSpread*(high-low) {
+	if medianOf(g[best:])-medianOf(g[:best]) < math.Log(minClassRatio) {
 		return 0
 	}
 	return best
@@ -124,16 +119,6 @@
 // medianOf returns the median of the speeds of a sorted group.
 func medianOf(g []known) float64 { return (g[(len(g)-1)/2].mean + g[len(g)/2].mean) / 2 }
 
-// spread returns the spread of the speeds of a sorted group: the standard deviation if they are
-// normal, by their median deviation, so that single workers do not count.
-func spread(g []known) float64 {
-	deviations, middle := make([]float64, len(g)), medianOf(g)
-	for i, k := range g {
-		deviations[i] = math.Abs(k.mean - middle)
-	}
-	return 1.48 * median(deviations)
-}
-
 // commonClass returns the class with the most workers.
 func (m *Model) commonClass() int {
 	common := 0
