placement: gangs of several speed classes are tried only if none of one class fits

Cause: each gang was tried on each pool and on its parts, which took two to three times as long in plans with many waiting gangs. Change: parts of one class first; no sort where the room of a pool is too little at all.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -381,10 +381,15 @@
 	pools := p.gangPools(u)
 	var chosen []*Worker
 	bestScore := 0.0
-	for _, pool := range p.byClass(u, pools) {
-		picks, score := p.pickWorkers(u, pool)
-		if picks != nil && (chosen == nil || score < bestScore) {
-			chosen, bestScore = picks, score
+	for _, candidates := range [][][]*Worker{partsByClass(pools), pools} {
+		for _, pool := range candidates {
+			picks, score := p.pickWorkers(u, pool)
+			if picks != nil && (chosen == nil || score < bestScore) {
+				chosen, bestScore = picks, score
+			}
+		}
+		if chosen != nil {
+			break
 		}
 	}
 	if chosen == nil && u.AnyRack {
@@ -402,19 +407,23 @@
 	}
 }
 
-// byClass adds to pools of workers their parts of one speed class. A gang works at the speed of its
-// slowest member, so that one of several classes holds fast workers for nothing; mixedClassScore
-// ranks these last.
-func (p *planner) byClass(u *Unit, pools [][]*Worker) [][]*Worker {
-	all := slices.Clone(pools)
+// partsByClass returns the parts of pools that have one speed class, or nil if all pools have. A gang
+// works at the speed of its slowest member, so that one of several classes holds fast workers for
+// nothing.
+func partsByClass(pools [][]*Worker) [][]*Worker {
+	if !slices.ContainsFunc(pools, severalClasses) {
+		return nil
+	}
+	var all [][]*Worker
 	for _, pool := range pools {
+		if !severalClasses(pool) {
+			all = append(all, pool)
+			continue
+		}
 		parts := map[int][]*Worker{}
 		for _, w := range pool {
 			parts[w.Class] = append(parts[w.Class], w)
 		}
-		if len(parts) < 2 {
-			continue
-		}
 		for _, class := range slices.Sorted(maps.Keys(parts)) {
 			all = append(all, parts[class])
 		}
@@ -422,28 +431,20 @@
 	return all
 }
 
-// mixedClassScore is the score of a gang of workers of several speed classes: more than any
-// difference in leftover accelerators of one rack. fastClassScore is that of each class that a less
-// urgent unit takes above the slowest.
-const (
-	mixedClassScore = 300
-	fastClassScore  = 30
-)
+// fastClassScore is added to the score of a gang for each speed class above the slowest that a less
+// urgent unit takes: some leftover accelerators on four workers.
+const fastClassScore = 30
 
-// classScore ranks gangs by the speed classes of their workers.
+// classScore ranks gangs by the speed class of their fastest worker.
 func classScore(u *Unit, picks []*Worker) float64 {
-	lowest, highest := picks[0].Class, picks[0].Class
-	for _, w := range picks {
-		lowest, highest = min(lowest, w.Class), max(highest, w.Class)
-	}
-	score := 0.0
-	if lowest != highest {
-		score += mixedClassScore
+	if u.prefersFast() {
+		return 0
 	}
-	if !u.prefersFast() {
-		score += fastClassScore * float64(highest)
+	highest := 0
+	for _, w := range picks {
+		highest = max(highest, w.Class)
 	}
-	return score
+	return fastClassScore * float64(highest)
 }
 
 // severalClasses reports whether the workers are of more than one speed class.
@@ -513,10 +514,17 @@
 func (p *planner) pickWorkers(u *Unit, pool []*Worker) (picks []*Worker, score float64) {
 	taken := map[string]int{}
 	var order []*Worker
+	room := 0
 	for _, w := range pool {
-		if eligible(u, w) && slots(u, w, w.Free) > 0 {
-			order = append(order, w)
+		if !eligible(u, w) {
+			continue
 		}
+		if n := slots(u, w, w.Free); n > 0 {
+			order, room = append(order, w), room+n
+		}
+	}
+	if room < len(u.Waiting) {
+		return nil, 0
 	}
 	slices.SortFunc(order, func(a, b *Worker) int { return compareFit(u, a, b) })
 	if severalClasses(order) {
