--- a/pkg/performance/classes.go
+++ b/pkg/performance/classes.go
@@ -8,10 +8,13 @@
 )
 
 const (
-	// minClassRatio is the least ratio of the median speeds of two classes: below it, a gang of both
-	// classes wastes less than a quarter of its faster workers, and the halves of workers that are alike
-	// differ by up to 1.2.
-	minClassRatio = 1.35
+	// minClassRatio is the least ratio of the median speeds of two classes. Below 1.5, which is the least
+	// factor of an objective, slow workers can still be in time; the rest is for the error of the first
+	// samples.
+	minClassRatio = 1.6
+	// keptClassRatio is the least ratio at which classes that have been found are kept, so that they do
+	// not come and go.
+	keptClassRatio = 1.35
 	// minClassShare is the least share of the known workers in a class, and minClassWorkers their
 	// least number: fewer have no room for gangs, and some workers may be off.
 	minClassShare   = 0.12
@@ -48,6 +51,10 @@
 		}
 	}
 	slices.SortFunc(sorted, func(a, b known) int { return cmp.Compare(a.mean, b.mean) })
+	ratio := minClassRatio
+	if len(m.classes) > 1 {
+		ratio = keptClassRatio
+	}
 	m.classes = nil
 	if len(sorted) < minClassWorkers || float64(len(sorted)) < minKnownShare*float64(total) {
 		for _, w := range m.workers {
@@ -55,7 +62,7 @@
 		}
 		return nil
 	}
-	groups := split([][]known{sorted})
+	groups := split([][]known{sorted}, ratio)
 	for i, g := range groups {
 		m.classes = append(m.classes, Class{math.Exp(medianOf(g)), len(g)})
 		for _, k := range g {
@@ -70,15 +77,16 @@
 	return m.classes
 }
 
-// split divides groups of workers, sorted by speed, until none falls into two classes.
-func split(groups [][]known) [][]known {
+// split divides a group of workers, sorted by speed, into two classes whose speeds have at least the given
+// ratio, and these as long as theirs have minClassRatio.
+func split(groups [][]known, ratio float64) [][]known {
 	least := max(minClassWorkers, int(minClassShare*float64(len(groups[0]))))
 	for len(groups) < maxClasses {
 		divided := false
 		for i, g := range groups {
-			if at := bestSplit(g, least); at > 0 {
+			if at := bestSplit(g, least, ratio); at > 0 {
 				groups = slices.Replace(slices.Clone(groups), i, i+1, g[:at], g[at:])
-				divided = true
+				divided, ratio = true, minClassRatio
 				break
 			}
 		}
@@ -90,8 +98,8 @@
 }
 
 // bestSplit returns the index at which the group falls into two classes of at least the given number
-// of workers, or 0 if it does not.
-func bestSplit(g []known, least int) int {
+// of workers whose speeds have at least the given ratio, or 0 if it does not.
+func bestSplit(g []known, least int, ratio float64) int {
 	total, sum := 0.0, 0.0
 	for _, k := range g {
 		total += k.mean
@@ -110,7 +118,7 @@
 	if best == 0 {
 		return 0
 	}
-	if medianOf(g[best:])-medianOf(g[:best]) < math.Log(minClassRatio) {
+	if medianOf(g[best:])-medianOf(g[:best]) < math.Log(ratio) {
 		return 0
 	}
 	return best
--- a/pkg/performance/performance_test.go
+++ b/pkg/performance/performance_test.go
@@ -108,7 +108,7 @@
 // Guards against classes that are found where workers are alike or differ little: placement must
 // then do as it does without the part.
 func TestLikeWorkersHaveNoClasses(t *testing.T) {
-	for name, speeds := range map[string][]float64{"alike": {1}, "little": {0.9, 1, 1.1}, "a third a little faster": {1, 1, 1.3}, "one in fifty": append(slices.Repeat([]float64{1}, 49), 3)} {
+	for name, speeds := range map[string][]float64{"alike": {1}, "little": {0.9, 1, 1.1}, "a third each": {0.8, 1, 1.25}, "a third a little faster": {1, 1, 1.3}, "one in fifty": append(slices.Repeat([]float64{1}, 49), 3)} {
 		for seed := range uint64(20) {
 			f := newFleet(seed, 100, speeds...)
 			f.gangs(6)
@@ -119,6 +119,21 @@
 	}
 }
 
+// Guards against classes that come and go where their ratio is about the least one.
+func TestClassesAreKept(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(seed, 100, 0.8, 1.25)
+		for found, round := false, 0; round < 20; round++ {
+			f.gangs(1)
+			classes := len(f.model.Classify(100, f.now))
+			if found && classes < 2 {
+				t.Errorf("seed %d: classes are lost in round %d", seed, round)
+			}
+			found = classes > 1
+		}
+	}
+}
+
 // Guards against innocent workers that are called slow since a task there takes seven times as long:
 // neither a long task of a gang nor a unit that is long as a whole says anything about its worker.
 func TestLongTasksDoNotSlanderWorkers(t *testing.T) {
