dispatch, performance: the record of the speeds is compared every 5 s, in a fixed order

Cause: each write compared it, and above 400 workers the record depended on the order of a map. Change: one comparison in 5 s; sorted keys; a log line if the record does not fit. Result: go test ./pkg/dispatch ./pkg/performance.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -102,9 +102,10 @@
 	speedClasses      []performance.Class
 	classifiedAt      time.Duration
 	classifiedWorkers int
-	// recordedSpeeds is the last record of the estimates, written at speedsRecordedAt.
-	recordedSpeeds   performance.Record
-	speedsRecordedAt time.Duration
+	// recordedSpeeds is the last record of the estimates, speedsCheckedAt when it was last compared with
+	// the present ones.
+	recordedSpeeds  performance.Record
+	speedsCheckedAt time.Duration
 	// crashes are the crashes of workers within crashMemory, by address.
 	crashes map[string]crashTimes
 	// adviceInFlight means that a call to the adviser is in flight.
--- a/pkg/dispatch/speeds.go
+++ b/pkg/dispatch/speeds.go
@@ -132,9 +132,10 @@
 // takeSpeeds returns the record of the estimates if it is due, has changed and fits into a write that
 // has size bytes already.
 func (e *Engine) takeSpeeds(size int, now time.Duration) []backend.KeyedRecord {
-	if !e.Settings.Features.Speeds || len(e.speedClasses) < 2 || e.speedsRecordedAt != 0 && now-e.speedsRecordedAt < speedsRecordInterval {
+	if !e.Settings.Features.Speeds || len(e.speedClasses) < 2 || e.speedsCheckedAt != 0 && now-e.speedsCheckedAt < speedsRecordInterval {
 		return nil
 	}
+	e.speedsCheckedAt = now
 	current, found := e.performance.Record()
 	if current.Term = e.Term.Number; !found || reflect.DeepEqual(current.Classes, e.recordedSpeeds.Classes) {
 		return nil
@@ -142,9 +143,10 @@
 	record := ledger.SpeedsRecord(current)
 	recordSize := len(record.Key) + len(record.Value)
 	if limit := e.Settings.MaxRecordBytes; limit > 0 && recordSize > limit || !e.fitsWrite(size, recordSize) {
+		klog.InfoS("dispatch: worker speeds not recorded", "bytes", recordSize, "record_limit", limit, "write_limit", e.Settings.MaxWriteBytes, "write_bytes", size)
 		return nil
 	}
-	e.recordedSpeeds, e.speedsRecordedAt = current, now
+	e.recordedSpeeds = current
 	return []backend.KeyedRecord{record}
 }
 
--- a/pkg/performance/record.go
+++ b/pkg/performance/record.go
@@ -1,6 +1,7 @@
 package performance
 
 import (
+	"maps"
 	"math"
 	"slices"
 )
@@ -47,17 +48,14 @@
 		r.Classes = append(r.Classes, RecordedClass{Speed: rounded(c.Speed)})
 	}
 	listed := 0
-	for key, w := range m.workers {
-		if w.class != common && w.isKnown() && listed < maxRecordWorkers {
+	for _, key := range slices.Sorted(maps.Keys(m.workers)) {
+		if w := m.workers[key]; w.class != common && w.isKnown() && listed < maxRecordWorkers {
 			listed++
 			r.Classes[w.class].Workers = append(r.Classes[w.class].Workers, key)
 		}
 	}
-	for i := range r.Classes {
-		slices.Sort(r.Classes[i].Workers)
-	}
-	for name, k := range m.kinds {
-		if k.samples >= minKindSamples && len(r.Kinds) < maxRecordKinds {
+	for _, name := range slices.Sorted(maps.Keys(m.kinds)) {
+		if k := m.kinds[name]; k.samples >= minKindSamples && len(r.Kinds) < maxRecordKinds {
 			r.Kinds[name] = RecordedKind{rounded(math.Exp(k.mean)), k.samples}
 		}
 	}
