performance: faulty workers do not decide the classes; neighbours of like speed are joined

Change: workers beyond a factor of 4 from the usual one are left out of the division, and neighbouring classes below the least ratio are joined.

--- a/pkg/performance/classes.go
+++ b/pkg/performance/classes.go
@@ -19,6 +19,9 @@
 	// least number: fewer have no room for gangs, and some workers may be off.
 	minClassShare   = 0.12
 	minClassWorkers = 4
+	// maxClassFactor is the greatest factor between the usual speed and that of a class. Workers beyond it
+	// are faulty rather than of another kind, and must not decide where the others are divided.
+	maxClassFactor = 4
 	// maxClasses limits the number of classes.
 	maxClasses = 4
 	// minKnownShare is the least share of known workers for classes to be told apart.
@@ -62,16 +65,22 @@
 		}
 		return nil
 	}
-	groups := split([][]known{sorted}, ratio)
-	for i, g := range groups {
+	usual := medianOf(sorted)
+	sound := slices.DeleteFunc(sorted, func(k known) bool { return math.Abs(k.mean-usual) > math.Log(maxClassFactor) })
+	for i, g := range merged(split([][]known{sound}, ratio), ratio) {
 		m.classes = append(m.classes, Class{math.Exp(medianOf(g)), len(g)})
 		for _, k := range g {
 			k.worker.class = i
 		}
 	}
 	for _, w := range m.workers {
-		if !w.isKnown() {
+		switch {
+		case !w.isKnown():
 			w.class = m.commonClass()
+		case w.speed < usual-math.Log(maxClassFactor):
+			w.class = 0
+		case w.speed > usual+math.Log(maxClassFactor):
+			w.class = len(m.classes) - 1
 		}
 	}
 	return m.classes
@@ -97,6 +106,19 @@
 	return groups
 }
 
+// merged joins neighbours whose speeds have less than the given ratio: a division may cut a class that a
+// later one shows.
+func merged(groups [][]known, ratio float64) [][]known {
+	for i := 0; i+1 < len(groups); {
+		if medianOf(groups[i+1])-medianOf(groups[i]) >= math.Log(ratio) {
+			i++
+			continue
+		}
+		groups = slices.Replace(slices.Clone(groups), i, i+2, slices.Concat(groups[i], groups[i+1]))
+	}
+	return groups
+}
+
 // bestSplit returns the index at which the group falls into two classes of at least the given number
 // of workers whose speeds have at least the given ratio, or 0 if it does not.
 func bestSplit(g []known, least int, ratio float64) int {
