placement: parts of a pool by class without allocations; dispatch: outliers are logged at verbosity 1

Cause: each plan built maps for each rack and waiting gang, on the processor of the leader. Change: pools are in the order of classes, and their parts are slices of them.

--- a/pkg/dispatch/speeds.go
+++ b/pkg/dispatch/speeds.go
@@ -53,8 +53,12 @@
 	sample := performance.Sample{Worker: r.worker.key, Kind: u.job.spec.Queue, Unit: u.id, Rate: float64(gained) / span.Seconds()}
 	verdict := e.performance.Observe(sample, now)
 	metrics.GetOrCreateCounter(`shallotpin_speed_samples_total{verdict="` + string(verdict) + `"}`).Inc()
+	level := klog.Level(0)
+	if verdict == performance.Outlier {
+		level = 1
+	}
 	if speed, samples := e.performance.Speed(r.worker.key); verdict != performance.Usual {
-		klog.InfoS("dispatch: unexpected progress rate", "job", r.task.id.Job, "task", u.id.String(), "index", r.task.id.Index, "worker", r.worker.info.ID, "percent_per_s", sample.Rate, "verdict", verdict, "speed", speed, "samples", samples)
+		klog.V(level).InfoS("dispatch: unexpected progress rate", "job", r.task.id.Job, "task", u.id.String(), "index", r.task.id.Index, "worker", r.worker.info.ID, "percent_per_s", sample.Rate, "verdict", verdict, "speed", speed, "samples", samples)
 	}
 }
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/shallotpin/shallotpin/pkg/workload"
@@ -159,7 +158,11 @@
 // sorts units and changes their PerWorker and the workers' Free and Releasing.
 func Decide(workers []*Worker, units []*Unit, headroom int) Plan {
 	p := &planner{workers: workers, byRack: map[string][]*Worker{}, states: map[workload.TaskID]*candidateState{}, headroom: headroom, idleAccelerators: map[string]int{}, candidates: map[candidatesKey][]candidate{}}
-	for _, w := range workers {
+	if severalClasses(workers) {
+		// The parts of a pool by class are then slices of it; see partsByClass.
+		p.workers = slices.SortedStableFunc(slices.Values(workers), func(a, b *Worker) int { return cmp.Compare(a.Class, b.Class) })
+	}
+	for _, w := range p.workers {
 		if _, known := p.byRack[w.Rack]; !known {
 			p.racks = append(p.racks, w.Rack)
 		}
@@ -409,26 +412,22 @@
 
 // partsByClass returns the parts of pools that have one speed class, or nil if all pools have. A gang
 // works at the speed of its slowest member, so that one of several classes holds fast workers for
-// nothing.
+// nothing. Pools are in the order of classes.
 func partsByClass(pools [][]*Worker) [][]*Worker {
 	if !slices.ContainsFunc(pools, severalClasses) {
 		return nil
 	}
-	var all [][]*Worker
+	var parts [][]*Worker
 	for _, pool := range pools {
-		if !severalClasses(pool) {
-			all = append(all, pool)
-			continue
-		}
-		parts := map[int][]*Worker{}
-		for _, w := range pool {
-			parts[w.Class] = append(parts[w.Class], w)
-		}
-		for _, class := range slices.Sorted(maps.Keys(parts)) {
-			all = append(all, parts[class])
+		begin := 0
+		for i, w := range pool {
+			if w.Class != pool[begin].Class {
+				parts, begin = append(parts, pool[begin:i]), i
+			}
 		}
+		parts = append(parts, pool[begin:])
 	}
-	return all
+	return parts
 }
 
 // fastClassScore is added to the score of a gang for each speed class above the slowest that a less
