--- a/pkg/dispatch/speeds_test.go
+++ b/pkg/dispatch/speeds_test.go
@@ -95,6 +95,9 @@
 	if _, err := state.Apply(records[0]); err != nil {
 		t.Fatal(err)
 	}
+	if _, err := state.Apply(backend.KeyedRecord{Key: records[0].Key, Value: []byte("{")}); err == nil || state.Speeds == nil {
+		t.Errorf("a malformed record: error %v, speeds %v; want an error, and the earlier record", err, state.Speeds)
+	}
 	next := newManualSite(t, 16)
 	next.Settings.Features.Speeds = true
 	clear(next.Engine.workers)
