--- a/pkg/ledger/replica.go
+++ b/pkg/ledger/replica.go
@@ -188,7 +188,7 @@
 func (r *Replica) State() *State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := &State{Jobs: map[string]*JobEntry{}, Term: r.state.Term, Learned: maps.Clone(r.state.Learned)}
+	s := &State{Jobs: map[string]*JobEntry{}, Term: r.state.Term, Speeds: r.state.Speeds, Learned: maps.Clone(r.state.Learned)}
 	for id, e := range r.state.Jobs {
 		c := *e
 		s.Jobs[id] = &c
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/shallotpin/shallotpin/pkg/workload"
@@ -30,6 +31,8 @@
 	Penalty int
 	// Speed is the worker's relative speed; 1 is usual.
 	Speed float64
+	// Class is the worker's speed class, 0 for the slowest. All have class 0 where speeds are alike.
+	Class int
 	// Running are the worker's tasks that are not being stopped already.
 	Running []RunningTask
 	// startsFor is the last unit of which the plan starts a task here.
@@ -104,6 +107,8 @@
 	AllowedWorkers map[string]bool
 	// Avoid are the IDs of workers on which the unit's tasks failed; they are used last.
 	Avoid map[string]bool
+	// NeedsFast units cannot complete in time on slow workers and can on fast ones.
+	NeedsFast bool
 	// SearchDue units are searched for a preemption although others have used up the searches.
 	SearchDue bool
 	// StartsApart units start on workers where the plan starts nothing else.
@@ -328,6 +333,7 @@
 		cmp.Compare(a.Penalty, b.Penalty),
 		cmp.Compare(harmStep(u, a), harmStep(u, b)),
 		compareBool(wouldMix(u, a), wouldMix(u, b)),
+		compareClass(u, a, b),
 		compareSpeed(u, a, b),
 		cmp.Compare(a.Free.Accelerators, b.Free.Accelerators),
 		cmp.Compare(b.Speed, a.Speed),
@@ -414,6 +420,17 @@
 	p.plan.Start = append(p.plan.Start, Assignment{Task: workload.TaskID{UnitID: u.ID, Index: index}, Worker: w.ID, Harm: harm})
 }
 
+// prefersFast reports whether fast workers are used first for the unit. Others leave them to it.
+func (u *Unit) prefersFast() bool { return u.Priority == 0 || u.NeedsFast }
+
+// compareClass prefers fast or slow workers.
+func compareClass(u *Unit, a, b *Worker) int {
+	if u.prefersFast() {
+		return cmp.Compare(b.Class, a.Class)
+	}
+	return cmp.Compare(a.Class, b.Class)
+}
+
 // placeGang places all waiting tasks of a gang or none.
 func (p *planner) placeGang(u *Unit) {
 	if u.Quota.fitting(u.Step.Need) < len(u.Waiting) {
@@ -423,10 +440,15 @@
 	pools := p.gangPools(u)
 	var chosen []*Worker
 	bestScore := 0.0
-	for _, pool := range pools {
-		picks, score := p.pickWorkers(u, pool)
-		if picks != nil && (chosen == nil || score < bestScore) {
-			chosen, bestScore = picks, score
+	for _, candidates := range [][][]*Worker{partsByClass(pools), pools} {
+		for _, pool := range candidates {
+			picks, score := p.pickWorkers(u, pool)
+			if picks != nil && (chosen == nil || score < bestScore) {
+				chosen, bestScore = picks, score
+			}
+		}
+		if chosen != nil {
+			break
 		}
 	}
 	if chosen == nil && u.AnyRack {
@@ -444,6 +466,51 @@
 	}
 }
 
+// partsByClass returns the parts of pools that have one speed class, or nil if all pools have. A gang
+// works at the speed of its slowest member, so that one of several classes holds fast workers for
+// nothing.
+func partsByClass(pools [][]*Worker) [][]*Worker {
+	if !slices.ContainsFunc(pools, severalClasses) {
+		return nil
+	}
+	var all [][]*Worker
+	for _, pool := range pools {
+		if !severalClasses(pool) {
+			all = append(all, pool)
+			continue
+		}
+		parts := map[int][]*Worker{}
+		for _, w := range pool {
+			parts[w.Class] = append(parts[w.Class], w)
+		}
+		for _, class := range slices.Sorted(maps.Keys(parts)) {
+			all = append(all, parts[class])
+		}
+	}
+	return all
+}
+
+// fastClassScore is added to the score of a gang for each speed class above the slowest that a less
+// urgent unit takes: some leftover accelerators on four workers.
+const fastClassScore = 30
+
+// classScore ranks gangs by the speed class of their fastest worker.
+func classScore(u *Unit, picks []*Worker) float64 {
+	if u.prefersFast() {
+		return 0
+	}
+	highest := 0
+	for _, w := range picks {
+		highest = max(highest, w.Class)
+	}
+	return fastClassScore * float64(highest)
+}
+
+// severalClasses reports whether the workers are of more than one speed class.
+func severalClasses(workers []*Worker) bool {
+	return slices.ContainsFunc(workers, func(w *Worker) bool { return w.Class != workers[0].Class })
+}
+
 // gangPools returns the sets of workers among which a gang may be placed.
 func (p *planner) gangPools(u *Unit) [][]*Worker {
 	if u.RequiredRack != "" {
@@ -506,12 +573,25 @@
 func (p *planner) pickWorkers(u *Unit, pool []*Worker) (picks []*Worker, score float64) {
 	taken := map[string]int{}
 	var order []*Worker
+	room := 0
 	for _, w := range pool {
-		if mayStartNow(u, w) && slots(u, w, w.Free) > 0 {
-			order = append(order, w)
+		if !mayStartNow(u, w) {
+			continue
 		}
+		if n := slots(u, w, w.Free); n > 0 {
+			order, room = append(order, w), room+n
+		}
+	}
+	if room < len(u.Waiting) {
+		return nil, 0
 	}
 	slices.SortFunc(order, func(a, b *Worker) int { return compareFit(u, a, b) })
+	if severalClasses(order) {
+		// The slowest member sets the speed, so that as few fast workers as possible are used.
+		slices.SortStableFunc(order, func(a, b *Worker) int {
+			return cmp.Or(compareBool(u.Avoid[a.ID], u.Avoid[b.ID]), cmp.Compare(a.Penalty, b.Penalty), cmp.Compare(a.Class, b.Class))
+		})
+	}
 	slowest := 0.0
 	for _, w := range order {
 		if !p.leavesHeadroom(u, w, taken[w.Rack]) {
@@ -535,7 +615,7 @@
 			}
 		}
 		if len(picks) == len(u.Waiting) {
-			return picks, score + speedWeight(u)*slowest
+			return picks, score + speedWeight(u)*slowest + classScore(u, picks)
 		}
 	}
 	return nil, 0
