where: a command says where a job's tasks would go now, and why

Cause: operators could not ask for a decision without sending the job.

The leader answers from its state on its own goroutine, at most once a second and not while it is busy, and starts, stops, calls and records nothing. Any node passes the question on; 'shallotpin where' prints the answer or its JSON.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -206,6 +206,7 @@
 	ready := &http.Server{Handler: readinessHandler(&draining, node), ReadHeaderTimeout: headerTimeout}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("/where", func(w http.ResponseWriter, r *http.Request) { answerWhere(w, r, node) })
 	mux.HandleFunc("/interference", func(w http.ResponseWriter, _ *http.Request) { writeInterference(w, node) })
 	metricsServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 3)
--- a/cmd/shallotpin/main.go
+++ b/cmd/shallotpin/main.go
@@ -100,6 +100,9 @@
 	add(root, "status", "show accounts, zones, workers, queue and log freshness", "", &statusCommand{g: g})
 	add(root, "explain", "print what the nodes' logs say of a job",
 		"Reads the logs of any number of nodes and prints the decisions that touched the job, in order. Example:\n\n  shallotpin explain 5c0e7a21d94b36f8 node-*.log", &explainCommand{g: g})
+	add(root, "where", "show where a job's tasks would go now, and why, without sending it",
+		"Asks the leader through any node of shallotpin-entry. Nothing is changed; a busy leader refuses. Examples:\n\n"+
+			"  shallotpin where 5c0e7a21d94b36f8\n  shallotpin where job.json --queue lot-appraisal --account coopers -o json", &whereCommand{g: g})
 	add(root, "interference", "show which tasks slow each other down on one worker",
 		"Asks a node of shallotpin-entry for what the leader has recorded. Example:\n\n  shallotpin interference --node http://10.1.0.19:7001", &interferenceCommand{g: g})
 	add(root, "bench", "run a scenario and print its figures",
--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -57,7 +57,7 @@
 // requestAdvice asks the adviser which workers may run the unit: first those beside its
 // data, then those with the most free accelerators. Only one call is in flight at a time.
 func (e *Engine) requestAdvice(u *unit, now time.Duration) {
-	if e.adviceInFlight || e.Adviser == nil {
+	if e.adviceInFlight || e.Adviser == nil || e.explaining {
 		return
 	}
 	var candidates []*worker
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -312,7 +312,9 @@
 	if worst < 0 || len(clear) > 0 && now < u.nextSuspectAt || !u.suspectSurvived && u.hasSuspectStarted() {
 		return clear, false
 	}
-	u.nextSuspectAt = now + suspectInterval
+	if !e.explaining {
+		u.nextSuspectAt = now + suspectInterval
+	}
 	return []int{worst}, true
 }
 
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -117,6 +117,10 @@
 	// rackBeyondHeadroom is how many accelerators of a rack the headroom leaves, on
 	// average.
 	rackBeyondHeadroom int
+	// explaining means that Where uses the decisions of a plan, so that nothing may be called or
+	// recorded. explainedAt is when it last did.
+	explaining  bool
+	explainedAt time.Duration
 	// interference is what is known of tasks that slow each other down.
 	interference *interferenceWatch
 	termErr      error
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -75,40 +75,56 @@
 		return
 	}
 	e.startReserved(now)
+	loads, byID, quotas := e.serviceLoads(now)
+	for _, l := range loads {
+		verdicts := e.judgeStops(l.waiting, now)
+		e.markSearchDue(l.waiting)
+		plan := placement.Decide(l.pool, l.waiting, e.headroom(l.pool, now))
+		e.logInterference(plan, l.waiting)
+		e.noteSearches(l.waiting, plan, now)
+		e.trackAmpleCapacity(l.pool, l.waiting, plan, now)
+		e.adviseUnplaced(plan.Unplaced)
+		e.logOverQuota(plan.OverQuota, quotas)
+		e.noteVerdicts(verdicts, plan, now)
+		e.apply(plan, byID, now)
+	}
+}
+
+// serviceLoad is what a plan decides on for one service.
+type serviceLoad struct {
+	service string
+	pool    []*placement.Worker
+	waiting []*placement.Unit
+}
+
+// serviceLoads returns the waiting units and the workers of each service with waiting units, the
+// workers by their keys, and the quotas of accounts.
+func (e *Engine) serviceLoads(now time.Duration) (loads []serviceLoad, byID map[string]*worker, quotas map[string]*placement.Quota) {
 	e.markGuaranteed()
 	units := e.waitingUnits(now)
 	if len(units) == 0 {
-		return
+		return nil, nil, nil
 	}
-	quotas := e.quotas()
+	quotas = e.quotas()
 	for _, u := range units {
 		u.Quota = quotas[e.jobs[u.ID.Job].spec.Account]
 	}
 	workers, byID := e.snapshotWorkers(now, quotas)
 	for _, service := range e.servicesOf(units) {
-		var pool []*placement.Worker
+		l := serviceLoad{service: service}
 		for _, w := range workers {
 			if byID[w.ID].info.Service == service {
-				pool = append(pool, w)
+				l.pool = append(l.pool, w)
 			}
 		}
-		var waiting []*placement.Unit
 		for _, u := range units {
 			if e.jobs[u.ID.Job].policy.Service == service {
-				waiting = append(waiting, u)
+				l.waiting = append(l.waiting, u)
 			}
 		}
-		verdicts := e.judgeStops(waiting, now)
-		e.markSearchDue(waiting)
-		plan := placement.Decide(pool, waiting, e.headroom(pool, now))
-		e.logInterference(plan, waiting)
-		e.noteSearches(waiting, plan, now)
-		e.trackAmpleCapacity(pool, waiting, plan, now)
-		e.adviseUnplaced(plan.Unplaced)
-		e.logOverQuota(plan.OverQuota, quotas)
-		e.noteVerdicts(verdicts, plan, now)
-		e.apply(plan, byID, now)
+		loads = append(loads, l)
 	}
+	return loads, byID, quotas
 }
 
 // markSearchDue gives a search for a preemption to the units that earlier plans have passed over for
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -102,12 +102,13 @@
 	pauses         *pause.Detector
 	// writer writes for intake; the leader has a writer of its own for each term.
 	writer  *ledger.Appender
+	peers   Peers
 	running sync.WaitGroup
 }
 
 // New assembles a node and registers its RPC methods. The node does nothing before Start.
 func New(s Settings, p Platform) (*Node, error) {
-	n := &Node{settings: s, pauses: pause.NewDetector(s.Now)}
+	n := &Node{settings: s, peers: p.Peers, pauses: pause.NewDetector(s.Now)}
 	n.leader = leader.New(leader.Settings{Name: s.Name, Incarnation: s.Incarnation, Address: s.Address, Call: p.Peers.Call, Dispatch: s.Dispatch, MaxBatchBytes: s.MaxBatchBytes, LinkRate: s.LinkRate, LogLatency: n.logLatency, CheckLatency: n.checkLatency, Now: s.Now, UnixMS: s.UnixMS}, p.Ledger, p.Orders, p.Adviser)
 	replica := ledger.NewReplica(n.leader.Listener())
 	n.replica = replica
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/catalog"
 	"github.com/shallotpin/shallotpin/pkg/dispatch"
@@ -203,6 +204,18 @@
 	return s.engine, s.termCtx
 }
 
+// Where asks the engine where a job's tasks would go now; see dispatch.Engine.Where.
+func (s *Service) Where(ctx context.Context, q dispatch.WhereQuestion) (*dispatch.WhereAnswer, error) {
+	engine, termCtx := s.current()
+	if engine == nil {
+		return nil, api.Errorf(api.CodeUnavailable, "this node does not lead")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(termCtx, cancel)()
+	return engine.Where(ctx, q)
+}
+
 // Resign makes the node give up leadership and never claim it again. It does not wait.
 func (s *Service) Resign() {
 	s.mu.Lock()
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -175,6 +175,15 @@
 // accelerators of idle workers that is kept free in each rack for urgent units. Decide
 // sorts units and changes their PerWorker and the workers' Free and Releasing.
 func Decide(workers []*Worker, units []*Unit, headroom int) Plan {
+	p := newPlanner(workers, headroom)
+	slices.SortStableFunc(units, CompareUnits)
+	for _, u := range units {
+		p.place(u)
+	}
+	return p.plan
+}
+
+func newPlanner(workers []*Worker, headroom int) *planner {
 	p := &planner{workers: workers, byRack: map[string][]*Worker{}, states: map[workload.TaskID]*candidateState{}, headroom: headroom, idleAccelerators: map[string]int{}, candidates: map[candidatesKey][]candidate{}}
 	for _, w := range workers {
 		if _, known := p.byRack[w.Rack]; !known {
@@ -186,15 +195,16 @@
 		}
 	}
 	slices.Sort(p.racks)
-	slices.SortStableFunc(units, CompareUnits)
-	for _, u := range units {
-		if u.Step.Gang {
-			p.placeGang(u)
-		} else {
-			p.placeTasks(u)
-		}
+	return p
+}
+
+// place adds a unit to the plan, after all that come before it.
+func (p *planner) place(u *Unit) {
+	if u.Step.Gang {
+		p.placeGang(u)
+	} else {
+		p.placeTasks(u)
 	}
-	return p.plan
 }
 
 // CompareUnits orders units as they are placed; it returns a negative number if a comes
