--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -224,6 +224,7 @@
 	ready := &http.Server{Handler: readinessHandler(&draining, node), ReadHeaderTimeout: headerTimeout, IdleTimeout: probeIdleTimeout, MaxHeaderBytes: probeHeaderBytes}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("/where", func(w http.ResponseWriter, r *http.Request) { answerWhere(w, r, node) })
 	mux.HandleFunc("/interference", func(w http.ResponseWriter, _ *http.Request) { writeInterference(w, node) })
 	metricsServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: probeIdleTimeout, MaxHeaderBytes: probeHeaderBytes}
 	failed := make(chan error, 3)
