--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -169,6 +169,8 @@
 	return features.Set{
 		// They say what a stop costs.
 		Stops: s.Bounds.SaveS > 0 && s.Bounds.RestoreMS > 0,
+		// No setting tells speeds; the part changes nothing until workers show that they differ.
+		Speeds: true,
 	}
 }
 
--- a/pkg/entry/where_test.go
+++ b/pkg/entry/where_test.go
@@ -27,7 +27,9 @@
 	runSite(t, 3, 8, func(s *site) {
 		for _, step := range []workload.Step{{Count: 3, Need: task(2), EstimateMS: 1000}, {Count: 4, Need: task(8), EstimateMS: 1000, Gang: true, SameRack: true}} {
 			started := []string{}
-			s.fleet.Update(func() { s.fleet.OnStart = func(w *simsite.Worker, _ workload.TaskID) { started = append(started, w.Info.ID) } })
+			s.fleet.Update(func() {
+				s.fleet.OnStart = func(w *simsite.Worker, _ workload.TaskID) { started = append(started, w.Info.ID) }
+			})
 			var named []string
 			for i, n := range s.nodes {
 				job := &workload.Job{ID: "00000000000000ff", Queue: normalQueue, Steps: []workload.Step{step}}
--- a/pkg/placement/explain_test.go
+++ b/pkg/placement/explain_test.go
@@ -24,9 +24,8 @@
 		workers, units := site()
 		explained := Explain(workers, units, 0, job)
 		var start, reserve []Assignment
-		var stop []workload.TaskID
 		for _, x := range explained {
-			start, reserve, stop = append(start, x.Start...), append(reserve, x.Reserve...), append(stop, x.Stop...)
+			start, reserve = append(start, x.Start...), append(reserve, x.Reserve...)
 		}
 		var wantStart, wantReserve []Assignment
 		for _, a := range plan.Start {
