feed: followers of an overloaded log back off, wait for accepted reads, and list what supersedes

Followers gave an accepted read up after 0.7 to 1.5 s, before its turn, and asked again after 0.1 s; what they gave up still took the log's time, so no read was ever answered again. Requests added reads of the same pages, which their own time limits cut off.

Change: pkg/outage decides. After a refusal accepted reads are awaited for 2.5 s, delays double up to 0.5 s, are spread and follow the share of ReadsPerS (read from the settings); a follower of the operators' topic that is behind by more than a listing lists it; reads for callers are shared, outlive the callers that gave up, and are not made beside a page that is under way.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -180,7 +180,7 @@
 	if s.Advice != "" {
 		adviser = &platform.Adviser{Base: "http://" + s.Advice, Client: orders}
 	}
-	node, err := entry.New(entry.Settings{Name: s.NodeName, Incarnation: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s, opts.Features), MaxBatchBytes: maxBatchBytes(s), LinkRate: int(s.Limits.LinkMbps * 1e6 / 8), Cores: s.Limits.CPUShare * max(1, s.Limits.Cores), MemoryMB: s.Limits.MemoryMB, Now: steady.Now, UnixMS: unixMS},
+	node, err := entry.New(entry.Settings{Name: s.NodeName, Incarnation: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s, opts.Features), MaxBatchBytes: maxBatchBytes(s), LinkRate: int(s.Limits.LinkMbps * 1e6 / 8), LogReadsPerSecond: s.Store.ReadsPerS, Cores: s.Limits.CPUShare * max(1, s.Limits.Cores), MemoryMB: s.Limits.MemoryMB, Now: steady.Now, UnixMS: unixMS},
 		entry.Platform{Ledger: topic(platform.LedgerTopic), OperatorConfig: topic(platform.OperatorTopic), Workers: topic(platform.WorkerTopic),
 			Orders: &platform.Orders{Client: orders}, Adviser: adviser, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker, Peers: peers})
 	if err != nil {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/shallotpin/shallotpin/pkg/intake"
 	"github.com/shallotpin/shallotpin/pkg/leader"
 	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/outage"
 	"github.com/shallotpin/shallotpin/pkg/pause"
 )
 
@@ -81,6 +82,8 @@
 	// MaxBatchBytes bounds the records of one call to the log. LinkRate is the rate of the
 	// node's link in bytes per second, 0 if unknown.
 	MaxBatchBytes, LinkRate int
+	// LogReadsPerSecond is how many reads the log takes of all nodes together, 0 if unknown.
+	LogReadsPerSecond float64
 	// Cores and MemoryMB are the node's capacity.
 	Cores    float64
 	MemoryMB int
@@ -112,7 +115,7 @@
 	replica := ledger.NewReplica(n.leader.Listener())
 	n.replica = replica
 	settings := func(name string, readDelay func() time.Duration) feed.Settings {
-		return feed.Settings{Name: name, Wait: readWait, CallTimeout: readTimeout, MaxCallTimeout: maxReadTimeout, ListTimeout: listTimeout, StallTimeout: stallTimeout, RetryDelay: readRetryDelay, ReadDelay: readDelay, Now: s.Now}
+		return feed.Settings{Name: name, Wait: readWait, CallTimeout: readTimeout, MaxCallTimeout: maxReadTimeout, ListTimeout: listTimeout, StallTimeout: stallTimeout, RetryDelay: readRetryDelay, RetryFloor: n.retryFloor, ReadDelay: readDelay, Now: s.Now}
 	}
 	n.ledgerFollower = feed.New(p.Ledger, settings("ledger", func() time.Duration {
 		if n.leader.Leading() {
@@ -121,7 +124,9 @@
 		return followerReadDelay
 	}), replica)
 	n.OperatorConfig = catalog.NewOperatorConfig(p.DecodeOperator, n.leader.ViewChanged)
-	n.configFollower = feed.New(p.OperatorConfig, settings("operators", func() time.Duration { return 0 }), n.OperatorConfig)
+	operatorSettings := settings("operators", func() time.Duration { return 0 })
+	operatorSettings.Superseding = true
+	n.configFollower = feed.New(p.OperatorConfig, operatorSettings, n.OperatorConfig)
 	workers := catalog.NewWorkers(p.DecodeWorker, s.Now, n.leader.ViewChanged)
 	n.leader.Bind(replica, n.ledgerFollower, n.OperatorConfig, workers, func() *feed.Follower {
 		return feed.New(p.Workers, settings("workers", func() time.Duration { return workerReadDelay }), workers)
@@ -172,6 +177,12 @@
 	}
 }
 
+// retryFloor is the shortest typical delay between reads that the log refuses.
+func (n *Node) retryFloor() time.Duration {
+	candidates, others := n.replica.NodeNames()
+	return outage.RetryFloor(len(candidates)+len(others), n.settings.LogReadsPerSecond)
+}
+
 // logLatency estimates the log's latency from reads of the operators' topic, which changes
 // rarely.
 func (n *Node) logLatency() time.Duration { return n.configFollower.Latency() }
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -14,7 +16,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotpin/shallotpin/pkg/api"
 	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/outage"
 )
 
 // Settings configure a Follower.
@@ -33,8 +37,13 @@
 	// StallTimeout is how long no more of a page may arrive. The whole page may take
 	// longer: the largest one takes seconds over a slow link.
 	StallTimeout time.Duration
-	// RetryDelay is the delay after a failed call.
+	// RetryDelay is the delay after a failed call; it grows while the log refuses reads.
 	RetryDelay time.Duration
+	// RetryFloor returns the shortest typical delay after a refused call; nil means none.
+	RetryFloor func() time.Duration
+	// Superseding means that the newest record of each key is all that the sink needs, and that
+	// records may be large: a follower that has fallen behind lists the topic if that is shorter.
+	Superseding bool
 	// ReadDelay returns the delay between two reads, which batches records.
 	ReadDelay func() time.Duration
 	// Now is a monotonic clock that also advances while the process is suspended.
@@ -59,9 +68,6 @@
 	settings Settings
 	sink     Sink
 	wake     chan struct{}
-	// awaiting holds a value while a call of AwaitConfirmed reads.
-	awaiting chan struct{}
-
 	// sinkMu is held while the sink is called.
 	sinkMu sync.Mutex
 	// mu guards the fields below it, and is not held while the sink is called.
@@ -74,27 +80,40 @@
 	lastReadFailed bool
 	// latency estimates the latency of the log from the reads of Run.
 	latency latencyEstimator
+	// reads and backlog decide how the follower goes on after failed reads.
+	reads   outage.Reads
+	backlog outage.Backlog
+	// behind means that the last page did not reach the end of the topic.
+	behind bool
+	// listing means that Run lists the topic.
+	listing bool
+	// shared is the newest read made for callers of Refresh and AwaitConfirmed, nil if there is
+	// none in flight, and sharing the number of those in flight.
+	shared  *sharedRead
+	sharing int
 
-	failures *metrics.Counter
+	failures, refusals, listings *metrics.Counter
 }
 
 // New returns a Follower. It reads nothing before Run is called.
 func New(log backend.KeyedLog, s Settings, sink Sink) *Follower {
-	return &Follower{log: log, settings: s, sink: sink, wake: make(chan struct{}, 1), awaiting: make(chan struct{}, 1),
-		failures: metrics.GetOrCreateCounter(`shallotpin_feed_failures_total{topic="` + s.Name + `"}`)}
+	return &Follower{log: log, settings: s, sink: sink, wake: make(chan struct{}, 1),
+		failures: metrics.GetOrCreateCounter(`shallotpin_feed_failures_total{topic="` + s.Name + `"}`),
+		refusals: metrics.GetOrCreateCounter(`shallotpin_feed_refusals_total{topic="` + s.Name + `"}`),
+		listings: metrics.GetOrCreateCounter(`shallotpin_feed_listings_total{topic="` + s.Name + `"}`)}
 }
 
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		delay := f.settings.RetryDelay
 		err := f.step(ctx)
-		if err == nil {
-			delay = f.settings.ReadDelay()
-		}
 		if ctx.Err() == nil {
 			f.recordOutcome(err)
 		}
+		delay := f.settings.ReadDelay()
+		if err != nil {
+			delay = f.retryDelay()
+		}
 		if delay <= 0 {
 			continue
 		}
@@ -109,6 +128,31 @@
 	}
 }
 
+// retryDelay returns the delay after a failed read.
+func (f *Follower) retryDelay() time.Duration {
+	floor := time.Duration(0)
+	if f.settings.RetryFloor != nil {
+		floor = f.settings.RetryFloor()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads.Delay(f.settings.RetryDelay, floor, rand.Float64())
+}
+
+// outcome returns the outcome of a read that ended with err.
+func outcome(err error) outage.Outcome {
+	var logErr *backend.LogError
+	var opErr *net.OpError
+	switch {
+	case err == nil:
+		return outage.Answered
+	case errors.As(err, &logErr) && logErr.Kind == backend.LogUnavailable && logErr.Verdict == api.NotRun && !errors.As(err, &opErr):
+		return outage.Refused
+	default:
+		return outage.Failed
+	}
+}
+
 // ReadNow cuts the delay before the next read short.
 func (f *Follower) ReadNow() {
 	select {
@@ -139,70 +183,6 @@
 	return f.nextOffset
 }
 
-// Refresh reads without waiting, in addition to Run, until the sink has every record that
-// the topic held when Refresh was called. Before the first listing it fails with a
-// *backend.LogError.
-func (f *Follower) Refresh(ctx context.Context) error { return f.readUntil(ctx, f.settings.Now()) }
-
-// AwaitConfirmed reads without waiting, in addition to Run, until the sink has every record
-// that the topic held at the given time. Concurrent calls share their reads. Failed reads
-// are repeated until ctx ends.
-func (f *Follower) AwaitConfirmed(ctx context.Context, at time.Duration) error {
-	select {
-	case f.awaiting <- struct{}{}:
-		defer func() { <-f.awaiting }()
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	for {
-		err := errArriving
-		if !f.pageArriving() {
-			err = f.readUntil(ctx, at)
-		}
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-time.After(f.settings.RetryDelay):
-		case <-ctx.Done():
-			return err
-		}
-	}
-}
-
-var errArriving = errors.New("a page is arriving")
-
-// pageArriving reports whether a page of Run's read is arriving. A second read of the same
-// records would only delay it.
-func (f *Follower) pageArriving() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.latency.tail != nil && f.latency.tail.begunAt != 0
-}
-
-// readUntil reads until the sink is confirmed as of the given time.
-func (f *Follower) readUntil(ctx context.Context, at time.Duration) error {
-	for {
-		f.mu.Lock()
-		ready, from, confirmedAt := f.ready, f.nextOffset, f.confirmedAt
-		f.mu.Unlock()
-		if !ready {
-			return &backend.LogError{Kind: backend.LogUnavailable}
-		}
-		if confirmedAt >= at {
-			return nil
-		}
-		records, err := f.read(ctx, from, 0, nil)
-		if err != nil {
-			return err
-		}
-		if f.NextOffset() == from && records > 0 {
-			// The page does not continue at the requested offset.
-			return &backend.LogError{Kind: backend.LogUnavailable, Cause: errors.New("read makes no progress")}
-		}
-	}
-}
-
 const (
 	// slowWaitFactor is by how many latencies a read's wait is shortened: the sink is
 	// confirmed again two latencies and a wait after the last time.
@@ -222,12 +202,13 @@
 		// A read without a wait shows soonest that the topic is reachable again.
 		wait = 0
 	}
+	list := !ready || f.settings.Superseding && f.lastReadFailed && f.backlog.ListingIsShorter(f.backlog.Expected(f.confirmedAt, now))
 	read := &timedRead{sentAt: now, wait: wait}
-	if ready {
+	if !list {
 		f.latency.tail = read
 	}
 	f.mu.Unlock()
-	if !ready {
+	if list {
 		return f.list(ctx)
 	}
 	records, err := f.read(ctx, from, wait, read)
@@ -254,7 +235,8 @@
 func (f *Follower) callTimeout() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(f.settings.CallTimeout, min(callTimeoutFactor*f.latency.estimate, f.settings.MaxCallTimeout))
+	timeout := max(f.settings.CallTimeout, min(callTimeoutFactor*f.latency.estimate, f.settings.MaxCallTimeout))
+	return f.reads.AnswerTimeout(f.settings.Now(), timeout)
 }
 
 // read reads one page from an offset, applies the records that are new, and returns how
@@ -285,6 +267,7 @@
 	if len(fresh) > 0 && fresh[0].Offset == next {
 		f.sink.Apply(fresh)
 		next = fresh[len(fresh)-1].Offset + 1
+		f.recordGrowth(fresh)
 	}
 	if len(page.Records) == 0 && f.settings.Now()-sent >= wait {
 		// The log held no new record when the wait ended.
@@ -299,7 +282,7 @@
 // held.
 func (f *Follower) advance(next int64, complete bool, sent time.Duration) {
 	f.mu.Lock()
-	f.nextOffset = next
+	f.nextOffset, f.behind = next, !complete
 	if complete {
 		f.ready = true
 		f.confirmedAt = max(f.confirmedAt, sent)
@@ -314,6 +297,8 @@
 // list replaces the sink's records by the newest record of each key. The pages of a
 // listing are not a snapshot, so reading goes on at the end offset of the first page.
 func (f *Follower) list(ctx context.Context) error {
+	f.setListing(true)
+	defer f.setListing(false)
 	var records []backend.KeyedRecord
 	sent, end, after := f.settings.Now(), int64(-1), ""
 	for {
@@ -336,17 +321,56 @@
 	f.sinkMu.Lock()
 	defer f.sinkMu.Unlock()
 	f.sink.Replace(records)
+	f.recordListing(records)
 	f.advance(end, true, sent)
 	return nil
 }
 
+func (f *Follower) setListing(listing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listing = listing
+}
+
+// recordGrowth records the sizes of records that have been read.
+func (f *Follower) recordGrowth(records []backend.KeyedRecord) {
+	if !f.settings.Superseding {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.settings.Now()
+	for _, r := range records {
+		f.backlog.Add(now, r.Key, len(r.Key)+len(r.Value))
+	}
+}
+
+// recordListing records the sizes of the newest record of each key.
+func (f *Follower) recordListing(records []backend.KeyedRecord) {
+	f.listings.Inc()
+	if !f.settings.Superseding {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.backlog.Reset()
+	for _, r := range records {
+		f.backlog.List(r.Key, len(r.Key)+len(r.Value))
+	}
+}
+
 // recordOutcome counts failed reads and logs the first failure and the first success
 // after failures.
 func (f *Follower) recordOutcome(err error) {
+	o := outcome(err)
 	if err != nil {
 		f.failures.Inc()
 	}
+	if o == outage.Refused {
+		f.refusals.Inc()
+	}
 	f.mu.Lock()
+	f.reads.Observe(f.settings.Now(), o)
 	unchanged := (err != nil) == f.lastReadFailed
 	f.lastReadFailed = err != nil
 	f.mu.Unlock()
--- a/pkg/feed/latency.go
+++ b/pkg/feed/latency.go
@@ -81,7 +81,7 @@
 func (f *Follower) CheckLatency(ctx context.Context) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.ready || f.latency.check != nil || f.latency.tail != nil && f.latency.tail.begunAt != 0 {
+	if !f.ready || f.reads.Refusing() || f.latency.check != nil || f.latency.tail != nil && f.latency.tail.begunAt != 0 {
 		// A page that is arriving has shown the latency already.
 		return
 	}
--- a/pkg/simsite/log.go
+++ b/pkg/simsite/log.go
@@ -35,6 +35,8 @@
 	appendTime = 2 * time.Millisecond
 	// maxAppendWait is how long an append may wait for others; further ones are refused.
 	maxAppendWait = 2 * time.Second
+	// maxPageWait is how long a page may wait for others; further ones are refused.
+	maxPageWait = 2 * time.Second
 )
 
 // Log is an in-memory keyed log. It is safe for concurrent use.
@@ -52,12 +54,18 @@
 	slowdown int
 	// busyUntil is when the appends received so far will have been processed.
 	busyUntil time.Time
+	// readRate is the rate of all pages together in bytes per second, 0 for no limit, and
+	// readsBusyUntil when the pages asked for so far will have been read.
+	readRate       int
+	readsBusyUntil time.Time
 	// claims counts the received appends that begin an epoch of a producer, by the
 	// producer's name.
 	claims map[string]int
 	// maxRecordBytes and maxCallBytes limit a record and the records of one append; 0 means no
 	// limit.
 	maxRecordBytes, maxCallBytes int
+	// RefusedReads is the number of reads and listings refused because too many waited.
+	RefusedReads int
 	// Appends is the number of executed appends, without repeats of a producer's sequence number.
 	Appends int
 }
@@ -74,6 +82,45 @@
 	l.slowdown = factor
 }
 
+// SetReadRate sets the rate in bytes per second that the pages of all clients share. Pages are
+// read one after the other, also those that their client does not wait for any more.
+func (l *Log) SetReadRate(bytesPerSecond int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readRate = bytesPerSecond
+}
+
+// waitForPage waits until a page of the given records has been read.
+func (l *Log) waitForPage(ctx context.Context, records []backend.KeyedRecord) error {
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	l.mu.Lock()
+	if l.readRate == 0 {
+		l.mu.Unlock()
+		return nil
+	}
+	now := time.Now()
+	if l.readsBusyUntil.Sub(now) > maxPageWait {
+		l.RefusedReads++
+		l.mu.Unlock()
+		return &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.NotRun, Cause: errors.New("too many reads wait")}
+	}
+	if l.readsBusyUntil.Before(now) {
+		l.readsBusyUntil = now
+	}
+	l.readsBusyUntil = l.readsBusyUntil.Add(time.Duration(size) * time.Second / time.Duration(l.readRate))
+	end := l.readsBusyUntil
+	l.mu.Unlock()
+	select {
+	case <-time.After(time.Until(end)):
+		return nil
+	case <-ctx.Done():
+		return &backend.LogError{Kind: backend.LogUnavailable, Verdict: api.MayHaveRun, Cause: ctx.Err()}
+	}
+}
+
 // SetPageSize limits the records of each page that Read returns.
 func (l *Log) SetPageSize(records int) {
 	l.mu.Lock()
@@ -361,6 +408,9 @@
 		changed := l.changed
 		l.mu.Unlock()
 		if len(page.Records) > 0 || wait == 0 {
+			if err := l.waitForPage(ctx, page.Records); err != nil {
+				return backend.KeyedPage{}, err
+			}
 			return page, c.transfer(ctx, &c.receiving, page.Records, progress)
 		}
 		select {
@@ -387,5 +437,8 @@
 		}
 	}
 	l.mu.Unlock()
+	if err := l.waitForPage(ctx, page.Records); err != nil {
+		return backend.KeyedPage{}, err
+	}
 	return page, c.transfer(ctx, &c.receiving, page.Records, progress)
 }
