feed: listings of many nodes that start at once are awaited at an overloaded log

After a refusal, and on half of the nodes after an unanswered listing, the next one is awaited for 2.5 s.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -31,8 +31,8 @@
 	readTimeout    = 700 * time.Millisecond
 	maxReadTimeout = 1500 * time.Millisecond
 	// listTimeout bounds the time until the reply to a call for one page of a listing
-	// begins.
-	listTimeout = 5 * time.Second
+	// begins: more than a slow log takes.
+	listTimeout = time.Second
 	// stallTimeout is how long no more of a page may arrive before its connection counts as
 	// dead: several retransmissions of a lost packet.
 	stallTimeout = time.Second
@@ -115,7 +115,7 @@
 	replica := ledger.NewReplica(n.leader.Listener())
 	n.replica = replica
 	settings := func(name string, readDelay func() time.Duration) feed.Settings {
-		return feed.Settings{Name: name, Wait: readWait, CallTimeout: readTimeout, MaxCallTimeout: maxReadTimeout, ListTimeout: listTimeout, StallTimeout: stallTimeout, RetryDelay: readRetryDelay, RetryFloor: n.retryFloor, ReadDelay: readDelay, Now: s.Now}
+		return feed.Settings{Name: name, Wait: readWait, CallTimeout: readTimeout, MaxCallTimeout: maxReadTimeout, ListTimeout: listTimeout, Patient: outage.Patient(s.Name), StallTimeout: stallTimeout, RetryDelay: readRetryDelay, RetryFloor: n.retryFloor, ReadDelay: readDelay, Now: s.Now}
 	}
 	ledgerSettings := settings("ledger", func() time.Duration {
 		if n.leader.Leading() {
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -32,8 +32,11 @@
 	// begins, and MaxCallTimeout that of a read of a slow log.
 	CallTimeout, MaxCallTimeout time.Duration
 	// ListTimeout bounds the time until the reply to a call for one page of a listing
-	// begins.
+	// begins, unless the log refuses reads.
 	ListTimeout time.Duration
+	// Patient means that a listing after an unanswered one is awaited for longer; see
+	// outage.Patient.
+	Patient bool
 	// StallTimeout is how long no more of a page may arrive. The whole page may take
 	// longer: the largest one takes seconds over a slow link.
 	StallTimeout time.Duration
@@ -266,6 +269,13 @@
 	return f.reads.AnswerTimeout(f.settings.Now(), timeout)
 }
 
+// listTimeout bounds the time until the reply to a call for one page of a listing begins.
+func (f *Follower) listTimeout() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads.ListTimeout(f.settings.Now(), f.settings.ListTimeout, f.settings.Patient)
+}
+
 // read reads one page from an offset, applies the records that are new, and returns how
 // many records the page has. It records in timed, unless that is nil, when the reply begins.
 func (f *Follower) read(ctx context.Context, from int64, wait time.Duration, timed *timedRead) (int, error) {
@@ -329,7 +339,7 @@
 	var records []backend.KeyedRecord
 	sent, end, after := f.settings.Now(), int64(-1), ""
 	for {
-		callCtx, t := newTransfer(ctx, f.settings.ListTimeout, f.settings.StallTimeout, nil)
+		callCtx, t := newTransfer(ctx, f.listTimeout(), f.settings.StallTimeout, nil)
 		page, err := f.log.Newest(callCtx, after, t.progress)
 		t.close()
 		if err != nil {
--- a/pkg/feed/overload_test.go
+++ b/pkg/feed/overload_test.go
@@ -90,3 +90,43 @@
 		})
 	}
 }
+
+// All nodes of a large site start at once and list a topic of 600 KB. The log reads that for all
+// of them in 2.25 s, and refuses what would wait for more than 2 s. A listing is given up after
+// 1 s without an answer, since a silent log must be noticed.
+func TestColdStartOfManyFollowers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			followers = 300
+			size      = 600_000
+			readRate  = 80_000_000
+		)
+		ctx, cancel := context.WithCancel(t.Context())
+		log := simsite.NewLog()
+		log.SetReadRate(readRate)
+		log.Put(version(1, size))
+		var running sync.WaitGroup
+		sinks := make([]*versions, followers)
+		began := time.Now()
+		for i := range followers {
+			sinks[i] = &versions{}
+			s := testSettings()
+			s.ListTimeout, s.Patient = time.Second, i%2 == 0
+			running.Go(func() { New(log.Client(), s, sinks[i]).Run(ctx) })
+		}
+		time.Sleep(30 * time.Second)
+		cancel()
+		running.Wait()
+		// The listings take 2.25 s; up to 2 s of those that were given up come before them.
+		const limit = 5 * time.Second
+		late := 0
+		for _, sink := range sinks {
+			if sink.version != 1 || sink.appliedAt.Sub(began) > limit {
+				late++
+			}
+		}
+		if late > 0 {
+			t.Errorf("%d of %d followers have not listed the topic within %s", late, followers, limit)
+		}
+	})
+}
--- a/pkg/outage/reads.go
+++ b/pkg/outage/reads.go
@@ -3,7 +3,10 @@
 // no clock; see docs/design/outages.md. Its types are not safe for concurrent use.
 package outage
 
-import "time"
+import (
+	"hash/fnv"
+	"time"
+)
 
 const (
 	// maxRefusedDelay is the longest typical delay after a refused read, unless the nodes are too
@@ -46,10 +49,13 @@
 	// refusedAt is the time of the last refusal, if hasRefused.
 	refusedAt  time.Duration
 	hasRefused bool
+	// unanswered means that the last read was not answered in time.
+	unanswered bool
 }
 
 // Observe records the outcome of a read.
 func (r *Reads) Observe(now time.Duration, o Outcome) {
+	r.unanswered = o == Failed
 	switch o {
 	case Answered:
 		r.refusals = 0
@@ -91,6 +97,25 @@
 	return timeout
 }
 
+// ListTimeout returns the time until the reply to a call for a page of a listing must begin.
+// timeout is that for a log that answers. It answers the start of all nodes at once: a log with
+// less than 2 s of listings before it refuses none, so that one that was not answered in time may
+// only have waited for its turn, or the log may be silent. Half of the nodes, those that are
+// patient, then take it for the first, and the others for the second.
+func (r *Reads) ListTimeout(now, timeout time.Duration, patient bool) time.Duration {
+	if patient && r.unanswered {
+		return max(timeout, acceptedTimeout)
+	}
+	return r.AnswerTimeout(now, timeout)
+}
+
+// Patient reports whether a node is one of the patient half of all nodes, by its name.
+func Patient(node string) bool {
+	h := fnv.New32a()
+	h.Write([]byte(node))
+	return h.Sum32()%2 == 0
+}
+
 // RetryFloor returns the typical delay between retries with which that many nodes stay within
 // their share of the log's rate, in reads per second; 0 if the rate is not known.
 func RetryFloor(nodes int, readsPerSecond float64) time.Duration {
--- a/pkg/outage/reads_test.go
+++ b/pkg/outage/reads_test.go
@@ -1,6 +1,7 @@
 package outage
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -52,6 +53,28 @@
 	}
 }
 
+// After an unanswered listing, half of the nodes wait for their turn at an overloaded log, and the
+// others notice soon that a silent one is back.
+func TestHalfOfTheNodesArePatient(t *testing.T) {
+	var r Reads
+	if got := r.ListTimeout(0, ms(1000), true); got != ms(1000) {
+		t.Errorf("first listing: %s", got)
+	}
+	r.Observe(0, Failed)
+	if patient, other := r.ListTimeout(0, ms(1000), true), r.ListTimeout(0, ms(1000), false); patient <= 2*time.Second || other != ms(1000) {
+		t.Errorf("second listing: %s and %s", patient, other)
+	}
+	patient := 0
+	for i := range 300 {
+		if Patient(fmt.Sprintf("front-zone-%d", i)) {
+			patient++
+		}
+	}
+	if patient < 100 || patient > 200 {
+		t.Errorf("%d of 300 nodes are patient", patient)
+	}
+}
+
 func TestRetryFloor(t *testing.T) {
 	if got := RetryFloor(300, 0); got != 0 {
 		t.Errorf("without a known rate: %s", got)
