intake, ledger: holding callers around the return of the log is taken out again

The test of callers around a silent log stays, without the switch; docs/design/outages.md says what was tried.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -117,16 +117,12 @@
 	settings := func(name string, readDelay func() time.Duration) feed.Settings {
 		return feed.Settings{Name: name, Wait: readWait, CallTimeout: readTimeout, MaxCallTimeout: maxReadTimeout, ListTimeout: listTimeout, Patient: outage.Patient(s.Name), StallTimeout: stallTimeout, RetryDelay: readRetryDelay, RetryFloor: n.retryFloor, ReadDelay: readDelay, Now: s.Now}
 	}
-	ledgerSettings := settings("ledger", func() time.Duration {
+	n.ledgerFollower = feed.New(p.Ledger, settings("ledger", func() time.Duration {
 		if n.leader.Leading() {
 			return 0
 		}
 		return followerReadDelay
-	})
-	if s.Dispatch.Features.Outages {
-		ledgerSettings.OnRecovered = n.repeatWrites
-	}
-	n.ledgerFollower = feed.New(p.Ledger, ledgerSettings, replica)
+	}), replica)
 	n.OperatorConfig = catalog.NewOperatorConfig(p.DecodeOperator, n.leader.ViewChanged)
 	operatorSettings := settings("operators", func() time.Duration { return 0 })
 	operatorSettings.Superseding = true
@@ -137,7 +133,7 @@
 	})
 	n.writer = ledger.NewAppender(p.Ledger, ledger.AppenderSettings{Producer: s.Incarnation, Epoch: 1, NextSequence: 1, CallTimeout: writeTimeout, RetryDelay: writeRetryDelay,
 		BatchDelay: batchDelay, MaxBatchBytes: s.MaxBatchBytes, LinkRate: s.LinkRate, LogLatency: n.logLatency, CheckLatency: n.checkLatency, Now: s.Now})
-	n.Intake = intake.New(replica, n.ledgerFollower, n.writer, n.leader.Writer, n.leader.JobStored, n.checkLatency, &forwarder{peers: p.Peers, replica: replica, leader: n.leader, self: s.Name, logLatency: n.logLatency, now: s.Now, failedAt: map[string]time.Duration{}}, s.Dispatch.Features.Outages, s.Now, s.UnixMS)
+	n.Intake = intake.New(replica, n.ledgerFollower, n.writer, n.leader.Writer, n.leader.JobStored, n.checkLatency, &forwarder{peers: p.Peers, replica: replica, leader: n.leader, self: s.Name, logLatency: n.logLatency, now: s.Now, failedAt: map[string]time.Duration{}}, s.Now, s.UnixMS)
 	return n, p.Peers.Handle(receiverName, &receiver{n, n.leader})
 }
 
@@ -181,14 +177,6 @@
 	}
 }
 
-// repeatWrites sends again what the log has not answered, once it can be read again.
-func (n *Node) repeatWrites() {
-	n.writer.RepeatNow()
-	if w := n.leader.Writer(); w != nil {
-		w.RepeatNow()
-	}
-}
-
 // retryFloor is the shortest typical delay between reads that the log refuses.
 func (n *Node) retryFloor() time.Duration {
 	candidates, others := n.replica.NodeNames()
--- a/pkg/entry/return_test.go
+++ b/pkg/entry/return_test.go
@@ -21,7 +21,6 @@
 	for _, killLeader := range []bool{false, true} {
 		t.Run(fmt.Sprintf("leader killed %v", killLeader), func(t *testing.T) {
 			settings := testSettings()
-			settings.Features.Outages = true
 			runSiteWith(t, settings, 5, 8, func(s *site) {
 				const outage = 4 * time.Second
 				began := time.Now()
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -51,8 +51,6 @@
 	ReadDelay func() time.Duration
 	// Now is a monotonic clock that also advances while the process is suspended.
 	Now func() time.Duration
-	// OnRecovered is called when a read of Run succeeds after a failed one; it may be nil.
-	OnRecovered func()
 }
 
 // Sink receives the records of a topic in log order. Its methods are not called
@@ -83,10 +81,6 @@
 	ready          bool
 	confirmedAt    time.Duration
 	lastReadFailed bool
-	// recoveredAt is when a read of Run last succeeded after a failed one, and recovered is closed
-	// when one does.
-	recoveredAt time.Duration
-	recovered   chan struct{}
 	// latency estimates the latency of the log from the reads of Run.
 	latency latencyEstimator
 	// reads and backlog decide how the follower goes on after failed reads.
@@ -185,27 +179,6 @@
 	return f.lastReadFailed
 }
 
-// RecoveredAt returns when a read of Run last succeeded after a failed one, 0 if never.
-func (f *Follower) RecoveredAt() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.recoveredAt
-}
-
-// AwaitRecovered returns when Run's last read has not failed, or ctx has ended.
-func (f *Follower) AwaitRecovered(ctx context.Context) {
-	f.mu.Lock()
-	failed, recovered := f.lastReadFailed, f.recovered
-	f.mu.Unlock()
-	if !failed {
-		return
-	}
-	select {
-	case <-recovered:
-	case <-ctx.Done():
-	}
-}
-
 // NextOffset returns the offset after the last record applied.
 func (f *Follower) NextOffset() int64 {
 	f.mu.Lock()
@@ -410,14 +383,6 @@
 	f.reads.Observe(f.settings.Now(), o)
 	unchanged := (err != nil) == f.lastReadFailed
 	f.lastReadFailed = err != nil
-	switch {
-	case unchanged:
-	case err != nil:
-		f.recovered = make(chan struct{})
-	default:
-		f.recoveredAt = f.settings.Now()
-		close(f.recovered)
-	}
 	f.mu.Unlock()
 	if unchanged {
 		return
@@ -428,7 +393,4 @@
 		return
 	}
 	klog.InfoS("feed: following the topic", "topic", f.settings.Name, "offset", f.NextOffset())
-	if f.settings.OnRecovered != nil {
-		f.settings.OnRecovered()
-	}
 }
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -7,8 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,7 +16,6 @@
 	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/feed"
 	"github.com/shallotpin/shallotpin/pkg/ledger"
-	"github.com/shallotpin/shallotpin/pkg/outage"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
@@ -88,18 +85,15 @@
 	stored func(backend.KeyedRecord)
 	// checkLatency makes the writer's estimate of the log's latency show the present one.
 	checkLatency func()
-	// holds means that callers are held for a short time while the log cannot be read.
-	holds  bool
-	held   atomic.Int64
-	now    func() time.Duration
-	unixMS func() int64
+	now          func() time.Duration
+	unixMS       func() int64
 	// latency is that of successful writes, in seconds.
 	latency *metrics.Histogram
 }
 
 // New returns the intake of a node, whose replica is kept current by f.
-func New(replica *ledger.Replica, f *feed.Follower, writer *ledger.Appender, leaderWriter func() *ledger.Appender, stored func(backend.KeyedRecord), checkLatency func(), forwarder Forwarder, holds bool, now func() time.Duration, unixMS func() int64) *Service {
-	return &Service{forwarder: forwarder, replica: replica, follower: f, writer: writer, leaderWriter: leaderWriter, stored: stored, checkLatency: checkLatency, holds: holds, now: now, unixMS: unixMS, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
+func New(replica *ledger.Replica, f *feed.Follower, writer *ledger.Appender, leaderWriter func() *ledger.Appender, stored func(backend.KeyedRecord), checkLatency func(), forwarder Forwarder, now func() time.Duration, unixMS func() int64) *Service {
+	return &Service{forwarder: forwarder, replica: replica, follower: f, writer: writer, leaderWriter: leaderWriter, stored: stored, checkLatency: checkLatency, now: now, unixMS: unixMS, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
 }
 
 // Submit stores a job. The verdict of an *api.Error says whether the job may have been, or
@@ -239,22 +233,6 @@
 	started := s.now()
 	ctx, cancel := s.withTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := s.store(ctx, r)
-	if err != nil && s.holds && api.AsError(err, api.MayHaveRun).Verdict == api.NotRun && s.hold(ctx, r.Key) {
-		err = s.store(ctx, r)
-	}
-	if err == nil {
-		s.latency.Update((s.now() - started).Seconds())
-		return nil
-	}
-	if e := api.AsError(err, api.MayHaveRun); e.Verdict != api.NotRun {
-		return &api.Error{Code: api.CodeTimeout, Message: "it is not known whether the log took the record", Verdict: api.MayHaveRun, RetryAfter: minRetryAfter}
-	}
-	return &api.Error{Code: api.CodeUnavailable, Message: "the log does not take the record", Verdict: api.NotRun, RetryAfter: s.retryAfter()}
-}
-
-// store makes one attempt to store a record, through the writing node and then otherwise.
-func (s *Service) store(ctx context.Context, r backend.KeyedRecord) error {
 	byWriter := make(chan error, 1)
 	go func() {
 		// Calls to a node share a connection, which ends with a cancelled call, so that
@@ -263,7 +241,15 @@
 		defer cancel()
 		byWriter <- s.forwarder.StoreAtWriter(ctx, r)
 	}()
-	return s.awaitWriter(ctx, r, byWriter)
+	err := s.awaitWriter(ctx, r, byWriter)
+	if err == nil {
+		s.latency.Update((s.now() - started).Seconds())
+		return nil
+	}
+	if e := api.AsError(err, api.MayHaveRun); e.Verdict != api.NotRun {
+		return &api.Error{Code: api.CodeTimeout, Message: "it is not known whether the log took the record", Verdict: api.MayHaveRun, RetryAfter: minRetryAfter}
+	}
+	return &api.Error{Code: api.CodeUnavailable, Message: "the log does not take the record", Verdict: api.NotRun, RetryAfter: s.retryAfter()}
 }
 
 // awaitWriter waits for the result of the writing node, and stores the record directly if
@@ -360,9 +346,6 @@
 // it is as long as the outage has lasted so far, since the outage is likely to last as long
 // again; callers that retry sooner would use up their few retries before its end.
 func (s *Service) retryAfter() time.Duration {
-	if s.holds {
-		return outage.RetryAfter(s.localWriter().OutageDuration(outageTimeout), rand.Float64())
-	}
 	return min(max(minRetryAfter, s.localWriter().OutageDuration(outageTimeout)), maxRetryAfter)
 }
 
@@ -382,9 +365,9 @@
 // writeLocally adds a record to the log from this node.
 func (s *Service) writeLocally(ctx context.Context, r backend.KeyedRecord) error {
 	writer := s.localWriter()
-	if state := s.logState(writer); !s.mayWrite(state) {
+	if outage := writer.OutageDuration(outageTimeout); outage > 0 || s.follower.LastReadFailed() {
 		// A write would only wait, so none is sent and the verdict is certain.
-		return &api.Error{Code: api.CodeUnavailable, Message: fmt.Sprintf("the log is unreachable: the last read failed, or writes have been failing (for %s)", state.WritesFailFor), Verdict: api.NotRun}
+		return &api.Error{Code: api.CodeUnavailable, Message: fmt.Sprintf("the log is unreachable: the last read failed, or writes have been failing (for %s)", outage), Verdict: api.NotRun}
 	}
 	ctx, cancel := s.withTimeout(ctx, localTimeout)
 	defer cancel()
@@ -402,52 +385,6 @@
 	return &api.Error{Code: api.CodeTimeout, Message: err.Error(), Verdict: api.MayHaveRun}
 }
 
-// logState returns what the node knows of the log.
-func (s *Service) logState(writer *ledger.Appender) outage.LogState {
-	return outage.LogState{Readable: !s.follower.LastReadFailed(), ReadableFor: s.now() - s.follower.RecoveredAt(), WritesFailFor: writer.OutageDuration(outageTimeout)}
-}
-
-// mayWrite reports whether to send a record to the log.
-func (s *Service) mayWrite(state outage.LogState) bool {
-	if !s.holds {
-		return state.Readable && state.WritesFailFor == 0
-	}
-	action, _ := outage.Admit(state, storeTimeout, 0, true)
-	return action == outage.Write
-}
-
-// hold waits for a short time for a log that cannot be read, with a record that has certainly not
-// been sent to it. It reports whether the log can be read again.
-func (s *Service) hold(ctx context.Context, key string) bool {
-	remaining := storeTimeout
-	if deadline, ok := ctx.Deadline(); ok {
-		remaining = min(remaining, time.Until(deadline))
-	}
-	state := s.logState(s.localWriter())
-	action, limit := outage.Admit(state, remaining, int(s.held.Load()), false)
-	if action != outage.Hold {
-		return false
-	}
-	s.held.Add(1)
-	defer s.held.Add(-1)
-	holdsTotal.Inc()
-	began := s.now()
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	s.follower.AwaitRecovered(ctx)
-	readable := !s.follower.LastReadFailed()
-	if readable {
-		heldThroughTotal.Inc()
-	}
-	klog.InfoS("intake: held a record while the log cannot be read", "key", key, "limit", limit, "held", s.now()-began, "writes_fail", state.WritesFailFor, "readable", readable)
-	return readable
-}
-
-var (
-	holdsTotal       = metrics.GetOrCreateCounter("shallotpin_intake_held_total")
-	heldThroughTotal = metrics.GetOrCreateCounter("shallotpin_intake_held_through_total")
-)
-
 func (s *Service) logOutcome(what, id string, err error) {
 	if err == nil {
 		klog.InfoS("intake: stored", "what", what, "job", id, "offset", s.follower.NextOffset())
--- a/pkg/ledger/appender.go
+++ b/pkg/ledger/appender.go
@@ -77,8 +77,6 @@
 	log      backend.KeyedLog
 	settings AppenderSettings
 	wake     chan struct{}
-	// repeatNow holds a value after RepeatNow.
-	repeatNow chan struct{}
 
 	mu    sync.Mutex
 	queue []*pendingWrite
@@ -112,7 +110,7 @@
 
 // NewAppender returns an Appender. Writes wait until Run is called.
 func NewAppender(log backend.KeyedLog, s AppenderSettings) *Appender {
-	return &Appender{log: log, settings: s, wake: make(chan struct{}, 1), repeatNow: make(chan struct{}, 1)}
+	return &Appender{log: log, settings: s, wake: make(chan struct{}, 1)}
 }
 
 // Write adds records and returns the time at which the call that added them was sent. An
@@ -178,21 +176,6 @@
 	return 0
 }
 
-// RepeatNow repeats the call in flight, if there is one, since the log has answered another call
-// after having been unreachable.
-func (a *Appender) RepeatNow() {
-	a.mu.Lock()
-	inFlight := a.inFlightSince != 0
-	a.mu.Unlock()
-	if !inFlight {
-		return
-	}
-	select {
-	case a.repeatNow <- struct{}{}:
-	default:
-	}
-}
-
 // Run writes until ctx ends or the log rejects the producer's epoch or sequence number.
 // All pending and later writes then fail.
 func (a *Appender) Run(ctx context.Context) error {
@@ -372,11 +355,6 @@
 	defer late.Stop()
 	began := a.settings.Now()
 	call()
-	select {
-	case <-a.repeatNow:
-		// It was meant for an earlier call.
-	default:
-	}
 	var unsettled error
 	for {
 		select {
@@ -393,11 +371,6 @@
 			if inFlight == 0 {
 				return 0, unsettled
 			}
-		case <-a.repeatNow:
-			if sent <= maxRepeats {
-				repeatsTotal.Inc()
-				call()
-			}
 		case <-repeat.C:
 			if wait := repeatLatencyFactor*a.TypicalLatency() - (a.settings.Now() - began); wait > 0 {
 				// The log has turned out to be slow.
--- a/pkg/outage/reads.go
+++ b/pkg/outage/reads.go
@@ -1,6 +1,7 @@
-// Package outage decides what a node does with its calls to the log, and with its callers, while
-// the log refuses calls, is silent or is slow, and in the seconds after. It does no I/O and reads
-// no clock; see docs/design/outages.md. Its types are not safe for concurrent use.
+// Package outage decides when a node reads the log again, what it reads and for how long it waits
+// for an answer, while the log refuses calls or does not answer in time, and in the seconds after.
+// It does no I/O and reads no clock; see docs/design/outages.md. Its types are not safe for
+// concurrent use.
 package outage
 
 import (
