features: only parts that exist

Cause: the set named two parts that were not built: callers are treated as before around outages, and nothing turns jobs away for want of room.

Change: outages and shortage are removed from the set.

Result: tests of features and of the command pass.

--- a/pkg/features/features.go
+++ b/pkg/features/features.go
@@ -15,17 +15,13 @@
 	// Speeds places tasks by the learned speeds of workers and run times of tasks; see package
 	// performance.
 	Speeds bool
-	// Outages holds and takes up work around outages of the log; see docs/design/outages.md.
-	Outages bool
 	// Interference keeps tasks apart that slow each other down; see package interference.
 	Interference bool
-	// Shortage turns jobs away early that cannot complete in time; see package shortage.
-	Shortage bool
 }
 
 // fields returns the fields of the set by the names that operators use.
 func (s *Set) fields() map[string]*bool {
-	return map[string]*bool{"stops": &s.Stops, "speeds": &s.Speeds, "outages": &s.Outages, "interference": &s.Interference, "shortage": &s.Shortage}
+	return map[string]*bool{"stops": &s.Stops, "speeds": &s.Speeds, "interference": &s.Interference}
 }
 
 // Override returns the set with the changes in text, a comma-separated list of NAME=on and
--- a/pkg/features/features_test.go
+++ b/pkg/features/features_test.go
@@ -4,9 +4,9 @@
 
 func TestOverride(t *testing.T) {
 	for text, want := range map[string]Set{
-		"":                         {Stops: true},
-		"stops=off":                {},
-		" speeds=on , outages=on ": {Stops: true, Speeds: true, Outages: true},
+		"":                              {Stops: true},
+		"stops=off":                     {},
+		" speeds=on , interference=on ": {Stops: true, Speeds: true, Interference: true},
 	} {
 		got, err := Set{Stops: true}.Override(text)
 		if err != nil || got != want {
