--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -205,12 +205,17 @@
 		// A read without a wait shows soonest that the topic is reachable again.
 		wait = 0
 	}
-	list := !ready || f.settings.Superseding && f.lastReadFailed && f.backlog.ListingIsShorter(f.backlog.Expected(f.confirmedAt, now))
+	backlog, age := f.backlog.Expected(f.confirmedAt, now), now-f.confirmedAt
+	skip := ready && f.settings.Superseding && f.lastReadFailed && f.backlog.ListingIsShorter(backlog)
+	list := !ready || skip
 	read := &timedRead{sentAt: now, wait: wait}
 	if !list {
 		f.latency.tail = read
 	}
 	f.mu.Unlock()
+	if skip {
+		klog.InfoS("feed: listing the topic, which is shorter than what has not been read", "topic", f.settings.Name, "backlog_bytes", backlog, "age", age, "offset", from)
+	}
 	if list {
 		return f.list(ctx)
 	}
