--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -164,14 +164,17 @@
 	}
 }
 
+// maxFrequentSaveS is the longest time between two checkpoints, in seconds, at which the parts that
+// weigh stops and place by speeds are on: with longer ones they are served as before these parts, which
+// showed no gain there.
+const maxFrequentSaveS = 0.5
+
 // defaultFeatures returns the optional parts that a deployment uses by its settings.
 func defaultFeatures(s *platform.Settings) features.Set {
-	return features.Set{
-		// They say what a stop costs.
-		Stops: s.Bounds.SaveS > 0 && s.Bounds.RestoreMS > 0,
-		// No setting tells speeds; the part changes nothing until workers show that they differ.
-		Speeds: true,
-	}
+	frequent := s.Bounds.SaveS > 0 && s.Bounds.SaveS <= maxFrequentSaveS
+	// The time to resume says what a stop costs. No setting tells speeds: until workers show that
+	// they differ, that part changes nothing.
+	return features.Set{Stops: frequent && s.Bounds.RestoreMS > 0, Speeds: frequent}
 }
 
 // maxViewAge returns the greatest age of a view at which tasks are started, given the time
--- a/cmd/shallotpin-entry/settings_test.go
+++ b/cmd/shallotpin-entry/settings_test.go
@@ -65,14 +65,14 @@
 	}
 }
 
-// Stops are weighed where the settings say what they cost, unless the operator says otherwise.
+// Stops are weighed where tasks save their progress often and the settings say what stops cost, unless the operator says otherwise.
 func TestStopsAreWeighedWhereTheirCostIsKnown(t *testing.T) {
 	for _, c := range []struct {
 		saveS     float64
 		restoreMS int64
 		overrides string
 		want      bool
-	}{{2, 600, "", true}, {0, 600, "", false}, {2, 0, "", false}, {2, 600, "stops=off", false}, {2, 0, "stops=on", true}} {
+	}{{0.5, 600, "", true}, {1, 600, "", false}, {0, 600, "", false}, {0.5, 0, "", false}, {0.5, 600, "stops=off", false}, {2, 0, "stops=on", true}} {
 		var s platform.Settings
 		s.Bounds.SaveS, s.Bounds.RestoreMS = c.saveS, c.restoreMS
 		if got := dispatchSettings(&s, c.overrides).Features.Stops; got != c.want {
