feed: test that Refresh reads all pages

No test of pkg/feed showed it, and TestUnknownJobIsSoughtInAllPages passes with a Refresh that reads one page, since the read of Run fills in.

--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -186,3 +186,29 @@
 		}
 	})
 }
+
+// More records than fit in a page are new. A claim of leadership, and the answer that there is
+// no such job, rest on Refresh, which must not return before the last of them is applied.
+func TestRefreshReadsAllPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := simsite.NewLog()
+		log.Put(version(1, 10))
+		sink := &versions{}
+		settings := testSettings()
+		// Run reads nothing beside Refresh.
+		settings.ReadDelay = func() time.Duration { return time.Hour }
+		f := New(log.Client(), settings, sink)
+		go f.Run(ctx)
+		time.Sleep(3 * time.Second)
+		log.SetPageSize(3)
+		const last = 20
+		for n := 2; n <= last; n++ {
+			log.Put(version(n, 10))
+		}
+		if err := f.Refresh(ctx); err != nil || sink.version != last {
+			t.Errorf("version %d, error %v after Refresh; want version %d", sink.version, err, last)
+		}
+	})
+}
