intake: a job listed while it is asked for is known

Cause: freshPhase looked the job up and then asked whether the replica is ready and recent. A node whose first listing, or a page after a gap, was applied between the two answered "no such job" from the older replica for a job that had been accepted. Change: the replica is looked at last. TestJobListedDuringTheQueryIsKnown failed before (phase "", want "queued") and passes.

--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -72,11 +72,19 @@
 // ErrNoWriter means that no other node writes records for this one.
 var ErrNoWriter = api.Errorf(api.CodeUnavailable, "no other node writes for this one")
 
+// follower is what the intake uses of a feed.Follower.
+type follower interface {
+	ConfirmedAt() (time.Duration, bool)
+	LastReadFailed() bool
+	NextOffset() int64
+	Refresh(ctx context.Context) error
+}
+
 // Service is the intake of a node. It is safe for concurrent use.
 type Service struct {
 	forwarder Forwarder
 	replica   *ledger.Replica
-	follower  *feed.Follower
+	follower  follower
 	// writer is this node's own. leaderWriter returns that of the leader's term while this
 	// node leads, else nil: a node has one append at a time for all of its records.
 	writer       *ledger.Appender
@@ -200,9 +208,11 @@
 
 // freshPhase returns a job's phase if the replica is recent enough to tell it.
 func (s *Service) freshPhase(id string) (ledger.Phase, bool) {
+	// The replica is looked at last: a listing or a page that is applied between the two makes
+	// it newer than confirmedAt, never older.
+	confirmedAt, ready := s.follower.ConfirmedAt()
 	e, known := s.replica.Job(id)
 	known = known && e.WasSubmitted()
-	confirmedAt, ready := s.follower.ConfirmedAt()
 	if !ready || s.now()-confirmedAt > maxReplicaAge && !(known && e.Phase().Ended()) {
 		return "", false
 	}
