peer: a call of a stopped node fails as one that could not connect

Cause: after Stop, a call failed with a bare net.ErrClosed, or with rpc.ErrShutdown on the connection that Stop had closed and kept. Neither is an error of the dial, by which package entry knows that nothing was sent, so that callers got may-have-run and could not repeat elsewhere. Change: Stop forgets its connections, calls after it do not dial, and every error of the dial is one by its type. TestCallAfterStopIsNotSent failed in both cases before and passes. Calls in flight when Stop closes their connection remain may-have-run.

--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -93,6 +93,8 @@
 		c.dropped.Store(true)
 		c.Close()
 	}
+	// Later calls fail as ones that could not connect.
+	clear(s.clients)
 	for c := range s.accepted {
 		c.Close()
 	}
@@ -235,21 +237,24 @@
 // client returns the connection to address, which it opens if there is none.
 func (s *Service) client(ctx context.Context, address string) (*client, error) {
 	s.mu.Lock()
-	c := s.clients[address]
+	c, closed := s.clients[address], s.closed
 	s.mu.Unlock()
 	if c != nil {
 		return c, nil
 	}
+	if closed {
+		return nil, dialError(net.ErrClosed)
+	}
 	conn, err := s.network.Dial(ctx, address)
 	if err != nil {
-		return nil, err
+		return nil, dialError(err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if existing := s.clients[address]; existing != nil || s.closed {
 		conn.Close()
 		if s.closed {
-			return nil, net.ErrClosed
+			return nil, dialError(net.ErrClosed)
 		}
 		return existing, nil
 	}
@@ -258,6 +263,16 @@
 	return c, nil
 }
 
+// dialError returns err as an error of the dial, by which callers know that the call was not
+// sent.
+func dialError(err error) error {
+	var opErr *net.OpError
+	if errors.As(err, &opErr) && opErr.Op == "dial" {
+		return err
+	}
+	return &net.OpError{Op: "dial", Net: "tcp", Err: err}
+}
+
 // drop closes c, so that its pending calls fail and the next call opens a new one.
 func (s *Service) drop(address string, c *client) {
 	s.forget(address, c)
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -214,3 +214,33 @@
 		}
 	})
 }
+
+// A node that has stopped sends no calls: nothing happens elsewhere, and a caller may be told
+// so. That holds for a node it has called before, whose connection Stop has closed, as well.
+func TestCallAfterStopIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, before := range map[string]bool{"connected": true, "not connected": false} {
+			network := memnet.New(nil)
+			server, client := startPair(t, network, "Echo", Echo{})
+			say := func() error {
+				args, reply := "x", ""
+				return client.Call(t.Context(), serverAddress, "Echo.Say", &args, &reply)
+			}
+			if before {
+				if err := say(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := client.Stop(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			var opErr *net.OpError
+			if err := say(); !errors.As(err, &opErr) || opErr.Op != "dial" || !errors.Is(err, net.ErrClosed) {
+				t.Errorf("%s: call of a stopped node: %v, want net.ErrClosed as an error of the dial", name, err)
+			}
+			if err := server.Stop(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
