cmd/shallotpin: scripts log why requests of a load did not run

Cause: a script that fails at the count of requests that did not run says how many, but not why, so that failures beside other load could not be traced.

Change: the log of "loaded" names each such request with its error. No check changes.

--- a/cmd/shallotpin/load_test.go
+++ b/cmd/shallotpin/load_test.go
@@ -30,6 +30,8 @@
 	mu       sync.Mutex
 	verdicts map[api.Verdict]int
 	failures []string
+	// refusals are the errors of requests that did not run.
+	refusals []string
 }
 
 // cmdLoad starts callers that each send REQUESTS requests through one node and
@@ -75,6 +77,8 @@
 	switch {
 	case verdict == api.MayHaveRun:
 		l.failures = append(l.failures, fmt.Sprintf("%s: %v", body, err))
+	case verdict == api.NotRun:
+		l.refusals = append(l.refusals, fmt.Sprintf("%s: %v", body, err))
 	case err == nil && answer.Body != "answer to "+body:
 		l.failures = append(l.failures, fmt.Sprintf("%s was answered with %q", body, answer.Body))
 	}
@@ -92,7 +96,7 @@
 	l.wg.Wait()
 	text := fmt.Sprintf("ran %d, not-run %d, may-have-run %d\n", l.verdicts[api.Ran], l.verdicts[api.NotRun], l.verdicts[api.MayHaveRun])
 	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o600))
-	ts.Logf("%s", text)
+	ts.Logf("%snot run: %q", text, l.refusals)
 	if l.verdicts[api.Ran] == 0 {
 		ts.Fatalf("no request of load %s ran", args[0])
 	}
