--- a/pkg/dispatch/advice.go
+++ b/pkg/dispatch/advice.go
@@ -28,7 +28,7 @@
 	if len(u.tickets) > 0 && now+ticketMargin < u.ticketsUntil {
 		return true
 	}
-	if now+ticketMargin >= u.ticketsUntil {
+	if now+ticketMargin >= u.ticketsUntil && !e.explaining {
 		u.tickets, u.advisedWorkers = nil, nil
 	}
 	e.requestAdvice(u, now)
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -377,7 +377,7 @@
 	if len(records) == 0 {
 		records = append(records, ledger.TermRecord(e.Term))
 	}
-	records = append(records, e.interferenceRecords(now)...)
+	records = append(records, e.interferenceRecords(sizeOf(records), now)...)
 	records = append(records, e.takeSpeeds(sizeOf(records), now)...)
 	// Ends are recorded once all jobs that they have changed are.
 	handled := map[*worker]int64{}
--- a/pkg/dispatch/interference.go
+++ b/pkg/dispatch/interference.go
@@ -22,6 +22,9 @@
 	// learnedWriteInterval is the least time between two writes of the record, which go along with
 	// other records of the leader. A new leader lacks at most what was learned in it.
 	learnedWriteInterval = 5 * time.Second
+	// learnedRefreshInterval is the time after which the record is written although no pair was found
+	// or cleared: a new leader drops pairs that were last observed interference.MaxAge ago.
+	learnedRefreshInterval = interference.MaxAge / 4
 	// speedClassRatio is the ratio of the speeds of two neighbouring classes of workers within which
 	// tasks are compared: the estimates of workers of one kind differ by less.
 	speedClassRatio = 1.5
@@ -106,6 +109,10 @@
 		u := r.task.unit
 		seen := interference.Running[backend.RunID]{ID: r.id, Kind: kindOf(u), Group: u.id.String(), Usual: e.expectedRunTime(u), Percent: r.percent, Throttle: r.throttlePercent,
 			Incomparable: r.phase != runActive || u.step.Gang || u.step.DataRack != "" && w.info.Rack != u.step.DataRack}
+		if r.phase == runPlanned || r.phase == runStarting {
+			// It disturbs nobody yet.
+			seen.Throttle = 0
+		}
 		if r.isLatencySensitive() {
 			// Its samples are of different times, in which its load differs.
 			seen.Group = ""
@@ -145,23 +152,32 @@
 	}
 }
 
-// interferenceRecords returns the record of what was learned, if it is due to be written, and
-// counts it as written.
-func (e *Engine) interferenceRecords(now time.Duration) []backend.KeyedRecord {
+// interferenceRecords returns the record of what was learned, if it is due to be written and fits
+// into a write that has size bytes already, and counts it as written.
+func (e *Engine) interferenceRecords(size int, now time.Duration) []backend.KeyedRecord {
 	watch := e.interference
 	if !e.Settings.Features.Interference {
 		return nil
 	}
 	e.logCleared(watch.table.Expire(now))
-	if !watch.unsaved || watch.writtenAt != 0 && now-watch.writtenAt < learnedWriteInterval {
+	learned := watch.table.Learned()
+	changed := watch.unsaved && (watch.writtenAt == 0 || now-watch.writtenAt >= learnedWriteInterval)
+	if outdated := len(learned) > 0 && now-watch.writtenAt >= learnedRefreshInterval; !changed && !outdated {
 		return nil
 	}
 	watch.unsaved, watch.writtenAt = false, now
 	pairs := []LearnedPair{}
-	for _, p := range watch.table.Learned() {
+	for _, p := range learned {
 		pairs = append(pairs, LearnedPair{string(p.Subject), string(p.Other), p.Harm, p.Observations, e.UnixMS() - (now - p.At).Milliseconds()})
 	}
-	return []backend.KeyedRecord{ledger.LearnedRecord(InterferenceKey, pairs)}
+	record := ledger.LearnedRecord(InterferenceKey, pairs)
+	bytes := len(record.Key) + len(record.Value)
+	if limit := e.Settings.MaxRecordBytes; limit > 0 && bytes > limit || !e.fitsWrite(size, bytes) {
+		watch.unsaved = true
+		klog.InfoS("dispatch: pairs of tasks not recorded", "bytes", bytes, "record_limit", limit, "write_bytes", size)
+		return nil
+	}
+	return []backend.KeyedRecord{record}
 }
 
 // kindForPlan returns the kind of a unit's running tasks, empty if kinds are not told apart.
--- a/pkg/dispatch/interference_test.go
+++ b/pkg/dispatch/interference_test.go
@@ -37,15 +37,19 @@
 func TestInterferenceOutlivesTheLeader(t *testing.T) {
 	s := newManualSite(t, 1)
 	s.Settings.Features.Interference = true
-	if len(s.interferenceRecords(s.now)) != 0 {
+	if len(s.interferenceRecords(0, s.now)) != 0 {
 		t.Error("a record is written although nothing was learned")
 	}
 	s.interference.table.Inherit([]interference.Estimate{{Subject: "a", Other: "b", Harm: 0.5, Observations: 20, At: s.now}})
 	s.interference.unsaved = true
-	records := s.interferenceRecords(s.now)
-	if s.interference.unsaved = true; len(records) != 1 || len(s.interferenceRecords(s.now+time.Second)) != 0 {
+	records := s.interferenceRecords(0, s.now)
+	if s.interference.unsaved = true; len(records) != 1 || len(s.interferenceRecords(0, s.now+time.Second)) != 0 {
 		t.Errorf("%d records, want one and none soon after", len(records))
 	}
+	s.interference.unsaved = false
+	if len(s.interferenceRecords(0, s.now+learnedRefreshInterval-time.Second)) != 0 || len(s.interferenceRecords(0, s.now+learnedRefreshInterval)) != 1 {
+		t.Error("a record without changes is not written again just before it is too old")
+	}
 	state := ledger.NewState()
 	if _, err := state.Apply(records[0]); err != nil {
 		t.Fatal(err)
--- a/pkg/dispatch/where.go
+++ b/pkg/dispatch/where.go
@@ -82,32 +82,58 @@
 	maxWhereQueue = eventQueueSize / 4
 	// unknownForecast stands for a forecast that is not known.
 	unknownForecast = -time.Second
-	// maxWhereRuns limits the runs listed for a step.
-	maxWhereRuns = 100
+	// maxWhereRuns limits the runs listed for a step, maxWhereUnits and maxWhereTasks the jobs that
+	// are explained: the work on the leader's goroutine grows with both, and the answer, too.
+	maxWhereRuns  = 100
+	maxWhereUnits = 64
+	maxWhereTasks = 2000
 )
 
-// Where answers a question by the decisions of a plan. It fails with an *api.Error if the leader is
-// busy: real work comes first.
-func (e *Engine) Where(ctx context.Context, q WhereQuestion) (answer *WhereAnswer, err error) {
+// Where answers a question by the decisions of a plan. It fails with an *api.Error, also if the
+// leader is busy: real work comes first.
+func (e *Engine) Where(ctx context.Context, q WhereQuestion) (*WhereAnswer, error) {
 	if len(e.events) > maxWhereQueue {
 		return nil, errTooBusy
 	}
-	done := make(chan struct{})
+	if q.Job != nil {
+		if err := q.Job.Validate(); err != nil {
+			return nil, api.Errorf(api.CodeInvalid, "%v", err)
+		}
+		if units, tasks := sizeOfJob(q.Job); units > maxWhereUnits || tasks > maxWhereTasks {
+			return nil, api.Errorf(api.CodeInvalid, "%d steps of all occurrences with %d tasks are too many to explain; the limits are %d and %d", units, tasks, maxWhereUnits, maxWhereTasks)
+		}
+	}
+	type result struct {
+		answer *WhereAnswer
+		err    error
+	}
+	done := make(chan result, 1)
 	event := func() {
-		defer close(done)
-		answer, err = e.where(q)
+		if ctx.Err() != nil {
+			return
+		}
+		answer, err := e.where(q)
+		done <- result{answer, err}
 	}
 	select {
 	case e.events <- event:
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, api.AsError(ctx.Err(), api.NotRun)
 	}
 	select {
-	case <-done:
-		return answer, err
+	case r := <-done:
+		return r.answer, r.err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, api.AsError(ctx.Err(), api.NotRun)
+	}
+}
+
+// sizeOfJob returns how many units and tasks a job has over all rounds.
+func sizeOfJob(j *workload.Job) (units, tasks int) {
+	for i := range j.Steps {
+		tasks += j.Steps[i].Count
 	}
+	return j.Rounds() * len(j.Steps), j.Rounds() * tasks
 }
 
 var errTooBusy = &api.Error{Code: api.CodeOverloaded, Message: "the leader is busy", Verdict: api.NotRun, RetryAfter: whereInterval}
@@ -118,12 +144,8 @@
 	if e.lastPlanDuration > maxWherePlanTime || e.explainedAt != 0 && now-e.explainedAt < whereInterval {
 		return nil, errTooBusy
 	}
-	e.explainedAt = now
 	j := e.jobs[q.ID]
 	if q.Job != nil {
-		if err := q.Job.Validate(); err != nil {
-			return nil, api.Errorf(api.CodeInvalid, "%v", err)
-		}
 		if e.jobs[q.Job.ID] != nil {
 			return nil, api.Errorf(api.CodeInvalid, "the job %s is known; ask for it by its ID", q.Job.ID)
 		}
@@ -132,16 +154,22 @@
 		e.jobs[q.Job.ID] = j
 		defer delete(e.jobs, q.Job.ID)
 	}
-	a := &WhereAnswer{Job: q.ID, Term: e.Term.Number, ViewAge: now - min(e.view.ConfigAt, e.view.WorkersAt), LedgerAge: now - e.view.LedgerAt, Settled: e.isSettled(now)}
-	if j == nil {
+	a := &WhereAnswer{Job: q.ID, Term: e.Term.Number, ViewAge: now - min(e.view.ConfigAt, e.view.WorkersAt), LedgerAge: now - e.view.LedgerAt}
+	if j == nil || j.cancelled || j.progress.Phase.Ended() {
 		a.Note = "the leader has no such job, or it has ended"
 		return a, nil
 	}
+	if units, tasks := sizeOfJob(j.spec); units > maxWhereUnits || tasks > maxWhereTasks {
+		a.Note = fmt.Sprintf("the job has too many steps or tasks to explain: %d and %d", units, tasks)
+		return a, nil
+	}
 	a.Job, a.Phase = j.spec.ID, j.progress.Phase
 	if !e.lease.MayStart(now) || !e.view.isRecent(now, &e.Settings) {
 		a.Note = "the leader starts nothing now: its view is too old, or it cannot write to the log"
 		return a, nil
 	}
+	e.explainedAt = now
+	a.Settled = e.isSettled(now)
 	e.explaining = true
 	defer func() { e.explaining = false }()
 	explained, stops, pool := e.explainJob(j, now)
@@ -156,6 +184,9 @@
 // explainJob makes the plan of the job's service without carrying it out.
 func (e *Engine) explainJob(j *job, now time.Duration) (explained map[workload.UnitID]*placement.Explanation, stops map[workload.UnitID][]WhereStop, pool []*placement.Worker) {
 	explained, stops = map[workload.UnitID]*placement.Explanation{}, map[workload.UnitID][]WhereStop{}
+	// The headroom of the last plan decides about gangs in the next one.
+	beyondHeadroom := e.rackBeyondHeadroom
+	defer func() { e.rackBeyondHeadroom = beyondHeadroom }()
 	loads, byID, _ := e.serviceLoads(now)
 	for _, l := range loads {
 		if l.service != j.policy.Service {
@@ -223,8 +254,10 @@
 		s.State = "waits for the adviser"
 	case x == nil && now < u.notBefore:
 		s.State, s.Start = "waits after a refused start", u.notBefore-now
-	case x == nil:
+	case x == nil && len(u.job.inherited) > 0:
 		s.State = "waits for tasks that an earlier leader may have started"
+	case x == nil:
+		s.State = "waits for tasks that are being stopped, or that may have crashed their workers"
 	case len(x.Start) > 0 && !x.Unplaced:
 		s.State, s.Start = "starts at once", 0
 	case len(x.Reserve) > 0:
--- a/pkg/dispatch/where_test.go
+++ b/pkg/dispatch/where_test.go
@@ -64,6 +64,23 @@
 	}
 }
 
+// ask calls Where, and handles its event as Run does.
+func (s *manualSite) ask(q WhereQuestion) (a *WhereAnswer, err error) {
+	done := make(chan bool)
+	go func() {
+		a, err = s.Where(s.t.Context(), q)
+		close(done)
+	}()
+	for {
+		select {
+		case event := <-s.events:
+			event()
+		case <-done:
+			return a, err
+		}
+	}
+}
+
 // A job that is not submitted takes part in the decisions for the answer only.
 func TestWhereOfAJobThatIsNotSubmitted(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -73,6 +90,7 @@
 		"room":        {8, "starts at once"},
 		"no room":     {16, "waits for room"},
 		"bad request": {0, ""},
+		"too large":   {-1, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newManualSite(t, 2)
@@ -80,10 +98,13 @@
 			s.list("w1", s.now)
 			before := s.state()
 			job := &workload.Job{ID: "5c0e7a21d94b36f8", Policy: workload.Policy{Service: "s"}, Steps: []workload.Step{{Count: 1, Need: workload.Resources{Accelerators: c.need}}}, SubmittedMS: s.UnixMS()}
-			if c.need == 0 {
+			switch c.need {
+			case 0:
 				job.Steps = nil
+			case -1:
+				job.Steps[0].Need.Accelerators, job.Occurrences = 1, maxWhereUnits+1
 			}
-			a, err := s.where(WhereQuestion{Job: job})
+			a, err := s.ask(WhereQuestion{Job: job})
 			var e *api.Error
 			switch {
 			case c.state == "" && (!errors.As(err, &e) || e.Code != api.CodeInvalid):
--- a/pkg/entry/where.go
+++ b/pkg/entry/where.go
@@ -22,6 +22,8 @@
 	Answer *dispatch.WhereAnswer
 	Code   api.Code
 	Error  string
+	// RetryAfter is that of an api.Error.
+	RetryAfter time.Duration
 }
 
 // Where answers a question of another node if this one leads.
@@ -31,7 +33,7 @@
 	answer, err := r.leader.Where(ctx, q)
 	if err != nil {
 		e := api.AsError(err, api.NotRun)
-		*reply = WhereReply{Code: e.Code, Error: e.Message}
+		*reply = WhereReply{Code: e.Code, Error: e.Message, RetryAfter: e.RetryAfter}
 		return nil
 	}
 	reply.Answer = answer
@@ -71,7 +73,7 @@
 		return nil, &api.Error{Code: api.CodeUnavailable, Message: fmt.Sprintf("%v: %v", errNoLeader.Message, err), Verdict: api.NotRun}
 	}
 	if reply.Answer == nil {
-		return nil, &api.Error{Code: reply.Code, Message: reply.Error, Verdict: api.NotRun}
+		return nil, &api.Error{Code: reply.Code, Message: reply.Error, Verdict: api.NotRun, RetryAfter: reply.RetryAfter}
 	}
 	return reply.Answer, nil
 }
--- a/pkg/interference/recorder.go
+++ b/pkg/interference/recorder.go
@@ -63,7 +63,7 @@
 		run := &runs[i]
 		others, same := company(runs, i)
 		s := r.spans[run.ID]
-		if s != nil && (!same || run.Incomparable || s.speedClass != speedClass || !slices.Equal(s.others, others)) {
+		if s != nil && (!same || run.Incomparable || run.Throttle != fullSpeed || s.speedClass != speedClass || !slices.Equal(s.others, others)) {
 			samples = r.close(run.ID, samples)
 			s = nil
 		}
--- a/pkg/interference/recorder_test.go
+++ b/pkg/interference/recorder_test.go
@@ -44,6 +44,10 @@
 			[]listing{{0, []Running[string]{batch("a1", 5), throttled(batch("b1", 5), 0)}}, {2 * second, []Running[string]{batch("a1", 25), throttled(batch("b1", 5), 0)}}},
 			[]Sample{{Subject: "a", Slowdown: 1, At: 2 * second}},
 		},
+		"throttled itself in between": {
+			[]listing{{0, []Running[string]{batch("a1", 5)}}, {second, []Running[string]{throttled(batch("a1", 6), 0)}}, {9 * second, []Running[string]{batch("a1", 10)}}, {10 * second, []Running[string]{batch("a1", 20)}}},
+			[]Sample{{Subject: "a", Slowdown: 1, At: 10 * second}},
+		},
 		"latency settles first": {
 			[]listing{{0, []Running[string]{latency("a1", 0.1), batch("b1", 0)}}, {second / 2, []Running[string]{latency("a1", 0.1), batch("b1", 0)}}, {2 * second, []Running[string]{latency("a1", 0.8), batch("b1", 0)}}, {4 * second, []Running[string]{latency("a1", 1.0), batch("b1", 0)}}},
 			[]Sample{{Subject: "a", Others: []Kind{"b"}, Slowdown: 0.9, At: 4 * second}},
--- a/pkg/placement/explain.go
+++ b/pkg/placement/explain.go
@@ -74,6 +74,7 @@
 
 // filters counts the workers that remain after each condition on those for one task of the unit.
 func (p *planner) filters(u *Unit) []Filter {
+	rack := p.neededRack(u)
 	conditions := []struct {
 		name  string
 		holds func(*Worker) bool
@@ -84,13 +85,7 @@
 		{"have the label", func(w *Worker) bool { return u.Step.Label == "" || w.hasLabel(u.Step.Label) }},
 		{"are large enough", func(w *Worker) bool { return u.Step.Demand().Fits(w.Capacity) }},
 		{"have not failed lately", func(w *Worker) bool { return mayStartNow(u, w) }},
-		{"are in the rack that is needed", func(w *Worker) bool {
-			if u.RequiredRack != "" {
-				return w.Rack == u.RequiredRack
-			}
-			rack := p.localRack(u)
-			return rack == "" || w.Rack == rack
-		}},
+		{"are in the rack that is needed", func(w *Worker) bool { return rack == "" || w.Rack == rack }},
 		{"have room now", func(w *Worker) bool { return slots(u, w, w.Free) > 0 }},
 		{"leave room for urgent work", func(w *Worker) bool { return p.leavesHeadroom(u, w, 0) }},
 	}
@@ -109,10 +104,21 @@
 	return filters
 }
 
+// neededRack returns the rack that the unit's tasks have to use now, or "".
+func (p *planner) neededRack(u *Unit) string {
+	if u.RequiredRack != "" {
+		return u.RequiredRack
+	}
+	if rack := p.localRack(u); rack != "" && (!u.Step.Gang || p.fitsWhenEmpty(u, p.byRack[rack])) {
+		return rack
+	}
+	return ""
+}
+
 // options returns the best workers for one task of the unit.
 func (p *planner) options(u *Unit) []Option {
 	pool := p.workers
-	if rack := p.localRack(u); rack != "" {
+	if rack := p.neededRack(u); rack != "" {
 		pool = p.byRack[rack]
 	}
 	var fitting []*Worker
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -370,7 +370,13 @@
 // harmStep returns how much a task of the unit and those on the worker would slow each other down,
 // in steps. It keeps pairs apart that harm each other while there is room, and where there is none,
 // lets those share that harm each other least.
-func harmStep(u *Unit, w *Worker) int { return int(harmOn(u, w) / harmStepWidth) }
+// Units that are in time on fast workers only are not kept from these.
+func harmStep(u *Unit, w *Worker) int {
+	if u.NeedsFast {
+		return 0
+	}
+	return int(harmOn(u, w) / harmStepWidth)
+}
 
 // harmOn returns by which fraction of their time a task of the unit and those on the worker would
 // slow each other down.
