ingress, replies, performance, eviction, feed: what reviews found

Cause: read by those who did not write it. Shown by tests: half of the known workers 16 times slower than the others ended the leader; the body of a GET that does not end held a long answer for good. By reading: the charge for a large header was dropped while the request lived; a body that was told to leave at its last byte was taken as read; three budgets for replies exceeded a machine of 144 MB, and listings of 500 ends counted against them, so that a worker that answered was taken for silent; nothing closed slow callers while a node drains; a long task that stands still was held for minutes, since its best rate was taken as too low; classes that are gone stayed recorded; a listing could take newer records back.

Change: each of these. Not taken: gangs that are late on workers that have just failed (a test says otherwise), smaller receive buffers.

Result: tests of the packages pass; the first two failed before.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -268,6 +268,7 @@
 	}
 	klog.InfoS("shallotpin-entry: draining", "leading", node.Leading(), "grace_s", s.Bounds.GraceS)
 	draining.Store(true)
+	go gate.Run(ctx)
 	node.Resign()
 	time.Sleep(balancerDelay)
 	stopCtx, stop := context.WithTimeout(ctx, platform.Seconds(s.Bounds.GraceS)-balancerDelay-stopMargin)
--- a/pkg/dispatch/eviction.go
+++ b/pkg/dispatch/eviction.go
@@ -224,7 +224,8 @@
 func (r *run) progress(now time.Duration) eviction.Progress {
 	p := eviction.Progress{Cores: coreEquivalents(r.need), Percent: r.percent, Gained: r.percent - r.basePercent, Span: r.percentAt - r.baseAt, Idle: now - r.percentAt, SavesProgress: r.task.unit.step.SavesProgress}
 	// A rate is known up to one percent within the time in which it was measured.
-	if rate := r.bestRate - 1/minRateSpan.Seconds(); rate > 0 {
+	// For long tasks that is all of it.
+	if rate := max(r.bestRate-1/minRateSpan.Seconds(), r.bestRate/2); rate > 0 {
 		p.Best = time.Duration(100 / rate * float64(time.Second))
 	}
 	if r.percent >= 100 {
--- a/pkg/dispatch/speeds.go
+++ b/pkg/dispatch/speeds.go
@@ -136,12 +136,14 @@
 // takeSpeeds returns the record of the estimates if it is due, has changed and fits into a write that
 // has size bytes already.
 func (e *Engine) takeSpeeds(size int, now time.Duration) []backend.KeyedRecord {
-	if !e.Settings.Features.Speeds || len(e.speedClasses) < 2 || e.speedsCheckedAt != 0 && now-e.speedsCheckedAt < speedsRecordInterval {
+	// Classes that are gone are withdrawn: a later leader would place by them.
+	withdrawn := len(e.speedClasses) < 2 && len(e.recordedSpeeds.Classes) > 0 && e.isSettled(now) && now-e.ClaimedAt >= speedsRecordInterval
+	if !e.Settings.Features.Speeds || len(e.speedClasses) < 2 && !withdrawn || e.speedsCheckedAt != 0 && now-e.speedsCheckedAt < speedsRecordInterval {
 		return nil
 	}
 	e.speedsCheckedAt = now
 	current, found := e.performance.Record()
-	if current.Term = e.Term.Number; !found || reflect.DeepEqual(current.Classes, e.recordedSpeeds.Classes) {
+	if current.Term = e.Term.Number; !found && !withdrawn || reflect.DeepEqual(current.Classes, e.recordedSpeeds.Classes) {
 		return nil
 	}
 	record := ledger.SpeedsRecord(current)
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -335,6 +335,10 @@
 	slices.SortFunc(records, func(a, b backend.KeyedRecord) int { return int(a.Offset - b.Offset) })
 	f.sinkMu.Lock()
 	defer f.sinkMu.Unlock()
+	if _, ready := f.ConfirmedAt(); ready && f.NextOffset() > end {
+		// A read beside the listing has applied newer records.
+		return nil
+	}
 	f.sink.Replace(records)
 	f.recordListing(records)
 	f.advance(end, true, sent)
--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -23,6 +23,8 @@
 	holder *holder
 	// alone means that the request came without a connection of the gate.
 	alone bool
+	// header is what the request's header holds beyond connBytes.
+	header int64
 }
 
 const (
@@ -56,10 +58,24 @@
 	if c := connOf(r); c != nil {
 		c.bodyRead = true
 	}
-	g.enter(b.holder, phaseServing)
+	if err := g.enterServing(b.holder); err != nil {
+		b.Close()
+		return nil, err
+	}
 	return b, nil
 }
 
+// enterServing puts a holder whose body has arrived into phaseServing, unless it was told to leave.
+func (g *Gate) enterServing(h *holder) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h.phase, h.since = phaseServing, g.now()
+	if h.leaving {
+		return g.refuse(h.cause, h)
+	}
+	return nil
+}
+
 // begin gives a body its holder: that of its connection.
 func (g *Gate) begin(b *Body, r *http.Request, account string) {
 	c := connOf(r)
@@ -67,7 +83,7 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	if c != nil {
-		b.holder = &c.holder
+		b.holder, b.header = &c.holder, headerFactor*int64(c.charged)
 	} else {
 		b.alone, b.holder = true, &holder{}
 		g.budget.numbers++
@@ -177,12 +193,13 @@
 	return b.gate.grow(b.holder, held)
 }
 
-// base is what the holder holds beside the body.
+// base is what the holder holds beside the body: its connection, and the header, which lives until
+// the request ends.
 func (b *Body) base() int64 {
 	if b.alone {
 		return 0
 	}
-	return connBytes
+	return connBytes + b.header
 }
 
 // Close frees what the request holds. It may be called repeatedly.
--- a/pkg/ingress/gate.go
+++ b/pkg/ingress/gate.go
@@ -390,6 +390,11 @@
 		c.inHeader.Store(false)
 		c.bodyRead = r.ContentLength == 0
 		g.enter(&c.holder, phaseServing)
+		if !c.bodyRead && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+			// Nobody reads such a body, and net/http awaits it before it sends a long answer.
+			g.limitDiscard(c)
+			c.bodyRead = true
+		}
 		next.ServeHTTP(w, r)
 		if !c.bodyRead {
 			g.limitDiscard(c)
--- a/pkg/ingress/gate_test.go
+++ b/pkg/ingress/gate_test.go
@@ -32,6 +32,11 @@
 	t.Helper()
 	s := &testServer{t: t, gate: New(o, m), network: memnet.New(nil)}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			// More than net/http sends before it awaits the end of the request.
+			io.WriteString(w, strings.Repeat("x", 1<<16))
+			return
+		}
 		if r.Method != http.MethodPost {
 			http.Error(w, "unknown key", http.StatusUnauthorized)
 			return
@@ -185,6 +190,7 @@
 		"idle, operator's limit":           {send: "GET / HTTP/1.1\r\nHost: h\r\n\r\n", limits: Limits{IdleTimeout: 4 * time.Second}, status: 401, after: 4 * time.Second},
 		"all but the last byte":            {send: post("a", 1000) + strings.Repeat("x", 999), status: 503, after: 10 * time.Second},
 		"no last chunk":                    {send: "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", status: 503, after: 10 * time.Second},
+		"body of a GET without an end":     {send: "GET /long HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\nabc", status: 200, after: time.Second},
 		"unknown key, body without an end": {send: "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\nabc", status: 401, after: time.Second},
 		"unknown key, no last chunk":       {send: "PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", status: 401, after: time.Second},
 	} {
--- a/pkg/performance/classes.go
+++ b/pkg/performance/classes.go
@@ -67,6 +67,13 @@
 	}
 	usual := medianOf(sorted)
 	sound := slices.DeleteFunc(sorted, func(k known) bool { return math.Abs(k.mean-usual) > math.Log(maxClassFactor) })
+	if len(sound) < minClassWorkers {
+		// The speeds fall into two parts far from each other, and neither is the usual one.
+		for _, w := range m.workers {
+			w.class = 0
+		}
+		return nil
+	}
 	for i, g := range merged(split([][]known{sound}, ratio), ratio) {
 		m.classes = append(m.classes, Class{math.Exp(medianOf(g)), len(g)})
 		for _, k := range g {
@@ -75,7 +82,7 @@
 	}
 	for _, w := range m.workers {
 		switch {
-		case !w.isKnown():
+		case !w.isKnown() || w.class >= len(m.classes):
 			w.class = m.commonClass()
 		case w.speed < usual-math.Log(maxClassFactor):
 			w.class = 0
--- a/pkg/performance/performance_test.go
+++ b/pkg/performance/performance_test.go
@@ -251,3 +251,25 @@
 		}
 	}
 }
+
+// Half of the workers may be so much slower than the others that no speed is the usual one.
+func TestWorkersOfTwoFarSpeeds(t *testing.T) {
+	for _, factor := range []float64{8, 20, 40} {
+		for _, workers := range []int{4, 6, 8, 12} {
+			m := New()
+			for i := range workers {
+				speed := 0.0
+				if i%2 == 0 {
+					speed = -math.Log(factor)
+				}
+				m.workers[key(i)] = &worker{speed: speed, prior: &speed}
+			}
+			classes := m.Classify(workers, 0)
+			for i := range workers {
+				if class, _ := m.ClassOf(key(i)); class < 0 || class > max(0, len(classes)-1) {
+					t.Errorf("%d workers, factor %v: worker %d has class %d of %d", workers, factor, i, class, len(classes))
+				}
+			}
+		}
+	}
+}
--- a/pkg/replies/replies.go
+++ b/pkg/replies/replies.go
@@ -16,12 +16,12 @@
 
 const (
 	// ownAllowance is the size of a reply, in bytes, up to which it is always read: more than
-	// orders, starts of runs and most listings have, so that large replies of one service do not
-	// delay the ordinary ones of another.
-	ownAllowance = 16 << 10
-	// MinBudget is the least that all replies of a kind of service may hold, in bytes: eight pages
-	// of 1 MiB of the store.
-	MinBudget = 48 << 20
+	// orders, starts of runs and listings of 500 ends have, so that large replies of one service do
+	// not delay the ordinary ones of another.
+	ownAllowance = 64 << 10
+	// MinBudget is the least that all replies of a kind of service may hold, in bytes: four pages
+	// of 1 MiB of the store. The three kinds and what callers may hold fit into 144 MB together.
+	MinBudget = 24 << 20
 	// memoryShare is the part of the process's memory that all replies of a kind of service may
 	// hold where that is more.
 	memoryShare = 8
