--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -165,8 +165,7 @@
 }
 
 // maxFrequentSaveS is the longest time between two checkpoints, in seconds, at which the parts that
-// weigh stops and place by speeds are on: with longer ones they are served as before these parts, which
-// showed no gain there.
+// weigh stops and place by speeds are on. Deployments with longer ones are served without them.
 const maxFrequentSaveS = 0.5
 
 // defaultFeatures returns the optional parts that a deployment uses by its settings.
