simsite: listings and reads have pages

The stand-in of the log listed all keys in one page and in no order, and a read returned all records. The store sends at most 500 records or 1 MB of a listing, in the order of keys, and 1 MiB of a read. With more than 4 MiB in the ledger a node took the first part of a listing for the whole: on the stand-in only. Found by TestCrowdOfAcceptedJobs, in which a node that started again held 31 MB with 24 MB of jobs in the ledger.

--- a/pkg/simsite/log.go
+++ b/pkg/simsite/log.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -404,6 +406,7 @@
 			if l.pageSize > 0 && len(page.Records) > l.pageSize {
 				page.Records = page.Records[:l.pageSize]
 			}
+			page.Records = firstPage(page.Records)
 		}
 		changed := l.changed
 		l.mu.Unlock()
@@ -423,7 +426,25 @@
 	}
 }
 
-// Newest implements backend.KeyedLog. It returns all keys in one page.
+const (
+	// pageBytes bounds the keys and values of a page, and listedRecords the records of a page of a
+	// listing.
+	pageBytes     = 1 << 20
+	listedRecords = 500
+)
+
+// firstPage returns as many records as a page has, at least one.
+func firstPage(records []backend.KeyedRecord) []backend.KeyedRecord {
+	size := 0
+	for i, r := range records {
+		if size += len(r.Key) + len(r.Value); size > pageBytes && i > 0 {
+			return records[:i]
+		}
+	}
+	return records
+}
+
+// Newest implements backend.KeyedLog.
 func (c *Client) Newest(ctx context.Context, after string, progress backend.Progress) (backend.KeyedPage, error) {
 	if _, err := c.beginCall(ctx, true); err != nil {
 		return backend.KeyedPage{}, err
@@ -437,6 +458,9 @@
 		}
 	}
 	l.mu.Unlock()
+	slices.SortFunc(page.Records, func(a, b backend.KeyedRecord) int { return strings.Compare(a.Key, b.Key) })
+	listed := firstPage(page.Records[:min(len(page.Records), listedRecords)])
+	page.Records, page.HasMore = listed, len(listed) < len(page.Records)
 	if err := l.waitForPage(ctx, page.Records); err != nil {
 		return backend.KeyedPage{}, err
 	}
