occupancy: a bound on what accepted jobs take on each node

What callers saw: a few clients that go on submitting valid jobs end one node after the other. All nodes hold all jobs, and nothing bounded their sum; nor that of the tasks and units which the leader keeps of them: a body of 100 bytes may have 100,000 tasks.

Cause: the gate of pkg/ingress bounds what is on its way in. What has been accepted lay in the ledger and in each replica until it had ended, whatever it took.

Why it works: package occupancy charges each job for what a leader holds of it, in a table that follows from the ledger's records, so that a node that starts has it as well. The limit is the smallest of all nodes', which they record in the ledger (b/NAME). Half of it is divided among the client accounts, the other half is for who asks. The node that writes for all reserves before it writes, so that nodes whose replicas lag do not accept too much together. Cancellations of unknown jobs count, too.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -30,6 +30,7 @@
 	"github.com/shallotpin/shallotpin/pkg/features"
 	"github.com/shallotpin/shallotpin/pkg/ingress"
 	"github.com/shallotpin/shallotpin/pkg/logsink"
+	"github.com/shallotpin/shallotpin/pkg/occupancy"
 	"github.com/shallotpin/shallotpin/pkg/peer"
 	"github.com/shallotpin/shallotpin/pkg/replies"
 	"github.com/shallotpin/shallotpin/pkg/steady"
@@ -82,12 +83,13 @@
 )
 
 type options struct {
-	SettingsFile string `long:"settings" env:"SHALLOTPIN_NODE_FILE" required:"true" description:"path of the platform's settings file (YAML)"`
-	Metrics      string `long:"metrics" env:"SHALLOTPIN_METRICS" default:":7001" description:"address that serves /metrics"`
-	PeerPort     int    `long:"peer-port" env:"SHALLOTPIN_PEER_PORT" default:"7002" description:"port for calls between the nodes, one of the platform's range"`
-	Features     string `long:"features" env:"SHALLOTPIN_FEATURES" description:"optional parts to switch on or off, such as stops=off,speeds=on; the settings decide about the others"`
-	ingress.Options
-	Verbosity int `long:"verbosity" env:"SHALLOTPIN_VERBOSITY" default:"0" description:"log verbosity, 0 to 5"`
+	SettingsFile string            `long:"settings" env:"SHALLOTPIN_NODE_FILE" required:"true" description:"path of the platform's settings file (YAML)"`
+	Metrics      string            `long:"metrics" env:"SHALLOTPIN_METRICS" default:":7001" description:"address that serves /metrics"`
+	PeerPort     int               `long:"peer-port" env:"SHALLOTPIN_PEER_PORT" default:"7002" description:"port for calls between the nodes, one of the platform's range"`
+	Features     string            `long:"features" env:"SHALLOTPIN_FEATURES" description:"optional parts to switch on or off, such as stops=off,speeds=on; the settings decide about the others"`
+	Callers      ingress.Options   `group:"callers"`
+	Jobs         occupancy.Options `group:"accepted jobs"`
+	Verbosity    int               `long:"verbosity" env:"SHALLOTPIN_VERBOSITY" default:"0" description:"log verbosity, 0 to 5"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -110,7 +112,7 @@
 		fmt.Fprintln(os.Stderr, "shallotpin-entry: "+err.Error())
 		return exitUsage
 	}
-	if problems := opts.Problems(); len(problems) > 0 {
+	if problems := append(opts.Callers.Problems(), opts.Jobs.Problems()...); len(problems) > 0 {
 		for _, p := range problems {
 			fmt.Fprintln(os.Stderr, "shallotpin-entry: "+p)
 		}
@@ -205,7 +207,7 @@
 	if s.Advice != "" {
 		adviser = &platform.Adviser{Base: "http://" + s.Advice, Client: orders, Replies: replies.NewBudget("adviser", memory, platform.OrderHeldPerByte)}
 	}
-	node, err := entry.New(entry.Settings{Name: s.NodeName, Incarnation: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s, opts.Features), MaxBatchBytes: maxBatchBytes(s), LinkRate: int(s.Limits.LinkMbps * 1e6 / 8), LogReadsPerSecond: s.Store.ReadsPerS, Cores: s.Limits.CPUShare * max(1, s.Limits.Cores), MemoryMB: s.Limits.MemoryMB, Now: steady.Now, UnixMS: unixMS},
+	node, err := entry.New(entry.Settings{Name: s.NodeName, Incarnation: s.NodeName + "/" + uuid.NewString(), Address: peerAddress, Dispatch: dispatchSettings(s, opts.Features), MaxBatchBytes: maxBatchBytes(s), LinkRate: int(s.Limits.LinkMbps * 1e6 / 8), LogReadsPerSecond: s.Store.ReadsPerS, Cores: s.Limits.CPUShare * max(1, s.Limits.Cores), MemoryMB: s.Limits.MemoryMB, JobBytes: opts.Jobs.Limit(memory), Now: steady.Now, UnixMS: unixMS},
 		entry.Platform{Ledger: topic(platform.LedgerTopic), OperatorConfig: topic(platform.OperatorTopic), Workers: topic(platform.WorkerTopic),
 			Orders: &platform.Orders{Client: orders, Replies: replies.NewBudget("workers", memory, platform.OrderHeldPerByte)}, Adviser: adviser, DecodeOperator: platform.DecodeOperator, DecodeWorker: platform.DecodeWorker, Peers: peers})
 	if err != nil {
@@ -220,8 +222,16 @@
 	klog.InfoS("shallotpin-entry: started", "node", s.NodeName, "zone", s.Zone, "front", s.Listen.Front, "settings", opts.SettingsFile, "features", dispatchSettings(s, opts.Features).Features.String())
 
 	var draining atomic.Bool
-	gate := ingress.New(opts.Options, ingress.Machine{MemoryBytes: int64(s.Limits.MemoryMB) << 20, Descriptors: s.Limits.MaxFDs})
+	gate := ingress.New(opts.Callers, ingress.Machine{MemoryBytes: int64(s.Limits.MemoryMB) << 20, Descriptors: s.Limits.MaxFDs})
 	gate.RegisterMetrics(metrics.GetDefaultSet())
+	metrics.GetOrCreateGauge("shallotpin_jobs_occupied_bytes", func() float64 {
+		bytes, _ := node.OccupiedBytes()
+		return float64(bytes)
+	})
+	metrics.GetOrCreateGauge("shallotpin_jobs_occupied_limit_bytes", func() float64 {
+		_, limit := node.OccupiedBytes()
+		return float64(limit)
+	})
 	jobs := &platform.JobHandler{Intake: node.Intake, CurrentConfig: node.CurrentConfig, UnixMS: unixMS, Ingress: gate}
 	front := &http.Server{Handler: closeWhenDraining(&draining, jobs)}
 	gate.Prepare(front)
--- a/cmd/shallotpind/crowd_test.go
+++ b/cmd/shallotpind/crowd_test.go
@@ -146,7 +146,7 @@
 func (n *crowdNode) check(t *testing.T) {
 	t.Helper()
 	usage, err := n.monitor.Usage()
-	t.Logf("peak of resident memory %.1f MB, of sockets and pipes %d", float64(usage.MemoryKB)/1024, usage.Conns)
+	t.Logf("peak of memory %.1f MB, of bytes received and not read %.1f MB, of sockets and pipes %d", float64(usage.MemoryKB)/1024, float64(usage.ReceivedKB)/1024, usage.Conns)
 	if err != nil {
 		t.Errorf("the node ended: %v", err)
 	}
--- a/pkg/crowd/crowd.go
+++ b/pkg/crowd/crowd.go
@@ -4,12 +4,15 @@
 package crowd
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -263,3 +266,70 @@
 	}
 	return out.Bytes()
 }
+
+// answerTimeout is how long a client of a Series waits for an answer.
+const answerTimeout = 10 * time.Second
+
+// Series sends requests whole, one after the other on each of a number of connections, until all
+// have been sent. It returns the number of answers by status; 0 stands for no answer.
+func Series(address string, clients, requests int, request func(n int) Request) map[int]int {
+	var (
+		next    atomic.Int64
+		mu      sync.Mutex
+		answers = map[int]int{}
+		running sync.WaitGroup
+	)
+	for range clients {
+		running.Go(func() {
+			var s sender
+			defer s.close()
+			for n := int(next.Add(1)) - 1; n < requests; n = int(next.Add(1)) - 1 {
+				status := s.send(address, request(n))
+				mu.Lock()
+				answers[status]++
+				mu.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	return answers
+}
+
+// sender sends whole requests on one connection at a time.
+type sender struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// send sends a request and returns the status of the answer, 0 for none.
+func (s *sender) send(address string, r Request) int {
+	if s.conn == nil {
+		conn, err := net.DialTimeout("tcp", address, dialTimeout)
+		if err != nil {
+			return 0
+		}
+		s.conn, s.reader = conn, bufio.NewReader(conn)
+	}
+	_ = s.conn.SetDeadline(time.Now().Add(answerTimeout))
+	method, _, _ := strings.Cut(r.Head, " ")
+	// A server may answer and close the connection before it has read the whole body.
+	_, writeErr := fmt.Fprintf(s.conn, "%sContent-Length: %d\r\n\r\n%s", r.Head, len(r.Body), r.Body)
+	response, err := http.ReadResponse(s.reader, &http.Request{Method: method})
+	if err != nil {
+		s.close()
+		return 0
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	response.Body.Close()
+	if writeErr != nil || err != nil || response.Close {
+		s.close()
+	}
+	return response.StatusCode
+}
+
+func (s *sender) close() {
+	if s.conn != nil {
+		s.conn.Close()
+		s.conn = nil
+	}
+}
--- a/pkg/crowd/monitor.go
+++ b/pkg/crowd/monitor.go
@@ -25,8 +25,13 @@
 
 // Usage is the most that a process has held.
 type Usage struct {
-	// MemoryKB is the peak of the resident memory, in KiB, since the start of the process.
+	// MemoryKB is the peak in KiB of what the process holds: of its resident memory since its
+	// start, or of that and what the kernel has received for it in any sample.
 	MemoryKB int
+	// ReceivedKB is the greatest number of KiB, in any sample, that the kernel had received for
+	// the process's TCP connections, also those that it has not accepted yet, and that the
+	// process had not read.
+	ReceivedKB int
 	// Conns is the greatest number of open sockets and pipes in any sample.
 	Conns int
 }
@@ -63,46 +68,107 @@
 }
 
 func (m *Monitor) sample() error {
-	memory, err := peakMemoryKB(m.pid)
+	peak, present, err := memoryKB(m.pid)
 	if err != nil {
 		return err
 	}
-	conns := countConns(m.pid)
+	sockets, conns := openSockets(m.pid)
+	received := receivedBytes(sockets) >> 10
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.usage.MemoryKB, m.usage.Conns = max(m.usage.MemoryKB, memory), max(m.usage.Conns, conns)
+	m.usage.MemoryKB, m.usage.ReceivedKB, m.usage.Conns = max(m.usage.MemoryKB, peak, present+received), max(m.usage.ReceivedKB, received), max(m.usage.Conns, conns)
 	return nil
 }
 
-// peakMemoryKB returns the peak of a process's resident memory, or its resident memory where
-// the system has no such figure.
-func peakMemoryKB(pid int) (int, error) {
+// memoryKB returns the peak of a process's resident memory, or its resident memory where the
+// system has no such figure, and its resident memory, in KiB.
+func memoryKB(pid int) (peak, present int, err error) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
-	for _, field := range []string{"VmHWM:", "VmRSS:"} {
-		if _, rest, found := strings.Cut(string(status), field); found {
-			return strconv.Atoi(strings.Fields(rest)[0])
+	field := func(name string) int {
+		_, rest, found := strings.Cut(string(status), name)
+		if !found {
+			return 0
 		}
+		n, _ := strconv.Atoi(strings.Fields(rest)[0])
+		return n
 	}
-	// A process that has ended and was not waited for has no memory.
-	return 0, fmt.Errorf("process %d has no memory: it has ended", pid)
+	if present = field("VmRSS:"); present == 0 {
+		// A process that has ended and was not waited for has no memory.
+		return 0, 0, fmt.Errorf("process %d has no memory: it has ended", pid)
+	}
+	return max(field("VmHWM:"), present), present, nil
 }
 
-// countConns returns the number of a process's open sockets and pipes.
-func countConns(pid int) int {
+// openSockets returns the inodes of a process's open sockets, and the number of its open sockets
+// and pipes.
+func openSockets(pid int) (inodes map[string]bool, conns int) {
+	inodes = map[string]bool{}
 	dir := fmt.Sprintf("/proc/%d/fd", pid)
 	entries, err := os.ReadDir(dir)
 	if err != nil {
-		return 0
+		return inodes, 0
 	}
-	n := 0
 	for _, e := range entries {
 		target, err := os.Readlink(filepath.Join(dir, e.Name()))
-		if err == nil && (strings.HasPrefix(target, "socket:") || strings.HasPrefix(target, "pipe:")) {
-			n++
+		if err != nil {
+			continue
+		}
+		if inode, found := strings.CutPrefix(target, "socket:["); found {
+			inodes[strings.TrimSuffix(inode, "]")] = true
+			conns++
+		} else if strings.HasPrefix(target, "pipe:") {
+			conns++
+		}
+	}
+	return inodes, conns
+}
+
+// Columns of /proc/net/tcp, and the state of a listener there.
+const (
+	columnLocal  = 1
+	columnState  = 3
+	columnQueues = 4
+	columnInode  = 9
+	stateListen  = "0A"
+	// noInode is the inode of a connection that its process has not accepted.
+	noInode = "0"
+)
+
+// receivedBytes returns how many bytes the kernel has received for TCP sockets with the given
+// inodes, and for connections to the listeners among them, that nobody has read.
+func receivedBytes(inodes map[string]bool) int {
+	var rows [][]string
+	for _, name := range []string{"/proc/net/tcp", "/proc/net/tcp6"} {
+		table, err := os.ReadFile(name)
+		if err != nil {
+			continue
+		}
+		for _, line := range strings.Split(string(table), "\n") {
+			if columns := strings.Fields(line); len(columns) > columnInode {
+				rows = append(rows, columns)
+			}
+		}
+	}
+	listeners := map[string]bool{}
+	for _, r := range rows {
+		if r[columnState] == stateListen && inodes[r[columnInode]] {
+			listeners[r[columnLocal]] = true
+		}
+	}
+	total := 0
+	for _, r := range rows {
+		// The receive queue of a listener is a number of connections.
+		if r[columnState] == stateListen || !inodes[r[columnInode]] && !(r[columnInode] == noInode && listeners[r[columnLocal]]) {
+			continue
+		}
+		_, received, _ := strings.Cut(r[columnQueues], ":")
+		n, err := strconv.ParseInt(received, 16, 64)
+		if err == nil {
+			total += int(n)
 		}
 	}
-	return n
+	return total
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/shallotpin/shallotpin/pkg/intake"
 	"github.com/shallotpin/shallotpin/pkg/leader"
 	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/occupancy"
 	"github.com/shallotpin/shallotpin/pkg/outage"
 	"github.com/shallotpin/shallotpin/pkg/pause"
 )
@@ -87,6 +88,8 @@
 	// Cores and MemoryMB are the node's capacity.
 	Cores    float64
 	MemoryMB int
+	// JobBytes is how many bytes of accepted jobs the node can hold; 0 means by its memory.
+	JobBytes int64
 	// Now is a monotonic clock that also advances while the process is suspended.
 	Now    func() time.Duration
 	UnixMS func() int64
@@ -113,7 +116,7 @@
 func New(s Settings, p Platform) (*Node, error) {
 	n := &Node{settings: s, peers: p.Peers, pauses: pause.NewDetector(s.Now)}
 	n.leader = leader.New(leader.Settings{Name: s.Name, Incarnation: s.Incarnation, Address: s.Address, Call: p.Peers.Call, Dispatch: s.Dispatch, MaxBatchBytes: s.MaxBatchBytes, LinkRate: s.LinkRate, LogLatency: n.logLatency, CheckLatency: n.checkLatency, Now: s.Now, UnixMS: s.UnixMS}, p.Ledger, p.Orders, p.Adviser)
-	replica := ledger.NewReplica(n.leader.Listener())
+	replica := ledger.NewReplica(n.leader.Listener(), ledger.Holding{Limit: n.occupancyLimit(), Accounts: n.accounts})
 	n.replica = replica
 	settings := func(name string, readDelay func() time.Duration) feed.Settings {
 		return feed.Settings{Name: name, Wait: readWait, CallTimeout: readTimeout, MaxCallTimeout: maxReadTimeout, ListTimeout: listTimeout, Patient: outage.Patient(s.Name), StallTimeout: stallTimeout, RetryDelay: readRetryDelay, RetryFloor: n.retryFloor, ReadDelay: readDelay, Now: s.Now}
@@ -156,8 +159,28 @@
 	}
 }
 
-// publishAddress writes the node's address to the ledger for the other nodes, unless the
-// ledger has it from an earlier incarnation.
+// occupancyLimit is how many bytes of accepted jobs the node can hold.
+func (n *Node) occupancyLimit() int64 {
+	if n.settings.JobBytes > 0 {
+		return n.settings.JobBytes
+	}
+	return (&occupancy.Options{}).Limit(int64(n.settings.MemoryMB) << 20)
+}
+
+// OccupiedBytes returns what the accepted jobs take on each node, and what they may take.
+func (n *Node) OccupiedBytes() (bytes, limit int64) { return n.replica.OccupiedBytes() }
+
+// accounts is the number of client accounts, 0 before the first configuration.
+func (n *Node) accounts() int {
+	config, _, _ := n.OperatorConfig.Current()
+	if config == nil {
+		return 0
+	}
+	return len(config.Accounts)
+}
+
+// publishAddress writes the node's address, and what it can hold, to the ledger for the other
+// nodes, unless the ledger has it from an earlier incarnation.
 func (n *Node) publishAddress(ctx context.Context) {
 	candidate := leader.IsCandidate(n.settings.Cores, n.settings.MemoryMB)
 	for {
@@ -170,10 +193,10 @@
 		case <-time.After(readRetryDelay):
 		}
 	}
-	if n.replica.HasNode(n.settings.Name, n.settings.Address, candidate) {
+	if n.replica.HasNode(n.settings.Name, n.settings.Address, candidate, n.occupancyLimit()) {
 		return
 	}
-	if _, err := n.writer.Write(ctx, ledger.NodeRecords(n.settings.Name, n.settings.Address, candidate)...); err != nil && ctx.Err() == nil {
+	if _, err := n.writer.Write(ctx, ledger.NodeRecords(n.settings.Name, n.settings.Address, candidate, n.occupancyLimit())...); err != nil && ctx.Err() == nil {
 		klog.InfoS("entry: address not published to the ledger", "err", err)
 	}
 }
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -186,7 +186,7 @@
 	runSite(t, 3, 4, func(s *site) {
 		job := s.submit(bulkQueue, uniform(task(1), time.Minute, 0), workload.Step{Count: 8, Need: task(1), EstimateMS: 60000})
 		time.Sleep(time.Second)
-		if known, err := s.follower().Intake.Cancel(s.ctx, job); err != nil || !known {
+		if known, err := s.follower().Intake.Cancel(s.ctx, job, ""); err != nil || !known {
 			s.t.Fatalf("cancel: known %v, error %v", known, err)
 		}
 		s.awaitPhase(job, ledger.Cancelled, 100*time.Millisecond)
@@ -203,7 +203,7 @@
 func TestCancelledBeforeItsSubmission(t *testing.T) {
 	runSite(t, 3, 4, func(s *site) {
 		id := "00000000000000ff"
-		if known, err := s.follower().Intake.Cancel(s.ctx, id); err != nil || known {
+		if known, err := s.follower().Intake.Cancel(s.ctx, id, ""); err != nil || known {
 			s.t.Fatalf("cancel: known %v, error %v", known, err)
 		}
 		job := &workload.Job{ID: id, Queue: normalQueue, Policy: workload.Policy{Service: "desk"}, Steps: []workload.Step{{Count: 1, Need: task(1)}}}
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -17,6 +17,7 @@
 	"github.com/shallotpin/shallotpin/pkg/intake"
 	"github.com/shallotpin/shallotpin/pkg/leader"
 	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/occupancy"
 )
 
 // Peers makes and serves RPCs between nodes.
@@ -64,19 +65,41 @@
 	return nil
 }
 
+// StoreRequest is a record that another node adds to the log. Nodes of earlier versions send a
+// backend.KeyedRecord, the first three fields.
+type StoreRequest struct {
+	Key    string
+	Value  []byte
+	Offset int64
+	// Claim is what the record makes each node hold.
+	Claim occupancy.Claim
+}
+
 // Stored is the reply to Store.
 type Stored struct {
 	// Done means that the log holds the record; if not, Verdict says whether it may.
 	Done    bool
 	Verdict api.Verdict
+	// Occupied means that the nodes cannot hold the claim, and RetryAfter when to try again.
+	Occupied   bool
+	RetryAfter time.Duration
+}
+
+// err returns the error of a record that was not stored.
+func (s *Stored) err(message string) error {
+	if s.Occupied {
+		return intake.OccupiedError(s.RetryAfter)
+	}
+	return &api.Error{Code: api.CodeUnavailable, Message: message, Verdict: s.Verdict}
 }
 
 // Store adds a record to the log for another node.
-func (r *receiver) Store(record backend.KeyedRecord, stored *Stored) error {
-	err := r.node.Intake.StoreLocally(record)
+func (r *receiver) Store(request StoreRequest, stored *Stored) error {
+	err := r.node.Intake.StoreLocally(backend.KeyedRecord{Key: request.Key, Value: request.Value}, request.Claim)
 	*stored = Stored{Done: err == nil}
 	if err != nil {
-		stored.Verdict = api.AsError(err, api.MayHaveRun).Verdict
+		e := api.AsError(err, api.MayHaveRun)
+		stored.Verdict, stored.Occupied, stored.RetryAfter = e.Verdict, e.Code == api.CodeOverloaded, e.RetryAfter
 	}
 	return nil
 }
@@ -116,20 +139,23 @@
 
 // StoreAtWriter implements intake.Forwarder. It tries a further node only if the one before
 // has certainly not stored the record.
-func (f *forwarder) StoreAtWriter(ctx context.Context, r backend.KeyedRecord) error {
+func (f *forwarder) StoreAtWriter(ctx context.Context, r backend.KeyedRecord, c occupancy.Claim) error {
+	request := StoreRequest{Key: r.Key, Value: r.Value, Claim: c}
 	for _, address := range f.leader.WriterAddresses() {
 		if f.isFailing(address) {
 			continue
 		}
 		var stored Stored
 		late := time.AfterFunc(lateWriterDelay, func() { f.recordLate(address) })
-		err := f.peers.Call(ctx, address, storeMethod, r, &stored)
+		err := f.peers.Call(ctx, address, storeMethod, request, &stored)
 		late.Stop()
 		switch {
 		case err == nil && stored.Done:
 			return nil
+		case err == nil && stored.Occupied:
+			return stored.err("")
 		case err == nil:
-			err = &api.Error{Code: api.CodeUnavailable, Message: "the writing node has not stored the record", Verdict: stored.Verdict}
+			err = stored.err("the writing node has not stored the record")
 		case isDialError(err):
 			err = &api.Error{Code: api.CodeUnavailable, Message: err.Error(), Verdict: api.NotRun}
 		default:
@@ -168,11 +194,12 @@
 }
 
 // Store implements intake.Forwarder.
-func (f *forwarder) Store(ctx context.Context, r backend.KeyedRecord) error {
+func (f *forwarder) Store(ctx context.Context, r backend.KeyedRecord, c occupancy.Claim) error {
+	request := StoreRequest{Key: r.Key, Value: r.Value, Claim: c}
 	mayBeStored := false
 	for _, address := range f.pickNodes() {
 		var stored Stored
-		err := f.call(ctx, address, storeMethod, r, &stored)
+		err := f.call(ctx, address, storeMethod, request, &stored)
 		if err == nil && stored.Done {
 			return nil
 		}
--- a/pkg/entry/sharing_test.go
+++ b/pkg/entry/sharing_test.go
@@ -98,7 +98,7 @@
 		job := s.submit(bulkQueue, bestEffort(2*time.Second), workload.Step{Count: 2, Need: task(1), BestEffort: true, EstimateMS: 2000})
 		time.Sleep(3 * time.Second)
 		s.killLeader()
-		if _, err := s.leader().Intake.Cancel(s.ctx, latencySensitiveJob); err != nil {
+		if _, err := s.leader().Intake.Cancel(s.ctx, latencySensitiveJob, ""); err != nil {
 			s.t.Fatal(err)
 		}
 		s.awaitPhase(job, ledger.Completed, 10*time.Second)
--- a/pkg/entry/slowlog_test.go
+++ b/pkg/entry/slowlog_test.go
@@ -252,7 +252,7 @@
 		n := s.follower()
 		s.ledgerTopic.SetPageSize(5)
 		for i := range 40 {
-			s.ledgerTopic.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<40+i), time.Now().UnixMilli()))
+			s.ledgerTopic.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<40+i), time.Now().UnixMilli(), ""))
 		}
 		job := s.newJob(normalQueue, uniform(task(1), time.Second, 0), workload.Step{Count: 1, Need: task(1), EstimateMS: 1000})
 		s.ledgerTopic.Put(ledger.JobRecord(job))
@@ -272,7 +272,7 @@
 		// Each node writes once.
 		s.submitEverywhere(20*time.Millisecond, 200*time.Millisecond)
 		for _, n := range s.nodes {
-			if _, err := n.writer.Write(s.ctx, ledger.CancelRecord("00000000000000ff", 1)); err != nil {
+			if _, err := n.writer.Write(s.ctx, ledger.CancelRecord("00000000000000ff", 1, "")); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/pkg/entry/takeover_test.go
+++ b/pkg/entry/takeover_test.go
@@ -99,7 +99,7 @@
 		s.killLeader()
 		started := time.Now()
 		for i := 0; time.Since(started) < burst; i++ {
-			s.ledgerTopic.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<40+i), time.Now().UnixMilli()))
+			s.ledgerTopic.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<40+i), time.Now().UnixMilli(), ""))
 			time.Sleep(2 * time.Millisecond)
 		}
 		time.Sleep(maxDelay)
@@ -211,7 +211,7 @@
 	runSite(t, 4, 8, func(s *site) {
 		s.killLeader()
 		for started, i := time.Now(), 0; time.Since(started) < maxTime; i++ {
-			s.ledgerTopic.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<41+i), time.Now().UnixMilli()))
+			s.ledgerTopic.Put(ledger.CancelRecord(fmt.Sprintf("%016x", 1<<41+i), time.Now().UnixMilli(), ""))
 			time.Sleep(2 * time.Millisecond)
 		}
 		for _, n := range s.nodes {
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -16,6 +16,7 @@
 	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/feed"
 	"github.com/shallotpin/shallotpin/pkg/ledger"
+	"github.com/shallotpin/shallotpin/pkg/occupancy"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
@@ -60,11 +61,12 @@
 // while this one cannot reach the log.
 type Forwarder interface {
 	// StoreAtWriter is Store through the one node that writes the records of all nodes
-	// while it works. It fails with ErrNoWriter if that is this node or none.
-	StoreAtWriter(ctx context.Context, r backend.KeyedRecord) error
-	// Store makes another node add a record to the log. An *api.Error says by its
-	// verdict whether one may have done so.
-	Store(ctx context.Context, r backend.KeyedRecord) error
+	// while it works. It fails with ErrNoWriter if that is this node or none, and with the code
+	// api.CodeOverloaded if the nodes cannot hold the claim.
+	StoreAtWriter(ctx context.Context, r backend.KeyedRecord, c occupancy.Claim) error
+	// Store makes another node add a record to the log, which makes each node hold c. An
+	// *api.Error says by its verdict whether one may have done so.
+	Store(ctx context.Context, r backend.KeyedRecord, c occupancy.Claim) error
 	// Phase returns a job's phase, empty if there is no such job.
 	Phase(ctx context.Context, id string) (ledger.Phase, error)
 }
@@ -113,7 +115,8 @@
 	if s.Accepted(job.ID) {
 		return nil
 	}
-	err := s.write(ctx, ledger.JobRecord(job))
+	r := ledger.JobRecord(job)
+	err := s.write(ctx, r, occupancy.Claim{Job: job.ID, Account: job.Account, Bytes: occupancy.JobBytes(job, len(r.Value))})
 	s.logOutcome("submission", job.ID, err)
 	return err
 }
@@ -129,9 +132,9 @@
 	return true
 }
 
-// Cancel stores a job's cancellation, unless the job has ended, and reports whether the
-// job is known.
-func (s *Service) Cancel(ctx context.Context, id string) (bool, error) {
+// Cancel stores a job's cancellation by a client account, unless the job has ended, and reports
+// whether the job is known.
+func (s *Service) Cancel(ctx context.Context, id, account string) (bool, error) {
 	phase, err := s.Phase(ctx, id)
 	if err != nil {
 		return false, err
@@ -139,8 +142,12 @@
 	if phase.Ended() {
 		return true, nil
 	}
-	// The submission of an unknown job may still arrive; the job must not run then.
-	err = s.write(ctx, ledger.CancelRecord(id, s.unixMS()))
+	if phase != "" {
+		err = s.write(ctx, ledger.CancelRecord(id, s.unixMS(), ""), occupancy.Claim{})
+	} else {
+		// The submission of an unknown job may still arrive; the job must not run then.
+		err = s.write(ctx, ledger.CancelRecord(id, s.unixMS(), account), occupancy.Claim{Job: id, Account: account, Bytes: occupancy.EntryBytes})
+	}
 	s.logOutcome("cancellation", id, err)
 	return phase != "", err
 }
@@ -249,8 +256,12 @@
 // write stores a record through the writing node, which batches the records of all nodes,
 // since the log takes one append after the other. If that node fails to, or takes long, the
 // record is stored through this node or, if that fails, through another one.
-func (s *Service) write(ctx context.Context, r backend.KeyedRecord) error {
+// A record whose claim the nodes cannot hold is refused.
+func (s *Service) write(ctx context.Context, r backend.KeyedRecord, c occupancy.Claim) error {
 	started := s.now()
+	if ok, occupied := s.replica.Admits(c, started); !ok {
+		return refuseOccupied(c, occupied)
+	}
 	ctx, cancel := s.withTimeout(ctx, storeTimeout)
 	defer cancel()
 	byWriter := make(chan error, 1)
@@ -259,13 +270,16 @@
 		// the call goes on when the record has been stored otherwise.
 		ctx, cancel := s.withTimeout(context.WithoutCancel(ctx), storeTimeout)
 		defer cancel()
-		byWriter <- s.forwarder.StoreAtWriter(ctx, r)
+		byWriter <- s.forwarder.StoreAtWriter(ctx, r, c)
 	}()
-	err := s.awaitWriter(ctx, r, byWriter)
+	err := s.awaitWriter(ctx, r, c, byWriter)
 	if err == nil {
 		s.latency.Update((s.now() - started).Seconds())
 		return nil
 	}
+	if isOccupied(err) {
+		return err
+	}
 	if e := api.AsError(err, api.MayHaveRun); e.Verdict != api.NotRun {
 		return &api.Error{Code: api.CodeTimeout, Message: "it is not known whether the log took the record", Verdict: api.MayHaveRun, RetryAfter: minRetryAfter}
 	}
@@ -274,7 +288,7 @@
 
 // awaitWriter waits for the result of the writing node, and stores the record directly if
 // that node fails or, unless the log is slow, takes longer than writerTimeout.
-func (s *Service) awaitWriter(ctx context.Context, r backend.KeyedRecord, byWriter <-chan error) error {
+func (s *Service) awaitWriter(ctx context.Context, r backend.KeyedRecord, c occupancy.Claim, byWriter <-chan error) error {
 	late := time.AfterFunc(lateAnswerDelay, s.checkLatency)
 	defer late.Stop()
 	timeout := time.NewTimer(writerTimeout)
@@ -282,10 +296,10 @@
 	for {
 		select {
 		case err := <-byWriter:
-			if err == nil {
-				return nil
+			if err == nil || isOccupied(err) {
+				return err
 			}
-			return leastCertain(err, s.writeDirectly(ctx, r, err))
+			return leastCertain(err, s.writeDirectly(ctx, r, c, err))
 		case <-ctx.Done():
 			return errWriterSlow
 		case <-timeout.C:
@@ -293,7 +307,7 @@
 				timeout.Reset(slowLogCheckInterval)
 				continue
 			}
-			err := s.writeDirectly(ctx, r, errWriterSlow)
+			err := s.writeDirectly(ctx, r, c, errWriterSlow)
 			if err == nil {
 				return nil
 			}
@@ -342,19 +356,19 @@
 
 // writeDirectly stores a record through this node or, if that fails, through another one.
 // cause is why the writing node has not stored it.
-func (s *Service) writeDirectly(ctx context.Context, r backend.KeyedRecord, cause error) error {
+func (s *Service) writeDirectly(ctx context.Context, r backend.KeyedRecord, c occupancy.Claim, cause error) error {
 	if cause != ErrNoWriter {
 		klog.InfoS("intake: record not stored by the writing node", "key", r.Key, "err", cause)
 		if s.isLogSlow() {
 			return errNotSent
 		}
 	}
-	err := s.writeLocally(ctx, r)
-	if err == nil || s.isLogSlow() {
+	err := s.writeLocally(ctx, r, c)
+	if err == nil || s.isLogSlow() || isOccupied(err) {
 		return err
 	}
 	// Both nodes may add the record; applying it twice is harmless.
-	forwardErr := s.forwarder.Store(ctx, r)
+	forwardErr := s.forwarder.Store(ctx, r, c)
 	klog.InfoS("intake: passed a record to another node", "key", r.Key, "cause", err, "err", forwardErr)
 	return leastCertain(err, forwardErr)
 }
@@ -370,8 +384,8 @@
 }
 
 // StoreLocally adds a record that another node has forwarded.
-func (s *Service) StoreLocally(r backend.KeyedRecord) error {
-	return s.writeLocally(context.Background(), r)
+func (s *Service) StoreLocally(r backend.KeyedRecord, c occupancy.Claim) error {
+	return s.writeLocally(context.Background(), r, c)
 }
 
 // localWriter returns the writer for records that this node adds to the log.
@@ -383,12 +397,15 @@
 }
 
 // writeLocally adds a record to the log from this node.
-func (s *Service) writeLocally(ctx context.Context, r backend.KeyedRecord) error {
+func (s *Service) writeLocally(ctx context.Context, r backend.KeyedRecord, c occupancy.Claim) error {
 	writer := s.localWriter()
 	if outage := writer.OutageDuration(outageTimeout); outage > 0 || s.follower.LastReadFailed() {
 		// A write would only wait, so none is sent and the verdict is certain.
 		return &api.Error{Code: api.CodeUnavailable, Message: fmt.Sprintf("the log is unreachable: the last read failed, or writes have been failing (for %s)", outage), Verdict: api.NotRun}
 	}
+	if ok, occupied := s.replica.Reserve(c, s.now()); !ok {
+		return refuseOccupied(c, occupied)
+	}
 	ctx, cancel := s.withTimeout(ctx, localTimeout)
 	defer cancel()
 	_, err := writer.Write(ctx, r)
@@ -400,6 +417,7 @@
 	}
 	var logErr *backend.LogError
 	if errors.As(err, &logErr) && logErr.Verdict == api.NotRun {
+		s.replica.CancelReservation(c.Job)
 		return &api.Error{Code: api.CodeUnavailable, Message: logErr.Error(), Verdict: api.NotRun}
 	}
 	return &api.Error{Code: api.CodeTimeout, Message: err.Error(), Verdict: api.MayHaveRun}
@@ -410,6 +428,10 @@
 		klog.InfoS("intake: stored", "what", what, "job", id, "offset", s.follower.NextOffset())
 		return
 	}
+	if isOccupied(err) {
+		// refuseOccupied has logged it, or the writing node has.
+		return
+	}
 	confirmedAt, _ := s.follower.ConfirmedAt()
 	klog.InfoS("intake: not stored", "what", what, "job", id, "err", err, "verdict", api.AsError(err, api.MayHaveRun).Verdict, "log_age", s.now()-confirmedAt)
 }
--- a/pkg/ledger/appender_test.go
+++ b/pkg/ledger/appender_test.go
@@ -48,7 +48,7 @@
 		go a.Run(ctx)
 		writeCtx, cancelWrite := context.WithTimeout(ctx, timeout)
 		defer cancelWrite()
-		_, err = a.Write(writeCtx, CancelRecord("x", 1000))
+		_, err = a.Write(writeCtx, CancelRecord("x", 1000, ""))
 		took = time.Since(began)
 	})
 	return took, err
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/occupancy"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
@@ -34,9 +35,9 @@
 		"submitted":                     {[]backend.KeyedRecord{JobRecord(job)}, Queued, true},
 		"running":                       {[]backend.KeyedRecord{JobRecord(job), running}, Running, true},
 		"progress before submission":    {[]backend.KeyedRecord{running, JobRecord(job)}, Running, true},
-		"cancelled":                     {[]backend.KeyedRecord{JobRecord(job), running, CancelRecord(job.ID, 1000)}, Cancelled, true},
-		"cancelled before submission":   {[]backend.KeyedRecord{CancelRecord(job.ID, 1000)}, Cancelled, false},
-		"cancelled after its end":       {append(append([]backend.KeyedRecord{JobRecord(job)}, EndJob(job.ID, &Progress{Phase: Completed})...), CancelRecord(job.ID, 1000)), Completed, true},
+		"cancelled":                     {[]backend.KeyedRecord{JobRecord(job), running, CancelRecord(job.ID, 1000, "")}, Cancelled, true},
+		"cancelled before submission":   {[]backend.KeyedRecord{CancelRecord(job.ID, 1000, "")}, Cancelled, false},
+		"cancelled after its end":       {append(append([]backend.KeyedRecord{JobRecord(job)}, EndJob(job.ID, &Progress{Phase: Completed})...), CancelRecord(job.ID, 1000, "")), Completed, true},
 		"submitted again after its end": {append(append([]backend.KeyedRecord{JobRecord(job)}, EndJob(job.ID, &Progress{Phase: Failed})...), JobRecord(job)), Failed, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -50,7 +51,7 @@
 
 // Starting nodes must not have to read the submissions of ended jobs.
 func TestEndDeletesSubmission(t *testing.T) {
-	s := replay(t, append([]backend.KeyedRecord{JobRecord(job), CancelRecord(job.ID, 1000)}, EndJob(job.ID, &Progress{Phase: Cancelled, Done: Bitmap{1}, Workers: []string{"w"}})...)...)
+	s := replay(t, append([]backend.KeyedRecord{JobRecord(job), CancelRecord(job.ID, 1000, "")}, EndJob(job.ID, &Progress{Phase: Cancelled, Done: Bitmap{1}, Workers: []string{"w"}})...)...)
 	e := s.Jobs[job.ID]
 	if e.Job != nil || e.Progress.Done != nil || e.Progress.Workers != nil {
 		t.Errorf("entry after the end: %+v, want no submission, done tasks or workers", e)
@@ -99,8 +100,8 @@
 // Cancellations of jobs that are never submitted must be listed for deletion, or they
 // would stay in the ledger forever.
 func TestEndedBeforeListsCancellationsWithoutJob(t *testing.T) {
-	r := NewReplica(Listener{OnJobChange: func(string, JobEntry) {}, OnLeaderRecord: func(int64) {}, OnListing: func() {}})
-	r.Apply([]backend.KeyedRecord{CancelRecord("0000000000000001", 1000), CancelRecord("0000000000000002", 3000), JobRecord(job), CancelRecord(job.ID, 1000)})
+	r := NewReplica(Listener{OnJobChange: func(string, JobEntry) {}, OnLeaderRecord: func(int64) {}, OnListing: func() {}}, Holding{Limit: 64 << 20, Accounts: func() int { return 1 }})
+	r.Apply([]backend.KeyedRecord{CancelRecord("0000000000000001", 1000, ""), CancelRecord("0000000000000002", 3000, ""), JobRecord(job), CancelRecord(job.ID, 1000, "")})
 	if got := r.EndedBefore(2000); len(got) != 1 || got[0] != "0000000000000001" {
 		t.Errorf("ended before 2000: %v, want only 0000000000000001", got)
 	}
@@ -216,3 +217,62 @@
 		t.Error("the job's own progress has changed")
 	}
 }
+
+// What jobs take follows from the records alone, whatever their order, and is nothing once they
+// are deleted.
+func TestOccupancyFollowsTheRecords(t *testing.T) {
+	job := &workload.Job{ID: "00000000000000aa", Account: "x", Steps: []workload.Step{{Count: 5}}}
+	full := occupancy.JobBytes(job, len(JobRecord(job).Value))
+	end := EndJob(job.ID, &Progress{Phase: Completed})
+	for _, c := range []struct {
+		name    string
+		records []backend.KeyedRecord
+		want    int64
+		account string
+	}{
+		{"submitted", []backend.KeyedRecord{JobRecord(job)}, full, "x"},
+		{"submitted twice", []backend.KeyedRecord{JobRecord(job), JobRecord(job)}, full, "x"},
+		{"progress first", []backend.KeyedRecord{ProgressRecord(job.ID, &Progress{Phase: Running}), JobRecord(job)}, full, "x"},
+		{"ended", append([]backend.KeyedRecord{JobRecord(job)}, end...), occupancy.EntryBytes, "x"},
+		{"only the end read", end, occupancy.EntryBytes, ""},
+		{"cancelled, not submitted", []backend.KeyedRecord{CancelRecord(job.ID, 1, "y")}, occupancy.EntryBytes, "y"},
+		{"submitted after its cancellation", []backend.KeyedRecord{CancelRecord(job.ID, 1, "y"), JobRecord(job)}, full, "x"},
+		{"deleted", append(append([]backend.KeyedRecord{JobRecord(job)}, end...), DeleteJob(job.ID)...), 0, ""},
+	} {
+		s := NewState()
+		for _, r := range c.records {
+			if _, err := s.Apply(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if total, held := s.occupancy.Total(), s.occupancy.Held(c.account); total != c.want || held != c.want {
+			t.Errorf("%s: %d bytes, %d of account %q; want %d", c.name, total, held, c.account, c.want)
+		}
+	}
+}
+
+// The smallest node bounds what all accept, also a node that was removed.
+func TestSmallestNodeBoundsAcceptedJobs(t *testing.T) {
+	r := NewReplica(Listener{OnJobChange: func(string, JobEntry) {}, OnLeaderRecord: func(int64) {}, OnListing: func() {}}, Holding{Limit: 64 << 20, Accounts: func() int { return 1 }})
+	r.Apply(NodeRecords("large", "a:1", true, 100<<20))
+	if _, limit := r.OccupiedBytes(); limit != 64<<20 {
+		t.Errorf("limit %d, want this node's", limit)
+	}
+	r.Apply(NodeRecords("small", "a:2", false, 8<<20))
+	if _, limit := r.OccupiedBytes(); limit != 8<<20 {
+		t.Errorf("limit %d, want that of the smallest node", limit)
+	}
+	c := occupancy.Claim{Job: "a", Account: "x", Bytes: 3 << 20}
+	for _, job := range []string{"a", "b"} {
+		if c.Job = job; job == "b" {
+			c.Bytes = 6 << 20
+		}
+		if ok, o := r.Reserve(c, 0); ok != (job == "a") {
+			t.Errorf("job %s of %d bytes is admitted: %v; %+v", job, c.Bytes, ok, o)
+		}
+	}
+	r.CancelReservation("a")
+	if bytes, _ := r.OccupiedBytes(); bytes != 0 {
+		t.Errorf("%d bytes are reserved after the reservation was cancelled", bytes)
+	}
+}
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/occupancy"
 	"github.com/shallotpin/shallotpin/pkg/performance"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
@@ -25,6 +26,8 @@
 	nodePrefix     = "n/"
 	// candidatePrefix marks the nodes that have enough CPU to lead.
 	candidatePrefix = "l/"
+	// limitPrefix marks how many bytes of accepted jobs each node can hold.
+	limitPrefix = "b/"
 	// learnedPrefix marks what a leader has learned of the site, for later ones.
 	learnedPrefix = "k/"
 	termKey       = "term"
@@ -104,12 +107,14 @@
 type cancellation struct {
 	// AtMS is when a node accepted the cancellation, in Unix milliseconds.
 	AtMS int64 `json:"at"`
+	// Account is the client account that cancelled a job that was not submitted.
+	Account string `json:"a,omitempty"`
 }
 
-// CancelRecord returns the record that stores a cancellation at atMS, in Unix
-// milliseconds. The job need not have been submitted.
-func CancelRecord(id string, atMS int64) backend.KeyedRecord {
-	return record(cancelPrefix+id, cancellation{atMS})
+// CancelRecord returns the record that stores a cancellation at atMS, in Unix milliseconds. The
+// job need not have been submitted; account is then the client account of the caller, else empty.
+func CancelRecord(id string, atMS int64, account string) backend.KeyedRecord {
+	return record(cancelPrefix+id, cancellation{atMS, account})
 }
 
 // ProgressRecord returns the record that stores a job's progress.
@@ -151,9 +156,10 @@
 }
 
 // NodeRecords returns the records that store the address at which other nodes reach a
-// node, and whether it is a candidate for leadership; an empty address deletes it.
-func NodeRecords(name, address string, candidate bool) []backend.KeyedRecord {
-	records := []backend.KeyedRecord{{Key: nodePrefix + name, Value: []byte(address)}, {Key: candidatePrefix + name}}
+// node, whether it is a candidate for leadership, and how many bytes of accepted jobs it can
+// hold.
+func NodeRecords(name, address string, candidate bool, limit int64) []backend.KeyedRecord {
+	records := []backend.KeyedRecord{{Key: nodePrefix + name, Value: []byte(address)}, {Key: candidatePrefix + name}, record(limitPrefix+name, limit)}
 	if candidate {
 		records[1].Value = []byte(address)
 	}
@@ -186,6 +192,10 @@
 	// CancelledMS is when the job was cancelled, in Unix milliseconds; 0 if unknown.
 	CancelledMS int64
 	Progress    Progress
+
+	// account and bytes are what the State has added to its occupancy for the entry.
+	account string
+	bytes   int64
 }
 
 // WasSubmitted reports whether a submission of the job has ever been read.
@@ -219,11 +229,16 @@
 	Learned map[string][]byte
 	// Speeds is nil if no leader has recorded any. It must not be changed.
 	Speeds *performance.Record
+	// Limits is how many bytes of accepted jobs each node can hold, by its name.
+	Limits map[string]int64
+
+	// occupancy is what Jobs take.
+	occupancy *occupancy.Table
 }
 
 // NewState returns the state of an empty topic.
 func NewState() *State {
-	return &State{Jobs: map[string]*JobEntry{}, Nodes: map[string]string{}, Candidates: map[string]bool{}, Learned: map[string][]byte{}}
+	return &State{Jobs: map[string]*JobEntry{}, Nodes: map[string]string{}, Candidates: map[string]bool{}, Learned: map[string][]byte{}, Limits: map[string]int64{}, occupancy: occupancy.NewTable()}
 }
 
 // Change is the effect of a record on the State.
@@ -255,6 +270,9 @@
 		}
 		e := s.entry(id)
 		e.Cancelled, e.CancelledMS = true, c.AtMS
+		if c.Account != "" && !e.WasSubmitted() {
+			s.occupy(e, c.Account, occupancy.EntryBytes)
+		}
 		return Change{Job: id}, nil
 	case progressPrefix:
 		var p Progress
@@ -269,6 +287,13 @@
 	case candidatePrefix:
 		s.Candidates[id] = true
 		return Change{}, nil
+	case limitPrefix:
+		var limit int64
+		if err := json.Unmarshal(r.Value, &limit); err != nil {
+			return Change{}, fmt.Errorf("ledger: record %q at offset %d: %w", r.Key, r.Offset, err)
+		}
+		s.Limits[id] = limit
+		return Change{}, nil
 	case learnedPrefix:
 		s.Learned[id] = r.Value
 		return Change{}, nil
@@ -297,19 +322,29 @@
 	if e := s.Jobs[id]; e != nil && e.Job != nil {
 		return Change{}, nil
 	}
+	job, err := decodeJob(id, r)
+	if err != nil {
+		return Change{}, err
+	}
+	e := s.entry(id)
+	e.Job, e.SubmitOffset = job, r.Offset
+	s.occupy(e, job.Account, occupancy.JobBytes(job, len(r.Value)))
+	return Change{Job: id}, nil
+}
+
+// decodeJob decodes the submission of a job.
+func decodeJob(id string, r backend.KeyedRecord) (*workload.Job, error) {
 	var job workload.Job
 	if err := json.Unmarshal(r.Value, &job); err != nil {
-		return Change{}, fmt.Errorf("ledger: record %q at offset %d: %w", r.Key, r.Offset, err)
+		return nil, fmt.Errorf("ledger: record %q at offset %d: %w", r.Key, r.Offset, err)
 	}
 	if job.ID != id {
-		return Change{}, fmt.Errorf("ledger: record %q at offset %d is of job %q", r.Key, r.Offset, job.ID)
+		return nil, fmt.Errorf("ledger: record %q at offset %d is of job %q", r.Key, r.Offset, job.ID)
 	}
 	if err := job.Validate(); err != nil {
-		return Change{}, fmt.Errorf("ledger: record %q at offset %d: %w", r.Key, r.Offset, err)
+		return nil, fmt.Errorf("ledger: record %q at offset %d: %w", r.Key, r.Offset, err)
 	}
-	e := s.entry(id)
-	e.Job, e.SubmitOffset = &job, r.Offset
-	return Change{Job: id}, nil
+	return &job, nil
 }
 
 // applyDeletion applies the deletion of a record. That of a cancellation has no effect: it
@@ -317,16 +352,22 @@
 func (s *State) applyDeletion(kind, id string) Change {
 	switch kind {
 	case progressPrefix:
-		delete(s.Jobs, id)
+		if e := s.Jobs[id]; e != nil {
+			s.occupy(e, e.account, 0)
+			delete(s.Jobs, id)
+		}
 		return Change{Job: id}
 	case jobPrefix:
 		if e := s.Jobs[id]; e != nil {
 			e.Job = nil
+			s.occupy(e, e.account, occupancy.EntryBytes)
 		}
 	case nodePrefix:
 		delete(s.Nodes, id)
 	case candidatePrefix:
 		delete(s.Candidates, id)
+	case limitPrefix:
+		delete(s.Limits, id)
 	case learnedPrefix:
 		delete(s.Learned, id)
 	case speedsKey:
@@ -340,10 +381,24 @@
 	if e == nil {
 		e = &JobEntry{}
 		s.Jobs[id] = e
+		s.occupy(e, "", occupancy.EntryBytes)
 	}
 	return e
 }
 
+// occupy sets what an entry takes, and the client account that owns it.
+func (s *State) occupy(e *JobEntry, account string, bytes int64) {
+	if more := bytes - e.bytes; account != e.account {
+		s.occupancy.Add(e.account, -e.bytes)
+		s.occupancy.Add(account, bytes)
+	} else if more >= 0 {
+		s.occupancy.Add(account, more)
+	} else {
+		s.occupancy.Free(account, -more)
+	}
+	e.account, e.bytes = account, bytes
+}
+
 // TaskNumber returns the number of a task within its job, counting from 0 round by round
 // and step by step.
 func TaskNumber(job *workload.Job, id workload.TaskID) int {
--- a/pkg/ledger/replica.go
+++ b/pkg/ledger/replica.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/occupancy"
 )
 
 // Listener holds the callbacks of a Replica. They are called without its lock.
@@ -32,10 +33,13 @@
 	mu       sync.Mutex
 	state    *State
 	listener Listener
+	holding  Holding
 }
 
-// NewReplica returns the replica of an empty ledger.
-func NewReplica(l Listener) *Replica { return &Replica{state: NewState(), listener: l} }
+// NewReplica returns the replica of an empty ledger on a node that can hold h.
+func NewReplica(l Listener, h Holding) *Replica {
+	return &Replica{state: NewState(), listener: l, holding: h}
+}
 
 // Replace implements feed.Sink.
 func (r *Replica) Replace(records []backend.KeyedRecord) {
@@ -57,7 +61,10 @@
 func (r *Replica) apply(records []backend.KeyedRecord, replace bool) []int64 {
 	r.mu.Lock()
 	if replace {
+		table := r.state.occupancy
+		table.Restart()
 		r.state = NewState()
+		r.state.occupancy = table
 	}
 	jobs := map[string]JobEntry{}
 	var terms []int64
@@ -71,6 +78,11 @@
 			terms = append(terms, number)
 		}
 		if e := r.state.Jobs[change.Job]; e != nil {
+			if e.WasSubmitted() {
+				r.state.occupancy.Release(change.Job)
+			} else {
+				r.state.occupancy.Settle(change.Job, e.bytes)
+			}
 			jobs[change.Job] = *e
 		}
 	}
@@ -82,7 +94,12 @@
 }
 
 // Confirmed implements feed.Sink.
-func (r *Replica) Confirmed(at time.Duration) { r.listener.OnRead(at) }
+func (r *Replica) Confirmed(at time.Duration) {
+	r.mu.Lock()
+	r.state.occupancy.Observe(at)
+	r.mu.Unlock()
+	r.listener.OnRead(at)
+}
 
 // Job returns what the ledger holds about a job, and false if it holds nothing.
 func (r *Replica) Job(id string) (JobEntry, bool) {
@@ -138,12 +155,12 @@
 	return r.state.Nodes[name]
 }
 
-// HasNode reports whether the state has a node with its address, and as a candidate for
-// leadership or not, as given.
-func (r *Replica) HasNode(name, address string, candidate bool) bool {
+// HasNode reports whether the state has a node with its address, as a candidate for leadership
+// or not, and with what it can hold of accepted jobs, as given.
+func (r *Replica) HasNode(name, address string, candidate bool, limit int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.Nodes[name] == address && r.state.Candidates[name] == candidate
+	return r.state.Nodes[name] == address && r.state.Candidates[name] == candidate && r.state.Limits[name] == limit
 }
 
 // Learned returns what leaders have learned under a name, as the JSON text that they wrote; nil if
@@ -188,7 +205,7 @@
 func (r *Replica) State() *State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := &State{Jobs: map[string]*JobEntry{}, Term: r.state.Term, Speeds: r.state.Speeds, Learned: maps.Clone(r.state.Learned)}
+	s := &State{occupancy: occupancy.NewTable(), Jobs: map[string]*JobEntry{}, Term: r.state.Term, Speeds: r.state.Speeds, Learned: maps.Clone(r.state.Learned)}
 	for id, e := range r.state.Jobs {
 		c := *e
 		s.Jobs[id] = &c
