ingress: bounds on what the kernel receives for callers

What callers saw: with many clients at once a node ended for its memory although the gate held: bytes that the kernel has received and nobody has read count towards the platform's limit.

Cause: a connection had the system's receive buffer, of which 121 KB fill before the process reads, and 4,096 connections could wait to be accepted. No resident memory shows them.

Evidence: TestCrowdBeforeTheNodeReads stops the process, lets 1,200 clients send large bodies and continues it.

Why it works: the buffer is 8 KiB, of which 12 KB fill, and the backlog follows from the memory divided by that. A backlog of a quarter of the connections was tried: 300 clients that return together then find no place, and the crowd tests took 18 s in place of 4.

--- a/cmd/shallotpin-entry/main.go
+++ b/cmd/shallotpin-entry/main.go
@@ -249,6 +249,8 @@
 		}
 		if server == front {
 			listener = gate.Listener(listener)
+		} else {
+			ingress.LimitProbes(listener)
 		}
 		go func() { failed <- server.Serve(listener) }()
 	}
--- a/cmd/shallotpind/crowd_test.go
+++ b/cmd/shallotpind/crowd_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,6 +67,7 @@
 // crowdNode is a node that runs as a process.
 type crowdNode struct {
 	address string
+	process *os.Process
 	monitor *crowd.Monitor
 	jobs    int
 }
@@ -104,7 +106,7 @@
 	if line, err := bufio.NewReader(stdout).ReadString('\n'); err != nil || !strings.HasPrefix(line, "ready ") {
 		t.Fatalf("the node is not ready: %q, %v", line, err)
 	}
-	n.monitor = crowd.NewMonitor(command.Process.Pid)
+	n.process, n.monitor = command.Process, crowd.NewMonitor(command.Process.Pid)
 	t.Cleanup(n.monitor.Stop)
 	ctx, cancel := context.WithTimeout(t.Context(), crowdTimeout)
 	defer cancel()
@@ -220,6 +222,35 @@
 	}
 }
 
+// TestCrowdBeforeTheNodeReads sends large bodies from many more clients than the node has connections
+// for, while it gets no processor time. What the kernel has received counts towards its memory.
+func TestCrowdBeforeTheNodeReads(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "shallotpind")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("go build: %v\n%s", err, out)
+	}
+	n := startCrowdNode(t, program)
+	n.submit(t, "before the crowd", "calm", jobBody("calm", 20))
+	head := "POST /v1/services/desk/requests HTTP/1.1\r\nHost: crowd\r\n" + api.HeaderAccount + ": crowd\r\n" + api.HeaderClass + ": check\r\n"
+	request := crowd.Request{Head: head, Body: bytes.Repeat([]byte("x"), api.MaxRequestBytes)}
+	if err := n.process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	clients := crowd.Start(n.address, 1200, crowd.Unfinished, func(int) crowd.Request { return request })
+	if !n.monitor.AwaitReceived(crowdTimeout) {
+		t.Error("the kernel goes on receiving")
+	}
+	if err := n.process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	for range jobsBesideCrowd {
+		n.submit(t, "beside the crowd", "calm", jobBody("calm", 20))
+	}
+	clients.Close()
+	n.submit(t, "after the crowd", "calm", jobBody("calm", 20))
+	n.check(t)
+}
+
 // TestCrowdOfOne checks that a single request within the limits is accepted, however large it
 // is.
 func TestCrowdOfOne(t *testing.T) {
--- a/pkg/crowd/monitor.go
+++ b/pkg/crowd/monitor.go
@@ -67,6 +67,24 @@
 	return m.usage, err
 }
 
+// settleTime is how long the received bytes must not rise before they count as settled.
+const settleTime = time.Second
+
+// AwaitReceived waits until the kernel has received bytes for the process and receives no more. It
+// returns false after the timeout.
+func (m *Monitor) AwaitReceived(timeout time.Duration) bool {
+	last, since := 0, time.Now()
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(settleTime / 10) {
+		usage, _ := m.Usage()
+		if usage.ReceivedKB != last {
+			last, since = usage.ReceivedKB, time.Now()
+		} else if last > 0 && time.Since(since) > settleTime {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Monitor) sample() error {
 	peak, present, err := memoryKB(m.pid)
 	if err != nil {
--- a/pkg/ingress/gate.go
+++ b/pkg/ingress/gate.go
@@ -32,6 +32,8 @@
 // concurrent use.
 type Gate struct {
 	options Options
+	// backlog is the number of connections that may wait to be accepted.
+	backlog int
 	// started is when the gate's clock began.
 	started time.Time
 	limits  atomic.Pointer[Limits]
@@ -48,7 +50,7 @@
 
 // New returns a gate for a process that may use m.
 func New(o Options, m Machine) *Gate {
-	g := &Gate{options: o, started: time.Now(), decoder: make(chan struct{}, decoders), budget: newBudget(o.maxBytes(m), o.maxHolders(m)), conns: map[*holder]*conn{}, left: make(chan struct{})}
+	g := &Gate{options: o, backlog: maxBacklog(m), started: time.Now(), decoder: make(chan struct{}, decoders), budget: newBudget(o.maxBytes(m), o.maxHolders(m)), conns: map[*holder]*conn{}, left: make(chan struct{})}
 	g.report = newReporter(g)
 	g.SetLimits(Limits{})
 	return g
@@ -231,9 +233,12 @@
 	}
 }
 
-// Listener returns a listener that bounds the connections it accepts from l, and what is read
-// from them.
-func (g *Gate) Listener(l net.Listener) net.Listener { return &listener{l, g} }
+// Listener returns a listener that bounds the connections it accepts from l, what is read from
+// them, and what the kernel holds for them.
+func (g *Gate) Listener(l net.Listener) net.Listener {
+	limitKernel(l, g.backlog)
+	return &listener{l, g}
+}
 
 type listener struct {
 	net.Listener
