ledger: a leader holds one copy of a job, and a listing is not held beside its jobs

Cause: a leader decoded a submission that it had stored for its engine, and again for its replica when it read the record; both copies lived until the job ended. A node that starts held the records of the whole listing until all of them were decoded.

Change: Replica.Prepare decodes a stored submission and keeps it for the record with the same value, so that the engine and the replica share it; records of a listing are dropped one by one.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -56,7 +56,8 @@
 // Sink receives the records of a topic in log order. Its methods are not called
 // concurrently.
 type Sink interface {
-	// Replace replaces all earlier records by a listing of the newest of each key.
+	// Replace replaces all earlier records by a listing of the newest of each key. It may change
+	// the slice.
 	Replace(records []backend.KeyedRecord)
 	// Apply adds new records.
 	Apply(records []backend.KeyedRecord)
@@ -339,8 +340,8 @@
 		// A read beside the listing has applied newer records.
 		return nil
 	}
-	f.sink.Replace(records)
 	f.recordListing(records)
+	f.sink.Replace(records)
 	f.advance(end, true, sent)
 	return nil
 }
--- a/pkg/intake/phase_test.go
+++ b/pkg/intake/phase_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 }
 
 func (f *listingFollower) ConfirmedAt() (time.Duration, bool) {
-	f.replica.Replace(f.records)
+	f.replica.Replace(slices.Clone(f.records))
 	return time.Second, true
 }
 
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -301,17 +301,14 @@
 	if engine == nil {
 		return
 	}
-	state := ledger.NewState()
-	change, err := state.Apply(r)
+	id, job, err := s.replica.Prepare(r)
 	if err != nil {
 		klog.InfoS("leader: stored record not decoded", "key", r.Key, "err", err)
 		return
 	}
-	entry := state.Jobs[change.Job]
-	if _, known := s.replica.Job(change.Job); known || entry == nil || entry.Job == nil {
-		return
+	if job != nil {
+		engine.JobChanged(ctx, id, ledger.JobEntry{Job: job})
 	}
-	engine.JobChanged(ctx, change.Job, *entry)
 }
 
 // maxWriters is how many nodes are tried as the one that writes for all.
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -218,6 +218,40 @@
 	}
 }
 
+// A leader decodes a submission that it has stored, and holds the same job once it reads the record;
+// the record of another submission of the job is not taken for it.
+func TestStoredSubmissionIsDecodedOnce(t *testing.T) {
+	job := &workload.Job{ID: "00000000000000aa", Queue: "q", Payload: "x", Steps: []workload.Step{{Count: 1}}}
+	other := *job
+	other.Payload = "y"
+	replica := func() *Replica {
+		return NewReplica(Listener{OnJobChange: func(string, JobEntry) {}, OnLeaderRecord: func(int64) {}, OnListing: func() {}}, Holding{Limit: 64 << 20, Accounts: func() int { return 1 }})
+	}
+	r := replica()
+	id, prepared, err := r.Prepare(JobRecord(job))
+	if err != nil || id != job.ID || prepared == nil {
+		t.Fatalf("prepared %q, %v, %v", id, prepared, err)
+	}
+	r.Apply([]backend.KeyedRecord{JobRecord(job)})
+	if e, _ := r.Job(id); e.Job != prepared {
+		t.Error("the job is held twice")
+	}
+	if _, again, err := r.Prepare(JobRecord(job)); again != nil || err != nil {
+		t.Errorf("a job that the ledger has is prepared: %v, %v", again, err)
+	}
+	r = replica()
+	if _, prepared, _ = r.Prepare(JobRecord(job)); prepared == nil {
+		t.Fatal("not prepared")
+	}
+	r.Apply([]backend.KeyedRecord{JobRecord(&other)})
+	if e, _ := r.Job(id); e.Job == prepared || e.Job.Payload != "y" {
+		t.Errorf("the ledger has %+v, want the first submission that was read", e.Job)
+	}
+	if _, _, err := r.Prepare(backend.KeyedRecord{Key: jobPrefix + id + "b", Value: []byte("{")}); err == nil {
+		t.Error("a malformed submission is prepared")
+	}
+}
+
 // What jobs take follows from the records alone, whatever their order, and is nothing once they
 // are deleted.
 func TestOccupancyFollowsTheRecords(t *testing.T) {
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/maphash"
 	"maps"
 	"slices"
 	"strings"
@@ -234,11 +235,22 @@
 
 	// occupancy is what Jobs take.
 	occupancy *occupancy.Table
+	// prepared holds decoded submissions, by job, that have been stored and not been read.
+	prepared map[string]preparedJob
 }
 
+// preparedJob is a decoded submission.
+type preparedJob struct {
+	// sum is a hash of the record's value.
+	sum uint64
+	job *workload.Job
+}
+
+var preparedSeed = maphash.MakeSeed()
+
 // NewState returns the state of an empty topic.
 func NewState() *State {
-	return &State{Jobs: map[string]*JobEntry{}, Nodes: map[string]string{}, Candidates: map[string]bool{}, Learned: map[string][]byte{}, Limits: map[string]int64{}, occupancy: occupancy.NewTable()}
+	return &State{Jobs: map[string]*JobEntry{}, Nodes: map[string]string{}, Candidates: map[string]bool{}, Learned: map[string][]byte{}, Limits: map[string]int64{}, occupancy: occupancy.NewTable(), prepared: map[string]preparedJob{}}
 }
 
 // Change is the effect of a record on the State.
@@ -322,9 +334,14 @@
 	if e := s.Jobs[id]; e != nil && e.Job != nil {
 		return Change{}, nil
 	}
-	job, err := decodeJob(id, r)
-	if err != nil {
-		return Change{}, err
+	prepared, found := s.prepared[id]
+	delete(s.prepared, id)
+	job := prepared.job
+	if !found || prepared.sum != maphash.Bytes(preparedSeed, r.Value) {
+		var err error
+		if job, err = decodeJob(id, r); err != nil {
+			return Change{}, err
+		}
 	}
 	e := s.entry(id)
 	e.Job, e.SubmitOffset = job, r.Offset
@@ -358,6 +375,7 @@
 		}
 		return Change{Job: id}
 	case jobPrefix:
+		delete(s.prepared, id)
 		if e := s.Jobs[id]; e != nil {
 			e.Job = nil
 			s.occupy(e, e.account, occupancy.EntryBytes)
--- a/pkg/ledger/replica.go
+++ b/pkg/ledger/replica.go
@@ -1,8 +1,10 @@
 package ledger
 
 import (
+	"hash/maphash"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
 	"github.com/shallotpin/shallotpin/pkg/occupancy"
+	"github.com/shallotpin/shallotpin/pkg/workload"
 )
 
 // Listener holds the callbacks of a Replica. They are called without its lock.
@@ -68,7 +71,11 @@
 	}
 	jobs := map[string]JobEntry{}
 	var terms []int64
-	for _, record := range records {
+	for i, record := range records {
+		if replace {
+			// A listing may be as large as all jobs: it is not held beside their decoded form.
+			records[i] = backend.KeyedRecord{}
+		}
 		change, err := r.state.Apply(record)
 		if err != nil {
 			klog.InfoS("ledger: invalid record ignored", "err", err)
@@ -93,6 +100,27 @@
 	return terms
 }
 
+// Prepare decodes a submission that has been stored, before it is read from the log, and returns
+// the job with its ID; nil if the record is none, or of a job that the ledger has. The record is
+// not decoded again when it is read, so that a leader holds one copy of the job.
+func (r *Replica) Prepare(record backend.KeyedRecord) (id string, job *workload.Job, err error) {
+	id, found := strings.CutPrefix(record.Key, jobPrefix)
+	if _, known := r.Job(id); !found || known {
+		return id, nil, nil
+	}
+	if job, err = decodeJob(id, record); err != nil {
+		return id, nil, err
+	}
+	sum := maphash.Bytes(preparedSeed, record.Value)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.Jobs[id] != nil {
+		return id, nil, nil
+	}
+	r.state.prepared[id] = preparedJob{sum, job}
+	return id, job, nil
+}
+
 // Confirmed implements feed.Sink.
 func (r *Replica) Confirmed(at time.Duration) {
 	r.mu.Lock()
