--- /dev/null
+++ b/review/standins-3/cases.go
@@ -0,0 +1,143 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+func init() {
+	cases["foreign-entry"] = foreignEntry
+	cases["deadly"] = deadly
+	cases["never-begun"] = neverBegun
+	cases["late-start"] = lateStart
+}
+
+// foreignEntry has another writer put entries in place of those of executors at work: of a service
+// that nobody has named.
+func foreignEntry(s *site, trouble bool) bool {
+	const id = "11110000aaaa0001"
+	f := s.fleet
+	s.submit(id, behaviour{work: 12 * time.Second}, map[string]any{"Count": 3, "Cpu": 8000, "MemMb": 30000, "Gpu": 1, "EstMs": 12000})
+	s.await("all tasks are at work", 10*time.Second, func() bool { return f.runningOf(id) == 3 })
+	time.Sleep(3 * time.Second)
+	if trouble {
+		f.mu.Lock()
+		for _, e := range f.executors {
+			if len(e.runs) == 0 {
+				continue
+			}
+			s.record.line("another writer: entry at servers/%s", e.id)
+			s.store.put(serversTopic, e.id, map[string]any{"Service": "another-service", "Addr": local + ":9", "Zone": e.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0,
+				"Capacity": map[string]int{"Cpu": 64000, "MemMb": 262144, "Gpu": 8}, "Labels": []string{"a", e.rack}, "ClockMs": 5, "Seq": 1, "born": time.Now().UnixMilli()})
+		}
+		f.mu.Unlock()
+	}
+	s.await("all tasks are done", 40*time.Second, func() bool {
+		for i := range 3 {
+			if !f.finished[fmt.Sprintf("%s.0.0.%d", id, i)] {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(2 * time.Second)
+	s.nodes[0].call("GET", id, nil)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.twice) == 0
+}
+
+// deadly hands in a job whose task crashes each executor that starts it.
+func deadly(s *site, trouble bool) bool {
+	const id = "11110000aaaa0002"
+	f := s.fleet
+	f.downTime = 8 * time.Second
+	s.submit(id, behaviour{work: 5 * time.Second, deadly: trouble}, map[string]any{"Count": 1, "Cpu": 8000, "MemMb": 30000, "Gpu": 1, "EstMs": 5000})
+	task := id + ".0.0.0"
+	for range 45 {
+		time.Sleep(2 * time.Second)
+		_, state := s.nodes[0].call("GET", id, nil)
+		f.mu.Lock()
+		after, done := f.startsAfter[task], f.finished[task]
+		f.mu.Unlock()
+		if after >= 3 {
+			return false
+		}
+		if done || state == "{\"State\":\"failed\"}\n" {
+			return true
+		}
+	}
+	return true
+}
+
+// neverBegun leaves three start orders of a task unanswered, each on an executor that goes down
+// before it has carried the order out.
+func neverBegun(s *site, trouble bool) bool {
+	const id = "11110000aaaa0003"
+	f := s.fleet
+	f.downTime = 2 * time.Second
+	left := 0
+	if trouble {
+		f.mu.Lock()
+		f.leavesUnanswered = func(e *executor, o order) bool {
+			if jobOf(o.Task) != id || left == 3 {
+				return false
+			}
+			left++
+			time.AfterFunc(200*time.Millisecond, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				s.record.line("executor %s: goes down; it runs %d tasks", e.id, len(e.runs))
+				e.crash()
+			})
+			return true
+		}
+		f.mu.Unlock()
+	}
+	s.submit(id, behaviour{work: 5 * time.Second}, map[string]any{"Count": 1, "Cpu": 8000, "MemMb": 30000, "Gpu": 1, "EstMs": 5000})
+	for range 40 {
+		time.Sleep(time.Second)
+		_, state := s.nodes[0].call("GET", id, nil)
+		f.mu.Lock()
+		starts := f.starts[id+".0.0.0"]
+		f.mu.Unlock()
+		switch state {
+		case "{\"State\":\"failed\"}\n":
+			s.record.line("BROKEN: the job is shown as failed; its task has been started %d times", starts)
+			return false
+		case "{\"State\":\"completed\"}\n":
+			return true
+		}
+	}
+	return true
+}
+
+// lateSpell is how long orders are left unanswered at a time.
+const lateSpell = 3400 * time.Millisecond
+
+// lateStart lets the executors, whose clocks are 2% slow, idle for 70 s, and then one of them leaves
+// orders unanswered for two spells in a row and carries them out late.
+func lateStart(s *site, trouble bool) bool {
+	const id = "11110000aaaa0004"
+	f := s.fleet
+	f.mu.Lock()
+	for _, e := range f.executors {
+		e.rate = 0.98
+	}
+	f.mu.Unlock()
+	time.Sleep(70 * time.Second)
+	f.mu.Lock()
+	if trouble {
+		f.executors[0].lateFor = 2 * lateSpell
+	}
+	f.mu.Unlock()
+	s.submit(id, behaviour{work: 5 * time.Second}, map[string]any{"Count": 1, "Cpu": 8000, "MemMb": 30000, "Gpu": 1, "EstMs": 5000})
+	s.await("the task is done", 30*time.Second, func() bool { return f.finished[id+".0.0.0"] })
+	time.Sleep(2 * time.Second)
+	s.nodes[0].call("GET", id, nil)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.twice) == 0
+}
