--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -12,6 +12,7 @@
 	cases["deadly"] = deadly
 	cases["never-begun"] = neverBegun
 	cases["late-start"] = lateStart
+	cases["deadly-later"] = deadlyLater
 }
 
 // foreignEntry has another writer put entries in place of those of executors at work: of a service
@@ -49,20 +50,37 @@
 	return len(f.twice) == 0
 }
 
-// deadly hands in a job whose task crashes each executor that starts it.
+// deadly hands in a job whose task crashes each executor that starts it at once; the executors are
+// back after 8 s.
 func deadly(s *site, trouble bool) bool {
-	const id = "11110000aaaa0002"
+	return s.crashes("11110000aaaa0002", 50*time.Millisecond, 8*time.Second, trouble)
+}
+
+// deadlyLater hands in a job whose task crashes each executor that starts it 2.5 s later; the
+// executors are back after 3 s.
+func deadlyLater(s *site, trouble bool) bool {
+	return s.crashes("11110000aaaa0005", 2500*time.Millisecond, 3*time.Second, trouble)
+}
+
+// crashes hands in a job of one task that crashes its executors, and reports whether it is started
+// less than three times more after it has crashed three of them.
+func (s *site) crashes(id string, after, down time.Duration, trouble bool) bool {
 	f := s.fleet
-	f.downTime = 8 * time.Second
-	s.submit(id, behaviour{work: 5 * time.Second, deadly: trouble}, map[string]any{"Count": 1, "Cpu": 8000, "MemMb": 30000, "Gpu": 1, "EstMs": 5000})
+	f.downTime = down
+	b := behaviour{work: 5 * time.Second}
+	if trouble {
+		b.deadlyAfter = after
+	}
+	s.submit(id, b, map[string]any{"Count": 1, "Cpu": 8000, "MemMb": 30000, "Gpu": 1, "EstMs": 5000})
 	task := id + ".0.0.0"
 	for range 45 {
 		time.Sleep(2 * time.Second)
 		_, state := s.nodes[0].call("GET", id, nil)
 		f.mu.Lock()
-		after, done := f.startsAfter[task], f.finished[task]
+		more, done := f.startsAfter[task], f.finished[task]
 		f.mu.Unlock()
-		if after >= 3 {
+		if more >= 3 {
+			s.record.line("BROKEN: %s has been started three times more after three executors had crashed under it", task)
 			return false
 		}
 		if done || state == "{\"State\":\"failed\"}\n" {
--- a/review/standins-3/executors.go
+++ b/review/standins-3/executors.go
@@ -13,12 +13,11 @@
 
 // Figures of a small deployment, as in the settings of DEPLOY.md.
 const (
-	holdMax   = 6 * time.Second
-	stopTime  = 300 * time.Millisecond
-	gangTime  = 3 * time.Second
-	beat      = 1500 * time.Millisecond
-	stepTime  = 10 * time.Millisecond
-	deadlyLag = 50 * time.Millisecond
+	holdMax  = 6 * time.Second
+	stopTime = 300 * time.Millisecond
+	gangTime = 3 * time.Second
+	beat     = 1500 * time.Millisecond
+	stepTime = 10 * time.Millisecond
 	// lateBy is how late an executor carries out an order that it has left unanswered.
 	lateBy = 5 * time.Second
 )
@@ -26,8 +25,8 @@
 // behaviour is how the tasks of a job run, by the job's ID.
 type behaviour struct {
 	work time.Duration
-	// deadly tasks crash the executor deadlyLag after they have started there.
-	deadly bool
+	// deadlyAfter, unless it is 0, is how long after their start the tasks crash their executor.
+	deadlyAfter time.Duration
 }
 
 type run struct {
@@ -186,7 +185,7 @@
 		b := f.jobs[jobOf(r.task)]
 		r.percent = min(100, int(100*now.Sub(r.began)/max(b.work, 1)))
 		switch {
-		case b.deadly && now.Sub(r.began) >= deadlyLag:
+		case b.deadlyAfter > 0 && now.Sub(r.began) >= b.deadlyAfter:
 			f.crashes[r.task]++
 			f.record.line("executor %s: crashes under %s, crash %d of the task", e.id, r.task, f.crashes[r.task])
 			e.crash()
