--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -53,7 +53,8 @@
 // node is an entry node.
 type node struct {
 	site                       *site
-	name, front, ready, port   string
+	name, zone                 string
+	front, ready, port         string
 	metrics, settings, storeAt string
 
 	mu      sync.Mutex
@@ -75,7 +76,9 @@
 // The size of the deployment.
 const (
 	executors = 12
-	nodes     = 3
+	// manyExecutors is how many the small deployments of SYSTEM.md have.
+	manyExecutors = 48
+	nodes         = 3
 )
 
 const (
@@ -120,7 +123,7 @@
 	s.configure(1)
 	s.fleet = newFleet(s.store, s.record, executorCount)
 	for i := range nodeCount {
-		n := &node{site: s, name: fmt.Sprintf("front-zone-%c-1", 'a'+i), front: local + ":" + freePort(), ready: local + ":" + freePort(), port: freePort(), metrics: local + ":" + freePort()}
+		n := &node{site: s, name: fmt.Sprintf("front-zone-%c-1", 'a'+i), zone: fmt.Sprintf("zone-%c", 'a'+i), front: local + ":" + freePort(), ready: local + ":" + freePort(), port: freePort(), metrics: local + ":" + freePort()}
 		n.settings = filepath.Join(dir, n.name+".yaml")
 		text := fmt.Sprintf("NodeName: %q\nRole: \"entry\"\nZone: \"zone-%c\"\nListen:\n  Front: %q\n  Ready: %q\nLimits:\n  CpuShare: 0.4\n  Cores: 1\n  MemoryMb: 284\n  MaxFds: 4100\n  LinkMbps: 1000.0\nHeartbeatMs: 1500\n"+
 			"Bounds:\n  ContactMs: 3000\n  AckMs: 4000\n  DrainMs: 2000\n  GraceS: 6\n  ConfigMs: 2000\n  EvacuateMs: 5000\n  HoldMaxMs: 6000\n  StopMs: 900\n  GangMs: 3000\n  cancel_ms: 3000\n  visible_ms: 3000\n  status_s: 120\n  SaveS: 2\n  RestoreMs: 600\n  ReclaimMs: 3400\nOrders: \"rpc\"\n"+
@@ -225,13 +228,22 @@
 	return nil
 }
 
+// encode returns a body as JSON, with each character as it is.
+func encode(body any) *bytes.Buffer {
+	data := &bytes.Buffer{}
+	encoder := json.NewEncoder(data)
+	encoder.SetEscapeHTML(false)
+	_ = encoder.Encode(body)
+	return data
+}
+
 // call sends a client's request to a node and records it; it returns status 0 without an answer.
 func (n *node) call(method, id string, body any) (int, string) {
-	var data []byte
+	data := &bytes.Buffer{}
 	if body != nil {
-		data, _ = json.Marshal(body)
+		data = encode(body)
 	}
-	request, err := http.NewRequest(method, "http://"+n.front+"/jobs/"+id, bytes.NewReader(data))
+	request, err := http.NewRequest(method, "http://"+n.front+"/jobs/"+id, data)
 	if err != nil {
 		fatal("%v", err)
 	}
@@ -311,7 +323,11 @@
 		<-signals
 		fatal("told to end")
 	}()
-	s := newSite(os.Args[2], os.Args[3], executors, nodes)
+	count := executors
+	if os.Args[1] == "large-job" {
+		count = manyExecutors
+	}
+	s := newSite(os.Args[2], os.Args[3], count, nodes)
 	held := play(s, os.Getenv("TROUBLE") != "0")
 	s.record.line("the rule held: %v", held)
 	s.stopNodes()
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -25,6 +25,12 @@
 	serversTopic = "keyed.servers"
 )
 
+// The limits of the store, as in the settings. A record has its key's length, the key and the value.
+const (
+	recordBytes = 262144 - 1
+	callBytes   = 2097152
+)
+
 // store serves the platform's store, as PROTOCOL.md has it, over the project's in-memory log.
 type store struct {
 	logs    map[string]*simsite.Log
@@ -35,6 +41,7 @@
 	s := &store{logs: map[string]*simsite.Log{}, clients: map[string]*simsite.Client{}}
 	for _, topic := range []string{ledgerTopic, opTopic, serversTopic} {
 		s.logs[topic] = simsite.NewLog()
+		s.logs[topic].SetLimits(recordBytes, callBytes)
 		s.clients[topic] = s.logs[topic].Client()
 	}
 	return s
@@ -117,6 +124,8 @@
 		answer(w, http.StatusConflict, map[string]any{"Reason": "fenced"})
 	case e.Kind == backend.LogWrongSequence:
 		answer(w, http.StatusConflict, map[string]any{"Reason": "seq", "Seq": e.ExpectedSequence})
+	case e.Kind == backend.LogInvalid:
+		answer(w, http.StatusRequestEntityTooLarge, nil)
 	case e.Kind == backend.LogTrimmed:
 		answer(w, http.StatusGone, nil)
 	default:
