--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -126,20 +126,22 @@
 // lateSpell is how long orders are left unanswered at a time.
 const lateSpell = 3400 * time.Millisecond
 
-// lateStart lets the executors, whose clocks are 2% slow, idle for 70 s, and then one of them leaves
-// orders unanswered for two spells in a row and carries them out late.
+// lateStart lets half of the executors, whose clocks are 2% slow, idle for 70 s, and then one of these
+// leaves orders unanswered for two spells in a row and carries them out late. The others run tasks.
 func lateStart(s *site, trouble bool) bool {
-	const id = "11110000aaaa0004"
+	const id, others = "11110000aaaa0004", "11110000aaaa0006"
 	f := s.fleet
 	f.mu.Lock()
 	for _, e := range f.executors {
 		e.rate = 0.98
 	}
 	f.mu.Unlock()
+	s.submit(others, behaviour{work: 100 * time.Second}, map[string]any{"Count": executors / 2, "Cpu": 60000, "MemMb": 200000, "Gpu": 8, "EstMs": 100000})
+	s.await("half of the executors are at work", 10*time.Second, func() bool { return f.runningOf(others) == executors/2 })
 	time.Sleep(70 * time.Second)
 	f.mu.Lock()
 	if trouble {
-		f.executors[0].lateFor = 2 * lateSpell
+		f.lateJob, f.lateFor = id, 2*lateSpell
 	}
 	f.mu.Unlock()
 	s.submit(id, behaviour{work: 5 * time.Second}, map[string]any{"Count": 1, "Cpu": 8000, "MemMb": 30000, "Gpu": 1, "EstMs": 5000})
@@ -148,6 +150,7 @@
 	s.nodes[0].call("GET", id, nil)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	s.record.line("orders to executors in the two spells: %d, left unanswered: %d", f.ordered, f.unanswered)
 	return len(f.twice) == 0
 }
 
--- a/review/standins-3/executors.go
+++ b/review/standins-3/executors.go
@@ -58,9 +58,7 @@
 	changed   chan struct{}
 	// rate is that of the executor's clock.
 	rate float64
-	// lateFor is for how long, from the next start order on, the executor leaves orders unanswered
-	// and carries them out late; lateUntil is the end of that time.
-	lateFor   time.Duration
+	// lateUntil is until when the executor leaves orders unanswered and carries them out late.
 	lateUntil time.Time
 }
 
@@ -74,6 +72,12 @@
 	jobs      map[string]behaviour
 	// downTime is how long an executor is down after a crash.
 	downTime time.Duration
+	// lateJob is the job whose first start order makes its executor leave orders unanswered for
+	// lateFor. ordered and unanswered count the orders to all executors in that time.
+	lateJob             string
+	lateFor             time.Duration
+	lateUntil           time.Time
+	ordered, unanswered int
 	// answerTime is how long an order takes, and crossZone how much longer it does in other zones
 	// than the leader's.
 	answerTime, crossZone time.Duration
@@ -248,10 +252,16 @@
 		answer(w, http.StatusMisdirectedRequest, nil)
 		return
 	}
-	if r.URL.Path == "/api/run-start" && e.lateFor > 0 {
-		e.lateUntil, e.lateFor = time.Now().Add(e.lateFor), 0
+	now := time.Now()
+	if r.URL.Path == "/api/run-start" && f.lateFor > 0 && jobOf(o.Task) == f.lateJob {
+		f.lateUntil = now.Add(f.lateFor)
+		e.lateUntil, f.lateFor = f.lateUntil, 0
 	}
-	if time.Now().Before(e.lateUntil) {
+	if now.Before(f.lateUntil) {
+		f.ordered++
+	}
+	if now.Before(e.lateUntil) {
+		f.unanswered++
 		e.carryOutLate(r.URL.Path, o)
 		f.mu.Unlock()
 		<-r.Context().Done()
