dispatch: leases end by the least that a worker's clock may read

Cause: a worker's clock was taken over as an offset at each answer and used without its age. Idle workers are not called, and their clocks may run 2 % slow, so that a lease ended later than the leader counted by 2 % of the idle time. The allowance covered the drift over one lease only, and so did the wait of later leaders.

Evidence: in the record of the case on the lease ends 7,399 ms after the worker's clock at the start order, for a lease of 6,000 ms: 1,400 ms are 2 % of 70 s. The run was taken for ended after 6.37 s and carried out after 6.6 s.

Change: clock.go keeps the reading, when it was read at the latest, and from these the least that the clock may read now. Leases end by that. Workers' records, which have the clock with each heartbeat, keep the bound tight without calls; they count only within what the worker's own answers allow. Without them an idle worker is called before its lease would be shorter by a tenth. A start refused as late makes the worker tell its clock. Starts log the age of the reading and the end of the lease.

Why it works: the end of the lease is at most the lease's length ahead of the clock when the order is sent, so that it is reached within that length at the slowest rate, whenever the order is carried out. A longer wait of the leader would not do: a later leader does not know the age of the reading.

Two fixtures that set a worker as having answered now set its clock as known, since no work starts on a worker whose clock is not known.

--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -153,9 +153,11 @@
 	e.syncWorkers()
 }
 
-// maxLeaseError is how much longer than granted a lease may last on the engine's clock.
+// maxLeaseError is how much longer than granted a lease may last on the engine's clock, since the
+// worker's may run slow.
 func (e *Engine) maxLeaseError() time.Duration {
-	return time.Duration(float64(e.Settings.LeaseDuration)*e.Settings.ClockDrift) + leaseSlack
+	drift := e.Settings.ClockDrift
+	return time.Duration(float64(e.Settings.LeaseDuration)*drift/(1-drift)) + leaseSlack
 }
 
 // grantEnd returns until when leases may be granted now, on the engine's clock.
@@ -560,9 +562,7 @@
 			klog.InfoS("dispatch: worker capacity changed", "worker", info.ID, "from", w.info.Capacity, "to", info.Capacity, "used", w.used)
 		}
 		w.info, w.listed = info, true
-		if !w.clockKnown && info.ClockMS != 0 {
-			w.clockOffsetMS, w.clockKnown = info.ClockMS-info.ReceivedAt.Milliseconds(), true
-		}
+		e.notePublishedClock(w)
 		if e.ctx != nil && !w.fenced {
 			e.renewIfDue(w, e.Now())
 		}
--- a/pkg/dispatch/incarnation_test.go
+++ b/pkg/dispatch/incarnation_test.go
@@ -195,7 +195,7 @@
 				// The next renewal is due.
 				s.now += renewalRetryDelay
 				for _, call := range []func(*worker){s.renewNow, s.requestListing} {
-					if !w.needsRenewal() {
+					if !s.needsRenewal(w, s.now) {
 						continue
 					}
 					call(w)
@@ -511,7 +511,7 @@
 			t.Errorf("no ticket for %s", present)
 		}
 		s.relist("w0", 2)
-		s.latest["w0"].fenced = true
+		s.latest["w0"].fenced, s.latest["w0"].clock.known = true, true
 	}
 }
 
--- a/pkg/dispatch/manual_test.go
+++ b/pkg/dispatch/manual_test.go
@@ -61,7 +61,7 @@
 		info := catalog.Worker{ID: fmt.Sprintf("w%d", i), StartedMS: 1, Address: fmt.Sprintf("a%d", i), Service: "s", Zone: "z", Capacity: workload.Resources{Accelerators: 8}}
 		view.Workers[info.ID] = info
 		w := s.addWorker(workerKey(info), info)
-		w.listed, w.fenced = true, true
+		w.listed, w.fenced, w.clock.known = true, true, true
 		s.workers[info.ID] = w
 	}
 	return s
@@ -109,7 +109,7 @@
 	info := s.workers[worker].info
 	info.StartedMS++
 	w := s.addWorker(workerKey(info), info)
-	w.listed, w.fenced = true, true
+	w.listed, w.fenced, w.clock.known = true, true, true
 	s.workers[worker] = w
 }
 
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -217,9 +217,7 @@
 	crashed bool
 	runs    map[workload.TaskID]*run
 	used    workload.Resources
-	// clockOffsetMS is a lower bound of the worker's clock minus the engine's.
-	clockOffsetMS int64
-	clockKnown    bool
+	clock   workerClock
 	// answeredAt is when the worker last answered a call.
 	answeredAt time.Duration
 	// unansweredSince is when the earliest unanswered call was sent, 0 if there is none.
--- a/pkg/dispatch/pause_test.go
+++ b/pkg/dispatch/pause_test.go
@@ -52,7 +52,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		e.ctx, e.view = ctx, view
 		w := e.addWorker(workerKey(info), info)
-		w.listed, w.fenced, w.clockKnown = true, true, true
+		w.listed, w.fenced, w.clock.known = true, true, true
 		spec := &workload.Job{ID: "0123456789abcdef", Steps: []workload.Step{{Count: 1, Need: workload.Resources{Accelerators: 1}}}}
 		e.applyEntry(spec.ID, &ledger.JobEntry{Job: spec}, false)
 		u := e.jobs[spec.ID].units[0]
--- a/pkg/dispatch/plan.go
+++ b/pkg/dispatch/plan.go
@@ -248,7 +248,7 @@
 // isSchedulable reports whether new tasks may start on the worker.
 func (e *Engine) isSchedulable(w *worker, now time.Duration) bool {
 	return w.listed && !w.replaced && !w.clockWentBack && !w.info.Draining && !e.view.ZonesOut[w.info.Zone] && len(w.orphans) == 0 && now >= w.quarantinedUntil &&
-		w.fenced && !w.isUnresponsive(now)
+		w.fenced && w.clock.known && !w.isUnresponsive(now)
 }
 
 // isEnding reports whether a run is likely to end by itself within MaxStopTime. A gang
--- a/pkg/dispatch/runs.go
+++ b/pkg/dispatch/runs.go
@@ -42,7 +42,7 @@
 	}
 	r.resumed = order.Checkpoint != ""
 	klog.InfoS("dispatch: start", "job", t.id.Job, "task", u.id.String(), "index", t.id.Index, "run", r.id.Number, "worker", w.info.ID, "zone", w.info.Zone, "rack", w.info.Rack,
-		"view_age", e.view.age(now), "worker_age", now-w.answeredAt, "resumes", order.Checkpoint != "")
+		"view_age", e.view.age(now), "worker_age", now-w.answeredAt, "clock_age", now-w.clock.readBefore, "lease_until_ms", order.LeaseUntilMS, "resumes", order.Checkpoint != "")
 	ref := w.ref()
 	go func() {
 		ctx, cancel := context.WithTimeout(e.ctx, startTimeout)
@@ -79,7 +79,7 @@
 			e.onClockWentBack(w, r, clockMS)
 		}
 		w.noteAnswer(now)
-		e.updateClockOffset(w, clockMS)
+		e.noteClock(w, clockMS, r.orderedAt)
 		w.leaseEnd = max(w.leaseEnd, e.longestLeaseEnd(now))
 		if r.phase == runStarting {
 			r.activate(0, now)
@@ -112,6 +112,10 @@
 	if kind != backend.OrderWrongIncarnation {
 		w.quarantinedUntil = max(w.quarantinedUntil, now+retryDelay)
 	}
+	if kind == backend.OrderLeaseExpired {
+		// The bound of the worker's clock is too low.
+		e.requestListing(w)
+	}
 	r.crash = nil
 	e.removeRun(r, "start refused: "+string(kind))
 	e.onOrderError(w, err)
--- a/pkg/dispatch/settings.go
+++ b/pkg/dispatch/settings.go
@@ -162,6 +162,9 @@
 	retryDelay = 100 * time.Millisecond
 	// reservationMargin is how long a reservation outlasts MaxStopTime.
 	reservationMargin = time.Second
+	// minLeaseParts limits how much shorter a lease is for what the worker's clock may be ahead of its
+	// bound: to a tenth, so that renewals may still be lost.
+	minLeaseParts = 10
 	// leaseSlack is added to the end of a lease for late timers.
 	leaseSlack = 150 * time.Millisecond
 )
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -52,10 +52,17 @@
 	return nil, "", false
 }
 
-// needsRenewal reports whether the engine has to renew the worker's leases or needs its
-// listing.
-func (w *worker) needsRenewal() bool {
-	return len(w.runs) > 0 || len(w.orphans) > 0 || w.endsAcknowledged < w.endsHandled || w.listed && !w.replaced && (!w.fenced || w.mayReturn())
+// needsRenewal reports whether the engine has to renew the worker's leases, or needs its
+// listing or its clock.
+func (e *Engine) needsRenewal(w *worker, now time.Duration) bool {
+	return len(w.runs) > 0 || len(w.orphans) > 0 || w.endsAcknowledged < w.endsHandled || w.listed && !w.replaced && (!w.fenced || w.mayReturn() || e.isClockUncertain(w, now))
+}
+
+// isClockUncertain reports whether the worker's clock is not known, or a lease would be too short for
+// what the clock may have gained on its bound. Records with the clock keep an idle worker from being
+// called for that.
+func (e *Engine) isClockUncertain(w *worker, now time.Duration) bool {
+	return now-w.listingAt > renewalWait && (!w.clock.known || w.clock.uncertainty(now, e.Settings.ClockDrift) > e.Settings.LeaseDuration/minLeaseParts)
 }
 
 // mayReturn reports whether the worker has no runs and has left a call unanswered: it gets no
@@ -71,7 +78,7 @@
 
 // renewIfDue sends a renewal if one is due and none is in flight.
 func (e *Engine) renewIfDue(w *worker, now time.Duration) {
-	if w.renewalInFlight || now < w.renewalDue || !w.needsRenewal() || !e.lease.MayRenew(now) {
+	if w.renewalInFlight || now < w.renewalDue || !e.needsRenewal(w, now) || !e.lease.MayRenew(now) {
 		return
 	}
 	if w.withholdsAcknowledgement() && w.hasRun((*run).awaitsStart) && now < w.listingAt+renewalRetryDelay {
@@ -91,13 +98,13 @@
 	w.noteCall(now)
 	// The worker answers at once if the call is to learn its clock, whether it responds, or
 	// which runs it has. It does so, too, while it has ends that are not acknowledged.
-	if !w.clockKnown || unanswered || len(w.runs) == 0 || w.hasOnlyUnresolved() || w.withholdsAcknowledgement() {
+	if !w.clock.known || unanswered || len(w.runs) == 0 || w.hasOnlyUnresolved() || w.withholdsAcknowledgement() {
 		order.Wait = 0
 	}
 	if order.Wait > 0 && w.isMixed() {
 		order.Wait = mixedRenewalWait
 	}
-	if w.clockKnown && len(w.runs) > 0 && !unanswered && e.mayGrantLease(w, now) {
+	if w.clock.known && len(w.runs) > 0 && !unanswered && e.mayGrantLease(w, now) {
 		order.LeaseUntilMS = e.extendLease(w, now)
 	}
 	w.renewalInFlight = true
@@ -132,11 +139,12 @@
 }
 
 // extendLease returns the end of a new lease on the worker's clock, in milliseconds, and
-// sets leaseEnd to the time on the engine's clock until which the tasks may then run.
+// sets leaseEnd to the time on the engine's clock until which the tasks may then run, however late
+// the order is carried out.
 func (e *Engine) extendLease(w *worker, now time.Duration) int64 {
 	end := e.grantEnd(now)
 	w.leaseEnd = max(w.leaseEnd, end+e.maxLeaseError())
-	return w.clockOffsetMS + end.Milliseconds()
+	return int64(w.clock.lower(now, e.Settings.ClockDrift) + milliseconds(end-now))
 }
 
 // sendRenewal makes a renewal call and posts the answer to the engine.
@@ -230,7 +238,7 @@
 		w.endSilence()
 	}
 	w.noteAnswer(now)
-	e.updateClockOffset(w, reply.ClockMS)
+	e.noteClock(w, reply.ClockMS, sent)
 	w.endsAcknowledged = max(w.endsAcknowledged, order.SeenUpTo)
 	w.renewalDue = now
 	listed := map[backend.RunID]bool{}
@@ -298,14 +306,20 @@
 	}
 }
 
-// updateClockOffset sets the lower bound of the worker's clock offset from a reply.
-func (e *Engine) updateClockOffset(w *worker, clockMS int64) {
-	if clockMS == 0 {
+// noteClock takes over the worker's clock from the answer to a call that was sent then.
+func (e *Engine) noteClock(w *worker, clockMS int64, sent time.Duration) {
+	if clockMS != 0 {
+		w.clock.noteAnswer(clockMS, sent, e.Now(), e.Settings.ClockDrift)
+	}
+}
+
+// notePublishedClock takes over the worker's clock from its record.
+func (e *Engine) notePublishedClock(w *worker) {
+	if w.info.ClockMS == 0 || w.clock.notePublished(w.info.ClockMS, w.info.ReceivedAt, e.Settings.ClockDrift) || w.clock.contradictionLogged {
 		return
 	}
-	// The worker read its clock before now, so the true offset is at least this.
-	w.clockOffsetMS = clockMS - e.Now().Milliseconds()
-	w.clockKnown = true
+	w.clock.contradictionLogged = true
+	klog.InfoS("dispatch: the clock in a worker's record is ahead of the one in its answers; record's clock not used", "worker", w.info.ID, "record", w.info.ClockMS, "answered", w.clock.answeredMS, "answer_age", w.info.ReceivedAt-w.clock.readAfter)
 }
 
 // onOrderError handles what a failed call means for the worker as a whole, or the term.
