dispatch: records of services that nothing names are of no worker

Cause: a record in the place of a worker's own, valid in every field but of a service that no configuration names, with a later start time, was taken for a restart of the worker, whose runs were given up at once.

Evidence: in the record of the case the second starts follow the foreign records within 20 ms, while the first runs answer and go on.

Change: the engine drops such records from its view before it concludes anything from them: another start time, address, zone or capacity, or that the worker leaves. A service counts as named by the configuration, by one of its queues, or by a job whose queue has been deleted.

Tests: TestRecordOfAnUnnamedServiceEndsNothing failed for a later start time, another address and a leaving worker before; TestWorkersOfAJobsServiceAreKept.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -62,8 +62,10 @@
 
 // Config is one version of the operators' configuration.
 type Config struct {
-	Version  int64
-	Queues   []Queue
+	Version int64
+	Queues  []Queue
+	// Services are the names of the services, also of those that no queue sends to.
+	Services []string
 	Accounts []Account
 	// MaxBodyBytes limits the body of a request; 0 means no limit.
 	MaxBodyBytes int64
@@ -72,14 +74,19 @@
 
 	queuesByName  map[string]*Queue
 	accountsByKey map[string]*Account
+	services      map[string]bool
 }
 
 // Index builds the lookup tables. It must be called once, before the configuration is
 // shared between goroutines.
 func (c *Config) Index() {
-	c.queuesByName, c.accountsByKey = map[string]*Queue{}, map[string]*Account{}
+	c.queuesByName, c.accountsByKey, c.services = map[string]*Queue{}, map[string]*Account{}, map[string]bool{}
 	for i := range c.Queues {
 		c.queuesByName[c.Queues[i].Name] = &c.Queues[i]
+		c.services[c.Queues[i].Policy.Service] = true
+	}
+	for _, name := range c.Services {
+		c.services[name] = true
 	}
 	for i := range c.Accounts {
 		for _, key := range c.Accounts[i].Keys {
@@ -91,6 +98,10 @@
 // Queue returns the queue with the given name, or nil.
 func (c *Config) Queue(name string) *Queue { return c.queuesByName[name] }
 
+// HasService reports whether the configuration names the service, by itself or by a queue. One that
+// names no service at all leaves them open.
+func (c *Config) HasService(name string) bool { return len(c.services) == 0 || c.services[name] }
+
 // AccountOf returns the account that a key belongs to, or nil.
 func (c *Config) AccountOf(key string) *Account { return c.accountsByKey[key] }
 
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -77,6 +77,8 @@
 	// started last.
 	workers, latest map[string]*worker
 	view            View
+	// foreignRecords are the services of the records under workers' IDs that no worker has made.
+	foreignRecords map[string]string
 	// lastJobAt is when the last new job arrived, or the term began.
 	lastJobAt time.Duration
 	// inheritedLeasesEnd is when every lease that an earlier leader granted has ended.
@@ -129,7 +131,7 @@
 
 // New returns an engine for one term.
 func New(in Inputs) *Engine {
-	return &Engine{Inputs: in, events: make(chan func(), eventQueueSize), jobs: map[string]*job{}, endedAt: map[string]time.Duration{}, workers: map[string]*worker{}, latest: map[string]*worker{},
+	return &Engine{Inputs: in, events: make(chan func(), eventQueueSize), jobs: map[string]*job{}, endedAt: map[string]time.Duration{}, workers: map[string]*worker{}, latest: map[string]*worker{}, foreignRecords: map[string]string{},
 		lease: election.NewLease(in.Settings.Election, in.ClaimedAt), lastWriteAt: in.ClaimedAt, runTimes: map[string]*runTime{}, crashes: map[string]crashTimes{}, interference: newInterferenceWatch(), performance: performance.New(),
 		planDurations: metrics.GetOrCreateHistogram("shallotpin_plan_seconds"),
 		startWaits:    metrics.GetOrCreateHistogram("shallotpin_start_wait_seconds")}
@@ -150,6 +152,7 @@
 		e.applyEntry(id, entry, true)
 	}
 	e.restoreSpeeds(state.Speeds)
+	e.dropForeignRecords()
 	e.syncWorkers()
 }
 
@@ -244,6 +247,7 @@
 // updateView takes over the newest view and its workers.
 func (e *Engine) updateView() {
 	e.view = e.View()
+	e.dropForeignRecords()
 	e.syncWorkers()
 }
 
--- a/pkg/dispatch/incarnation.go
+++ b/pkg/dispatch/incarnation.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -30,6 +31,43 @@
 	return n
 }
 
+// dropForeignRecords removes the records of services that nothing names from the view, which no worker
+// has made: what they say of an incarnation holds for none. The worker in whose place such a record is gets
+// no new work until it writes its own again, and its runs go on.
+func (e *Engine) dropForeignRecords() {
+	foreign := map[string]string{}
+	for id, info := range e.view.Workers {
+		if !e.isNamed(info.Service) {
+			foreign[id] = info.Service
+		}
+	}
+	for id, service := range foreign {
+		if e.foreignRecords[id] != service {
+			klog.InfoS("dispatch: worker's record is of a service that nothing names; not used", "worker", id, "service", service, "age", e.Now()-e.view.Workers[id].ReceivedAt)
+		}
+	}
+	e.foreignRecords = foreign
+	if len(foreign) > 0 {
+		// The view is shared.
+		e.view.Workers = maps.Clone(e.view.Workers)
+		maps.DeleteFunc(e.view.Workers, func(id string, _ catalog.Worker) bool { _, drop := foreign[id]; return drop })
+	}
+}
+
+// isNamed reports whether the configuration or a job names the service. Jobs of queues that have
+// been deleted still run.
+func (e *Engine) isNamed(service string) bool {
+	if e.view.Config == nil || e.view.Config.HasService(service) {
+		return true
+	}
+	for _, j := range e.jobs {
+		if j.policy.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // addWorker adds an incarnation of a worker. By its start time it is the latest one or not; an answer
 // may show otherwise, see onRenewalReply.
 func (e *Engine) addWorker(key string, info catalog.Worker) *worker {
