dispatch: a record alone does not show that a worker has restarted

Cause: the list of workers alone ended an incarnation, wherever its record came from: by a later start time, by another address (the next call there is answered by a worker with another ID, which ends all runs), and, as a crash that counts against tasks at work, by a record of another ID at the same address.

Evidence: TestWrongRecordInPlaceOfAWorkersOwn lost the run for a later start time while the worker answered, and sent its calls elsewhere for another address; TestRecordAtTheAddressOfAWorkerIsNoCrash counted a crash of a worker that answered.

Change: an incarnation of which a later one is listed is asked at once. It is given up if the later one answers, under whatever ID the call was sent, or if the earlier one is silent for as long as a renewal may take. One that has answered stays at its address.

Why it works: which incarnation runs is decided by what answers.

The fixture relist of the tests gives up the silent earlier incarnation itself: what those tests check begins there, and the evidence has tests of its own.

--- a/pkg/dispatch/clock.go
+++ b/pkg/dispatch/clock.go
@@ -17,8 +17,6 @@
 	readAfter  time.Duration
 	// comparedAt is when the bound was last compared with a recent reading.
 	comparedAt time.Duration
-	// contradictionLogged means that a record that contradicts the answers has been logged.
-	contradictionLogged bool
 }
 
 // recordTolerance is by how much the clock in a worker's record may be ahead of what the worker's
--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -198,14 +198,16 @@
 }
 
 // recordReplaced records the crashes of workers at whose addresses the platform lists
-// workers that have started later. Nothing else may call an idle worker and notice.
+// workers that have started later. Nothing else may call an idle worker and notice. One with runs is
+// called: as long as it answers, the list is wrong.
 func (e *Engine) recordReplaced() {
+	now := e.Now()
 	newest := map[string]int64{}
 	for _, info := range e.view.Workers {
 		newest[info.Address] = max(newest[info.Address], info.StartedMS)
 	}
 	for key, w := range e.workers {
-		if !w.crashed && incarnationStartMS(key) < newest[w.info.Address] {
+		if !w.crashed && incarnationStartMS(key) < newest[w.info.Address] && (len(w.runs) == 0 || w.isSilentSince(w.answeredAt, now)) {
 			e.recordCrash(w)
 		}
 	}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -565,7 +565,7 @@
 		if w.info.Capacity != info.Capacity {
 			klog.InfoS("dispatch: worker capacity changed", "worker", info.ID, "from", w.info.Capacity, "to", info.Capacity, "used", w.used)
 		}
-		w.info, w.listed = info, true
+		w.info, w.listed = e.ownRecord(w, info), true
 		e.notePublishedClock(w)
 		if e.ctx != nil && !w.fenced {
 			e.renewIfDue(w, e.Now())
@@ -579,10 +579,5 @@
 		klog.InfoS("dispatch: worker no longer listed", "worker", w.info.ID, "draining", w.info.Draining, "runs", len(w.runs))
 	}
 	e.recordReplaced()
-	for key, w := range e.workers {
-		other, known := e.view.Workers[w.info.ID]
-		if known && workerKey(other) != key && other.StartedMS > incarnationStartMS(key) {
-			e.supersede(w, other.StartedMS, "another incarnation of the worker is listed")
-		}
-	}
+	e.replaceEarlier(e.Now())
 }
--- a/pkg/dispatch/incarnation.go
+++ b/pkg/dispatch/incarnation.go
@@ -176,6 +176,42 @@
 	e.requestListing(w)
 }
 
+// replaceEarlier gives up the incarnations of which later ones are listed. A record alone does not show
+// that one has ended, since any writer may have made it: either the later one has answered, or the
+// earlier one leaves calls unanswered that are sent once the later one is known.
+func (e *Engine) replaceEarlier(now time.Duration) {
+	for _, w := range e.workers {
+		latest := e.latest[w.info.ID]
+		switch {
+		case latest == nil || latest.startMS() <= w.startMS():
+		case latest.clock.known || w.isSilentSince(latest.knownAt, now):
+			e.supersede(w, latest.startMS(), "a later incarnation of the worker is listed")
+		case now > latest.knownAt:
+			e.requestListing(w)
+		}
+	}
+}
+
+// isSilentSince reports whether the worker has answered no call from a given time on for as long as
+// a renewal may take.
+func (w *worker) isSilentSince(since, now time.Duration) bool {
+	return w.unansweredSince != 0 && now-max(w.unansweredSince, since) > renewalStopTimeout
+}
+
+// ownRecord returns what a record says of the incarnation. One that has answered stays at its address:
+// a record with another one is not its own in that.
+func (e *Engine) ownRecord(w *worker, info catalog.Worker) catalog.Worker {
+	if !w.clock.known || info.Address == w.info.Address {
+		return info
+	}
+	if !w.contradictionLogged {
+		w.contradictionLogged = true
+		klog.InfoS("dispatch: worker's record has another address than the one at which it answers; record's address not used", "worker", w.info.ID, "record", info.Address, "answers_at", w.info.Address)
+	}
+	info.Address = w.info.Address
+	return info
+}
+
 // supersede gives up an incarnation of a worker, since another one, started at startMS, is known to
 // have taken its place, and returns the latest that is known.
 func (e *Engine) supersede(w *worker, startMS int64, why string) *worker {
--- a/pkg/dispatch/incarnation_test.go
+++ b/pkg/dispatch/incarnation_test.go
@@ -27,10 +27,15 @@
 	return len(s.startable(u, s.now)) == 0
 }
 
-// relist makes the platform list another incarnation of a worker.
+// relist makes the platform list another incarnation of a worker, of which the earlier ones are silent.
 func (s *manualSite) relist(worker string, startMS int64) {
 	s.setRecord(worker, func(info *catalog.Worker) { info.StartedMS = startMS })
 	s.updateView()
+	for _, w := range s.Engine.workers {
+		if latest := s.latest[worker]; w.info.ID == worker && w.startMS() < latest.startMS() {
+			s.supersede(w, latest.startMS(), "it is silent")
+		}
+	}
 }
 
 // answer delivers an answer of an incarnation of a worker to a call that was meant for another.
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -218,6 +218,8 @@
 	runs    map[workload.TaskID]*run
 	used    workload.Resources
 	clock   workerClock
+	// contradictionLogged means that a record that contradicts the worker's answers has been logged.
+	contradictionLogged bool
 	// answeredAt is when the worker last answered a call.
 	answeredAt time.Duration
 	// unansweredSince is when the earliest unanswered call was sent, 0 if there is none.
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -230,7 +230,9 @@
 			return
 		}
 		// It has answered a call that was sent when the other one was known, so it is the later one:
-		// the time of day, from which start times are taken, may have been set back.
+		// the time of day, from which start times are taken, may have been set back, or another writer has
+		// made the record of the other one.
+		latest.replaced = true
 		e.supersede(latest, w.startMS(), "an incarnation with an earlier start time answered in its place")
 	}
 	if w.isUnresponsive(now) {
@@ -315,10 +317,10 @@
 
 // notePublishedClock takes over the worker's clock from its record.
 func (e *Engine) notePublishedClock(w *worker) {
-	if w.info.ClockMS == 0 || w.clock.notePublished(w.info.ClockMS, w.info.ReceivedAt, e.Settings.ClockDrift) || w.clock.contradictionLogged {
+	if w.info.ClockMS == 0 || w.clock.notePublished(w.info.ClockMS, w.info.ReceivedAt, e.Settings.ClockDrift) || w.contradictionLogged {
 		return
 	}
-	w.clock.contradictionLogged = true
+	w.contradictionLogged = true
 	klog.InfoS("dispatch: the clock in a worker's record is ahead of the one in its answers; record's clock not used", "worker", w.info.ID, "record", w.info.ClockMS, "answered", w.clock.answeredMS, "answer_age", w.info.ReceivedAt-w.clock.readAfter)
 }
 
