leader: the leases of a node's own last term are inherited like others'

Cause: earlierWritesAt, from which a leader reckons until when the leases of earlier leaders last, leaves out the records of the term that the node has claimed last. If it leads the next term, too, that was its own earlier term, and the wait was already over: tasks whose workers had not answered yet counted as ended.

Change: when a term ends, all writes of it have been sent by now.

Why it works: leases are granted up to the lease window after the last confirmed write of the term, which was sent before its end.

--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -119,7 +119,8 @@
 	// lastRead is the time of the last successful read of the ledger, 0 before the first.
 	lastRead time.Duration
 	// earlierWritesAt is a time by which every write of leaders before claimedTerm that
-	// has been read had been sent. claimedTerm is the last term that the node has claimed.
+	// has been read had been sent, those of this node in an earlier term included.
+	// claimedTerm is the last term that the node has claimed.
 	earlierWritesAt time.Duration
 	claimedTerm     int64
 }
@@ -408,8 +409,11 @@
 	s.markEnded(term)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.settings.Now()
 	s.engine, s.writer, s.termCtx = nil, nil, nil
-	s.monitor.ObserveLeader(s.settings.Now())
+	s.monitor.ObserveLeader(now)
+	// If the node leads the next term, too, its leases of this one are inherited.
+	s.earlierWritesAt = now
 }
 
 // rank returns the node's place in the order of probes and claims, from 0.
