ledger: jobs whose records are larger than the log takes are compressed or refused alone

Cause: nothing compared a job's record with the limit of a record. With its other fields, and with < as \u003c, a record is larger than the body, which MaxBodyBytes allows to be as large as a record. The log refuses all records of a call together, the leader's, too.

Change: a record that is too large as it is has a compressed value; text of the limit's size fits so. One that does not is refused alone, before any write, with 413, and logged and counted. Earlier versions cannot read compressed records; they could not store these jobs either.

Why it works: what is handed to the log fits into a record.

--- a/pkg/api/errors.go
+++ b/pkg/api/errors.go
@@ -12,6 +12,8 @@
 const (
 	// CodeInvalid marks invalid input; a retry with the same input is refused too.
 	CodeInvalid Code = "invalid"
+	// CodeTooLarge marks input of a valid form that is too large to be stored; a retry is refused too.
+	CodeTooLarge Code = "too-large"
 	// CodeNotFound marks a name or ID that does not exist.
 	CodeNotFound Code = "not-found"
 	// CodeConflict marks a change based on an outdated version.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -137,7 +137,7 @@
 	})
 	n.writer = ledger.NewAppender(p.Ledger, ledger.AppenderSettings{Producer: s.Incarnation, Epoch: 1, NextSequence: 1, CallTimeout: writeTimeout, RetryDelay: writeRetryDelay,
 		BatchDelay: batchDelay, MaxBatchBytes: s.MaxBatchBytes, LinkRate: s.LinkRate, LogLatency: n.logLatency, CheckLatency: n.checkLatency, Now: s.Now})
-	n.Intake = intake.New(replica, n.ledgerFollower, n.writer, n.leader.Writer, n.leader.JobStored, n.checkLatency, &forwarder{peers: p.Peers, replica: replica, leader: n.leader, self: s.Name, logLatency: n.logLatency, now: s.Now, failedAt: map[string]time.Duration{}}, s.Now, s.UnixMS)
+	n.Intake = intake.New(replica, n.ledgerFollower, n.writer, n.leader.Writer, n.leader.JobStored, n.checkLatency, &forwarder{peers: p.Peers, replica: replica, leader: n.leader, self: s.Name, logLatency: n.logLatency, now: s.Now, failedAt: map[string]time.Duration{}}, n.leader.MaxRecordBytes, s.Now, s.UnixMS)
 	return n, p.Peers.Handle(receiverName, &receiver{n, n.leader})
 }
 
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -97,15 +97,20 @@
 	checkLatency func()
 	now          func() time.Duration
 	unixMS       func() int64
+	// maxRecordBytes returns the log's limit of a record, 0 if it has none.
+	maxRecordBytes func() int
 	// latency is that of successful writes, in seconds.
 	latency *metrics.Histogram
 }
 
 // New returns the intake of a node, whose replica is kept current by f.
-func New(replica *ledger.Replica, f *feed.Follower, writer *ledger.Appender, leaderWriter func() *ledger.Appender, stored func(backend.KeyedRecord), checkLatency func(), forwarder Forwarder, now func() time.Duration, unixMS func() int64) *Service {
-	return &Service{forwarder: forwarder, replica: replica, follower: f, writer: writer, leaderWriter: leaderWriter, stored: stored, checkLatency: checkLatency, now: now, unixMS: unixMS, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
+func New(replica *ledger.Replica, f *feed.Follower, writer *ledger.Appender, leaderWriter func() *ledger.Appender, stored func(backend.KeyedRecord), checkLatency func(), forwarder Forwarder, maxRecordBytes func() int, now func() time.Duration, unixMS func() int64) *Service {
+	return &Service{forwarder: forwarder, maxRecordBytes: maxRecordBytes, replica: replica, follower: f, writer: writer, leaderWriter: leaderWriter, stored: stored, checkLatency: checkLatency, now: now, unixMS: unixMS, latency: metrics.GetOrCreateHistogram("shallotpin_intake_write_seconds")}
 }
 
+// tooLarge counts the jobs that were refused for the size of their records.
+var tooLarge = metrics.NewCounter("shallotpin_jobs_too_large_total")
+
 // Submit stores a job. The verdict of an *api.Error says whether the job may have been, or
 // may still be, stored. Repeating a submission is harmless.
 func (s *Service) Submit(ctx context.Context, job *workload.Job) error {
@@ -115,7 +120,13 @@
 	if s.Accepted(job.ID) {
 		return nil
 	}
-	r := ledger.JobRecord(job)
+	limit := s.maxRecordBytes()
+	r, fits := ledger.JobRecordWithin(job, limit)
+	if !fits {
+		klog.InfoS("intake: job refused, its record is too large for the log", "job", job.ID, "account", job.Account, "steps", len(job.Steps), "compressed", len(r.Value), "limit", limit)
+		tooLarge.Inc()
+		return &api.Error{Code: api.CodeTooLarge, Message: "the job is too large to be stored", Verdict: api.NotRun}
+	}
 	err := s.write(ctx, r, occupancy.Claim{Job: job.ID, Account: job.Account, Bytes: occupancy.JobBytes(job, len(r.Value))})
 	s.logOutcome("submission", job.ID, err)
 	return err
--- a/pkg/intake/occupancy_test.go
+++ b/pkg/intake/occupancy_test.go
@@ -49,7 +49,7 @@
 	replica := ledger.NewReplica(ledger.Listener{OnJobChange: func(string, ledger.JobEntry) {}, OnLeaderRecord: func(int64) {}, OnListing: func() {}, OnRead: func(time.Duration) {}}, ledger.Holding{Limit: limit, Accounts: func() int { return 2 }})
 	forwarder.replica = replica
 	writer := ledger.NewAppender(nil, ledger.AppenderSettings{LogLatency: func() time.Duration { return 0 }, CheckLatency: func() {}, Now: now})
-	s := New(replica, nil, writer, func() *ledger.Appender { return nil }, func(backend.KeyedRecord) {}, func() {}, forwarder, now, func() int64 { return 1 })
+	s := New(replica, nil, writer, func() *ledger.Appender { return nil }, func(backend.KeyedRecord) {}, func() {}, forwarder, func() int { return 0 }, now, func() int64 { return 1 })
 	s.follower = currentFollower{}
 	return s, forwarder
 }
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -187,6 +187,9 @@
 	}
 }
 
+// MaxRecordBytes returns the log's limit of a record, key and value together, 0 if it has none.
+func (s *Service) MaxRecordBytes() int { return s.dispatchSettings().MaxRecordBytes }
+
 func (s *Service) dispatchSettings() dispatch.Settings {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/ledger/records.go
+++ b/pkg/ledger/records.go
@@ -104,6 +104,18 @@
 // JobRecord returns the record that stores a submission.
 func JobRecord(job *workload.Job) backend.KeyedRecord { return record(jobPrefix+job.ID, job) }
 
+// JobRecordWithin returns the record that stores a submission, key and value of at most maxBytes
+// together; 0 means no limit. One that is larger as it is has a compressed value, which earlier versions
+// cannot read. It reports false if the record is too large even so.
+func JobRecordWithin(job *workload.Job, maxBytes int) (backend.KeyedRecord, bool) {
+	r := JobRecord(job)
+	if maxBytes == 0 || len(r.Key)+len(r.Value) <= maxBytes {
+		return r, true
+	}
+	r.Value = compress(r.Value)
+	return r, len(r.Key)+len(r.Value) <= maxBytes
+}
+
 // cancellation is the value of a job's cancellation.
 type cancellation struct {
 	// AtMS is when a node accepted the cancellation, in Unix milliseconds.
@@ -351,8 +363,12 @@
 
 // decodeJob decodes the submission of a job.
 func decodeJob(id string, r backend.KeyedRecord) (*workload.Job, error) {
+	value, err := decompress(r.Value)
+	if err != nil {
+		return nil, fmt.Errorf("ledger: record %q at offset %d: %w", r.Key, r.Offset, err)
+	}
 	var job workload.Job
-	if err := json.Unmarshal(r.Value, &job); err != nil {
+	if err := json.Unmarshal(value, &job); err != nil {
 		return nil, fmt.Errorf("ledger: record %q at offset %d: %w", r.Key, r.Offset, err)
 	}
 	if job.ID != id {
