ledger: an invalid record fails alone

Cause: a call that the log refuses as invalid failed all of its writes.

Change: such a call is split in halves until the invalid write stands alone; that one is counted (shallotpin_log_invalid_writes_total) and logged with its largest key and size.

Test: TestInvalidRecordFailsAlone: all 20 writes failed before.

Open: a write of several records, as the leader's, is not split further, so that an invalid record of the leader's own still ends its term; its progress records are kept within the limit. A call of unknown outcome that is refused as invalid when repeated is repeated on, as before.

--- a/pkg/ledger/appender.go
+++ b/pkg/ledger/appender.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -106,6 +107,14 @@
 	// unsettledBefore means that mayBeAdded was set before the present call.
 	unsettledBefore bool
 	withdrawn       bool
+	// maxBatch is the number of writes with which the log may be given this one, 0 if it has not
+	// refused them as invalid.
+	maxBatch int
+}
+
+// mayJoin reports whether the write may be added to a batch that begins with first and has n writes.
+func (w *pendingWrite) mayJoin(first *pendingWrite, n int) bool {
+	return w.maxBatch == first.maxBatch && (w.maxBatch == 0 || n < w.maxBatch)
 }
 
 // NewAppender returns an Appender. Writes wait until Run is called.
@@ -286,7 +295,11 @@
 		return false, ctx.Err()
 	case logErr != nil && (logErr.Kind == backend.LogFenced || logErr.Kind == backend.LogWrongSequence):
 		return false, err
+	case logErr != nil && logErr.Kind == backend.LogInvalid && !mayBeAddedBefore && len(batch) > 1:
+		a.split(batch)
+		return false, nil
 	case logErr != nil && logErr.Kind == backend.LogInvalid && !mayBeAddedBefore:
+		a.logInvalid(batch[0], err)
 		a.finish(batch, sent, err)
 		return false, nil
 	case logErr != nil && logErr.Verdict == api.NotRun && !mayBeAddedBefore:
@@ -299,6 +312,32 @@
 	return true, nil
 }
 
+// split queues the writes of a batch that the log has refused as invalid again, in two batches: one
+// invalid write must not fail the others.
+func (a *Appender) split(batch []*pendingWrite) {
+	klog.InfoS("ledger: records refused as invalid, written in parts", "producer", a.settings.Producer, "writes", len(batch))
+	a.mu.Lock()
+	for _, w := range batch {
+		w.mayBeAdded, w.maxBatch = false, (len(batch)+1)/2
+	}
+	a.mu.Unlock()
+	a.requeue(batch)
+}
+
+var invalidWrites = metrics.NewCounter("shallotpin_log_invalid_writes_total")
+
+// logInvalid records that the log has refused a write as invalid.
+func (a *Appender) logInvalid(w *pendingWrite, err error) {
+	invalidWrites.Inc()
+	largest := slices.MaxFunc(w.records, func(x, y backend.KeyedRecord) int {
+		return cmp.Compare(len(x.Key)+len(x.Value), len(y.Key)+len(y.Value))
+	})
+	klog.InfoS("ledger: write refused as invalid", "producer", a.settings.Producer, "records", len(w.records), "bytes", w.bytes, "largest_key", largest.Key[:min(len(largest.Key), maxLoggedKey)], "key_bytes", len(largest.Key), "value_bytes", len(largest.Value), "err", err)
+}
+
+// maxLoggedKey limits what is logged of a key, in bytes.
+const maxLoggedKey = 64
+
 const (
 	// After a call, the next one waits for a share of the latency, 1/joinLatencyDivisor and
 	// at most maxJoinDelay, so that writes that follow from the result need not wait for
@@ -439,7 +478,7 @@
 	var batch []*pendingWrite
 	size, used := 0, 0
 	for _, w := range a.queue {
-		if len(batch) > 0 && size+w.bytes > a.settings.maxBatch() {
+		if len(batch) > 0 && (size+w.bytes > a.settings.maxBatch() || !w.mayJoin(batch[0], len(batch))) {
 			break
 		}
 		used++
--- a/pkg/ledger/appender_test.go
+++ b/pkg/ledger/appender_test.go
@@ -136,3 +136,54 @@
 		t.Errorf("withdrawal of a write that is sent: %v, want the verdict may-have-run", err)
 	}
 }
+
+// pickyLog refuses appends that have a record with an invalid key.
+type pickyLog struct {
+	backend.KeyedLog
+	invalid string
+	calls   int
+	added   []string
+}
+
+func (l *pickyLog) Append(_ context.Context, a backend.KeyedAppend) (int64, error) {
+	l.calls++
+	for _, r := range a.Records {
+		if r.Key == l.invalid {
+			return 0, &backend.LogError{Kind: backend.LogInvalid, Verdict: api.NotRun, Cause: errors.New("key")}
+		}
+	}
+	for _, r := range a.Records {
+		l.added = append(l.added, r.Key)
+	}
+	return 0, nil
+}
+
+// Guards against a record that the log refuses as invalid and that fails the records of others in the
+// same call.
+func TestInvalidRecordFailsAlone(t *testing.T) {
+	const writes, invalid = 20, 7
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		log := &pickyLog{invalid: CancelRecord(string(rune('a'+invalid)), 1, "").Key}
+		a := NewAppender(log, AppenderSettings{Producer: "p", Epoch: 1, NextSequence: 1, CallTimeout: time.Second, RetryDelay: 10 * time.Millisecond, BatchDelay: time.Millisecond, MaxBatchBytes: 10000, LogLatency: func() time.Duration { return 0 }, CheckLatency: func() {}, Now: func() time.Duration { return time.Since(began) }})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go a.Run(ctx)
+		results := make([]chan error, writes)
+		for i := range writes {
+			results[i] = make(chan error, 1)
+			go func() {
+				_, err := a.Write(ctx, CancelRecord(string(rune('a'+i)), 1, ""))
+				results[i] <- err
+			}()
+		}
+		for i, result := range results {
+			if err := <-result; (err != nil) != (i == invalid) {
+				t.Errorf("write %d: error %v", i, err)
+			}
+		}
+		if len(log.added) != writes-1 || log.calls > 12 {
+			t.Errorf("%d records added in %d calls, want %d in at most 12", len(log.added), log.calls, writes-1)
+		}
+	})
+}
