intake: cancellations of invalid job IDs are not written

What callers saw: with DELETE requests for IDs of over 253 characters, other callers' submissions were refused, and the leader's term ended.

Cause: the ID was not checked, and its record's key exceeded what the log takes.

Change: no job can have an ID that is not 16 hexadecimal digits, so that the answer is that no such job exists, without a record.

--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -146,6 +146,11 @@
 // Cancel stores a job's cancellation by a client account, unless the job has ended, and reports
 // whether the job is known.
 func (s *Service) Cancel(ctx context.Context, id, account string) (bool, error) {
+	if !workload.IsJobID(id) {
+		// No job can have it, and a record of it may exceed the log's limit of a key.
+		klog.V(1).InfoS("intake: cancellation of an invalid job ID", "bytes", len(id), "account", account)
+		return false, nil
+	}
 	phase, err := s.Phase(ctx, id)
 	if err != nil {
 		return false, err
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -196,7 +196,7 @@
 // is shown to callers.
 func (j *Job) Validate() error {
 	switch {
-	case len(j.ID) != 16 || !isHex(j.ID):
+	case !IsJobID(j.ID):
 		return fmt.Errorf("the job ID %q is not 16 hexadecimal digits", j.ID)
 	case len(j.Payload) > maxPayloadBytes:
 		return fmt.Errorf("the payload has %d bytes, the limit is %d", len(j.Payload), maxPayloadBytes)
@@ -240,6 +240,9 @@
 	return nil
 }
 
+// IsJobID reports whether a text has the form of a job's ID: 16 hexadecimal digits.
+func IsJobID(text string) bool { return len(text) == 16 && isHex(text) }
+
 func isHex(text string) bool {
 	for _, c := range text {
 		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
