dispatch: a crash counts though its runs have been given up

Cause: the suspects of a crash were the runs that the worker had when its next incarnation appeared. Runs are given up with their leases, some 7 s after the start, so that a worker that was down for longer had none.

Evidence: in the record of the case no crash is put down to the task in 38 s; the workers are back after 8 s.

Change: the suspects of a silent worker are kept for a minute when its runs are given up, and count once the worker is known to have been replaced: not if it answers itself again, nor for a task that is done or has survived elsewhere since.

Test: TestCrashCountsOnceItBecomesKnown; on the code before, nothing counted.

--- a/pkg/dispatch/crash.go
+++ b/pkg/dispatch/crash.go
@@ -59,6 +59,10 @@
 	}
 }
 
+// hasSurvivedElsewhere reports whether the task, of which a run has been given up, has been done since or
+// has a run that has survived crashWindow.
+func (t *task) hasSurvivedElsewhere() bool { return t.done || t.run != nil && t.run.survived }
+
 // clearSuspicion forgets the crashes that the task, or its gang, may have caused, since it
 // has run without one.
 func (t *task) clearSuspicion() {
@@ -147,17 +151,24 @@
 	w.crashed = true
 	now := e.Now()
 	suspects := w.suspects()
+	givenUp := e.takeSilenced(w)
 	alone, byItself := areOneCause(suspects), e.crashesByItself(w, now)
 	metrics.GetOrCreateCounter("shallotpin_worker_crashes_total").Inc()
-	klog.InfoS("dispatch: worker crashed", "worker", w.info.ID, "address", w.info.Address, "runs", len(w.runs), "suspects", len(suspects), "crashes_by_itself", byItself, "silent", now-w.answeredAt)
+	klog.InfoS("dispatch: worker crashed", "worker", w.info.ID, "address", w.info.Address, "runs", len(w.runs), "suspects", len(suspects), "suspects_given_up", len(givenUp), "crashes_by_itself", byItself, "silent", now-w.answeredAt)
 	if w.fenced {
 		c := e.crashes[w.info.Address]
 		c.at = now
-		if len(suspects) == 0 {
+		if len(suspects)+len(givenUp) == 0 {
 			c.withoutSuspectAt = now
 		}
 		e.crashes[w.info.Address] = c
 	}
+	for r, evidence := range givenUp {
+		if !r.task.hasSurvivedElsewhere() {
+			r.crash = evidence
+			e.countCrash(r)
+		}
+	}
 	for _, r := range suspects {
 		r.crash = &crashEvidence{arrival: r.arrival(), alone: alone, byItself: byItself}
 		if r.listed {
@@ -166,6 +177,66 @@
 	}
 }
 
+// silencedWorker is a worker whose runs were given up with their leases, since it did not answer. It may
+// have crashed, or be out of reach.
+type silencedWorker struct {
+	worker *worker
+	at     time.Duration
+	// evidence is what was known of the runs that may have caused its crash, if it has crashed.
+	evidence map[*run]*crashEvidence
+}
+
+// noteSilenced keeps the suspects of a silent worker whose runs are about to be given up: if another
+// incarnation answers later, the crash counts then.
+func (e *Engine) noteSilenced(w *worker, now time.Duration) {
+	suspects := w.suspects()
+	if w.crashed || w.info.Draining || len(suspects) == 0 {
+		return
+	}
+	alone, byItself := areOneCause(suspects), e.crashesByItself(w, now)
+	s := silencedWorker{w, now, map[*run]*crashEvidence{}}
+	for _, r := range suspects {
+		s.evidence[r] = &crashEvidence{arrival: r.arrival(), alone: alone, byItself: byItself}
+	}
+	e.silenced[w.info.ID] = s
+}
+
+// takeSilenced returns what noteSilenced has kept of the worker, and forgets it.
+func (e *Engine) takeSilenced(w *worker) map[*run]*crashEvidence {
+	s, found := e.silenced[w.info.ID]
+	if !found || s.worker != w {
+		return nil
+	}
+	delete(e.silenced, w.info.ID)
+	if w.answeredAt > s.at {
+		return nil
+	}
+	return s.evidence
+}
+
+// checkSilenced records the crashes of silenced workers in whose place another incarnation, or a worker
+// with another ID at the same address, has answered, and forgets those that answer themselves.
+func (e *Engine) checkSilenced(now time.Duration) {
+	if len(e.silenced) == 0 {
+		return
+	}
+	newest := map[string]int64{}
+	for _, w := range e.workers {
+		if w.clock.known {
+			newest[w.info.Address] = max(newest[w.info.Address], w.startMS())
+		}
+	}
+	for id, s := range e.silenced {
+		latest := e.latest[id]
+		switch {
+		case latest != nil && latest.clock.known && latest.startMS() > s.worker.startMS() || newest[s.worker.info.Address] > s.worker.startMS():
+			e.recordCrash(s.worker)
+		case now-s.at > crashMemory || s.worker.answeredAt > s.at:
+			delete(e.silenced, id)
+		}
+	}
+}
+
 // crashTimes are the times of the last crashes of the workers at one address: of any, and
 // of one without a suspect, 0 if there was none.
 type crashTimes struct{ at, withoutSuspectAt time.Duration }
--- a/pkg/dispatch/crash_test.go
+++ b/pkg/dispatch/crash_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/shallotpin/shallotpin/pkg/backend"
+	"github.com/shallotpin/shallotpin/pkg/catalog"
 	"github.com/shallotpin/shallotpin/pkg/ledger"
 	"github.com/shallotpin/shallotpin/pkg/workload"
 )
@@ -577,3 +578,71 @@
 		t.Errorf("workers %v, want only w1, which has not crashed and has room", allowed)
 	}
 }
+
+// Guards against a task that crashes its workers and is started without an end, since they are down for
+// longer than its lease: the crash counts once another incarnation has answered. A worker that was only
+// out of reach has not crashed, and a task that has survived elsewhere since has not caused it.
+func TestCrashCountsOnceItBecomesKnown(t *testing.T) {
+	for name, c := range map[string]struct {
+		happens func(s *manualSite, u *unit)
+		count   int
+	}{
+		"another incarnation answers": {func(s *manualSite, _ *unit) {
+			s.relist("w0", 2)
+			s.answer(s.latest["w0"], 2)
+		}, 1},
+		"another incarnation is listed": {func(s *manualSite, _ *unit) {
+			s.relist("w0", 2)
+		}, 1},
+		"another incarnation answers after the first is forgotten": {func(s *manualSite, _ *unit) {
+			delete(s.View().Workers, "w0")
+			s.updateView()
+			s.checkWorkers(s.now)
+			if s.latest["w0"] != nil {
+				s.t.Fatal("the worker is not forgotten")
+			}
+			s.now += time.Second
+			info := s.workers["w0"].info
+			info.StartedMS = 2
+			s.View().Workers["w0"] = info
+			s.updateView()
+			s.answer(s.latest["w0"], 2)
+		}, 1},
+		"a worker with another ID answers at its address": {func(s *manualSite, _ *unit) {
+			s.setRecord("w1", func(info *catalog.Worker) { info.Address, info.StartedMS = "a0", 9 })
+			s.updateView()
+			s.answer(s.Engine.workers["w1@9"], 9)
+		}, 1},
+		"it was out of reach": {func(s *manualSite, _ *unit) {
+			s.now += time.Second
+			s.answer(s.workers["w0"], 1)
+			s.relist("w0", 2)
+			s.answer(s.latest["w0"], 2)
+		}, 0},
+		"the task survives elsewhere": {func(s *manualSite, u *unit) {
+			s.start(u, 0, "w1")
+			s.now += crashWindow
+			s.list("w1", s.now)
+			s.relist("w0", 2)
+			s.answer(s.latest["w0"], 2)
+		}, 0},
+		"long after": {func(s *manualSite, _ *unit) {
+			s.now += crashMemory + 1
+			s.checkSilenced(s.now)
+			s.relist("w0", 2)
+			s.answer(s.latest["w0"], 2)
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newManualSite(t, 2)
+			s.Orders = unansweredStarts{s.orders}
+			u := s.job("u", workload.Step{Count: 1})
+			s.start(u, 0, "w0")
+			s.silence("w0")
+			s.expectCount(u, 0, 0, 0)
+			c.happens(s, u)
+			s.checkSilenced(s.now)
+			s.expectCount(u, 0, c.count, c.count)
+		})
+	}
+}
--- a/pkg/dispatch/engine.go
+++ b/pkg/dispatch/engine.go
@@ -108,8 +108,10 @@
 	// the present ones.
 	recordedSpeeds  performance.Record
 	speedsCheckedAt time.Duration
-	// crashes are the crashes of workers within crashMemory, by address.
-	crashes map[string]crashTimes
+	// crashes are the crashes of workers within crashMemory, by address, and silenced the workers that
+	// may have crashed, by ID.
+	crashes  map[string]crashTimes
+	silenced map[string]silencedWorker
 	// adviceInFlight means that a call to the adviser is in flight.
 	adviceInFlight bool
 	// urgentDemand is the decayed demand of urgent jobs as of urgentDemandAt, in
@@ -132,7 +134,7 @@
 // New returns an engine for one term.
 func New(in Inputs) *Engine {
 	return &Engine{Inputs: in, events: make(chan func(), eventQueueSize), jobs: map[string]*job{}, endedAt: map[string]time.Duration{}, workers: map[string]*worker{}, latest: map[string]*worker{}, foreignRecords: map[string]string{},
-		lease: election.NewLease(in.Settings.Election, in.ClaimedAt), lastWriteAt: in.ClaimedAt, runTimes: map[string]*runTime{}, crashes: map[string]crashTimes{}, interference: newInterferenceWatch(), performance: performance.New(),
+		lease: election.NewLease(in.Settings.Election, in.ClaimedAt), lastWriteAt: in.ClaimedAt, runTimes: map[string]*runTime{}, crashes: map[string]crashTimes{}, silenced: map[string]silencedWorker{}, interference: newInterferenceWatch(), performance: performance.New(),
 		planDurations: metrics.GetOrCreateHistogram("shallotpin_plan_seconds"),
 		startWaits:    metrics.GetOrCreateHistogram("shallotpin_start_wait_seconds")}
 }
@@ -256,6 +258,7 @@
 	now := e.Now()
 	e.updateView()
 	e.checkWorkers(now)
+	e.checkSilenced(now)
 	e.checkRuns(now)
 	e.classifyWorkers(now)
 	maps.DeleteFunc(e.crashes, func(_ string, c crashTimes) bool { return now-c.at > crashMemory })
--- a/pkg/dispatch/workers.go
+++ b/pkg/dispatch/workers.go
@@ -21,6 +21,7 @@
 			klog.InfoS("dispatch: worker does not answer", "worker", w.info.ID, "address", w.info.Address, "silent", now-w.answeredAt, "runs", len(w.runs), "err", w.lastError)
 		}
 		if len(w.runs) > 0 && now > w.leaseEnd && w.isUnresponsive(now) {
+			e.noteSilenced(w, now)
 			e.loseRuns(w, "its leases have ended and it does not answer")
 		}
 		e.renewIfDue(w, now)
