intake: a submission is not refused while an earlier one of its job may be stored

Cause: a refusal rested on the replica alone, which has a job only once it is stored.

A submission of an account that has no room is refused before its body is read.

Test: TestRepeatedSubmissionSharesTheOutcome fails if submissions under way are not shared; TestRefusalOfARepeatedSubmission.

Open: an earlier submission on its way through another node.

--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -95,6 +95,7 @@
 	stored func(backend.KeyedRecord)
 	// checkLatency makes the writer's estimate of the log's latency show the present one.
 	checkLatency func()
+	submissions  submissions
 	now          func() time.Duration
 	unixMS       func() int64
 	// maxRecordBytes returns the log's limit of a record, 0 if it has none.
@@ -117,9 +118,26 @@
 	if err := job.Validate(); err != nil {
 		return api.Errorf(api.CodeInvalid, "%v", err)
 	}
-	if s.Accepted(job.ID) {
-		return nil
+	for {
+		if s.Accepted(job.ID) {
+			return nil
+		}
+		earlier := s.submissions.begin(job.ID)
+		if earlier == nil {
+			break
+		}
+		if err := earlier.await(ctx); mayBeStored(err) {
+			return err
+		}
 	}
+	err := s.store(ctx, job)
+	s.submissions.end(job.ID, err, s.now())
+	s.logOutcome("submission", job.ID, err)
+	return err
+}
+
+// store adds a job to the ledger. The verdict of an error is that of Submit.
+func (s *Service) store(ctx context.Context, job *workload.Job) error {
 	limit := s.maxRecordBytes()
 	r, fits := ledger.JobRecordWithin(job, limit)
 	if !fits {
@@ -128,10 +146,24 @@
 		return &api.Error{Code: api.CodeTooLarge, Message: "the job is too large to be stored", Verdict: api.NotRun}
 	}
 	err := s.write(ctx, r, occupancy.Claim{Job: job.ID, Account: job.Account, Bytes: occupancy.JobBytes(job, len(r.Value))})
-	s.logOutcome("submission", job.ID, err)
+	if isOccupied(err) {
+		err = s.confirmRefusal(ctx, job.ID, err)
+	} else if _, unsettled := s.submissions.earlier(job.ID, s.now()); unsettled && !mayBeStored(err) {
+		err = errEarlier
+	}
 	return err
 }
 
+// CanAccept returns an error for the caller if not even the smallest job of a client account can be
+// accepted.
+func (s *Service) CanAccept(id, account string) error {
+	c := occupancy.Claim{Job: id, Account: account, Bytes: occupancy.EntryBytes}
+	if ok, occupied := s.replica.Admits(c, s.now()); !ok {
+		return refuseOccupied(c, occupied)
+	}
+	return nil
+}
+
 // Accepted reports whether the ledger, as far as it is known here, has a submission of the job; a
 // further one changes nothing.
 func (s *Service) Accepted(id string) bool {
--- a/pkg/replies/replies.go
+++ b/pkg/replies/replies.go
@@ -12,6 +12,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
+
+	"github.com/shallotpin/shallotpin/pkg/loglimit"
 )
 
 const (
@@ -25,8 +27,6 @@
 	// memoryShare is the part of the process's memory that all replies of a kind of service may
 	// hold where that is more.
 	memoryShare = 8
-	// linesPerSecond limits the log lines of a budget.
-	linesPerSecond = 5
 )
 
 var (
@@ -43,13 +43,10 @@
 	max         int64
 	heldPerByte int64
 
+	lines loglimit.Limiter
+
 	mu   sync.Mutex
 	held int64
-	// second is the second of the last log lines, lines their number, and leftOut the lines left
-	// out since the last one.
-	second  time.Time
-	lines   int
-	leftOut int
 }
 
 // NewBudget returns a budget for a process of the given memory in bytes. source names the services
@@ -136,16 +133,8 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("shallotpin_replies_cut_total{source=%q,reason=%q}", b.source, reason)).Inc()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
-	if now.Sub(b.second) >= time.Second {
-		b.second, b.lines = now, 0
-	}
-	if b.lines == linesPerSecond {
-		b.leftOut++
-		return r.failed
+	if ok, leftOut := b.lines.Allow(time.Now()); ok {
+		klog.InfoS("replies: reply cut off", "source", b.source, "reason", reason, "call", r.call, "from", r.from, "read", r.read, "limit", r.limit, "held", b.held, "budget", b.max, "lines_left_out", leftOut)
 	}
-	klog.InfoS("replies: reply cut off", "source", b.source, "reason", reason, "call", r.call, "from", r.from, "read", r.read, "limit", r.limit, "held", b.held, "budget", b.max, "lines_left_out", b.leftOut)
-	b.lines++
-	b.leftOut = 0
 	return r.failed
 }
