--- a/pkg/intake/submissions_test.go
+++ b/pkg/intake/submissions_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
 
 	"github.com/shallotpin/shallotpin/pkg/api"
 )
@@ -46,19 +47,21 @@
 
 // A submission that is repeated while the first is under way is stored once.
 func TestRepeatedSubmissionSharesTheOutcome(t *testing.T) {
-	s, forwarder := newTestService(64 << 20)
-	outcomes := make(chan error, 2)
-	submit := func() { outcomes <- s.Submit(t.Context(), smallJob()) }
-	go submit()
-	<-forwarder.asked
-	go submit()
-	forwarder.answer <- nil
-	for range 2 {
-		if err := <-outcomes; err != nil {
-			t.Error(err)
+	synctest.Test(t, func(t *testing.T) {
+		s, forwarder := newTestService(64 << 20)
+		outcomes := make(chan error, 2)
+		for range 2 {
+			go func() { outcomes <- s.Submit(t.Context(), smallJob()) }()
+			synctest.Wait()
 		}
-	}
-	if n := len(forwarder.asked); n != 0 {
-		t.Errorf("the job was stored %d times more", n)
-	}
+		if n := len(forwarder.asked); n != 1 {
+			t.Errorf("the job is being stored %d times, want once", n)
+		}
+		forwarder.answer <- nil
+		for range 2 {
+			if err := <-outcomes; err != nil {
+				t.Error(err)
+			}
+		}
+	})
 }
