--- a/pkg/dispatch/clock.go
+++ b/pkg/dispatch/clock.go
@@ -4,7 +4,7 @@
 
 // workerClock bounds the clock of one incarnation of a worker, which is steady and may run slow by a
 // known fraction. The end of a lease is a time on that clock and may reach the worker late, so that it
-// must not lie further ahead than the lease is long: it is reckoned from the lower bound, as if the
+// must not lie further ahead than the lease is long: it is computed from the lower bound, as if the
 // clock had run as slowly as it may since it was last read.
 type workerClock struct {
 	known bool
