dispatch, outage: comments say what is known, not how

Three comments spoke of when a rate or a growth was measured; they say now what the value follows from. No change of behaviour.

--- a/pkg/dispatch/eviction.go
+++ b/pkg/dispatch/eviction.go
@@ -161,7 +161,7 @@
 
 // mayMove reports whether a run that stands still, or is slow, and its gang are to be stopped so
 // that they start on other workers. A slow run is watched for a short time before: its worker may
-// have recovered since its rate was measured.
+// be as fast as the others again.
 func (e *Engine) mayMove(r *run, standsStill bool, now time.Duration) bool {
 	if !e.Settings.Features.Stops {
 		return true
@@ -223,8 +223,8 @@
 // progress returns the run's progress in the form that package eviction takes.
 func (r *run) progress(now time.Duration) eviction.Progress {
 	p := eviction.Progress{Cores: coreEquivalents(r.need), Percent: r.percent, Gained: r.percent - r.basePercent, Span: r.percentAt - r.baseAt, Idle: now - r.percentAt, SavesProgress: r.task.unit.step.SavesProgress}
-	// A rate is known up to one percent within the time in which it was measured.
-	// For long tasks that is all of it.
+	// Progress is reported in whole percent, so that a rate may be too high by one percent within
+	// its span. For long tasks that is all of it.
 	if rate := max(r.bestRate-1/minRateSpan.Seconds(), r.bestRate/2); rate > 0 {
 		p.Best = time.Duration(100 / rate * float64(time.Second))
 	}
--- a/pkg/outage/backlog.go
+++ b/pkg/outage/backlog.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// growthWindow is the span over which the growth of a topic is measured: several changes of a
-// topic that changes often.
+// growthWindow is the span of records from which the growth of a topic follows: several changes of
+// a topic that changes often.
 const growthWindow = 10 * time.Second
 
 // Backlog estimates how much a follower of a topic has still to read, and decides whether a
